--- /dev/null
+++ b/Makefile
@@ -0,0 +1,111 @@
+# Build of zinniapost.  "make deps" installs the Debian packages once.
+
+SANITIZE ?= 0
+CC = gcc
+BUILD = build
+OPT = -O2
+ifeq ($(SANITIZE),1)
+BUILD = build-asan
+OPT = -O1 -fsanitize=address,undefined -fno-sanitize-recover=all -fno-omit-frame-pointer
+endif
+CFLAGS = -std=gnu11 -g $(OPT) -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
+	-Wformat=2 -Werror
+CPPFLAGS = -Isrc -DDSFMT_MEXP=19937 -D_GNU_SOURCE
+LDLIBS = -lev -lprotobuf-c -lmicrohttpd -lcurl -ljson-c -lxxhash -lsodium -lz -lm -lpthread \
+	-l:libdSFMT-19937.a
+
+PACKAGES = base task wire steer once ticket ledger follow peer front forward
+PROGRAMS = zp-entry zp-control zpctl zp-backend zp-load
+DIR_zp-entry = entry
+DIR_zp-control = control
+DIR_zpctl = ctl
+DIR_zp-backend = backend
+DIR_zp-load = load
+LIBS_zp-load = -lgsl -lgslcblas
+LIBS_zp-backend = -lgsl -lgslcblas
+
+# Object files of one folder below src.
+objs = $(patsubst src/%.c,$(BUILD)/%.o,$(wildcard src/$(1)/*.c))
+
+LIB_OBJS = $(foreach p,$(PACKAGES),$(call objs,$(p)))
+LIB = $(BUILD)/libzinniapost.a
+BUILT_PROGRAMS = $(foreach p,$(PROGRAMS),$(if $(wildcard src/$(DIR_$(p))/*.c),$(BUILD)/$(p)))
+TESTS = $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/test-*.c))
+BENCHES = $(patsubst bench/%.c,$(BUILD)/bench/%,$(wildcard bench/bench-*.c))
+
+.PHONY: all deps check check-built lint format demo bench model fuzz scenarios report clean proto
+
+all: $(BUILT_PROGRAMS)
+
+deps:
+	@scripts/deps
+
+$(BUILD)/%.o: src/%.c
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c $< -o $@
+
+$(BUILD)/wire/%.pb-c.o: CFLAGS += -Wno-error
+
+$(LIB): $(LIB_OBJS)
+	@rm -f $@
+	ar rcs $@ $^
+
+define program_rule
+$$(BUILD)/$(1): $$(call objs,$$(DIR_$(1))) $$(LIB)
+	$$(CC) $$(CFLAGS) -o $$@ $$(call objs,$$(DIR_$(1))) $$(LIB) $$(LDLIBS) $$(LIBS_$(1))
+endef
+$(foreach p,$(PROGRAMS),$(eval $(call program_rule,$(p))))
+
+$(BUILD)/tests/%: tests/%.c $(LIB)
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -o $@ $< $(LIB) $(LDLIBS) -lcunit
+
+$(BUILD)/bench/%: bench/%.c $(LIB)
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -o $@ $< $(LIB) $(LDLIBS)
+
+check: deps
+	$(MAKE) --no-print-directory -j$$(nproc) SANITIZE=$(SANITIZE) check-built
+
+check-built: all $(TESTS)
+	@scripts/run-tests $(BUILD)
+
+lint: deps
+	@scripts/lint
+
+format:
+	@git ls-files -co --exclude-standard '*.c' '*.h' | grep -v 'pb-c' | xargs clang-format -i
+
+demo: deps
+	$(MAKE) --no-print-directory -j$$(nproc) all
+	@scripts/demo $(DEPLOYMENT)
+
+scenarios: deps
+	$(MAKE) --no-print-directory -j$$(nproc) all
+	@scripts/scenarios
+
+bench: deps
+	$(MAKE) --no-print-directory -j$$(nproc) all bench-programs
+	@scripts/bench
+
+.PHONY: bench-programs
+bench-programs: $(BENCHES)
+
+report:
+	@scripts/report
+
+model: deps
+	@scripts/model
+
+fuzz: deps
+	@scripts/fuzz
+
+# Regenerates the committed protobuf-c sources; the build itself needs no generator.
+proto:
+	cd src/wire && protoc-c --c_out=. *.proto
+
+clean:
+	rm -rf build build-asan
+
+-include $(LIB_OBJS:.o=.d) $(foreach p,$(PROGRAMS),$(patsubst %.o,%.d,$(call objs,$(DIR_$(p)))))
+-include $(TESTS:=.d) $(BENCHES:=.d)
--- /dev/null
+++ b/src/base/rng.h
@@ -0,0 +1,30 @@
+/* NAME
+     rng - seeded random numbers
+
+   DESCRIPTION
+     Wraps the dSFMT generator.  Decisions take a struct zp_rng as an argument,
+     so that a test with a fixed seed repeats them exactly.  */
+
+#ifndef ZP_BASE_RNG_H
+#define ZP_BASE_RNG_H
+
+#include <dSFMT.h>
+#include <stdint.h>
+
+struct zp_rng
+{
+  dsfmt_t state;
+};
+
+void zp_rng_seed (struct zp_rng *r, uint32_t seed);
+
+/* Seeds from the operating system.  */
+void zp_rng_seed_os (struct zp_rng *r);
+
+/* Uniform in [0, 1).  */
+double zp_rng_unit (struct zp_rng *r);
+
+/* Uniform in [0, N); N must be above 0.  */
+uint32_t zp_rng_below (struct zp_rng *r, uint32_t n);
+
+#endif
--- /dev/null
+++ b/src/base/settings.c
@@ -0,0 +1,221 @@
+#include "base/settings.h"
+
+#include <assert.h>
+#include <errno.h>
+#include <json-c/json.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/limits.h"
+
+bool
+zp_file_read (const char *path, struct zp_buf *out, struct zp_err *err)
+{
+  char chunk[4096];
+  size_t n;
+  FILE *f = fopen (path, "re");
+
+  if (!f)
+    return zp_fail (err, ZP_EIO, "cannot open %s: %s", path, strerror (errno));
+  while ((n = fread (chunk, 1, sizeof chunk, f)) > 0
+         && out->len <= ZP_SETTINGS_MAX)
+    zp_buf_put_bytes (out, chunk, n);
+  bool bad = ferror (f) != 0;
+  fclose (f);
+  if (bad)
+    return zp_fail (err, ZP_EIO, "cannot read %s", path);
+  if (out->len > ZP_SETTINGS_MAX)
+    return zp_fail (err, ZP_ELIMIT, "%s is longer than %d bytes", path,
+                    ZP_SETTINGS_MAX);
+  return true;
+}
+
+/* Line and column, from 1, of the byte at offset AT.  */
+static void
+position (struct zp_str text, size_t at, size_t *line, size_t *column)
+{
+  *line = 1;
+  *column = 1;
+  for (size_t i = 0; i < at && i < text.len; i++)
+    if (text.ptr[i] == '\n')
+      {
+        ++*line;
+        *column = 1;
+      }
+    else
+      ++*column;
+}
+
+struct json_object *
+zp_json_parse (struct zp_str text, struct zp_err *err)
+{
+  struct json_tokener *t = json_tokener_new_ex (16);
+  struct json_object *root;
+  size_t line, column;
+
+  if (!text.ptr)
+    text = ZP_STR ("");
+  if (text.len > INT32_MAX)
+    {
+      json_tokener_free (t);
+      zp_fail (err, ZP_ELIMIT, "JSON text is too long");
+      return NULL;
+    }
+  json_tokener_set_flags (t, JSON_TOKENER_VALIDATE_UTF8);
+  root = json_tokener_parse_ex (t, text.ptr, (int) text.len);
+  if (!root && json_tokener_get_error (t) == json_tokener_continue)
+    /* A lone number or an unfinished value needs an end mark.  */
+    root = json_tokener_parse_ex (t, "", 1);
+  enum json_tokener_error e = json_tokener_get_error (t);
+  size_t end = json_tokener_get_parse_end (t);
+  json_tokener_free (t);
+  if (e != json_tokener_success || !root)
+    {
+      position (text, end, &line, &column);
+      json_object_put (root);
+      zp_fail (err, ZP_EINVAL, "line %zu, column %zu: %s", line, column,
+               e == json_tokener_success ? "no JSON value"
+                                         : json_tokener_error_desc (e));
+      return NULL;
+    }
+  return root;
+}
+
+/* Checks of one value.  */
+
+static bool
+read_list (struct zp_settings *s, struct json_object *v, struct zp_strs *out)
+{
+  size_t n = json_object_array_length (v);
+  struct zp_strs list = { .item = zp_alloc (n * sizeof *list.item) };
+
+  assert (s->list_count < sizeof s->lists / sizeof s->lists[0]);
+  for (size_t i = 0; i < n; i++)
+    {
+      struct json_object *e = json_object_array_get_idx (v, i);
+      if (!json_object_is_type (e, json_type_string))
+        {
+          free (list.item);
+          return false;
+        }
+      list.item[list.len++]
+          = (struct zp_str){ .ptr = json_object_get_string (e),
+                             .len = (size_t) json_object_get_string_len (e) };
+    }
+  s->lists[s->list_count++] = list;
+  *out = list;
+  return true;
+}
+
+/* Stores V in OUT.  Returns false when V is not what the table allows.  */
+static bool
+read_value (struct zp_settings *s, const struct zp_setting *t,
+            struct json_object *v, char *out)
+{
+  int64_t n;
+
+  switch (t->kind)
+    {
+    case ZP_SETTING_TEXT:
+      if (!json_object_is_type (v, json_type_string))
+        return false;
+      *(struct zp_str *) (void *) out
+          = (struct zp_str){ .ptr = json_object_get_string (v),
+                             .len = (size_t) json_object_get_string_len (v) };
+      return true;
+    case ZP_SETTING_INT:
+      if (!json_object_is_type (v, json_type_int))
+        return false;
+      n = json_object_get_int64 (v);
+      if (n < t->min || n > t->max)
+        return false;
+      *(int64_t *) (void *) out = n;
+      return true;
+    case ZP_SETTING_BOOL:
+      if (!json_object_is_type (v, json_type_boolean))
+        return false;
+      *(bool *) out = json_object_get_boolean (v);
+      return true;
+    case ZP_SETTING_LIST:
+      if (!json_object_is_type (v, json_type_array))
+        return false;
+      return read_list (s, v, (struct zp_strs *) (void *) out);
+    }
+  return false;
+}
+
+static void
+report_value (struct zp_report *r, const char *path,
+              const struct zp_setting *t, struct json_object *v)
+{
+  const char *found
+      = json_object_to_json_string_ext (v, JSON_C_TO_STRING_PLAIN);
+
+  if (t->allowed)
+    zp_report_add (r, "%s: \"%s\": found %s, allowed: %s", path, t->key, found,
+                   t->allowed);
+  else if (t->kind == ZP_SETTING_INT)
+    zp_report_add (r,
+                   "%s: \"%s\": found %s, allowed: a number from %lld to "
+                   "%lld",
+                   path, t->key, found, (long long) t->min,
+                   (long long) t->max);
+  else
+    zp_report_add (r, "%s: \"%s\": found %s, allowed: %s", path, t->key, found,
+                   t->kind == ZP_SETTING_TEXT   ? "a string"
+                   : t->kind == ZP_SETTING_BOOL ? "true or false"
+                                                : "a list of strings");
+}
+
+static const struct zp_setting *
+find_setting (const struct zp_setting *table, const char *key)
+{
+  for (; table->key; table++)
+    if (strcmp (table->key, key) == 0)
+      return table;
+  return NULL;
+}
+
+bool
+zp_settings_load (struct zp_settings *s, const char *path,
+                  const struct zp_setting *table, void *out,
+                  struct zp_report *report)
+{
+  struct zp_buf text = { .ptr = NULL };
+  struct zp_err err = { .code = ZP_OK };
+  size_t before = report->count;
+
+  *s = (struct zp_settings){ .root = NULL };
+  if (!zp_file_read (path, &text, &err))
+    zp_report_add (report, "%s", err.text);
+  else if (!(s->root = zp_json_parse (zp_str_of (&text), &err)))
+    zp_report_add (report, "%s: %s", path, err.text);
+  else if (!json_object_is_type (s->root, json_type_object))
+    zp_report_add (report, "%s: found a value, allowed: an object", path);
+  zp_buf_free (&text);
+  if (report->count > before)
+    return false;
+
+  json_object_object_foreach (s->root, key, value)
+  {
+    const struct zp_setting *t = find_setting (table, key);
+    if (!t)
+      zp_report_add (report, "%s: \"%s\": unknown key", path, key);
+    else if (!read_value (s, t, value, (char *) out + t->offset))
+      report_value (report, path, t, value);
+  }
+  for (const struct zp_setting *t = table; t->key; t++)
+    if (t->required && !json_object_object_get_ex (s->root, t->key, NULL))
+      zp_report_add (report, "%s: \"%s\": missing, required", path, t->key);
+  return report->count == before;
+}
+
+void
+zp_settings_free (struct zp_settings *s)
+{
+  for (size_t i = 0; i < s->list_count; i++)
+    free (s->lists[i].item);
+  json_object_put (s->root);
+  *s = (struct zp_settings){ .root = NULL };
+}
--- /dev/null
+++ b/src/task/msg.c
@@ -0,0 +1,63 @@
+#include "task/msg.h"
+
+#include <stdlib.h>
+
+struct tk_msg *
+tk_msg_new (enum tk_msg_kind kind)
+{
+  struct tk_msg *m = zp_alloc (sizeof *m);
+
+  m->kind = kind;
+  return m;
+}
+
+void
+tk_msg_free (struct tk_msg *m)
+{
+  switch (m->kind)
+    {
+    case TK_HTTP_REQUEST:
+      zp_buf_free (&m->u.request.method);
+      zp_buf_free (&m->u.request.path);
+      zp_buf_free (&m->u.request.query);
+      zp_buf_free (&m->u.request.content_type);
+      zp_buf_free (&m->u.request.key);
+      zp_buf_free (&m->u.request.body);
+      break;
+    case TK_HTTP_ANSWER:
+      zp_buf_free (&m->u.answer.location);
+      zp_buf_free (&m->u.answer.content_type);
+      zp_buf_free (&m->u.answer.body);
+      break;
+    case TK_FORWARD:
+      zp_buf_free (&m->u.forward.method);
+      zp_buf_free (&m->u.forward.target);
+      zp_buf_free (&m->u.forward.content_type);
+      zp_buf_free (&m->u.forward.body);
+      zp_buf_free (&m->u.forward.request_id);
+      break;
+    case TK_FORWARD_DONE:
+      zp_buf_free (&m->u.done.content_type);
+      zp_buf_free (&m->u.done.body);
+      break;
+    case TK_PEER_SEND:
+    case TK_PEER_FRAME:
+      zp_buf_free (&m->u.frame.payload);
+      break;
+    case TK_DISK_WRITE:
+      zp_buf_free (&m->u.write.bytes);
+      break;
+    case TK_CONFIG:
+      if (m->u.config.config)
+        m->u.config.release (m->u.config.config);
+      break;
+    case TK_STOP:
+    case TK_HTTP_GONE:
+    case TK_FORWARD_CANCEL:
+    case TK_PEER_UP:
+    case TK_PEER_DOWN:
+    case TK_DISK_DONE:
+      break;
+    }
+  free (m);
+}
--- /dev/null
+++ b/src/wire/address.h
@@ -0,0 +1,18 @@
+/* NAME
+     address - "IP:port" texts and socket addresses
+
+   DESCRIPTION
+     IPv6 addresses stand in brackets.  Names are not resolved: processes learn
+     their addresses by IP number from their settings.  */
+
+#ifndef ZP_WIRE_ADDRESS_H
+#define ZP_WIRE_ADDRESS_H
+
+#include <sys/socket.h>
+
+#include "base/err.h"
+
+bool wi_address_parse (struct zp_str text, struct sockaddr_storage *out,
+                       socklen_t *len, struct zp_err *err);
+
+#endif
--- /dev/null
+++ b/tests/harness.h
@@ -0,0 +1,39 @@
+/* NAME
+     harness - main program of a CUnit test of one module
+
+   SYNOPSIS
+     static const struct zp_test tests[] = { { "what it guards", fn } };
+     TEST_MAIN ("module", tests)  */
+
+#ifndef ZP_TESTS_HARNESS_H
+#define ZP_TESTS_HARNESS_H
+
+#include <CUnit/Basic.h>
+#include <string.h>
+
+struct zp_test
+{
+  const char *name;
+  void (*run) (void);
+};
+
+/* Whether the terminated text HAY holds NEEDLE.  */
+#define HAS_TEXT(hay, needle) (strstr ((hay), (needle)) != NULL)
+
+/* Exit status 0 only when every assertion held and at least one test ran.  */
+#define TEST_MAIN(module, tests)                                              \
+  int main (void)                                                             \
+  {                                                                           \
+    CU_initialize_registry ();                                                \
+    CU_pSuite suite = CU_add_suite (module, NULL, NULL);                      \
+    for (size_t i = 0; i < sizeof (tests) / sizeof ((tests)[0]); i++)         \
+      CU_add_test (suite, (tests)[i].name, (tests)[i].run);                   \
+    CU_basic_set_mode (CU_BRM_VERBOSE);                                       \
+    CU_basic_run_tests ();                                                    \
+    unsigned failed = CU_get_number_of_failures ();                           \
+    unsigned ran = CU_get_number_of_tests_run ();                             \
+    CU_cleanup_registry ();                                                   \
+    return failed == 0 && ran > 0 ? 0 : 1;                                    \
+  }
+
+#endif
--- /dev/null
+++ b/tests/test-conn.c
@@ -0,0 +1,140 @@
+#include "harness.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/limits.h"
+#include "wire/conn.h"
+#include "wire/frame.h"
+
+#define ADDRESS "127.0.0.1:19181"
+
+struct side
+{
+  struct ev_loop *ev;
+  struct wi_conn *conn;
+  int frames;
+  int ends;
+  char why[256];
+};
+
+static void
+on_frame (void *self, struct wi_conn *c, uint8_t kind, struct zp_str payload)
+{
+  struct side *s = self;
+
+  s->frames++;
+  if (kind == WI_HELLO)
+    wi_conn_send (c, WI_HEARTBEAT, payload);
+  else
+    ev_break (s->ev, EVBREAK_ALL);
+}
+
+static void
+on_end (void *self, struct wi_conn *c, const struct zp_err *why)
+{
+  struct side *s = self;
+
+  (void) c;
+  s->ends++;
+  memcpy (s->why, why->text, sizeof s->why);
+  ev_break (s->ev, EVBREAK_ALL);
+}
+
+static const struct wi_handlers handlers
+    = { .on_frame = on_frame, .on_end = on_end };
+
+static void
+on_accept (void *self, struct wi_conn *c)
+{
+  struct side *s = self;
+
+  s->conn = c;
+  wi_conn_set (c, &handlers, s);
+}
+
+static void
+test_frame_there_and_back (void)
+{
+  struct ev_loop *ev = ev_loop_new (EVFLAG_AUTO);
+  struct side server = { .ev = ev }, client = { .ev = ev };
+  struct zp_err err;
+  struct wi_listener *l
+      = wi_listen (ev, ZP_STR (ADDRESS), on_accept, &server, &err);
+
+  CU_ASSERT_FATAL (l != NULL);
+  client.conn = wi_conn_open (ev, ZP_STR (ADDRESS), &handlers, &client, &err);
+  CU_ASSERT_FATAL (client.conn != NULL);
+  CU_ASSERT (wi_conn_send (client.conn, WI_HELLO, ZP_STR ("hi")));
+  ev_run (ev, 0);
+  CU_ASSERT_EQUAL (server.frames, 1);
+  CU_ASSERT_EQUAL (client.frames, 1);
+  wi_conn_free (client.conn);
+  ev_run (ev, 0);
+  CU_ASSERT_EQUAL (server.ends, 1);
+  wi_conn_free (server.conn);
+  wi_listener_free (l);
+  ev_loop_destroy (ev);
+}
+
+/* Guards against a peer that sends bytes of another protocol.  */
+static void
+test_bad_bytes_end_the_connection (void)
+{
+  struct ev_loop *ev = ev_loop_new (EVFLAG_AUTO);
+  struct side server = { .ev = ev };
+  struct zp_err err;
+  struct wi_listener *l
+      = wi_listen (ev, ZP_STR (ADDRESS), on_accept, &server, &err);
+  struct sockaddr_in sa = { .sin_family = AF_INET, .sin_port = htons (19181) };
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  CU_ASSERT_FATAL (l != NULL);
+  inet_pton (AF_INET, "127.0.0.1", &sa.sin_addr);
+  CU_ASSERT_FATAL (connect (fd, (struct sockaddr *) &sa, sizeof sa) == 0);
+  CU_ASSERT (send (fd, "GET / HTTP/1.1\r\n", 16, 0) == 16);
+  ev_run (ev, 0);
+  CU_ASSERT_EQUAL (server.ends, 1);
+  CU_ASSERT_EQUAL (server.frames, 0);
+  CU_ASSERT (HAS_TEXT (server.why, "protocol version"));
+  close (fd);
+  wi_conn_free (server.conn);
+  wi_listener_free (l);
+  ev_loop_destroy (ev);
+}
+
+/* Guards against unbounded memory for a peer that does not read.  */
+static void
+test_backlog_is_limited (void)
+{
+  struct ev_loop *ev = ev_loop_new (EVFLAG_AUTO);
+  struct side server = { .ev = ev }, client = { .ev = ev };
+  struct zp_err err;
+  struct wi_listener *l
+      = wi_listen (ev, ZP_STR (ADDRESS), on_accept, &server, &err);
+  struct zp_buf big = { .ptr = NULL };
+  int sent = 0;
+
+  CU_ASSERT_FATAL (l != NULL);
+  client.conn = wi_conn_open (ev, ZP_STR (ADDRESS), &handlers, &client, &err);
+  for (int i = 0; i < 1024; i++)
+    zp_buf_put (&big, ZP_STR ("0123456789abcdef"));
+  while (sent < 100000
+         && wi_conn_send (client.conn, WI_HELLO, zp_str_of (&big)))
+    sent++;
+  CU_ASSERT (sent < 100000);
+  CU_ASSERT ((size_t) sent * big.len <= ZP_CONN_BACKLOG_MAX);
+  wi_conn_free (client.conn);
+  wi_listener_free (l);
+  zp_buf_free (&big);
+  ev_loop_destroy (ev);
+}
+
+static const struct zp_test tests[]
+    = { { "a frame there and back", test_frame_there_and_back },
+        { "bad bytes end the connection", test_bad_bytes_end_the_connection },
+        { "the backlog is limited", test_backlog_is_limited } };
+
+TEST_MAIN ("conn", tests)
