Give every test process a loopback address of its own

Cause: test programs of two work trees bound the same port. Change: test_address derives the address from the process id.

--- a/tests/harness.h
+++ b/tests/harness.h
@@ -9,7 +9,9 @@
 #define ZP_TESTS_HARNESS_H
 
 #include <CUnit/Basic.h>
+#include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 struct zp_test
 {
@@ -20,6 +22,21 @@
 /* Whether the terminated text HAY holds NEEDLE.  */
 #define HAS_TEXT(hay, needle) (strstr ((hay), (needle)) != NULL)
 
+/* An "IP:port" on a loopback address of this process alone, so that test
+   programs of several work trees can run at once.  */
+static inline const char *
+test_address (unsigned port)
+{
+  static char text[4][32];
+  static unsigned turn;
+  unsigned pid = (unsigned) getpid ();
+  char *out = text[turn++ % 4];
+
+  snprintf (out, sizeof text[0], "127.%u.%u.%u:%u", 64 + (pid >> 16) % 64,
+            (pid >> 8) % 256, 1 + pid % 254, port);
+  return out;
+}
+
 /* Exit status 0 only when every assertion held and at least one test ran.  */
 #define TEST_MAIN(module, tests)                                              \
   int main (void)                                                             \
--- a/tests/test-conn.c
+++ b/tests/test-conn.c
@@ -1,15 +1,15 @@
 #include "harness.h"
 
-#include <arpa/inet.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include "base/limits.h"
+#include "wire/address.h"
 #include "wire/conn.h"
 #include "wire/frame.h"
 
-#define ADDRESS "127.0.0.1:19181"
+#define ADDRESS zp_str_from (test_address (19181))
 
 struct side
 {
@@ -61,11 +61,10 @@
   struct ev_loop *ev = ev_loop_new (EVFLAG_AUTO);
   struct side server = { .ev = ev }, client = { .ev = ev };
   struct zp_err err;
-  struct wi_listener *l
-      = wi_listen (ev, ZP_STR (ADDRESS), on_accept, &server, &err);
+  struct wi_listener *l = wi_listen (ev, ADDRESS, on_accept, &server, &err);
 
   CU_ASSERT_FATAL (l != NULL);
-  client.conn = wi_conn_open (ev, ZP_STR (ADDRESS), &handlers, &client, &err);
+  client.conn = wi_conn_open (ev, ADDRESS, &handlers, &client, &err);
   CU_ASSERT_FATAL (client.conn != NULL);
   CU_ASSERT (wi_conn_send (client.conn, WI_HELLO, ZP_STR ("hi")));
   ev_run (ev, 0);
@@ -86,14 +85,14 @@
   struct ev_loop *ev = ev_loop_new (EVFLAG_AUTO);
   struct side server = { .ev = ev };
   struct zp_err err;
-  struct wi_listener *l
-      = wi_listen (ev, ZP_STR (ADDRESS), on_accept, &server, &err);
-  struct sockaddr_in sa = { .sin_family = AF_INET, .sin_port = htons (19181) };
+  struct wi_listener *l = wi_listen (ev, ADDRESS, on_accept, &server, &err);
+  struct sockaddr_storage sa;
+  socklen_t len;
   int fd = socket (AF_INET, SOCK_STREAM, 0);
 
   CU_ASSERT_FATAL (l != NULL);
-  inet_pton (AF_INET, "127.0.0.1", &sa.sin_addr);
-  CU_ASSERT_FATAL (connect (fd, (struct sockaddr *) &sa, sizeof sa) == 0);
+  CU_ASSERT_FATAL (wi_address_parse (ADDRESS, &sa, &len, &err));
+  CU_ASSERT_FATAL (connect (fd, (struct sockaddr *) &sa, len) == 0);
   CU_ASSERT (send (fd, "GET / HTTP/1.1\r\n", 16, 0) == 16);
   ev_run (ev, 0);
   CU_ASSERT_EQUAL (server.ends, 1);
@@ -112,13 +111,12 @@
   struct ev_loop *ev = ev_loop_new (EVFLAG_AUTO);
   struct side server = { .ev = ev }, client = { .ev = ev };
   struct zp_err err;
-  struct wi_listener *l
-      = wi_listen (ev, ZP_STR (ADDRESS), on_accept, &server, &err);
+  struct wi_listener *l = wi_listen (ev, ADDRESS, on_accept, &server, &err);
   struct zp_buf big = { .ptr = NULL };
   int sent = 0;
 
   CU_ASSERT_FATAL (l != NULL);
-  client.conn = wi_conn_open (ev, ZP_STR (ADDRESS), &handlers, &client, &err);
+  client.conn = wi_conn_open (ev, ADDRESS, &handlers, &client, &err);
   for (int i = 0; i < 1024; i++)
     zp_buf_put (&big, ZP_STR ("0123456789abcdef"));
   while (sent < 100000
