Add the HTTP front end and the client towards backend servers

Cause: requests of callers need a way in and a way to backend servers whose verdict can be trusted. Change: package front (libmicrohttpd, requests and answers matched by id, callers that leave are noticed while a request waits) and package forward (libcurl multi). libcurl sends a request a second time when a reused connection turns out to be dead; the pre-request callback refuses that, so one TK_FORWARD is sent at most once.

--- a/src/base/limits.h
+++ b/src/base/limits.h
@@ -15,6 +15,10 @@
 #define ZP_ADDRESS_MAX 64          /* "IP:port", IPv6 in brackets */
 #define ZP_FRAME_MAX (1024 * 1024) /* payload bytes of one inner frame */
 #define ZP_BODY_MAX (256 * 1024)   /* request or answer body */
+#define ZP_ANSWER_MAX                                                         \
+  (8 * 1024 * 1024)                /* body of a backend server's answer       \
+                                    */
+#define ZP_HEADERS_MAX (16 * 1024) /* all headers of one message */
 #define ZP_KEY_MAX 256             /* idempotency key */
 #define ZP_SETTINGS_MAX (1024 * 1024)
 #define ZP_CONN_BACKLOG_MAX (8 * 1024 * 1024) /* unsent bytes of one link */
@@ -35,7 +39,16 @@
 #define ZP_HEARTBEAT_REMOTE (1000 * ZP_MS)
 #define ZP_HEARTBEAT_MISSED 4
 
+/* Connections to backend servers.  A connection that is not established within
+   ZP_CONNECT_TIMEOUT counts as refused: regions are 110 ms apart there and
+   back, and a server takes about 1 ms.  */
+#define ZP_CONNECT_TIMEOUT (500 * ZP_MS)
+#define ZP_CONN_IDLE_MAX (10 * ZP_SEC)
+#define ZP_CONN_AGE_MAX (60 * ZP_SEC)
+
 /* Callers.  */
+#define ZP_CALLER_CONNECTIONS 4096
+#define ZP_CALLER_IDLE_MAX (60 * ZP_SEC)
 #define ZP_DEADLINE_DEFAULT (2000 * ZP_MS)
 #define ZP_DEADLINE_MAX (60 * ZP_SEC)
 #define ZP_LOOKUP_TTL (5 * ZP_SEC)
--- /dev/null
+++ b/src/forward/client.c
@@ -0,0 +1,502 @@
+#include "forward/client.h"
+
+#include <assert.h>
+#include <curl/curl.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/counter.h"
+#include "base/limits.h"
+#include "base/log.h"
+#include "front/header.h"
+
+#define PART "forward"
+
+/* One socket of libcurl in the event loop.  */
+struct watch
+{
+  ev_io io;
+  struct fw_client *client;
+};
+
+/* One request on its way to a backend server.  */
+struct transfer
+{
+  struct transfer *next, *prev;
+  struct fw_client *client;
+  CURL *easy;
+  struct curl_slist *headers;
+  struct tk_msg *request;
+  struct tk_msg *done; /* filled while the answer arrives */
+  zp_time start;
+  unsigned sends; /* how often the request was handed to a connection */
+  bool wrong_id;
+  bool has_verdict;
+  enum zp_verdict verdict;
+};
+
+struct fw_client
+{
+  struct tk_loop *loop;
+  struct tk_task task;
+  struct tk_task *reply_to;
+  CURLM *multi;
+  ev_timer timer;
+  struct transfer active; /* list head */
+};
+
+/* Callbacks of one transfer.  */
+
+/* Runs when a connection is ready, before the first byte is sent.  */
+static int
+on_send (void *self, char *primary_ip, char *local_ip, int primary_port,
+         int local_port)
+{
+  struct transfer *t = self;
+
+  (void) primary_ip;
+  (void) local_ip;
+  (void) primary_port;
+  (void) local_port;
+  if (t->sends > 0)
+    return CURL_PREREQFUNC_ABORT;
+  t->sends++;
+  return CURL_PREREQFUNC_OK;
+}
+
+static size_t
+on_body (char *bytes, size_t size, size_t n, void *self)
+{
+  struct transfer *t = self;
+  struct zp_buf *body = &t->done->u.done.body;
+
+  if (body->len + size * n > ZP_ANSWER_MAX)
+    return 0;
+  zp_buf_put_bytes (body, bytes, size * n);
+  return size * n;
+}
+
+static size_t
+on_header (char *bytes, size_t size, size_t n, void *self)
+{
+  struct transfer *t = self;
+  struct tk_forward_done *d = &t->done->u.done;
+  struct zp_str line = { .ptr = bytes, .len = size * n };
+  struct zp_str name, value;
+
+  if (zp_str_starts (line, ZP_STR ("HTTP/")))
+    {
+      /* A new header section, after an interim answer.  */
+      zp_buf_clear (&d->headers);
+      zp_buf_clear (&d->content_type);
+      t->has_verdict = false;
+      return size * n;
+    }
+  if (!fr_header_next (&line, &name, &value) || name.len == 0)
+    return size * n;
+  if (fr_header_is (name, "Content-Type"))
+    zp_buf_put (&d->content_type, value);
+  else if (fr_header_is (name, "Run-Verdict"))
+    t->has_verdict = zp_verdict_parse (value, &t->verdict);
+  else if (fr_header_is (name, "Request-Id"))
+    t->wrong_id
+        = !zp_str_eq (value, zp_str_of (&t->request->u.forward.request_id));
+  else
+    fr_header_put (&d->headers, name, value);
+  return size * n;
+}
+
+/* Transfers.  */
+
+static void
+transfer_unlink (struct transfer *t)
+{
+  t->prev->next = t->next;
+  t->next->prev = t->prev;
+}
+
+/* Removing the handle closes a connection that is still in use.  */
+static void
+transfer_free (struct transfer *t)
+{
+  curl_multi_remove_handle (t->client->multi, t->easy);
+  curl_easy_cleanup (t->easy);
+  curl_slist_free_all (t->headers);
+  transfer_unlink (t);
+  tk_msg_free (t->request);
+  if (t->done)
+    tk_msg_free (t->done);
+  free (t);
+}
+
+/* Sends TK_FORWARD_DONE and releases T.  */
+static void
+finish (struct transfer *t, enum tk_forward_end end, enum zp_verdict verdict)
+{
+  struct fw_client *c = t->client;
+  struct tk_msg *m = t->done;
+  struct tk_forward_done *d = &m->u.done;
+
+  t->done = NULL;
+  d->end = end;
+  d->verdict = verdict;
+  d->elapsed = zp_clock_mono () - t->start;
+  if (end != TK_END_ANSWER)
+    {
+      zp_buf_clear (&d->body);
+      zp_buf_clear (&d->headers);
+      zp_buf_clear (&d->content_type);
+      d->status = 0;
+    }
+  transfer_free (t);
+  tk_send (c->reply_to, m);
+}
+
+/* The verdict of a whole answer: a server may only take back a request by a
+   503 that says so.  */
+static enum zp_verdict
+answer_verdict (const struct transfer *t, unsigned status)
+{
+  if (status == 503 && t->has_verdict && t->verdict == ZP_NOT_RUN)
+    return ZP_NOT_RUN;
+  if (t->has_verdict && t->verdict == ZP_MAY_HAVE_RUN)
+    return ZP_MAY_HAVE_RUN;
+  return ZP_RAN;
+}
+
+static void
+finish_by_result (struct transfer *t, CURLcode result)
+{
+  long status = 0;
+
+  if (result == CURLE_OK && !t->wrong_id)
+    {
+      curl_easy_getinfo (t->easy, CURLINFO_RESPONSE_CODE, &status);
+      t->done->u.done.status = (unsigned) status;
+      finish (t, TK_END_ANSWER, answer_verdict (t, (unsigned) status));
+      return;
+    }
+  if (t->wrong_id)
+    {
+      zp_count (zp_counter ("zp_forward_crossed_answers_total", ""), 1);
+      zp_log (ZP_LOG_WARNING, PART,
+              "dropped an answer of %s: its request id belongs to another "
+              "request",
+              t->request->u.forward.address);
+    }
+  if (t->sends == 0)
+    finish (t,
+            result == CURLE_OPERATION_TIMEDOUT
+                    && zp_clock_mono () >= t->request->u.forward.deadline
+                ? TK_END_TIMEOUT
+                : TK_END_NO_CONNECT,
+            ZP_NOT_RUN);
+  else
+    finish (t,
+            result == CURLE_OPERATION_TIMEDOUT ? TK_END_TIMEOUT : TK_END_LOST,
+            ZP_MAY_HAVE_RUN);
+}
+
+static long
+milliseconds (zp_time t)
+{
+  return t < ZP_MS ? 1L : (long) (t / ZP_MS);
+}
+
+static void add_request_header (struct transfer *t, const char *fmt, ...)
+    __attribute__ ((format (printf, 2, 3)));
+
+static void
+add_request_header (struct transfer *t, const char *fmt, ...)
+{
+  struct zp_buf line = { .ptr = NULL };
+  va_list ap;
+
+  va_start (ap, fmt);
+  zp_buf_vprintf (&line, fmt, ap);
+  va_end (ap);
+  struct curl_slist *l = curl_slist_append (t->headers, line.ptr);
+  zp_buf_free (&line);
+  if (!l)
+    abort ();
+  t->headers = l;
+}
+
+static void
+build_headers (struct transfer *t, zp_time left)
+{
+  struct tk_forward *f = &t->request->u.forward;
+  struct zp_str rest = zp_str_of (&f->headers);
+  struct zp_str name, value;
+
+  add_request_header (t, "Deadline-Ms: %ld", milliseconds (left));
+  add_request_header (t, "Request-Id: %.*s",
+                      ZP_ARG (zp_str_of (&f->request_id)));
+  /* Without this, libcurl waits up to 1 s for an interim answer.  */
+  add_request_header (t, "Expect:");
+  if (f->content_type.len > 0)
+    add_request_header (t, "Content-Type: %s", f->content_type.ptr);
+  else
+    add_request_header (t, "Content-Type:");
+  while (fr_header_next (&rest, &name, &value))
+    add_request_header (t, "%.*s: %.*s", ZP_ARG (name), ZP_ARG (value));
+}
+
+static void
+set_method (struct transfer *t)
+{
+  struct tk_forward *f = &t->request->u.forward;
+  struct zp_str method = zp_str_of (&f->method);
+
+  if (f->body.len > 0 || zp_str_eq (method, ZP_STR ("POST"))
+      || zp_str_eq (method, ZP_STR ("PUT")))
+    {
+      curl_easy_setopt (t->easy, CURLOPT_POST, 1L);
+      curl_easy_setopt (t->easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                        (curl_off_t) f->body.len);
+      curl_easy_setopt (t->easy, CURLOPT_POSTFIELDS,
+                        f->body.ptr ? f->body.ptr : "");
+    }
+  if (zp_str_eq (method, ZP_STR ("HEAD")))
+    curl_easy_setopt (t->easy, CURLOPT_NOBODY, 1L);
+  else
+    curl_easy_setopt (t->easy, CURLOPT_CUSTOMREQUEST, f->method.ptr);
+}
+
+static void
+set_options (struct transfer *t, zp_time left)
+{
+  struct tk_forward *f = &t->request->u.forward;
+  CURL *e = t->easy;
+  struct zp_buf url = { .ptr = NULL };
+  zp_time connect = left < ZP_CONNECT_TIMEOUT ? left : ZP_CONNECT_TIMEOUT;
+
+  zp_buf_printf (&url, "http://%s%.*s", f->address,
+                 ZP_ARG (zp_str_of (&f->target)));
+  curl_easy_setopt (e, CURLOPT_URL, url.ptr);
+  zp_buf_free (&url);
+  curl_easy_setopt (e, CURLOPT_PRIVATE, t);
+  curl_easy_setopt (e, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (e, CURLOPT_PROXY, "");
+  curl_easy_setopt (e, CURLOPT_PATH_AS_IS, 1L);
+  curl_easy_setopt (e, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt (e, CURLOPT_HTTP_VERSION, (long) CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt (e, CURLOPT_TIMEOUT_MS, milliseconds (left));
+  curl_easy_setopt (e, CURLOPT_CONNECTTIMEOUT_MS, milliseconds (connect));
+  curl_easy_setopt (e, CURLOPT_MAXAGE_CONN,
+                    (long) (ZP_CONN_IDLE_MAX / ZP_SEC));
+  curl_easy_setopt (e, CURLOPT_MAXLIFETIME_CONN,
+                    (long) (ZP_CONN_AGE_MAX / ZP_SEC));
+  curl_easy_setopt (e, CURLOPT_FRESH_CONNECT, f->fresh_connection ? 1L : 0L);
+  curl_easy_setopt (e, CURLOPT_PREREQFUNCTION, on_send);
+  curl_easy_setopt (e, CURLOPT_PREREQDATA, t);
+  curl_easy_setopt (e, CURLOPT_WRITEFUNCTION, on_body);
+  curl_easy_setopt (e, CURLOPT_WRITEDATA, t);
+  curl_easy_setopt (e, CURLOPT_HEADERFUNCTION, on_header);
+  curl_easy_setopt (e, CURLOPT_HEADERDATA, t);
+  set_method (t);
+  build_headers (t, left);
+  curl_easy_setopt (e, CURLOPT_HTTPHEADER, t->headers);
+}
+
+/* Takes over M.  */
+static void
+start (struct fw_client *c, struct tk_msg *m)
+{
+  struct transfer *t = zp_alloc (sizeof *t);
+
+  t->client = c;
+  t->request = m;
+  t->start = zp_clock_mono ();
+  t->done = tk_msg_new (TK_FORWARD_DONE);
+  t->done->u.done.id = m->u.forward.id;
+  t->next = c->active.next;
+  t->prev = &c->active;
+  t->next->prev = t;
+  c->active.next = t;
+  t->easy = curl_easy_init ();
+  if (!t->easy)
+    abort ();
+  zp_time left = m->u.forward.deadline - t->start;
+  if (left <= 0)
+    {
+      finish (t, TK_END_TIMEOUT, ZP_NOT_RUN);
+      return;
+    }
+  set_options (t, left);
+  if (curl_multi_add_handle (c->multi, t->easy) != CURLM_OK)
+    finish (t, TK_END_NO_CONNECT, ZP_NOT_RUN);
+}
+
+static void
+cancel (struct fw_client *c, uint64_t id)
+{
+  for (struct transfer *t = c->active.next; t != &c->active; t = t->next)
+    if (t->request->u.forward.id == id)
+      {
+        finish (t, TK_END_CANCELLED,
+                t->sends == 0 ? ZP_NOT_RUN : ZP_MAY_HAVE_RUN);
+        return;
+      }
+}
+
+/* Event loop.  */
+
+static void
+collect (struct fw_client *c)
+{
+  CURLMsg *m;
+  int left;
+
+  while ((m = curl_multi_info_read (c->multi, &left)))
+    {
+      struct transfer *t = NULL;
+      if (m->msg != CURLMSG_DONE)
+        continue;
+      curl_easy_getinfo (m->easy_handle, CURLINFO_PRIVATE, (char **) &t);
+      finish_by_result (t, m->data.result);
+    }
+}
+
+static void
+on_socket_ready (struct ev_loop *ev, ev_io *w, int events)
+{
+  struct watch *x = w->data;
+  struct fw_client *c = x->client;
+  int running;
+  int mask = (events & EV_READ ? CURL_CSELECT_IN : 0)
+             | (events & EV_WRITE ? CURL_CSELECT_OUT : 0);
+
+  (void) ev;
+  curl_multi_socket_action (c->multi, w->fd, mask, &running);
+  collect (c);
+}
+
+static void
+on_timeout (struct ev_loop *ev, ev_timer *w, int events)
+{
+  struct fw_client *c = w->data;
+  int running;
+
+  (void) ev;
+  (void) events;
+  curl_multi_socket_action (c->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+  collect (c);
+}
+
+static int
+on_socket_change (CURL *easy, curl_socket_t fd, int what, void *self,
+                  void *data)
+{
+  struct fw_client *c = self;
+  struct watch *x = data;
+
+  (void) easy;
+  if (what == CURL_POLL_REMOVE)
+    {
+      if (x)
+        {
+          ev_io_stop (c->loop->ev, &x->io);
+          free (x);
+        }
+      curl_multi_assign (c->multi, fd, NULL);
+      return 0;
+    }
+  if (!x)
+    {
+      x = zp_alloc (sizeof *x);
+      x->client = c;
+      x->io.data = x;
+      curl_multi_assign (c->multi, fd, x);
+    }
+  else
+    ev_io_stop (c->loop->ev, &x->io);
+  ev_io_init (&x->io, on_socket_ready, fd,
+              (what & CURL_POLL_IN ? EV_READ : 0)
+                  | (what & CURL_POLL_OUT ? EV_WRITE : 0));
+  ev_io_start (c->loop->ev, &x->io);
+  return 0;
+}
+
+static int
+on_timer_change (CURLM *multi, long ms, void *self)
+{
+  struct fw_client *c = self;
+
+  (void) multi;
+  ev_timer_stop (c->loop->ev, &c->timer);
+  if (ms >= 0)
+    {
+      ev_timer_set (&c->timer, (double) ms / 1000.0, 0.0);
+      ev_timer_start (c->loop->ev, &c->timer);
+    }
+  return 0;
+}
+
+static void
+on_message (void *self, struct tk_msg *m)
+{
+  struct fw_client *c = self;
+
+  switch (m->kind)
+    {
+    case TK_FORWARD:
+      start (c, m);
+      return;
+    case TK_FORWARD_CANCEL:
+      cancel (c, m->u.cancel.id);
+      break;
+    default:
+      assert (!"message that the forward task does not take");
+    }
+  tk_msg_free (m);
+}
+
+/* Set-up.  */
+
+struct fw_client *
+fw_client_open (struct tk_loop *l, struct tk_task *reply_to)
+{
+  struct fw_client *c = zp_alloc (sizeof *c);
+
+  if (curl_global_init (CURL_GLOBAL_DEFAULT) != CURLE_OK)
+    abort ();
+  c->loop = l;
+  c->reply_to = reply_to;
+  c->active.next = &c->active;
+  c->active.prev = &c->active;
+  c->multi = curl_multi_init ();
+  if (!c->multi)
+    abort ();
+  ev_timer_init (&c->timer, on_timeout, 0.0, 0.0);
+  c->timer.data = c;
+  curl_multi_setopt (c->multi, CURLMOPT_SOCKETFUNCTION, on_socket_change);
+  curl_multi_setopt (c->multi, CURLMOPT_SOCKETDATA, c);
+  curl_multi_setopt (c->multi, CURLMOPT_TIMERFUNCTION, on_timer_change);
+  curl_multi_setopt (c->multi, CURLMOPT_TIMERDATA, c);
+  curl_multi_setopt (c->multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+  tk_task_init (&c->task, l, on_message, c);
+  return c;
+}
+
+struct tk_task *
+fw_client_task (struct fw_client *c)
+{
+  return &c->task;
+}
+
+void
+fw_client_close (struct fw_client *c)
+{
+  if (!c)
+    return;
+  for (struct transfer *t = c->active.next, *next; t != &c->active; t = next)
+    {
+      next = t->next;
+      transfer_free (t);
+    }
+  curl_multi_cleanup (c->multi);
+  ev_timer_stop (c->loop->ev, &c->timer);
+  tk_task_free (&c->task);
+  free (c);
+}
--- /dev/null
+++ b/src/front/server.c
@@ -0,0 +1,543 @@
+#include "front/server.h"
+
+#include <assert.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/counter.h"
+#include "base/limits.h"
+#include "base/log.h"
+#include "front/header.h"
+#include "wire/address.h"
+
+#define PART "front"
+
+enum request_state
+{
+  REQUEST_NEW,
+  REQUEST_READING,
+  REQUEST_WAITING, /* suspended until its answer arrives */
+  REQUEST_ANSWERED,
+};
+
+/* One HTTP exchange.  */
+struct exchange
+{
+  struct fr_server *server;
+  struct MHD_Connection *conn;
+  enum request_state state;
+  uint32_t slot;
+  uint64_t id;
+  bool too_large;
+  ev_io watch; /* sees the caller leave while the exchange is suspended */
+  struct zp_buf target;
+  struct tk_msg *request; /* until it is sent */
+  struct tk_msg *answer;
+};
+
+struct fr_server
+{
+  struct tk_loop *loop;
+  struct tk_task task;
+  struct tk_task *decider;
+  struct MHD_Daemon *daemon;
+  ev_io io;
+  ev_timer timer;
+  bool quiescent;
+  size_t pending;
+
+  /* Exchanges by slot; an id is generation and slot, so that a late answer
+     finds either its own exchange or none.  */
+  struct exchange **slots;
+  uint32_t slot_count;
+  uint32_t *free_slots;
+  uint32_t free_count;
+  uint64_t generation;
+};
+
+/* Exchanges.  */
+
+static uint32_t
+take_slot (struct fr_server *s)
+{
+  if (s->free_count == 0)
+    {
+      uint32_t n = s->slot_count > 0 ? s->slot_count * 2 : 64;
+      s->slots = zp_realloc (s->slots, n * sizeof (struct exchange *));
+      s->free_slots = zp_realloc (s->free_slots, n * sizeof *s->free_slots);
+      for (uint32_t i = n; i > s->slot_count; i--)
+        {
+          s->slots[i - 1] = NULL;
+          s->free_slots[s->free_count++] = i - 1;
+        }
+      s->slot_count = n;
+    }
+  return s->free_slots[--s->free_count];
+}
+
+static struct exchange *
+find_exchange (struct fr_server *s, uint64_t id)
+{
+  uint32_t slot = (uint32_t) id;
+
+  if (slot >= s->slot_count || !s->slots[slot] || s->slots[slot]->id != id)
+    return NULL;
+  return s->slots[slot];
+}
+
+static void
+exchange_free (struct exchange *x)
+{
+  struct fr_server *s = x->server;
+
+  ev_io_stop (s->loop->ev, &x->watch);
+  if (x->request)
+    tk_msg_free (x->request);
+  if (x->answer)
+    tk_msg_free (x->answer);
+  zp_buf_free (&x->target);
+  s->slots[x->slot] = NULL;
+  s->free_slots[s->free_count++] = x->slot;
+  s->pending--;
+  free (x);
+}
+
+/* Called with the raw request target, before any other callback of a request.
+   The result becomes the per-request pointer.  */
+static void *
+on_target (void *self, const char *target, struct MHD_Connection *conn)
+{
+  struct fr_server *s = self;
+  struct exchange *x = zp_alloc (sizeof *x);
+
+  x->server = s;
+  x->conn = conn;
+  x->slot = take_slot (s);
+  x->id = ++s->generation << 32 | x->slot;
+  x->target = zp_buf_from (zp_str_from (target));
+  s->slots[x->slot] = x;
+  s->pending++;
+  return x;
+}
+
+static void
+on_completed (void *self, struct MHD_Connection *conn, void **data,
+              enum MHD_RequestTerminationCode why)
+{
+  struct exchange *x = *data;
+
+  (void) self;
+  (void) conn;
+  (void) why;
+  if (!x)
+    return;
+  exchange_free (x);
+  *data = NULL;
+}
+
+/* Requests.  */
+
+static enum MHD_Result
+on_header (void *self, enum MHD_ValueKind kind, const char *name,
+           const char *value)
+{
+  struct tk_http_request *r = self;
+  struct zp_str n = zp_str_from (name);
+  struct zp_str v = zp_str_from (value);
+  uint64_t ms;
+
+  (void) kind;
+  if (fr_header_is (n, "Deadline-Ms"))
+    {
+      if (!zp_str_u64 (v, &ms) || ms == 0
+          || ms > (uint64_t) (ZP_DEADLINE_MAX / ZP_MS))
+        r->bad_header = true;
+      else
+        r->deadline = zp_clock_mono () + (zp_time) ms * ZP_MS;
+    }
+  else if (fr_header_is (n, "Idempotency-Key"))
+    {
+      if (v.len == 0 || v.len > ZP_KEY_MAX)
+        r->bad_header = true;
+      else
+        zp_buf_put (&r->key, v);
+    }
+  else if (fr_header_is (n, "Content-Type"))
+    zp_buf_put (&r->content_type, v);
+  else
+    fr_header_put (&r->headers, n, v);
+  return MHD_YES;
+}
+
+static uint32_t
+caller_ipv4 (struct MHD_Connection *conn)
+{
+  const union MHD_ConnectionInfo *i
+      = MHD_get_connection_info (conn, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+
+  if (!i || !i->client_addr || i->client_addr->sa_family != AF_INET)
+    return 0;
+  struct sockaddr_in sa;
+  memcpy (&sa, i->client_addr, sizeof sa);
+  return ntohl (sa.sin_addr.s_addr);
+}
+
+static void
+begin_request (struct exchange *x, const char *method)
+{
+  struct zp_str path, query;
+
+  x->request = tk_msg_new (TK_HTTP_REQUEST);
+  struct tk_http_request *r = &x->request->u.request;
+  r->id = x->id;
+  zp_str_split (zp_str_of (&x->target), '?', &path, &query);
+  zp_buf_put (&r->method, zp_str_from (method));
+  zp_buf_put (&r->path, path);
+  zp_buf_put (&r->query, query);
+  r->caller_ipv4 = caller_ipv4 (x->conn);
+  MHD_get_connection_values (x->conn, MHD_HEADER_KIND, on_header, r);
+}
+
+/* Runs while an exchange is suspended: the library does not watch it then.  */
+static void
+on_caller_readable (struct ev_loop *ev, ev_io *w, int events)
+{
+  struct exchange *x = w->data;
+  char byte;
+
+  (void) events;
+  ssize_t n = recv (w->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  ev_io_stop (ev, w);
+  if (n > 0 || x->state != REQUEST_WAITING)
+    return; /* a pipelined request waits for its turn */
+  struct tk_msg *m = tk_msg_new (TK_HTTP_GONE);
+  m->u.gone.id = x->id;
+  tk_send (x->server->decider, m);
+  zp_count (zp_counter ("zp_http_callers_gone_total", ""), 1);
+  x->state = REQUEST_ANSWERED;
+  MHD_resume_connection (x->conn);
+}
+
+static enum MHD_Result
+suspend (struct exchange *x)
+{
+  const union MHD_ConnectionInfo *i
+      = MHD_get_connection_info (x->conn, MHD_CONNECTION_INFO_CONNECTION_FD);
+  struct tk_msg *m = x->request;
+
+  x->request = NULL;
+  x->state = REQUEST_WAITING;
+  MHD_suspend_connection (x->conn);
+  if (i)
+    {
+      ev_io_init (&x->watch, on_caller_readable, i->connect_fd, EV_READ);
+      x->watch.data = x;
+      ev_io_start (x->server->loop->ev, &x->watch);
+    }
+  tk_send (x->server->decider, m);
+  return MHD_YES;
+}
+
+/* Answers.  */
+
+static void
+add_header (struct MHD_Response *r, const char *name, const char *value)
+{
+  MHD_add_response_header (r, name, value);
+}
+
+static void
+add_header_block (struct MHD_Response *r, struct zp_str block)
+{
+  struct zp_str name, value;
+
+  while (fr_header_next (&block, &name, &value))
+    {
+      char n[128], v[4096];
+      if (zp_str_copy (n, sizeof n, name) && zp_str_copy (v, sizeof v, value))
+        add_header (r, n, v);
+    }
+}
+
+static void
+release_body (void *body)
+{
+  free (body);
+}
+
+static enum MHD_Result
+queue_answer (struct exchange *x, struct tk_http_answer *a)
+{
+  /* The response takes the body over.  */
+  struct MHD_Response *r = MHD_create_response_from_buffer_with_free_callback (
+      a->body.len, a->body.ptr ? a->body.ptr : zp_alloc (1), release_body);
+  char seconds[16];
+
+  a->body = (struct zp_buf){ .ptr = NULL };
+  if (!r)
+    return MHD_NO;
+  if (a->has_verdict)
+    add_header (r, "Run-Verdict", zp_verdict_name (a->verdict));
+  if (a->retry_after_s > 0)
+    {
+      snprintf (seconds, sizeof seconds, "%u", a->retry_after_s);
+      add_header (r, "Retry-After", seconds);
+    }
+  if (a->location.len > 0)
+    add_header (r, "Location", a->location.ptr);
+  if (a->content_type.len > 0)
+    add_header (r, "Content-Type", a->content_type.ptr);
+  add_header_block (r, zp_str_of (&a->headers));
+  if (x->server->quiescent)
+    add_header (r, "Connection", "close");
+  enum MHD_Result ok = MHD_queue_response (x->conn, a->status, r);
+  MHD_destroy_response (r);
+  return ok;
+}
+
+static enum MHD_Result
+refuse_here (struct exchange *x, unsigned status, const char *reason)
+{
+  struct tk_http_answer a
+      = { .status = status,
+          .has_verdict = true,
+          .verdict = ZP_NOT_RUN,
+          .content_type = zp_buf_from (ZP_STR ("application/json")) };
+
+  zp_buf_printf (&a.body, "{\"reason\":\"%s\",\"verdict\":\"not-run\"}\n",
+                 reason);
+  zp_count (zp_counter ("zp_http_refused_total", ""), 1);
+  zp_log (ZP_LOG_INFO, PART, "refused a request of %zu header bytes: %s",
+          x->target.len, reason);
+  x->state = REQUEST_ANSWERED;
+  enum MHD_Result ok = queue_answer (x, &a);
+  zp_buf_free (&a.content_type);
+  return ok;
+}
+
+static enum MHD_Result
+on_request (void *self, struct MHD_Connection *conn, const char *url,
+            const char *method, const char *version, const char *bytes,
+            size_t *len, void **data)
+{
+  struct exchange *x = *data;
+
+  (void) self;
+  (void) conn;
+  (void) url;
+  (void) version;
+  if (!x)
+    return MHD_NO;
+  if (x->state == REQUEST_NEW)
+    {
+      begin_request (x, method);
+      x->state = REQUEST_READING;
+      return MHD_YES;
+    }
+  if (*len > 0)
+    {
+      if (!x->request)
+        return MHD_NO;
+      struct zp_buf *body = &x->request->u.request.body;
+      if (body->len + *len > ZP_BODY_MAX)
+        x->too_large = true;
+      else
+        zp_buf_put_bytes (body, bytes, *len);
+      *len = 0;
+      return MHD_YES;
+    }
+  switch (x->state)
+    {
+    case REQUEST_NEW:
+      break;
+    case REQUEST_READING:
+      if (x->too_large)
+        return refuse_here (x, 413, "body-too-large");
+      if (x->request->u.request.bad_header)
+        return refuse_here (x, 400, "bad-header");
+      return suspend (x);
+    case REQUEST_WAITING:
+      return MHD_YES;
+    case REQUEST_ANSWERED:
+      if (!x->answer)
+        return MHD_NO; /* the caller has left */
+      return queue_answer (x, &x->answer->u.answer);
+    }
+  return MHD_NO;
+}
+
+/* Takes over M.  */
+static void
+take_answer (struct fr_server *s, struct tk_msg *m)
+{
+  struct exchange *x = find_exchange (s, m->u.answer.id);
+
+  if (!x || x->state != REQUEST_WAITING)
+    {
+      zp_count (zp_counter ("zp_http_late_answers_total", ""), 1);
+      tk_msg_free (m);
+      return;
+    }
+  ev_io_stop (s->loop->ev, &x->watch);
+  x->answer = m;
+  x->state = REQUEST_ANSWERED;
+  MHD_resume_connection (x->conn);
+}
+
+/* Event loop.  */
+
+/* Lets the library work and sets the timer that it asks for.  */
+static void
+run_daemon (struct fr_server *s)
+{
+  MHD_UNSIGNED_LONG_LONG ms;
+
+  MHD_run (s->daemon);
+  ev_timer_stop (s->loop->ev, &s->timer);
+  if (MHD_get_timeout (s->daemon, &ms) == MHD_YES)
+    {
+      ev_timer_set (&s->timer, (double) ms / 1000.0, 0.0);
+      ev_timer_start (s->loop->ev, &s->timer);
+    }
+}
+
+static void
+on_io (struct ev_loop *ev, ev_io *w, int events)
+{
+  (void) ev;
+  (void) events;
+  run_daemon (w->data);
+}
+
+static void
+on_timer (struct ev_loop *ev, ev_timer *w, int events)
+{
+  (void) ev;
+  (void) events;
+  run_daemon (w->data);
+}
+
+static void
+on_message (void *self, struct tk_msg *m)
+{
+  struct fr_server *s = self;
+
+  switch (m->kind)
+    {
+    case TK_HTTP_ANSWER:
+      take_answer (s, m);
+      run_daemon (s);
+      return;
+    case TK_STOP:
+      fr_server_quiesce (s);
+      break;
+    default:
+      assert (!"message that the front task does not take");
+    }
+  tk_msg_free (m);
+}
+
+static void
+on_library_log (void *self, const char *fmt, va_list ap)
+{
+  char text[256];
+
+  (void) self;
+  vsnprintf (text, sizeof text, fmt, ap);
+  text[strcspn (text, "\n")] = '\0';
+  zp_log (ZP_LOG_DEBUG, PART, "%s", text);
+}
+
+/* Set-up.  */
+
+struct fr_server *
+fr_server_open (struct tk_loop *l, struct zp_str address,
+                struct tk_task *decider, struct zp_err *err)
+{
+  struct sockaddr_storage sa;
+  socklen_t len;
+
+  if (!wi_address_parse (address, &sa, &len, err))
+    return NULL;
+  struct fr_server *s = zp_alloc (sizeof *s);
+  s->loop = l;
+  s->decider = decider;
+  s->daemon = MHD_start_daemon (
+      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG, 0, NULL,
+      NULL, on_request, s, MHD_OPTION_EXTERNAL_LOGGER, on_library_log, s,
+      MHD_OPTION_SOCK_ADDR, (struct sockaddr *) &sa,
+      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_URI_LOG_CALLBACK,
+      on_target, s, MHD_OPTION_NOTIFY_COMPLETED, on_completed, s,
+      MHD_OPTION_CONNECTION_LIMIT, (unsigned) ZP_CALLER_CONNECTIONS,
+      MHD_OPTION_CONNECTION_TIMEOUT, (unsigned) (ZP_CALLER_IDLE_MAX / ZP_SEC),
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t) (2 * ZP_HEADERS_MAX),
+      MHD_OPTION_LISTEN_BACKLOG_SIZE, 1024u, MHD_OPTION_END);
+  const union MHD_DaemonInfo *i
+      = s->daemon ? MHD_get_daemon_info (s->daemon, MHD_DAEMON_INFO_EPOLL_FD)
+                  : NULL;
+  if (!i)
+    {
+      if (s->daemon)
+        MHD_stop_daemon (s->daemon);
+      free (s);
+      zp_fail (err, ZP_EIO, "cannot serve HTTP on %.*s", ZP_ARG (address));
+      return NULL;
+    }
+  tk_task_init (&s->task, l, on_message, s);
+  ev_io_init (&s->io, on_io, i->epoll_fd, EV_READ);
+  ev_timer_init (&s->timer, on_timer, 0.0, 0.0);
+  s->io.data = s;
+  s->timer.data = s;
+  ev_io_start (l->ev, &s->io);
+  return s;
+}
+
+struct tk_task *
+fr_server_task (struct fr_server *s)
+{
+  return &s->task;
+}
+
+void
+fr_server_quiesce (struct fr_server *s)
+{
+  if (s->quiescent)
+    return;
+  s->quiescent = true;
+  MHD_socket fd = MHD_quiesce_daemon (s->daemon);
+  if (fd != MHD_INVALID_SOCKET)
+    close (fd);
+}
+
+size_t
+fr_server_pending (const struct fr_server *s)
+{
+  return s->pending;
+}
+
+void
+fr_server_close (struct fr_server *s)
+{
+  if (!s)
+    return;
+  /* The library must not be stopped with suspended connections.  */
+  for (uint32_t i = 0; i < s->slot_count; i++)
+    if (s->slots[i] && s->slots[i]->state == REQUEST_WAITING)
+      {
+        ev_io_stop (s->loop->ev, &s->slots[i]->watch);
+        s->slots[i]->state = REQUEST_ANSWERED;
+        MHD_resume_connection (s->slots[i]->conn);
+      }
+  ev_io_stop (s->loop->ev, &s->io);
+  ev_timer_stop (s->loop->ev, &s->timer);
+  MHD_stop_daemon (s->daemon);
+  tk_task_free (&s->task);
+  free (s->slots);
+  free (s->free_slots);
+  free (s);
+}
--- /dev/null
+++ b/src/front/server.h
@@ -0,0 +1,39 @@
+/* NAME
+     server - HTTP server for callers, backend servers and operators
+
+   DESCRIPTION
+     The front task owns the listening socket and the callers' connections.
+     It reads whole requests, sends each as TK_HTTP_REQUEST to the deciding
+     task and answers it when the TK_HTTP_ANSWER of the same id arrives.  When
+     a caller leaves before its answer, TK_HTTP_GONE is sent; a later answer is
+     dropped.  Answers are matched by id only, so that late answers never reach
+     another caller.
+
+     Requests over a limit are answered here: they never reach the deciding
+     task and their verdict is not-run.  */
+
+#ifndef ZP_FRONT_SERVER_H
+#define ZP_FRONT_SERVER_H
+
+#include "base/err.h"
+#include "task/task.h"
+
+struct fr_server;
+
+/* Listens on ADDRESS ("IP:port").  */
+struct fr_server *fr_server_open (struct tk_loop *l, struct zp_str address,
+                                  struct tk_task *decider, struct zp_err *err);
+
+/* The task that takes TK_HTTP_ANSWER.  */
+struct tk_task *fr_server_task (struct fr_server *s);
+
+/* Stops taking connections; requests in progress go on.  */
+void fr_server_quiesce (struct fr_server *s);
+
+/* Requests that wait for an answer or whose answer is being sent.  */
+size_t fr_server_pending (const struct fr_server *s);
+
+/* Called on the loop's thread or after the loop has stopped.  */
+void fr_server_close (struct fr_server *s);
+
+#endif
--- a/src/task/msg.c
+++ b/src/task/msg.c
@@ -22,22 +22,26 @@
       zp_buf_free (&m->u.request.query);
       zp_buf_free (&m->u.request.content_type);
       zp_buf_free (&m->u.request.key);
+      zp_buf_free (&m->u.request.headers);
       zp_buf_free (&m->u.request.body);
       break;
     case TK_HTTP_ANSWER:
       zp_buf_free (&m->u.answer.location);
       zp_buf_free (&m->u.answer.content_type);
+      zp_buf_free (&m->u.answer.headers);
       zp_buf_free (&m->u.answer.body);
       break;
     case TK_FORWARD:
       zp_buf_free (&m->u.forward.method);
       zp_buf_free (&m->u.forward.target);
       zp_buf_free (&m->u.forward.content_type);
+      zp_buf_free (&m->u.forward.headers);
       zp_buf_free (&m->u.forward.body);
       zp_buf_free (&m->u.forward.request_id);
       break;
     case TK_FORWARD_DONE:
       zp_buf_free (&m->u.done.content_type);
+      zp_buf_free (&m->u.done.headers);
       zp_buf_free (&m->u.done.body);
       break;
     case TK_PEER_SEND:
--- a/src/task/msg.h
+++ b/src/task/msg.h
@@ -50,7 +50,8 @@
   struct zp_buf path;  /* without the query */
   struct zp_buf query; /* behind "?", not decoded */
   struct zp_buf content_type;
-  struct zp_buf key; /* Idempotency-Key */
+  struct zp_buf headers; /* other end-to-end headers, "Name: value\n" each */
+  struct zp_buf key;     /* Idempotency-Key */
   struct zp_buf body;
   zp_time deadline;     /* monotonic; 0: none was given */
   uint32_t caller_ipv4; /* host byte order; 0: not IPv4 */
@@ -71,6 +72,7 @@
   unsigned retry_after_s; /* 0: no Retry-After header */
   struct zp_buf location; /* empty: no Location header */
   struct zp_buf content_type;
+  struct zp_buf headers; /* as in struct tk_http_request */
   struct zp_buf body;
 };
 
@@ -81,6 +83,7 @@
   struct zp_buf method;
   struct zp_buf target; /* path and query */
   struct zp_buf content_type;
+  struct zp_buf headers; /* as in struct tk_http_request */
   struct zp_buf body;
   struct zp_buf request_id;
   zp_time deadline;      /* monotonic; the attempt is cancelled then */
@@ -110,6 +113,7 @@
   unsigned status;
   zp_time elapsed;
   struct zp_buf content_type;
+  struct zp_buf headers; /* as in struct tk_http_request */
   struct zp_buf body;
 };
 
--- /dev/null
+++ b/tests/test-front.c
@@ -0,0 +1,246 @@
+#include "harness.h"
+
+#include <stdlib.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "front/server.h"
+#include "wire/address.h"
+
+struct fixture
+{
+  struct tk_loop loop;
+  struct tk_task task;
+  struct fr_server *server;
+  char address[ZP_ADDRESS_MAX];
+  struct tk_msg *request; /* the last one */
+  int requests;
+  int gone;
+  bool hold; /* do not answer by itself */
+  int fd;    /* of the caller */
+  char answer[65536];
+  size_t answer_len;
+  ev_io reading;
+  ev_timer guard;
+};
+
+static void
+answer (struct fixture *f, uint64_t id)
+{
+  struct tk_msg *m = tk_msg_new (TK_HTTP_ANSWER);
+
+  m->u.answer.id = id;
+  m->u.answer.status = 200;
+  m->u.answer.has_verdict = true;
+  m->u.answer.verdict = ZP_RAN;
+  zp_buf_put (&m->u.answer.headers, ZP_STR ("X-Count: 3\n"));
+  zp_buf_printf (&m->u.answer.body, "answer %d", f->requests);
+  tk_send (fr_server_task (f->server), m);
+}
+
+static void
+on_message (void *self, struct tk_msg *m)
+{
+  struct fixture *f = self;
+
+  if (m->kind == TK_HTTP_GONE)
+    {
+      f->gone++;
+      tk_msg_free (m);
+      ev_break (f->loop.ev, EVBREAK_ALL);
+      return;
+    }
+  CU_ASSERT_EQUAL (m->kind, TK_HTTP_REQUEST);
+  if (f->request)
+    tk_msg_free (f->request);
+  f->request = m;
+  f->requests++;
+  if (f->hold)
+    ev_break (f->loop.ev, EVBREAK_ALL);
+  else
+    answer (f, m->u.request.id);
+}
+
+static void
+on_answer (struct ev_loop *ev, ev_io *w, int events)
+{
+  struct fixture *f = w->data;
+  ssize_t n = recv (f->fd, f->answer + f->answer_len,
+                    sizeof f->answer - 1 - f->answer_len, 0);
+
+  (void) events;
+  f->answer_len += n > 0 ? (size_t) n : 0;
+  f->answer[f->answer_len] = '\0';
+  ev_break (ev, EVBREAK_ALL);
+}
+
+static void
+on_guard (struct ev_loop *ev, ev_timer *w, int events)
+{
+  (void) w;
+  (void) events;
+  CU_FAIL ("nothing happened within 10 s");
+  ev_break (ev, EVBREAK_ALL);
+}
+
+static void
+open_fixture (struct fixture *f)
+{
+  struct sockaddr_storage sa;
+  socklen_t len;
+
+  *f = (struct fixture){ .request = NULL };
+  snprintf (f->address, sizeof f->address, "%s", test_address (19381));
+  tk_loop_init (&f->loop);
+  tk_task_init (&f->task, &f->loop, on_message, f);
+  f->server
+      = fr_server_open (&f->loop, zp_str_from (f->address), &f->task, NULL);
+  CU_ASSERT_FATAL (f->server != NULL);
+  CU_ASSERT_FATAL (
+      wi_address_parse (zp_str_from (f->address), &sa, &len, NULL));
+  f->fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  CU_ASSERT_FATAL (connect (f->fd, (struct sockaddr *) &sa, len) == 0);
+  ev_io_init (&f->reading, on_answer, f->fd, EV_READ);
+  f->reading.data = f;
+  ev_io_start (f->loop.ev, &f->reading);
+  ev_timer_init (&f->guard, on_guard, 10.0, 0.0);
+  ev_timer_start (f->loop.ev, &f->guard);
+}
+
+static void
+close_fixture (struct fixture *f)
+{
+  ev_io_stop (f->loop.ev, &f->reading);
+  ev_timer_stop (f->loop.ev, &f->guard);
+  close (f->fd);
+  fr_server_close (f->server);
+  if (f->request)
+    tk_msg_free (f->request);
+  tk_task_free (&f->task);
+  tk_loop_free (&f->loop);
+}
+
+static void
+put (struct fixture *f, const char *text)
+{
+  f->answer_len = 0;
+  f->answer[0] = '\0';
+  CU_ASSERT (send (f->fd, text, strlen (text), 0) == (ssize_t) strlen (text));
+}
+
+static void
+test_request_and_answer (void)
+{
+  struct fixture f;
+
+  open_fixture (&f);
+  put (&f, "POST /booking/a%20b?x=1 HTTP/1.1\r\nHost: h\r\n"
+           "Deadline-Ms: 500\r\nIdempotency-Key: k1\r\nX-Partner: mend\r\n"
+           "Content-Length: 4\r\n\r\nbody");
+  ev_run (f.loop.ev, 0);
+  CU_ASSERT_FATAL (f.request != NULL);
+  const struct tk_http_request *r = &f.request->u.request;
+  CU_ASSERT (zp_str_eq (zp_str_of (&r->path), ZP_STR ("/booking/a%20b")));
+  CU_ASSERT (zp_str_eq (zp_str_of (&r->query), ZP_STR ("x=1")));
+  CU_ASSERT (zp_str_eq (zp_str_of (&r->key), ZP_STR ("k1")));
+  CU_ASSERT (zp_str_eq (zp_str_of (&r->body), ZP_STR ("body")));
+  CU_ASSERT (
+      zp_str_eq (zp_str_of (&r->headers), ZP_STR ("X-Partner: mend\n")));
+  CU_ASSERT (r->deadline > 0);
+  CU_ASSERT_EQUAL (r->caller_ipv4 >> 24, 127);
+  CU_ASSERT (HAS_TEXT (f.answer, "200 OK"));
+  CU_ASSERT (HAS_TEXT (f.answer, "Run-Verdict: ran"));
+  CU_ASSERT (HAS_TEXT (f.answer, "X-Count: 3"));
+  CU_ASSERT (HAS_TEXT (f.answer, "\r\n\r\nanswer 1"));
+  close_fixture (&f);
+}
+
+/* Guards against values that would be silently ignored.  */
+static void
+test_bad_headers_are_refused_here (void)
+{
+  struct fixture f;
+
+  open_fixture (&f);
+  put (&f, "GET /x HTTP/1.1\r\nHost: h\r\nDeadline-Ms: soon\r\n\r\n");
+  ev_run (f.loop.ev, 0);
+  CU_ASSERT (HAS_TEXT (f.answer, " 400 "));
+  CU_ASSERT (HAS_TEXT (f.answer, "Run-Verdict: not-run"));
+  CU_ASSERT (HAS_TEXT (f.answer, "bad-header"));
+  CU_ASSERT_EQUAL (f.requests, 0);
+  close_fixture (&f);
+}
+
+/* Guards against memory that grows with the length a caller states.  */
+static void
+test_body_limit (void)
+{
+  struct fixture f;
+  struct zp_buf text = { .ptr = NULL };
+
+  open_fixture (&f);
+  zp_buf_printf (&text,
+                 "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: %d"
+                 "\r\n\r\n",
+                 ZP_BODY_MAX + 1);
+  for (int i = 0; i < ZP_BODY_MAX + 1; i++)
+    zp_buf_put (&text, ZP_STR ("x"));
+  size_t sent = 0;
+  while (sent < text.len)
+    {
+      ssize_t n = send (f.fd, text.ptr + sent, text.len - sent, MSG_DONTWAIT);
+      sent += n > 0 ? (size_t) n : 0;
+      ev_run (f.loop.ev, EVRUN_NOWAIT);
+    }
+  if (f.answer_len == 0)
+    ev_run (f.loop.ev, 0);
+  CU_ASSERT (HAS_TEXT (f.answer, " 413 "));
+  CU_ASSERT (HAS_TEXT (f.answer, "Run-Verdict: not-run"));
+  CU_ASSERT_EQUAL (f.requests, 0);
+  zp_buf_free (&text);
+  close_fixture (&f);
+}
+
+/* Guards against work for a caller that has left, and P3: its late answer
+   must not reach the next request.  */
+static void
+test_caller_leaves (void)
+{
+  struct fixture f;
+
+  open_fixture (&f);
+  f.hold = true;
+  put (&f, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+  ev_run (f.loop.ev, 0);
+  CU_ASSERT_EQUAL (f.requests, 1);
+  shutdown (f.fd, SHUT_RDWR);
+  while (f.gone == 0)
+    ev_run (f.loop.ev, 0);
+  CU_ASSERT_EQUAL (f.gone, 1);
+  answer (&f, f.request->u.request.id);
+  for (int i = 0; i < 10; i++)
+    ev_run (f.loop.ev, EVRUN_NOWAIT);
+  CU_ASSERT_EQUAL (fr_server_pending (f.server), 0);
+  close_fixture (&f);
+}
+
+static void
+test_malformed_request (void)
+{
+  struct fixture f;
+
+  open_fixture (&f);
+  put (&f, "NONSENSE\r\n\r\n");
+  ev_run (f.loop.ev, 0);
+  CU_ASSERT_EQUAL (f.requests, 0);
+  close_fixture (&f);
+}
+
+static const struct zp_test tests[]
+    = { { "request and answer", test_request_and_answer },
+        { "bad headers are refused here", test_bad_headers_are_refused_here },
+        { "body limit", test_body_limit },
+        { "the caller leaves", test_caller_leaves },
+        { "a malformed request", test_malformed_request } };
+
+TEST_MAIN ("front", tests)
