Add the links between entry daemons and their membership

Cause: leases, claims and poison marks travel between entry daemons, and look-ups name the live ones. Each heartbeat is acknowledged, so a connection that went silent in one direction is replaced. Into other regions only 8 connections are opened, because a full mesh of 420 daemons needs 88,000 pairs.

--- a/src/base/limits.h
+++ b/src/base/limits.h
@@ -38,6 +38,11 @@
 #define ZP_HEARTBEAT_REGION (250 * ZP_MS)
 #define ZP_HEARTBEAT_REMOTE (1000 * ZP_MS)
 #define ZP_HEARTBEAT_MISSED 4
+#define ZP_MEMBERS_MAX 1024
+/* Connections that one daemon opens into each other region.  */
+#define ZP_REMOTE_LINKS 8
+#define ZP_RECONNECT_MIN (100 * ZP_MS)
+#define ZP_RECONNECT_MAX (2000 * ZP_MS)
 
 /* Connections to backend servers.  A connection that is not established within
    ZP_CONNECT_TIMEOUT counts as refused: regions are 110 ms apart there and
--- /dev/null
+++ b/src/peer/mesh.c
@@ -0,0 +1,484 @@
+#include "peer/mesh.h"
+
+#include <assert.h>
+#include <stdlib.h>
+
+#include "base/counter.h"
+#include "base/log.h"
+#include "peer/codec.h"
+#include "wire/bytes.h"
+#include "wire/conn.h"
+#include "wire/frame.h"
+
+#define PART "peer"
+
+/* How often timers are looked at.  */
+#define TICK (50 * ZP_MS)
+
+/* One connection, opened by this daemon or by the other one.  */
+struct link
+{
+  struct link *next;
+  struct pe_mesh *mesh;
+  struct wi_conn *conn;
+  bool opened_here;
+  int member; /* index; -1 before the hello of an accepted connection */
+  uint64_t incarnation; /* of the other side; 0 before its hello */
+  uint64_t seq, acked;
+  zp_time next_beat;
+};
+
+/* What a member's connection attempts need between links.  */
+struct dial
+{
+  zp_time at; /* not before */
+  zp_time wait;
+};
+
+struct pe_mesh
+{
+  struct tk_loop *loop;
+  struct tk_task task;
+  struct tk_task *decider;
+  struct wi_listener *listener;
+  struct pe_members members;
+  struct dial *dials; /* by member index */
+  size_t dial_count;
+  struct pe_hello self;
+  struct zp_buf texts[4]; /* behind the views of SELF */
+  struct link *links;
+  bool leaving;
+  uint64_t turn; /* which member the next heartbeat names */
+  ev_timer timer;
+  struct zp_counter *dropped;
+};
+
+/* Events to the deciding task.  */
+
+static void
+report (struct pe_mesh *m, int index, enum pe_event e)
+{
+  const struct pe_member *p = &m->members.item[index];
+
+  if (e == PE_NOTHING || e == PE_TEST)
+    return;
+  struct tk_msg *out
+      = tk_msg_new (e == PE_WENT_DOWN ? TK_PEER_DOWN : TK_PEER_UP);
+  struct tk_peer_change *c = &out->u.peer;
+  c->peer = p->id;
+  c->incarnation = p->incarnation;
+  c->leaving = p->leaving;
+  zp_str_copy (c->address, sizeof c->address, zp_str_from (p->http));
+  zp_str_copy (c->failure_domain, sizeof c->failure_domain,
+               zp_str_from (p->failure_domain));
+  zp_str_copy (c->region, sizeof c->region, zp_str_from (p->region));
+  zp_log (ZP_LOG_NOTICE, PART, "member %llu in %s/%s is %s",
+          (unsigned long long) p->id, p->region, p->failure_domain,
+          e == PE_WENT_DOWN ? "down"
+          : p->leaving      ? "leaving"
+          : e == PE_CAME_UP ? "up"
+                            : "up again");
+  tk_send (m->decider, out);
+}
+
+/* Links.  */
+
+static struct link *
+link_new (struct pe_mesh *m, bool opened_here, int member)
+{
+  struct link *l = zp_alloc (sizeof *l);
+
+  l->mesh = m;
+  l->opened_here = opened_here;
+  l->member = member;
+  l->next = m->links;
+  m->links = l;
+  return l;
+}
+
+static void
+link_free (struct link *l)
+{
+  struct link **at = &l->mesh->links;
+
+  while (*at != l)
+    at = &(*at)->next;
+  *at = l->next;
+  wi_conn_free (l->conn);
+  free (l);
+}
+
+static bool
+same_address (const struct pe_mesh *m, struct zp_str wire)
+{
+  return zp_str_eq (m->self.wire, wire);
+}
+
+static void
+learn (void *self, struct zp_str wire)
+{
+  struct pe_mesh *m = self;
+
+  if (!same_address (m, wire))
+    pe_members_add (&m->members, wire);
+}
+
+static void
+send_hello (struct link *l)
+{
+  struct zp_buf b = { .ptr = NULL };
+
+  pe_put_hello (&b, &l->mesh->self, &l->mesh->members);
+  wi_conn_send (l->conn, WI_HELLO, zp_str_of (&b));
+  zp_buf_free (&b);
+}
+
+static void
+send_heartbeat (struct link *l, const struct pe_heartbeat *h)
+{
+  struct zp_buf b = { .ptr = NULL };
+
+  pe_put_heartbeat (&b, h);
+  wi_conn_send (l->conn, WI_HEARTBEAT, zp_str_of (&b));
+  zp_buf_free (&b);
+}
+
+static void
+on_hello (struct link *l, struct zp_str payload)
+{
+  struct pe_mesh *m = l->mesh;
+  struct pe_hello h;
+  void *owner;
+  int index = -1;
+  enum pe_event e = PE_NOTHING;
+
+  if (pe_get_hello (payload, &h, &owner))
+    {
+      e = pe_members_hello (&m->members, &h, zp_clock_mono (), &index);
+      pe_each_known (owner, learn, m);
+    }
+  else
+    zp_log (ZP_LOG_WARNING, PART, "dropped a hello that cannot be read");
+  if (index >= 0)
+    {
+      l->member = index;
+      l->incarnation = h.incarnation;
+      report (m, index, e);
+      if (!l->opened_here)
+        send_hello (l);
+    }
+  wi_free (owner);
+}
+
+static void
+on_heartbeat (struct link *l, struct zp_str payload)
+{
+  struct pe_mesh *m = l->mesh;
+  struct pe_heartbeat h;
+  void *owner;
+
+  if (!pe_get_heartbeat (payload, &h, &owner))
+    {
+      wi_free (owner);
+      return;
+    }
+  report (m, l->member,
+          pe_members_heard (&m->members, l->member, l->incarnation, h.leaving,
+                            zp_clock_mono ()));
+  if (h.known.len > 0)
+    learn (m, h.known);
+  if (h.ack)
+    l->acked = h.seq > l->acked ? h.seq : l->acked;
+  else
+    send_heartbeat (l, &(struct pe_heartbeat){
+                           .seq = h.seq, .ack = true, .leaving = m->leaving });
+  wi_free (owner);
+}
+
+static void
+on_frame (void *self, struct wi_conn *c, uint8_t kind, struct zp_str payload)
+{
+  struct link *l = self;
+
+  (void) c;
+  if (kind == WI_HELLO)
+    on_hello (l, payload);
+  else if (l->incarnation == 0)
+    zp_log (ZP_LOG_WARNING, PART, "dropped a frame that came before a hello");
+  else if (kind == WI_HEARTBEAT)
+    on_heartbeat (l, payload);
+  else
+    {
+      struct tk_msg *m = tk_msg_new (TK_PEER_FRAME);
+      m->u.frame.peer = l->mesh->members.item[l->member].id;
+      m->u.frame.kind = kind;
+      zp_buf_put (&m->u.frame.payload, payload);
+      tk_send (l->mesh->decider, m);
+    }
+}
+
+static void
+delay_dial (struct pe_mesh *m, int index)
+{
+  struct dial *d = &m->dials[index];
+
+  d->wait = d->wait < ZP_RECONNECT_MIN ? ZP_RECONNECT_MIN : d->wait * 2;
+  if (d->wait > ZP_RECONNECT_MAX)
+    d->wait = ZP_RECONNECT_MAX;
+  d->at = zp_clock_mono () + d->wait;
+}
+
+/* Grows the dial table with the member table.  */
+static void
+fit_dials (struct pe_mesh *m)
+{
+  if (m->dial_count >= m->members.len)
+    return;
+  m->dials = zp_realloc (m->dials, m->members.len * sizeof *m->dials);
+  for (; m->dial_count < m->members.len; m->dial_count++)
+    m->dials[m->dial_count] = (struct dial){ .at = 0 };
+}
+
+static void
+on_end (void *self, struct wi_conn *c, const struct zp_err *why)
+{
+  struct link *l = self;
+  struct pe_mesh *m = l->mesh;
+
+  (void) c;
+  zp_log (ZP_LOG_DEBUG, PART, "a connection ended: %s", why->text);
+  if (l->opened_here)
+    {
+      fit_dials (m);
+      /* Only a refused connect proves that no process listens there.  */
+      if (l->incarnation == 0 && why->code == ZP_EUNAVAIL)
+        report (m, l->member, pe_members_refused (&m->members, l->member));
+      delay_dial (m, l->member);
+    }
+  link_free (l);
+}
+
+static const struct wi_handlers link_handlers
+    = { .on_frame = on_frame, .on_end = on_end };
+
+static void
+on_accept (void *self, struct wi_conn *c)
+{
+  struct link *l = link_new (self, false, -1);
+
+  l->conn = c;
+  wi_conn_set (c, &link_handlers, l);
+}
+
+static void
+dial (struct pe_mesh *m, int index)
+{
+  struct pe_member *p = &m->members.item[index];
+  struct zp_err err;
+
+  struct link *l = link_new (m, true, index);
+  l->conn = wi_conn_open (m->loop->ev, zp_str_from (p->wire), &link_handlers,
+                          l, &err);
+  if (!l->conn)
+    {
+      zp_log (ZP_LOG_WARNING, PART, "%s", err.text);
+      delay_dial (m, index);
+      link_free (l);
+      return;
+    }
+  l->next_beat = zp_clock_mono ();
+  send_hello (l);
+}
+
+/* Sending for the deciding task.  */
+
+/* The link that was opened here is preferred: its heartbeats are watched.  */
+static struct link *
+usable_link (struct pe_mesh *m, int index)
+{
+  struct link *best = NULL;
+
+  for (struct link *l = m->links; l; l = l->next)
+    if (l->member == index && l->incarnation != 0 && wi_conn_ready (l->conn)
+        && (!best || l->opened_here))
+      best = l;
+  return best;
+}
+
+static void
+send_to (struct pe_mesh *m, int index, const struct tk_peer_frame *f)
+{
+  struct link *l = usable_link (m, index);
+
+  if (!l || !wi_conn_send (l->conn, f->kind, zp_str_of (&f->payload)))
+    zp_count (m->dropped, 1);
+}
+
+static void
+on_message (void *self, struct tk_msg *msg)
+{
+  struct pe_mesh *m = self;
+
+  switch (msg->kind)
+    {
+    case TK_PEER_SEND:
+      for (size_t i = 0; i < m->members.len; i++)
+        {
+          const struct pe_member *p = &m->members.item[i];
+          bool live = p->state == PE_ALIVE || p->state == PE_SUSPECT;
+          if (live && (msg->u.frame.peer == 0 || msg->u.frame.peer == p->id))
+            send_to (m, (int) i, &msg->u.frame);
+        }
+      break;
+    case TK_STOP:
+      m->leaving = true;
+      for (struct link *l = m->links; l; l = l->next)
+        l->next_beat = 0;
+      break;
+    default:
+      assert (!"message that the peer task does not take");
+    }
+  tk_msg_free (msg);
+}
+
+/* Timers.  */
+
+static struct link *
+link_opened_here (struct pe_mesh *m, int index)
+{
+  for (struct link *l = m->links; l; l = l->next)
+    if (l->member == index && l->opened_here)
+      return l;
+  return NULL;
+}
+
+static struct zp_str
+next_known (struct pe_mesh *m)
+{
+  if (m->members.len == 0)
+    return ZP_STR ("");
+  return zp_str_from (m->members.item[m->turn++ % m->members.len].wire);
+}
+
+/* Sends what is due.  Returns false when the other side has left too many
+   heartbeats unanswered.  */
+static bool
+beat (struct link *l, zp_time now)
+{
+  struct pe_mesh *m = l->mesh;
+  zp_time period = m->members.item[l->member].period;
+
+  if (now < l->next_beat)
+    return true;
+  if (l->seq >= l->acked + ZP_HEARTBEAT_MISSED)
+    return false;
+  l->next_beat = now + period;
+  send_heartbeat (l, &(struct pe_heartbeat){ .seq = ++l->seq,
+                                             .leaving = m->leaving,
+                                             .known = next_known (m) });
+  return true;
+}
+
+static void
+care_for_member (struct pe_mesh *m, int index, zp_time now)
+{
+  struct link *l = link_opened_here (m, index);
+  enum pe_event e = pe_members_tick (&m->members, index, now);
+
+  report (m, index, e);
+  if (l && (e == PE_TEST || !beat (l, now)))
+    {
+      zp_log (ZP_LOG_NOTICE, PART,
+              "the connection to member %llu is silent, opening a fresh one",
+              (unsigned long long) m->members.item[index].id);
+      zp_count (zp_counter ("zp_peer_silent_connections_total", ""), 1);
+      link_free (l);
+      l = NULL;
+      m->dials[index].at = now;
+    }
+  if (!l && now >= m->dials[index].at
+      && pe_members_wants_link (&m->members, index))
+    dial (m, index);
+}
+
+static void
+on_tick (struct ev_loop *ev, ev_timer *w, int events)
+{
+  struct pe_mesh *m = w->data;
+  zp_time now = zp_clock_mono ();
+
+  (void) ev;
+  (void) events;
+  fit_dials (m);
+  for (size_t i = 0; i < m->members.len; i++)
+    care_for_member (m, (int) i, now);
+}
+
+/* Set-up.  */
+
+static struct zp_str
+keep (struct zp_buf *b, struct zp_str s)
+{
+  *b = zp_buf_from (s);
+  return zp_str_of (b);
+}
+
+struct pe_mesh *
+pe_mesh_open (struct tk_loop *l, const struct pe_hello *self,
+              const struct zp_strs *seeds, struct tk_task *decider,
+              struct zp_err *err)
+{
+  struct pe_mesh *m = zp_alloc (sizeof *m);
+
+  m->loop = l;
+  m->decider = decider;
+  m->listener = wi_listen (l->ev, self->wire, on_accept, m, err);
+  if (!m->listener)
+    {
+      free (m);
+      return NULL;
+    }
+  m->self = (struct pe_hello){
+    .id = self->id,
+    .incarnation = self->incarnation,
+    .failure_domain = keep (&m->texts[0], self->failure_domain),
+    .region = keep (&m->texts[1], self->region),
+    .http = keep (&m->texts[2], self->http),
+    .wire = keep (&m->texts[3], self->wire),
+  };
+  m->dropped = zp_counter ("zp_peer_frames_dropped_total", "");
+  pe_members_init (&m->members, self->id, self->region);
+  for (size_t i = 0; i < seeds->len; i++)
+    learn (m, seeds->item[i]);
+  tk_task_init (&m->task, l, on_message, m);
+  ev_timer_init (&m->timer, on_tick, 0.0, (double) TICK / ZP_SEC);
+  m->timer.data = m;
+  ev_timer_start (l->ev, &m->timer);
+  return m;
+}
+
+struct tk_task *
+pe_mesh_task (struct pe_mesh *m)
+{
+  return &m->task;
+}
+
+void
+pe_mesh_close (struct pe_mesh *m)
+{
+  if (!m)
+    return;
+  for (struct link *l = m->links, *next; l; l = next)
+    {
+      next = l->next;
+      link_free (l);
+    }
+  ev_timer_stop (m->loop->ev, &m->timer);
+  wi_listener_free (m->listener);
+  tk_task_free (&m->task);
+  pe_members_free (&m->members);
+  for (size_t i = 0; i < sizeof m->texts / sizeof m->texts[0]; i++)
+    zp_buf_free (&m->texts[i]);
+  free (m->dials);
+  free (m);
+}
--- a/src/task/msg.h
+++ b/src/task/msg.h
@@ -119,7 +119,7 @@
 
 struct tk_peer_frame
 {
-  uint64_t peer; /* member id */
+  uint64_t peer; /* member id; in TK_PEER_SEND 0 means every live member */
   uint8_t kind;  /* enum wi_kind */
   struct zp_buf payload;
 };
@@ -128,6 +128,7 @@
 {
   uint64_t peer;
   uint64_t incarnation;
+  bool leaving;                 /* gets no new work */
   char address[ZP_ADDRESS_MAX]; /* of its HTTP interface */
   char failure_domain[ZP_NAME_MAX];
   char region[ZP_NAME_MAX];
--- a/src/wire/conn.c
+++ b/src/wire/conn.c
@@ -73,7 +73,8 @@
 {
   struct zp_err err;
 
-  zp_fail (&err, ZP_EIO, "%s: %s", what, strerror (e));
+  zp_fail (&err, e == ECONNREFUSED ? ZP_EUNAVAIL : ZP_EIO, "%s: %s", what,
+           strerror (e));
   end (c, &err);
 }
 
--- a/src/wire/conn.h
+++ b/src/wire/conn.h
@@ -7,6 +7,9 @@
      other side's close ends it with one call of on_end, after which the owner
      may free it.  wi_conn_free may also be called from inside on_frame.
 
+     The reason of an end has the code ZP_EUNAVAIL when the connection was
+     refused: no process listens at the address.
+
      Addresses have the form "IP:port".  */
 
 #ifndef ZP_WIRE_CONN_H
--- /dev/null
+++ b/tests/test-mesh.c
@@ -0,0 +1,207 @@
+#include "harness.h"
+
+#include <stdlib.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "peer/mesh.h"
+#include "wire/address.h"
+#include "wire/frame.h"
+
+#define DAEMONS 3
+
+struct daemon
+{
+  struct tk_task task;
+  struct pe_mesh *mesh;
+  char wire[ZP_ADDRESS_MAX];
+  int up, down, leaving, frames;
+  char last[64];
+};
+
+struct fixture
+{
+  struct tk_loop loop;
+  struct daemon d[DAEMONS];
+  ev_timer guard;
+  bool timed_out;
+};
+
+static void
+on_message (void *self, struct tk_msg *m)
+{
+  struct daemon *d = self;
+
+  switch (m->kind)
+    {
+    case TK_PEER_UP:
+      d->up++;
+      d->leaving += m->u.peer.leaving;
+      break;
+    case TK_PEER_DOWN:
+      d->down++;
+      break;
+    case TK_PEER_FRAME:
+      d->frames++;
+      zp_str_copy (d->last, sizeof d->last, zp_str_of (&m->u.frame.payload));
+      break;
+    default:
+      CU_FAIL ("a message that the deciding task does not take");
+    }
+  tk_msg_free (m);
+}
+
+static void
+on_guard (struct ev_loop *ev, ev_timer *w, int events)
+{
+  struct fixture *f = w->data;
+
+  (void) events;
+  f->timed_out = true;
+  ev_break (ev, EVBREAK_ALL);
+}
+
+/* Only daemon 0 is a seed: the others have to learn of each other.  */
+static void
+open_daemon (struct fixture *f, int i, uint64_t incarnation)
+{
+  struct daemon *d = &f->d[i];
+  struct zp_str seed = zp_str_from (f->d[0].wire);
+  struct zp_strs seeds = { .item = &seed, .len = i > 0 };
+  struct pe_hello h = { .id = (uint64_t) i + 1,
+                        .incarnation = incarnation,
+                        .failure_domain = ZP_STR ("w1"),
+                        .region = ZP_STR ("west"),
+                        .http = ZP_STR ("127.0.0.1:80"),
+                        .wire = zp_str_from (d->wire) };
+
+  d->mesh = pe_mesh_open (&f->loop, &h, &seeds, &d->task, NULL);
+  CU_ASSERT_FATAL (d->mesh != NULL);
+}
+
+static void
+open_fixture (struct fixture *f)
+{
+  *f = (struct fixture){ .timed_out = false };
+  tk_loop_init (&f->loop);
+  for (int i = 0; i < DAEMONS; i++)
+    {
+      snprintf (f->d[i].wire, ZP_ADDRESS_MAX, "%s",
+                test_address (19481 + (unsigned) i));
+      tk_task_init (&f->d[i].task, &f->loop, on_message, &f->d[i]);
+      open_daemon (f, i, 100);
+    }
+  ev_timer_init (&f->guard, on_guard, 20.0, 0.0);
+  f->guard.data = f;
+  ev_timer_start (f->loop.ev, &f->guard);
+}
+
+static void
+close_fixture (struct fixture *f)
+{
+  CU_ASSERT (!f->timed_out);
+  for (int i = 0; i < DAEMONS; i++)
+    {
+      pe_mesh_close (f->d[i].mesh);
+      tk_task_free (&f->d[i].task);
+    }
+  ev_timer_stop (f->loop.ev, &f->guard);
+  tk_loop_free (&f->loop);
+}
+
+/* Runs until every daemon that is open has seen COUNT members come up.  */
+static void
+run_until_up (struct fixture *f, int count)
+{
+  for (int i = 0; i < DAEMONS; i++)
+    while (!f->timed_out && f->d[i].mesh && f->d[i].up < count)
+      ev_run (f->loop.ev, EVRUN_ONCE);
+}
+
+static void
+test_daemons_find_each_other_by_one_seed (void)
+{
+  struct fixture f;
+
+  open_fixture (&f);
+  run_until_up (&f, DAEMONS - 1);
+  struct tk_msg *m = tk_msg_new (TK_PEER_SEND);
+  m->u.frame.peer = 3;
+  m->u.frame.kind = WI_SERVER_VIEW;
+  zp_buf_put (&m->u.frame.payload, ZP_STR ("free 5"));
+  tk_send (pe_mesh_task (f.d[1].mesh), m);
+  while (!f.timed_out && f.d[2].frames == 0)
+    ev_run (f.loop.ev, EVRUN_ONCE);
+  CU_ASSERT_STRING_EQUAL (f.d[2].last, "free 5");
+  CU_ASSERT_EQUAL (f.d[0].frames, 0);
+  close_fixture (&f);
+}
+
+static void
+test_lost_and_restarted_daemon (void)
+{
+  struct fixture f;
+
+  open_fixture (&f);
+  run_until_up (&f, DAEMONS - 1);
+  pe_mesh_close (f.d[2].mesh);
+  f.d[2].mesh = NULL;
+  while (!f.timed_out && (f.d[0].down == 0 || f.d[1].down == 0))
+    ev_run (f.loop.ev, EVRUN_ONCE);
+  open_daemon (&f, 2, 101);
+  run_until_up (&f, DAEMONS);
+  CU_ASSERT_EQUAL (f.d[0].down, 1);
+  close_fixture (&f);
+}
+
+static void
+test_leaving_is_told (void)
+{
+  struct fixture f;
+
+  open_fixture (&f);
+  run_until_up (&f, DAEMONS - 1);
+  tk_send (pe_mesh_task (f.d[1].mesh), tk_msg_new (TK_STOP));
+  while (!f.timed_out && (f.d[0].leaving == 0 || f.d[2].leaving == 0))
+    ev_run (f.loop.ev, EVRUN_ONCE);
+  CU_ASSERT_EQUAL (f.d[0].down + f.d[2].down, 0);
+  close_fixture (&f);
+}
+
+/* Guards against a crash or a false member after bytes that are no hello.  */
+static void
+test_hostile_frames (void)
+{
+  struct fixture f;
+  struct sockaddr_storage sa;
+  socklen_t len;
+  struct zp_buf b = { .ptr = NULL };
+
+  open_fixture (&f);
+  run_until_up (&f, DAEMONS - 1);
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  CU_ASSERT_FATAL (
+      wi_address_parse (zp_str_from (f.d[0].wire), &sa, &len, NULL));
+  CU_ASSERT_FATAL (connect (fd, (struct sockaddr *) &sa, len) == 0);
+  wi_frame_put (&b, WI_HEARTBEAT, ZP_STR (""));
+  wi_frame_put (&b, WI_HELLO, ZP_STR ("\xff\xff\xff\xff"));
+  wi_frame_put (&b, WI_LEASE_ASK, ZP_STR ("x"));
+  CU_ASSERT (send (fd, b.ptr, b.len, 0) == (ssize_t) b.len);
+  int up = f.d[0].up;
+  for (int i = 0; i < 20; i++)
+    ev_run (f.loop.ev, EVRUN_ONCE);
+  CU_ASSERT_EQUAL (f.d[0].up, up);
+  CU_ASSERT_EQUAL (f.d[0].frames, 0);
+  close (fd);
+  zp_buf_free (&b);
+  close_fixture (&f);
+}
+
+static const struct zp_test tests[]
+    = { { "daemons find each other by one seed",
+          test_daemons_find_each_other_by_one_seed },
+        { "a lost and restarted daemon", test_lost_and_restarted_daemon },
+        { "leaving is told", test_leaving_is_told },
+        { "hostile frames", test_hostile_frames } };
+
+TEST_MAIN ("mesh", tests)
