Add the dissemination of the configuration

Cause: a configuration has to be in force on every entry daemon within seconds and must never revert. Change: package follow: a source that runs in control daemons and, as a relay, in entry daemons; a follower that only goes forward, leaves a source that is silent or out of contact with the leader, and keeps the configuration on its disk. A fault found by test-follow: every new connection attempt was counted as a sign of a current source, so a follower without any source never said that it was not current; fixed by a time of its own for the attempt.

--- a/src/base/limits.h
+++ b/src/base/limits.h
@@ -44,6 +44,17 @@
 #define ZP_RECONNECT_MIN (100 * ZP_MS)
 #define ZP_RECONNECT_MAX (2000 * ZP_MS)
 
+/* Dissemination of the configuration.  A follower leaves a source that is
+   silent, or out of contact with the leader, for ZP_FOLLOW_SILENCE.  */
+#define ZP_FOLLOW_PING (1000 * ZP_MS)
+#define ZP_FOLLOW_SILENCE (3000 * ZP_MS)
+#define ZP_FOLLOW_RETRY (200 * ZP_MS)
+#define ZP_FOLLOW_HISTORY 4096 /* changes that a source keeps */
+#define ZP_FOLLOW_HISTORY_BYTES (4 * 1024 * 1024)
+#define ZP_FOLLOW_PART (256 * 1024)      /* snapshot bytes in one frame */
+#define ZP_CONFIG_MAX (64 * 1024 * 1024) /* a whole configuration */
+#define ZP_FOLLOW_COMPACT 256            /* changes in a follower's file */
+
 /* Connections to backend servers.  A connection that is not established within
    ZP_CONNECT_TIMEOUT counts as refused: regions are 110 ms apart there and
    back, and a server takes about 1 ms.  */
--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -10,7 +10,8 @@
 #include "base/limits.h"
 
 bool
-zp_file_read (const char *path, struct zp_buf *out, struct zp_err *err)
+zp_file_read (const char *path, struct zp_buf *out, size_t max,
+              struct zp_err *err)
 {
   char chunk[4096];
   size_t n;
@@ -18,16 +19,14 @@
 
   if (!f)
     return zp_fail (err, ZP_EIO, "cannot open %s: %s", path, strerror (errno));
-  while ((n = fread (chunk, 1, sizeof chunk, f)) > 0
-         && out->len <= ZP_SETTINGS_MAX)
+  while ((n = fread (chunk, 1, sizeof chunk, f)) > 0 && out->len <= max)
     zp_buf_put_bytes (out, chunk, n);
   bool bad = ferror (f) != 0;
   fclose (f);
   if (bad)
     return zp_fail (err, ZP_EIO, "cannot read %s", path);
-  if (out->len > ZP_SETTINGS_MAX)
-    return zp_fail (err, ZP_ELIMIT, "%s is longer than %d bytes", path,
-                    ZP_SETTINGS_MAX);
+  if (out->len > max)
+    return zp_fail (err, ZP_ELIMIT, "%s is longer than %zu bytes", path, max);
   return true;
 }
 
@@ -187,7 +186,7 @@
   size_t before = report->count;
 
   *s = (struct zp_settings){ .root = NULL };
-  if (!zp_file_read (path, &text, &err))
+  if (!zp_file_read (path, &text, ZP_SETTINGS_MAX, &err))
     zp_report_add (report, "%s", err.text);
   else if (!(s->root = zp_json_parse (zp_str_of (&text), &err)))
     zp_report_add (report, "%s: %s", path, err.text);
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -49,8 +49,9 @@
   size_t list_count;
 };
 
-/* Reads a whole file of at most ZP_SETTINGS_MAX bytes.  */
-bool zp_file_read (const char *path, struct zp_buf *out, struct zp_err *err);
+/* Reads a whole file of at most MAX bytes.  */
+bool zp_file_read (const char *path, struct zp_buf *out, size_t max,
+                   struct zp_err *err);
 
 /* Parses TEXT as JSON with comments.  The error names line and column.  */
 struct json_object *zp_json_parse (struct zp_str text, struct zp_err *err);
--- /dev/null
+++ b/src/follow/codec.c
@@ -0,0 +1,150 @@
+#include "follow/codec.h"
+
+#include <stdlib.h>
+
+#include "wire/bytes.h"
+#include "wire/follow.pb-c.h"
+
+void
+fo_put_follow (struct zp_buf *out, const struct fo_follow *m)
+{
+  Wire__Follow w = WIRE__FOLLOW__INIT;
+
+  w.id = m->id;
+  w.have = m->have;
+  wi_pack (out, &w.base);
+}
+
+bool
+fo_get_follow (struct zp_str payload, struct fo_follow *out)
+{
+  Wire__Follow *w = wi_unpack (&wire__follow__descriptor, payload);
+
+  if (!w)
+    return false;
+  *out = (struct fo_follow){ .id = w->id, .have = w->have };
+  wi_free (w);
+  return true;
+}
+
+void
+fo_put_delta (struct zp_buf *out, const struct fo_delta *m)
+{
+  Wire__FollowDelta w = WIRE__FOLLOW_DELTA__INIT;
+
+  w.from = m->from;
+  w.version = m->version;
+  w.number = m->number;
+  w.term = m->term;
+  w.change = wi_bytes (m->change);
+  wi_pack (out, &w.base);
+}
+
+bool
+fo_get_delta (struct zp_str payload, struct fo_delta *out, void **owner)
+{
+  Wire__FollowDelta *w = wi_unpack (&wire__follow_delta__descriptor, payload);
+
+  *owner = w;
+  if (!w)
+    return false;
+  *out = (struct fo_delta){ .from = w->from,
+                            .version = w->version,
+                            .number = w->number,
+                            .term = w->term,
+                            .change = wi_view (w->change) };
+  return true;
+}
+
+void
+fo_put_part (struct zp_buf *out, const struct fo_part *m)
+{
+  Wire__FollowSnapshot w = WIRE__FOLLOW_SNAPSHOT__INIT;
+
+  w.version = m->version;
+  w.number = m->number;
+  w.term = m->term;
+  w.offset = m->offset;
+  w.total = m->total;
+  w.part = wi_bytes (m->part);
+  wi_pack (out, &w.base);
+}
+
+bool
+fo_get_part (struct zp_str payload, struct fo_part *out, void **owner)
+{
+  Wire__FollowSnapshot *w
+      = wi_unpack (&wire__follow_snapshot__descriptor, payload);
+
+  *owner = w;
+  if (!w)
+    return false;
+  *out = (struct fo_part){ .version = w->version,
+                           .number = w->number,
+                           .term = w->term,
+                           .offset = w->offset,
+                           .total = w->total,
+                           .part = wi_view (w->part) };
+  return true;
+}
+
+void
+fo_put_ping (struct zp_buf *out, const struct fo_ping *m)
+{
+  Wire__FollowPing w = WIRE__FOLLOW_PING__INIT;
+
+  w.version = m->version;
+  w.fresh = m->fresh;
+  wi_pack (out, &w.base);
+}
+
+bool
+fo_get_ping (struct zp_str payload, struct fo_ping *out)
+{
+  Wire__FollowPing *w = wi_unpack (&wire__follow_ping__descriptor, payload);
+
+  if (!w)
+    return false;
+  *out = (struct fo_ping){ .version = w->version, .fresh = w->fresh };
+  wi_free (w);
+  return true;
+}
+
+void
+fo_put_report (struct zp_buf *out, const struct tk_in_force *r, size_t n)
+{
+  Wire__FollowReport w = WIRE__FOLLOW_REPORT__INIT;
+  Wire__FollowReport__InForce *items = zp_alloc (n * sizeof *items);
+  Wire__FollowReport__InForce **list
+      = zp_alloc (n * sizeof (Wire__FollowReport__InForce *));
+
+  for (size_t i = 0; i < n; i++)
+    {
+      wire__follow_report__in_force__init (&items[i]);
+      items[i].id = r[i].daemon;
+      items[i].version = r[i].version;
+      items[i].number = r[i].number;
+      list[i] = &items[i];
+    }
+  w.n_daemons = n;
+  w.daemons = list;
+  wi_pack (out, &w.base);
+  free (list);
+  free (items);
+}
+
+bool
+fo_get_report (struct zp_str payload, fo_in_force *each, void *self)
+{
+  Wire__FollowReport *w
+      = wi_unpack (&wire__follow_report__descriptor, payload);
+
+  if (!w)
+    return false;
+  for (size_t i = 0; i < w->n_daemons; i++)
+    each (self, &(struct tk_in_force){ .daemon = w->daemons[i]->id,
+                                       .version = w->daemons[i]->version,
+                                       .number = w->daemons[i]->number });
+  wi_free (w);
+  return true;
+}
--- a/src/task/msg.c
+++ b/src/task/msg.c
@@ -52,8 +52,7 @@
       zp_buf_free (&m->u.write.bytes);
       break;
     case TK_CONFIG:
-      if (m->u.config.config)
-        m->u.config.release (m->u.config.config);
+      zp_buf_free (&m->u.config.bytes);
       break;
     case TK_STOP:
     case TK_HTTP_GONE:
@@ -61,6 +60,9 @@
     case TK_PEER_UP:
     case TK_PEER_DOWN:
     case TK_DISK_DONE:
+    case TK_CONFIG_ASK:
+    case TK_IN_FORCE:
+    case TK_FRESH:
       break;
     }
   free (m);
--- a/src/task/msg.h
+++ b/src/task/msg.h
@@ -39,8 +39,11 @@
   TK_DISK_WRITE,
   TK_DISK_DONE,
 
-  /* Follow task to the deciding task: a configuration is in force.  */
-  TK_CONFIG,
+  /* Dissemination of the configuration.  */
+  TK_CONFIG,     /* a change or a whole configuration */
+  TK_CONFIG_ASK, /* asks for a whole TK_CONFIG */
+  TK_IN_FORCE,   /* a configuration is in force on a daemon */
+  TK_FRESH,      /* whether the configuration can be called current */
 };
 
 struct tk_http_request
@@ -149,12 +152,28 @@
   int error; /* errno value, 0: synced */
 };
 
-/* The receiver takes over CONFIG; RELEASE frees one that was not taken.  */
+/* BYTES hold a whole configuration, or the change that leads from version FROM
+   to VERSION.  Versions are log indexes: they only grow.  */
 struct tk_config
 {
+  uint64_t from;
+  uint64_t version;
+  uint64_t number; /* of the last numbered ticket */
+  uint64_t term;
+  bool whole;
+  struct zp_buf bytes;
+};
+
+struct tk_in_force
+{
+  uint64_t daemon;
+  uint64_t version;
   uint64_t number;
-  void *config;
-  void (*release) (void *config);
+};
+
+struct tk_fresh
+{
+  bool fresh;
 };
 
 struct tk_msg
@@ -174,6 +193,8 @@
     struct tk_disk_write write;
     struct tk_disk_done disk;
     struct tk_config config;
+    struct tk_in_force in_force;
+    struct tk_fresh fresh;
   } u;
 };
 
--- a/src/wire/frame.h
+++ b/src/wire/frame.h
@@ -53,6 +53,7 @@
   WI_FOLLOW_DELTA = 61,
   WI_FOLLOW_SNAPSHOT = 62,
   WI_FOLLOW_REPORT = 63,
+  WI_FOLLOW_PING = 64,
 };
 
 struct wi_header
--- /dev/null
+++ b/tests/test-follow.c
@@ -0,0 +1,238 @@
+#include "harness.h"
+
+#include <stdlib.h>
+
+#include "follow/follower.h"
+#include "follow/source.h"
+
+/* Stands for a control daemon: its configuration is the text "vN".  */
+struct provider
+{
+  struct tk_task task;
+  struct fo_source *source;
+  char address[ZP_ADDRESS_MAX];
+  uint64_t version;
+  uint64_t reported;
+};
+
+struct daemon
+{
+  struct tk_task task;
+  struct fo_follower *follower;
+  struct fo_source *relay;
+  uint64_t version;
+  int whole, changes;
+  int went_back;
+  bool fresh;
+};
+
+struct fixture
+{
+  struct tk_loop loop;
+  struct provider p[2];
+  struct daemon d[2];
+  ev_timer guard;
+  bool timed_out;
+};
+
+static void
+put_config (struct provider *p, bool whole)
+{
+  struct tk_msg *m = tk_msg_new (TK_CONFIG);
+
+  m->u.config.whole = whole;
+  m->u.config.from = p->version - 1;
+  m->u.config.version = p->version;
+  m->u.config.number = p->version;
+  m->u.config.term = 1;
+  zp_buf_printf (&m->u.config.bytes, "v%llu", (unsigned long long) p->version);
+  tk_send (fo_source_task (p->source), m);
+}
+
+static void
+on_provider_message (void *self, struct tk_msg *m)
+{
+  struct provider *p = self;
+
+  if (m->kind == TK_CONFIG_ASK)
+    put_config (p, true);
+  else if (m->kind == TK_IN_FORCE)
+    p->reported = m->u.in_force.version;
+  tk_msg_free (m);
+}
+
+/* Brings in force, reports, and passes on to a relay if there is one.  */
+static void
+on_daemon_message (void *self, struct tk_msg *m)
+{
+  struct daemon *d = self;
+
+  if (m->kind == TK_FRESH)
+    d->fresh = m->u.fresh.fresh;
+  if (m->kind != TK_CONFIG)
+    {
+      tk_msg_free (m);
+      return;
+    }
+  d->went_back += m->u.config.version <= d->version;
+  d->version = m->u.config.version;
+  d->whole += m->u.config.whole;
+  d->changes += !m->u.config.whole;
+  struct tk_msg *r = tk_msg_new (TK_IN_FORCE);
+  r->u.in_force.daemon = 1;
+  r->u.in_force.version = d->version;
+  tk_send (fo_follower_task (d->follower), r);
+  tk_msg_free (m);
+}
+
+static void
+on_guard (struct ev_loop *ev, ev_timer *w, int events)
+{
+  struct fixture *f = w->data;
+
+  (void) events;
+  f->timed_out = true;
+  ev_break (ev, EVBREAK_ALL);
+}
+
+static void
+open_provider (struct fixture *f, int i, uint64_t version, bool fresh)
+{
+  struct provider *p = &f->p[i];
+
+  snprintf (p->address, sizeof p->address, "%s",
+            test_address (19581 + (unsigned) i));
+  tk_task_init (&p->task, &f->loop, on_provider_message, p);
+  p->source
+      = fo_source_open (&f->loop, zp_str_from (p->address), &p->task, NULL);
+  CU_ASSERT_FATAL (p->source != NULL);
+  p->version = version;
+  put_config (p, true);
+  struct tk_msg *m = tk_msg_new (TK_FRESH);
+  m->u.fresh.fresh = fresh;
+  tk_send (fo_source_task (p->source), m);
+}
+
+static void
+open_follower (struct fixture *f, int i)
+{
+  struct zp_str list[2]
+      = { zp_str_from (f->p[0].address), zp_str_from (f->p[1].address) };
+  struct zp_strs sources = { .item = list, .len = f->p[1].source ? 2 : 1 };
+  struct fo_follower_options o = { .id = (uint64_t) i + 1,
+                                   .sources = &sources,
+                                   .decider = &f->d[i].task };
+
+  tk_task_init (&f->d[i].task, &f->loop, on_daemon_message, &f->d[i]);
+  f->d[i].follower = fo_follower_open (&f->loop, &o);
+}
+
+static void
+open_fixture (struct fixture *f)
+{
+  *f = (struct fixture){ .timed_out = false };
+  tk_loop_init (&f->loop);
+  ev_timer_init (&f->guard, on_guard, 20.0, 0.0);
+  f->guard.data = f;
+  ev_timer_start (f->loop.ev, &f->guard);
+}
+
+static void
+close_fixture (struct fixture *f)
+{
+  CU_ASSERT (!f->timed_out);
+  for (int i = 0; i < 2; i++)
+    {
+      CU_ASSERT_EQUAL (f->d[i].went_back, 0);
+      if (f->d[i].follower)
+        {
+          fo_follower_close (f->d[i].follower);
+          tk_task_free (&f->d[i].task);
+        }
+      if (f->p[i].source)
+        {
+          fo_source_close (f->p[i].source);
+          tk_task_free (&f->p[i].task);
+        }
+    }
+  ev_timer_stop (f->loop.ev, &f->guard);
+  tk_loop_free (&f->loop);
+}
+
+static void
+run_until (struct fixture *f, const uint64_t *value, uint64_t want)
+{
+  while (!f->timed_out && *value < want)
+    ev_run (f->loop.ev, EVRUN_ONCE);
+}
+
+static void
+test_whole_then_changes (void)
+{
+  struct fixture f;
+
+  open_fixture (&f);
+  open_provider (&f, 0, 500, true);
+  open_follower (&f, 0);
+  run_until (&f, &f.d[0].version, 500);
+  CU_ASSERT_EQUAL (f.d[0].whole, 1);
+  for (int i = 0; i < 10; i++)
+    {
+      f.p[0].version++;
+      put_config (&f.p[0], false);
+    }
+  run_until (&f, &f.p[0].reported, 510);
+  CU_ASSERT_EQUAL (f.d[0].version, 510);
+  CU_ASSERT_EQUAL (f.d[0].whole, 1);
+  CU_ASSERT_EQUAL (f.d[0].changes, 10);
+  close_fixture (&f);
+}
+
+/* Guards P8 against a member on the far side of a partition: its state is
+   older and it is out of contact with the leader.  */
+static void
+test_stale_source_is_left (void)
+{
+  struct fixture f;
+
+  open_fixture (&f);
+  open_provider (&f, 0, 500, false);
+  open_provider (&f, 1, 510, true);
+  open_follower (&f, 0);
+  run_until (&f, &f.d[0].version, 510);
+  CU_ASSERT_EQUAL (f.d[0].version, 510);
+  while (!f.timed_out && !f.d[0].fresh)
+    ev_run (f.loop.ev, EVRUN_ONCE);
+  CU_ASSERT (f.d[0].fresh);
+  close_fixture (&f);
+}
+
+static void
+test_lost_source_keeps_the_configuration (void)
+{
+  struct fixture f;
+
+  open_fixture (&f);
+  open_provider (&f, 0, 500, true);
+  open_follower (&f, 0);
+  run_until (&f, &f.d[0].version, 500);
+  while (!f.timed_out && !f.d[0].fresh)
+    ev_run (f.loop.ev, EVRUN_ONCE);
+  fo_source_close (f.p[0].source);
+  tk_task_free (&f.p[0].task);
+  f.p[0].source = NULL;
+  while (!f.timed_out && f.d[0].fresh)
+    ev_run (f.loop.ev, EVRUN_ONCE);
+  CU_ASSERT_EQUAL (f.d[0].version, 500);
+  open_provider (&f, 0, 501, true);
+  run_until (&f, &f.d[0].version, 501);
+  close_fixture (&f);
+}
+
+static const struct zp_test tests[]
+    = { { "a whole configuration, then changes", test_whole_then_changes },
+        { "a stale source is left", test_stale_source_is_left },
+        { "a lost source keeps the configuration",
+          test_lost_source_keeps_the_configuration } };
+
+TEST_MAIN ("follow", tests)
