Move the id table of the HTTP server into a module of its own

Cause: the deciding task of the entry daemon needs the same table. Change: base/slots; ids carry a generation and are never used again. Conclusion: test-slots and test-front pass.

--- a/src/front/server.c
+++ b/src/front/server.c
@@ -12,6 +12,7 @@
 #include "base/counter.h"
 #include "base/limits.h"
 #include "base/log.h"
+#include "base/slots.h"
 #include "front/header.h"
 #include "wire/address.h"
 
@@ -31,7 +32,6 @@
   struct fr_server *server;
   struct MHD_Connection *conn;
   enum request_state state;
-  uint32_t slot;
   uint64_t id;
   bool too_large;
   ev_io watch; /* sees the caller leave while the exchange is suspended */
@@ -49,47 +49,11 @@
   ev_io io;
   ev_timer timer;
   bool quiescent;
-  size_t pending;
-
-  /* Exchanges by slot; an id is generation and slot, so that a late answer
-     finds either its own exchange or none.  */
-  struct exchange **slots;
-  uint32_t slot_count;
-  uint32_t *free_slots;
-  uint32_t free_count;
-  uint64_t generation;
+  struct zp_slots exchanges;
 };
 
 /* Exchanges.  */
 
-static uint32_t
-take_slot (struct fr_server *s)
-{
-  if (s->free_count == 0)
-    {
-      uint32_t n = s->slot_count > 0 ? s->slot_count * 2 : 64;
-      s->slots = zp_realloc (s->slots, n * sizeof (struct exchange *));
-      s->free_slots = zp_realloc (s->free_slots, n * sizeof *s->free_slots);
-      for (uint32_t i = n; i > s->slot_count; i--)
-        {
-          s->slots[i - 1] = NULL;
-          s->free_slots[s->free_count++] = i - 1;
-        }
-      s->slot_count = n;
-    }
-  return s->free_slots[--s->free_count];
-}
-
-static struct exchange *
-find_exchange (struct fr_server *s, uint64_t id)
-{
-  uint32_t slot = (uint32_t) id;
-
-  if (slot >= s->slot_count || !s->slots[slot] || s->slots[slot]->id != id)
-    return NULL;
-  return s->slots[slot];
-}
-
 static void
 exchange_free (struct exchange *x)
 {
@@ -101,9 +65,7 @@
   if (x->answer)
     tk_msg_free (x->answer);
   zp_buf_free (&x->target);
-  s->slots[x->slot] = NULL;
-  s->free_slots[s->free_count++] = x->slot;
-  s->pending--;
+  zp_slots_remove (&s->exchanges, x->id);
   free (x);
 }
 
@@ -117,11 +79,8 @@
 
   x->server = s;
   x->conn = conn;
-  x->slot = take_slot (s);
-  x->id = ++s->generation << 32 | x->slot;
+  x->id = zp_slots_put (&s->exchanges, x);
   x->target = zp_buf_from (zp_str_from (target));
-  s->slots[x->slot] = x;
-  s->pending++;
   return x;
 }
 
@@ -375,7 +334,7 @@
 static void
 take_answer (struct fr_server *s, struct tk_msg *m)
 {
-  struct exchange *x = find_exchange (s, m->u.answer.id);
+  struct exchange *x = zp_slots_get (&s->exchanges, m->u.answer.id);
 
   if (!x || x->state != REQUEST_WAITING)
     {
@@ -517,7 +476,7 @@
 size_t
 fr_server_pending (const struct fr_server *s)
 {
-  return s->pending;
+  return s->exchanges.len;
 }
 
 void
@@ -526,18 +485,19 @@
   if (!s)
     return;
   /* The library must not be stopped with suspended connections.  */
-  for (uint32_t i = 0; i < s->slot_count; i++)
-    if (s->slots[i] && s->slots[i]->state == REQUEST_WAITING)
+  struct exchange *x;
+  uint32_t at = 0;
+  while ((x = zp_slots_next (&s->exchanges, &at)))
+    if (x->state == REQUEST_WAITING)
       {
-        ev_io_stop (s->loop->ev, &s->slots[i]->watch);
-        s->slots[i]->state = REQUEST_ANSWERED;
-        MHD_resume_connection (s->slots[i]->conn);
+        ev_io_stop (s->loop->ev, &x->watch);
+        x->state = REQUEST_ANSWERED;
+        MHD_resume_connection (x->conn);
       }
   ev_io_stop (s->loop->ev, &s->io);
   ev_timer_stop (s->loop->ev, &s->timer);
   MHD_stop_daemon (s->daemon);
   tk_task_free (&s->task);
-  free (s->slots);
-  free (s->free_slots);
+  zp_slots_free (&s->exchanges);
   free (s);
 }
