Add at-most-once claims: home, member, attempt and codec

Cause: design chapter 6.3 has no code; a request of a service of class once needs a quorum of claims before it is forwarded.

--- a/src/base/limits.h
+++ b/src/base/limits.h
@@ -41,4 +41,13 @@
 #define ZP_LOOKUP_TTL (5 * ZP_SEC)
 #define ZP_STOP_LIMIT (10 * ZP_SEC) /* graceful shutdown of a daemon */
 
+/* At-most-once claims.  A member refuses a key at the moment when it drops the
+   key's record, so that a dropped key is never granted again.  */
+#define ZP_ONCE_GENERATION (60 * ZP_SEC)
+#define ZP_ONCE_KEPT 15 /* generations that a member remembers */
+#define ZP_ONCE_BODY_MAX (64 * 1024)
+#define ZP_ONCE_TYPE_MAX 128 /* bytes of the content type of an outcome */
+/* Half of the 256 MB that a daemon may use for control.  */
+#define ZP_ONCE_MEMBER_BYTES ((size_t) 128 * 1024 * 1024)
+
 #endif
--- /dev/null
+++ b/src/once/member.c
@@ -0,0 +1,405 @@
+#include "once/member.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Table.  */
+
+enum state
+{
+  CLAIMED,
+  SEALED,
+  FINISHED,
+};
+
+/* The answer of a finished key: content type, then body.  */
+struct kept
+{
+  unsigned status;
+  size_t type_len;
+  size_t body_len;
+  char bytes[];
+};
+
+struct record
+{
+  struct record *next;       /* of the bucket */
+  struct record *generation; /* next of the same generation */
+  uint64_t hash;
+  enum state state;
+  enum zp_verdict verdict; /* FINISHED */
+  struct oc_attempt_id holder;
+  struct kept *kept; /* FINISHED; NULL: the answer was not kept */
+  size_t key_len;
+  char key[];
+};
+
+struct oc_member
+{
+  struct oc_member_conf conf;
+  zp_time start;
+  size_t bytes;
+  size_t keys;
+  size_t bucket_count; /* a power of two */
+  struct record **bucket;
+  uint64_t oldest; /* generation whose records are still kept */
+  struct record *by_generation[ZP_ONCE_KEPT];
+};
+
+/* What an allocation of N bytes costs: header and rounding.  */
+static size_t
+charge (size_t n)
+{
+  return (n + 16 + 15) & ~(size_t) 15;
+}
+
+static size_t
+record_size (size_t key_len)
+{
+  return charge (sizeof (struct record) + key_len);
+}
+
+static size_t
+kept_size (const struct kept *k)
+{
+  return charge (sizeof *k + k->type_len + k->body_len);
+}
+
+static struct record **
+bucket_of (const struct oc_member *m, uint64_t hash)
+{
+  return &m->bucket[hash & (m->bucket_count - 1)];
+}
+
+static struct record *
+find (const struct oc_member *m, struct zp_str key, uint64_t hash)
+{
+  for (struct record *r = *bucket_of (m, hash); r; r = r->next)
+    if (r->hash == hash
+        && zp_str_eq ((struct zp_str){ r->key, r->key_len }, key))
+      return r;
+  return NULL;
+}
+
+static void
+drop (struct oc_member *m, struct record *r)
+{
+  struct record **p = bucket_of (m, r->hash);
+
+  while (*p != r)
+    p = &(*p)->next;
+  *p = r->next;
+  m->bytes -= record_size (r->key_len);
+  if (r->kept)
+    m->bytes -= kept_size (r->kept);
+  m->keys--;
+  free (r->kept);
+  free (r);
+}
+
+/* Returns NULL when SPACE bytes do not suffice for a new key.  */
+static struct record *
+insert (struct oc_member *m, struct zp_str key, uint64_t hash,
+        uint64_t generation, size_t space)
+{
+  size_t size = record_size (key.len);
+
+  if (m->bytes + size > space)
+    return NULL;
+  struct record *r = zp_alloc (sizeof *r + key.len);
+  struct record **b = bucket_of (m, hash);
+  struct record **g = &m->by_generation[generation % ZP_ONCE_KEPT];
+  r->hash = hash;
+  r->key_len = key.len;
+  memcpy (r->key, key.ptr, key.len);
+  r->next = *b;
+  *b = r;
+  r->generation = *g;
+  *g = r;
+  m->bytes += size;
+  m->keys++;
+  return r;
+}
+
+/* Generations.  */
+
+static uint64_t
+generation_at (const struct oc_member *m, zp_time now)
+{
+  zp_time age = now > m->start ? now - m->start : 0;
+
+  return (uint64_t) (age / ZP_ONCE_GENERATION) + 1;
+}
+
+static bool
+expired (uint64_t generation, uint64_t current)
+{
+  return current >= ZP_ONCE_KEPT && generation <= current - ZP_ONCE_KEPT;
+}
+
+void
+oc_member_tick (struct oc_member *m, zp_time now)
+{
+  uint64_t current = generation_at (m, now);
+
+  /* One round empties every list, however long the pause was.  */
+  for (int i = 0; i < ZP_ONCE_KEPT && expired (m->oldest, current); i++)
+    {
+      struct record **g = &m->by_generation[m->oldest++ % ZP_ONCE_KEPT];
+      while (*g)
+        {
+          struct record *r = *g;
+          *g = r->generation;
+          drop (m, r);
+        }
+    }
+  if (expired (m->oldest, current))
+    m->oldest = current - ZP_ONCE_KEPT + 1;
+}
+
+/* Member.  */
+
+struct oc_member *
+oc_member_new (const struct oc_member_conf *conf, zp_time now)
+{
+  struct oc_member *m = zp_alloc (sizeof *m);
+
+  m->conf = *conf;
+  m->start = now;
+  m->oldest = 1;
+  m->bucket_count = 16;
+  /* The array is never resized, so that no request pays for a rehash.  */
+  while (m->bucket_count < conf->limit / 1024)
+    m->bucket_count *= 2;
+  size_t size = m->bucket_count * sizeof (struct record *);
+  m->bucket = zp_alloc (size);
+  m->bytes = charge (sizeof *m) + charge (size);
+  return m;
+}
+
+void
+oc_member_free (struct oc_member *m)
+{
+  if (!m)
+    return;
+  for (size_t i = 0; i < m->bucket_count; i++)
+    while (m->bucket[i])
+      drop (m, m->bucket[i]);
+  free (m->bucket);
+  free (m);
+}
+
+struct oc_seat
+oc_member_seat (const struct oc_member *m, zp_time now)
+{
+  return (struct oc_seat){ .id = m->conf.id,
+                           .incarnation = m->conf.incarnation,
+                           .generation = generation_at (m, now) };
+}
+
+size_t
+oc_member_bytes (const struct oc_member *m)
+{
+  return m->bytes;
+}
+
+size_t
+oc_member_keys (const struct oc_member *m)
+{
+  return m->keys;
+}
+
+/* Messages.  */
+
+static size_t
+claim_space (const struct oc_member *m)
+{
+  return m->conf.limit - m->conf.limit / 16;
+}
+
+static void
+abstain (struct oc_answer *a, enum oc_abstain why)
+{
+  a->reply = OC_ABSTAINED;
+  a->why = why;
+}
+
+/* Answers with the state of a key that the asking attempt cannot have.  */
+static void
+tell (const struct record *r, struct oc_answer *a)
+{
+  switch (r->state)
+    {
+    case CLAIMED:
+      a->reply = OC_TAKEN;
+      a->holder = r->holder;
+      return;
+    case SEALED:
+      a->reply = OC_SEALED;
+      return;
+    case FINISHED:
+      a->reply = OC_FINISHED;
+      a->holder = r->holder;
+      a->outcome.verdict = r->verdict;
+      a->outcome.whole = r->kept != NULL;
+      if (!r->kept)
+        return;
+      a->outcome.status = r->kept->status;
+      zp_buf_put_bytes (&a->outcome.content_type, r->kept->bytes,
+                        r->kept->type_len);
+      zp_buf_put_bytes (&a->outcome.body, r->kept->bytes + r->kept->type_len,
+                        r->kept->body_len);
+      return;
+    }
+}
+
+/* Keeps the whole answer where there is room, else only that it ended.  */
+static void
+keep (struct oc_member *m, struct record *r, const struct oc_outcome *o)
+{
+  size_t type_len = o->content_type.len, body_len = o->body.len;
+  struct kept head
+      = { .status = o->status, .type_len = type_len, .body_len = body_len };
+  size_t size = kept_size (&head);
+
+  r->verdict = o->verdict;
+  if (!o->whole || !oc_outcome_fits (o) || m->bytes + size > claim_space (m))
+    return;
+  r->kept = zp_alloc (sizeof head + type_len + body_len);
+  *r->kept = head;
+  if (type_len > 0)
+    memcpy (r->kept->bytes, o->content_type.ptr, type_len);
+  if (body_len > 0)
+    memcpy (r->kept->bytes + type_len, o->body.ptr, body_len);
+  m->bytes += size;
+}
+
+static void
+on_claim (struct oc_member *m, const struct oc_msg *in, struct record *r,
+          uint64_t hash, uint64_t generation, struct oc_answer *a)
+{
+  if (r && (r->state != CLAIMED || !oc_attempt_id_eq (r->holder, in->attempt)))
+    {
+      tell (r, a);
+      return;
+    }
+  if (!r)
+    {
+      r = insert (m, zp_str_of (&in->key), hash, generation, claim_space (m));
+      if (!r)
+        {
+          abstain (a, OC_FULL);
+          return;
+        }
+      r->state = CLAIMED;
+      r->holder = in->attempt;
+    }
+  a->reply = OC_GRANTED;
+}
+
+static void
+on_seal (struct oc_member *m, const struct oc_msg *in, struct record *r,
+         uint64_t hash, uint64_t generation, struct oc_answer *a)
+{
+  if (r && (r->state != CLAIMED || !oc_attempt_id_eq (r->holder, in->attempt)))
+    {
+      tell (r, a);
+      return;
+    }
+  if (!r)
+    r = insert (m, zp_str_of (&in->key), hash, generation, m->conf.limit);
+  if (!r)
+    {
+      abstain (a, OC_FULL);
+      return;
+    }
+  r->state = SEALED;
+  r->holder = in->attempt;
+  a->reply = OC_SEALED;
+}
+
+static void
+on_record (struct oc_member *m, const struct oc_msg *in, struct record *r,
+           uint64_t hash, uint64_t generation, struct oc_answer *a)
+{
+  if (!r)
+    r = insert (m, zp_str_of (&in->key), hash, generation, claim_space (m));
+  if (!r)
+    {
+      abstain (a, OC_FULL);
+      return;
+    }
+  a->reply = OC_RECORDED;
+  if (r->state == FINISHED)
+    return;
+  r->state = FINISHED;
+  r->holder = in->attempt;
+  keep (m, r, &in->u.record);
+}
+
+/* Whether the key of IN counts here; fills ANSWER otherwise.  */
+static bool
+admit (const struct oc_member *m, const struct oc_msg *in, zp_time now,
+       uint64_t *generation, struct oc_answer *a)
+{
+  struct oc_home home;
+  uint64_t current = generation_at (m, now);
+  const struct oc_seat *seat = NULL;
+
+  if (oc_key_parse (zp_str_of (&in->key), &home, NULL))
+    seat = oc_home_seat (&home, m->conf.id);
+  if (!seat)
+    {
+      abstain (a, OC_NOT_MEMBER);
+      return false;
+    }
+  if (seat->incarnation != m->conf.incarnation)
+    {
+      abstain (a, OC_INCARNATION);
+      return false;
+    }
+  /* The oldest kept generation counts too, in case NOW went back.  */
+  if (seat->generation < m->oldest || seat->generation > current
+      || expired (seat->generation, current))
+    {
+      abstain (a, OC_GENERATION);
+      return false;
+    }
+  *generation = seat->generation;
+  return true;
+}
+
+void
+oc_member_handle (struct oc_member *m, const struct oc_msg *in, zp_time now,
+                  struct oc_msg *answer)
+{
+  struct oc_answer *a = &answer->u.answer;
+  uint64_t generation = 0;
+
+  assert (in->kind != OC_ANSWER);
+  oc_member_tick (m, now);
+  *answer = (struct oc_msg){ .kind = OC_ANSWER,
+                             .attempt = in->attempt,
+                             .key = zp_buf_from (zp_str_of (&in->key)),
+                             .u.answer.to = in->kind };
+  if (!admit (m, in, now, &generation, a))
+    return;
+  uint64_t hash = zp_str_hash (zp_str_of (&in->key), m->conf.hash_seed);
+  struct record *r = find (m, zp_str_of (&in->key), hash);
+  switch (in->kind)
+    {
+    case OC_CLAIM:
+      on_claim (m, in, r, hash, generation, a);
+      break;
+    case OC_SEAL:
+      on_seal (m, in, r, hash, generation, a);
+      break;
+    case OC_RECORD:
+      on_record (m, in, r, hash, generation, a);
+      break;
+    case OC_ANSWER:
+      break;
+    }
+  assert (m->bytes <= m->conf.limit || m->keys == 0);
+}
--- /dev/null
+++ b/tests/test-once-home.c
@@ -0,0 +1,141 @@
+#include "harness.h"
+
+#include "base/limits.h"
+#include "once/home.h"
+
+#define LIVE(n, fd, r)                                                        \
+  {                                                                           \
+    .seat = { .id = (n), .incarnation = 7, .generation = 1 },                 \
+    .failure_domain = ZP_STR (fd), .region = ZP_STR (r)                       \
+  }
+
+static const struct oc_live self = LIVE (1, "a1", "west");
+
+static struct oc_home
+choose (const struct oc_live *live, size_t count, uint32_t seed)
+{
+  struct zp_rng rng;
+  struct oc_home h;
+
+  zp_rng_seed (&rng, seed);
+  oc_home_choose (&h, &self, live, count, &rng);
+  return h;
+}
+
+/* Guards against a home that one failure domain or one region can take away
+   while others are reachable.  */
+static void
+test_members_are_spread (void)
+{
+  const struct oc_live live[]
+      = { LIVE (1, "a1", "west"), LIVE (2, "a1", "west"),
+          LIVE (3, "a2", "west"), LIVE (4, "a3", "west"),
+          LIVE (5, "b1", "east"), LIVE (6, "c1", "north") };
+  bool seen[7] = { false };
+
+  for (uint32_t seed = 0; seed < 50; seed++)
+    {
+      struct oc_home h = choose (live, 6, seed);
+      CU_ASSERT_EQUAL (h.count, 3);
+      CU_ASSERT_EQUAL (h.seat[0].id, 1);
+      CU_ASSERT (h.seat[1].id == 3 || h.seat[1].id == 4);
+      CU_ASSERT (h.seat[2].id == 5 || h.seat[2].id == 6);
+      seen[h.seat[1].id] = seen[h.seat[2].id] = true;
+    }
+  CU_ASSERT (seen[3] && seen[4] && seen[5] && seen[6]);
+}
+
+/* Guards against a home of two, which is less available than one, and against
+   a home with members that are not reachable.  */
+static void
+test_cut_off_daemons_choose_what_is_left (void)
+{
+  const struct oc_live region[]
+      = { LIVE (2, "a1", "west"), LIVE (3, "a2", "west") };
+  const struct oc_live alone_in_region[]
+      = { LIVE (5, "b1", "east"), LIVE (6, "b2", "east"),
+          LIVE (7, "c1", "north") };
+  struct oc_home h = choose (region, 2, 1);
+
+  CU_ASSERT_EQUAL (h.count, 3);
+  h = choose (alone_in_region, 3, 1);
+  CU_ASSERT_EQUAL (h.count, 3);
+  CU_ASSERT (oc_home_seat (&h, 7) != NULL);
+  CU_ASSERT_EQUAL (choose (region, 1, 1).count, 1);
+  CU_ASSERT_EQUAL (choose (NULL, 0, 1).count, 1);
+}
+
+/* Guards against tokens that a key cannot hold.  */
+static void
+test_longest_token_round_trips (void)
+{
+  struct oc_home h = { .count = 3 }, back;
+  struct zp_buf b = { .ptr = NULL };
+  struct zp_err err;
+
+  for (size_t i = 0; i < 3; i++)
+    h.seat[i] = (struct oc_seat){ UINT64_MAX - i, UINT64_MAX, UINT64_MAX };
+  oc_home_format (&b, &h);
+  CU_ASSERT (oc_home_parse (zp_str_of (&b), &back, &err));
+  CU_ASSERT (memcmp (&h, &back, sizeof h) == 0);
+  zp_buf_put (&b, ZP_STR ("."));
+  for (int i = 0; i < OC_UNIQUE_MAX; i++)
+    zp_buf_put (&b, ZP_STR ("x"));
+  CU_ASSERT (b.len <= ZP_KEY_MAX);
+  CU_ASSERT (oc_key_parse (zp_str_of (&b), &back, &err));
+  CU_ASSERT_EQUAL (oc_home_quorum (&back), 2);
+  zp_buf_put (&b, ZP_STR ("x"));
+  CU_ASSERT_FALSE (oc_key_parse (zp_str_of (&b), &back, &err));
+  zp_buf_free (&b);
+}
+
+/* Guards against a member that counts twice and against two texts for one
+   home.  */
+static void
+test_hostile_keys_are_refused (void)
+{
+  static const char *const bad[] = { "",
+                                     ".",
+                                     "1:2:3",
+                                     "1:2:3.",
+                                     ".x",
+                                     "1:2.x",
+                                     "1:2:3:4.x",
+                                     "1:2:3,.x",
+                                     ",1:2:3.x",
+                                     "1:2:3,2:2:3.x",
+                                     "1:2:3,1:2:3,2:2:3.x",
+                                     "1:2:3,1:9:9,2:2:3.x",
+                                     "1:2:3,2:2:3,3:2:3,4:2:3.x",
+                                     "01:2:3.x",
+                                     "1:2:+3.x",
+                                     "1:2: 3.x",
+                                     "-1:2:3.x",
+                                     "18446744073709551616:2:3.x",
+                                     "1:2:3.x y",
+                                     "1:2:3.x.y",
+                                     "1:2:3.\r\n",
+                                     "1:2:3.\xc3\xa9" };
+  char big[ZP_KEY_MAX + 1];
+  struct oc_home h;
+  struct zp_err err;
+
+  for (size_t i = 0; i < sizeof bad / sizeof bad[0]; i++)
+    CU_ASSERT_FALSE (oc_key_parse (zp_str_from (bad[i]), &h, &err));
+  memset (big, '1', sizeof big);
+  CU_ASSERT_FALSE (
+      oc_key_parse ((struct zp_str){ big, sizeof big }, &h, &err));
+  CU_ASSERT_EQUAL (err.code, ZP_ELIMIT);
+  CU_ASSERT_FALSE (oc_key_parse ((struct zp_str){ "1:2:3.\0", 7 }, &h, &err));
+  CU_ASSERT (oc_key_parse (ZP_STR ("1:2:3.aZ_-9"), &h, &err));
+  CU_ASSERT_EQUAL (oc_home_quorum (&h), 1);
+}
+
+static const struct zp_test tests[]
+    = { { "members are spread", test_members_are_spread },
+        { "cut-off daemons choose what is left",
+          test_cut_off_daemons_choose_what_is_left },
+        { "the longest token round trips", test_longest_token_round_trips },
+        { "hostile keys are refused", test_hostile_keys_are_refused } };
+
+TEST_MAIN ("once-home", tests)
