Add the stand-in programs for backend servers and callers

zp-backend and zp-load let a whole deployment run on loopback without any outside system. zp-backend announces its servers, runs requests in slots and writes a record of each run. zp-load sends open-loop traffic and compares what the callers saw with those records, so that lost, doubled, wrong and falsely refused requests are counted instead of assumed absent.

--- /dev/null
+++ b/src/backend/main.c
@@ -0,0 +1,157 @@
+#include <argp.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "backend/server.h"
+#include "base/log.h"
+
+#define PART "main"
+#define STOP_REPEAT 0.5 /* seconds; a server that is down misses TK_STOP */
+
+struct program
+{
+  struct tk_loop loop;
+  struct tk_task task; /* counts the servers that have stopped */
+  struct be_settings settings;
+  const char *path;
+  bool check;
+  struct be_server *servers[BE_SERVERS_MAX];
+  int64_t open, running;
+  ev_signal term, interrupt;
+  ev_timer repeat;
+};
+
+static error_t
+on_argument (int key, char *value, struct argp_state *state)
+{
+  struct program *p = state->input;
+
+  if (key == 's')
+    p->path = value;
+  else if (key == 'c')
+    p->check = true;
+  else if (key == ARGP_KEY_END && !p->path)
+    argp_error (state, "--settings is required");
+  else
+    return ARGP_ERR_UNKNOWN;
+  return 0;
+}
+
+static void
+on_message (void *self, struct tk_msg *m)
+{
+  struct program *p = self;
+
+  if (m->kind == TK_STOP && --p->running == 0)
+    tk_loop_stop (&p->loop);
+  tk_msg_free (m);
+}
+
+static void
+on_repeat (struct ev_loop *ev, ev_timer *w, int events)
+{
+  struct program *p = w->data;
+
+  (void) ev;
+  (void) events;
+  for (int64_t i = 0; i < p->open; i++)
+    tk_send (be_server_task (p->servers[i]), tk_msg_new (TK_STOP));
+}
+
+static void
+on_signal (struct ev_loop *ev, ev_signal *w, int events)
+{
+  struct program *p = w->data;
+
+  (void) events;
+  ev_timer_start (ev, &p->repeat);
+}
+
+static void
+watch_signal (struct program *p, ev_signal *w, int number)
+{
+  ev_signal_init (w, on_signal, number);
+  w->data = p;
+  ev_signal_start (p->loop.ev, w);
+}
+
+static bool
+run (struct program *p, int record, struct zp_err *err)
+{
+  bool ok = true;
+
+  tk_loop_init (&p->loop);
+  tk_task_init (&p->task, &p->loop, on_message, p);
+  ev_timer_init (&p->repeat, on_repeat, 0.0, STOP_REPEAT);
+  p->repeat.data = p;
+  watch_signal (p, &p->term, SIGTERM);
+  watch_signal (p, &p->interrupt, SIGINT);
+  while (ok && p->open < p->settings.count)
+    {
+      p->servers[p->open] = be_server_open (&p->loop, &p->settings, p->open,
+                                            record, &p->task, err);
+      ok = p->servers[p->open] != NULL;
+      p->open += ok;
+    }
+  p->running = p->open;
+  if (ok)
+    tk_loop_run (&p->loop);
+  while (p->open > 0)
+    be_server_close (p->servers[--p->open]);
+  ev_timer_stop (p->loop.ev, &p->repeat);
+  ev_signal_stop (p->loop.ev, &p->term);
+  ev_signal_stop (p->loop.ev, &p->interrupt);
+  tk_task_free (&p->task);
+  tk_loop_free (&p->loop);
+  return ok;
+}
+
+static bool
+open_and_run (struct program *p)
+{
+  struct zp_buf name = zp_buf_from (p->settings.records);
+  int fd = open (name.ptr, O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, 0644);
+  struct zp_err err;
+
+  if (fd < 0)
+    zp_fail (&err, ZP_EIO, "cannot open %s: %s", name.ptr, strerror (errno));
+  zp_buf_free (&name);
+  bool ok = fd >= 0 && run (p, fd, &err);
+  if (!ok)
+    zp_log (ZP_LOG_ERR, PART, "%s", err.text);
+  if (fd >= 0)
+    close (fd);
+  return ok;
+}
+
+int
+main (int argc, char **argv)
+{
+  static const struct argp_option options[]
+      = { { "settings", 's', "FILE", 0, "Settings, JSON with comments", 0 },
+          { "check-settings", 'c', NULL, 0, "Check the settings and exit", 0 },
+          { .name = NULL } };
+  static const struct argp argp
+      = { .options = options,
+          .parser = on_argument,
+          .doc = "Stand-in for backend servers of one service" };
+  struct program *p = zp_alloc (sizeof *p);
+  struct zp_report report = { .count = 0 };
+
+  argp_parse (&argp, argc, argv, 0, NULL, p);
+  signal (SIGPIPE, SIG_IGN);
+  bool ok = be_settings_load (&p->settings, p->path, &report);
+  fprintf (stderr, "%.*s", ZP_ARG (zp_str_of (&report.lines)));
+  zp_log_open ("zp-backend", (enum zp_log_level) p->settings.log_level);
+  if (ok && !p->check)
+    ok = open_and_run (p);
+  zp_report_free (&report);
+  zp_settings_free (&p->settings.loaded);
+  free (p);
+  return ok ? 0 : 1;
+}
--- /dev/null
+++ b/src/load/book.c
@@ -0,0 +1,230 @@
+#include "load/book.h"
+
+#include <errno.h>
+#include <glob.h>
+#include <inttypes.h>
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define BINS 400
+#define LATENCY_MIN 10.0 /* us */
+#define LATENCY_MAX 1e8
+
+void
+lo_book_open (struct lo_book *b, const struct lo_settings *s, const char *run)
+{
+  double range[BINS + 1];
+
+  *b = (struct lo_book){ .settings = s };
+  zp_str_copy (b->run, sizeof b->run, zp_str_from (run));
+  lo_plan_make (&b->plan, s);
+  for (size_t i = 0; i <= BINS; i++)
+    range[i] = LATENCY_MIN
+               * pow (LATENCY_MAX / LATENCY_MIN, (double) i / (double) BINS);
+  for (size_t i = 0; i < s->services; i++)
+    {
+      b->sum[i].latency = gsl_histogram_alloc (BINS);
+      gsl_histogram_set_ranges (b->sum[i].latency, range, BINS + 1);
+    }
+}
+
+void
+lo_book_end (struct lo_book *b, size_t i, zp_time latency)
+{
+  double us = fmin (fmax ((double) latency, LATENCY_MIN), LATENCY_MAX * 0.99);
+
+  if (b->plan.request[i].outcome == LO_ANSWERED)
+    gsl_histogram_increment (b->sum[b->plan.request[i].service].latency, us);
+}
+
+void
+lo_book_body (const struct lo_book *b, size_t i, struct zp_buf *out)
+{
+  const struct lo_service *s
+      = &b->settings->service[b->plan.request[i].service];
+  int rest = (int) s->body_bytes;
+
+  if (s->crash_ms > 0)
+    zp_buf_printf (out, "crash");
+  else if (rest > 0)
+    zp_buf_printf (out, "request %s-%zu%*s", b->run, i, rest, "");
+}
+
+uint64_t
+lo_book_digest (const struct lo_book *b, size_t i)
+{
+  struct zp_buf body = { .ptr = NULL };
+
+  lo_book_body (b, i, &body);
+  uint64_t digest = zp_str_hash (zp_str_of (&body), 0);
+  zp_buf_free (&body);
+  return digest;
+}
+
+/* Comparison with the run records.  */
+
+static void
+take_line (struct lo_book *b, const char *line)
+{
+  char what[8], key[ZP_KEY_MAX], run[ZP_NAME_MAX];
+  uint64_t digest;
+  size_t i;
+  unsigned n;
+
+  if (sscanf (line, "%7s %255s %" SCNx64, what, key, &digest) != 3)
+    return;
+  b->crashes += strcmp (what, "crash") == 0;
+  if (sscanf (key, "%63[^-]-%zu-%u", run, &i, &n) != 3
+      || strcmp (run, b->run) != 0 || i >= b->plan.count || n > 31)
+    return;
+  struct lo_request *q = &b->plan.request[i];
+  struct lo_sum *s = &b->sum[q->service];
+  s->over += strcmp (what, "over") == 0;
+  s->late += strcmp (what, "late") == 0;
+  if (strcmp (what, "ran") != 0)
+    return;
+  s->runs++;
+  q->runs++;
+  q->ran |= 1u << n;
+  s->wrong += digest != lo_book_digest (b, i);
+}
+
+static bool
+read_record (struct lo_book *b, const char *path, struct zp_err *err)
+{
+  char line[ZP_LOG_LINE_MAX];
+  FILE *f = fopen (path, "re");
+
+  if (!f)
+    return zp_fail (err, ZP_EIO, "cannot open %s: %s", path, strerror (errno));
+  while (fgets (line, sizeof line, f))
+    take_line (b, line);
+  fclose (f);
+  return true;
+}
+
+static void
+judge (struct lo_book *b, const struct lo_request *q)
+{
+  struct lo_sum *s = &b->sum[q->service];
+
+  s->asked++;
+  s->outcome[q->outcome]++;
+  s->sends += q->sends;
+  s->doubled += b->settings->service[q->service].once && q->runs > 1;
+  s->lost += q->outcome == LO_OPEN
+             || (q->outcome == LO_ANSWERED && !(q->ran & 1u << q->key));
+  s->wrong += q->outcome == LO_WRONG;
+  s->false_not_run += (q->told_not_run & q->ran) != 0;
+}
+
+bool
+lo_book_reconcile (struct lo_book *b, struct zp_err *err)
+{
+  struct zp_buf pattern = zp_buf_from (b->settings->records);
+  glob_t found;
+  bool ok = true;
+
+  zp_buf_put (&pattern, ZP_STR ("/*.record"));
+  if (glob (pattern.ptr, 0, NULL, &found) != 0)
+    ok = zp_fail (err, ZP_EIO, "no run record matches %s", pattern.ptr);
+  zp_buf_free (&pattern);
+  for (size_t i = 0; ok && i < found.gl_pathc; i++)
+    ok = read_record (b, found.gl_pathv[i], err);
+  globfree (&found);
+  for (size_t i = 0; i < b->plan.count; i++)
+    judge (b, &b->plan.request[i]);
+  return ok;
+}
+
+/* Report.  */
+
+static double
+quantile_ms (const gsl_histogram *h, double share)
+{
+  double want = share * gsl_histogram_sum (h), seen = 0.0, low, high = 0.0;
+
+  for (size_t i = 0; i < h->n && (seen < want || i == 0); i++)
+    {
+      seen += gsl_histogram_get (h, i);
+      gsl_histogram_get_range (h, i, &low, &high);
+    }
+  return want > 0.0 ? high / 1000.0 : 0.0;
+}
+
+static const struct
+{
+  const char *title, *key;
+  size_t offset; /* in struct lo_sum */
+  bool bad;      /* no run may have any */
+} columns[] = {
+  { "asked", "asked", offsetof (struct lo_sum, asked), false },
+  { "answered", "answered", offsetof (struct lo_sum, outcome[LO_ANSWERED]),
+    false },
+  { "not-run", "not_run", offsetof (struct lo_sum, outcome[LO_REFUSED]),
+    false },
+  { "may-run", "may_have_run",
+    offsetof (struct lo_sum, outcome[LO_MAY_HAVE_RUN]), false },
+  { "failed", "failed", offsetof (struct lo_sum, outcome[LO_FAILED]), false },
+  { "sends", "sends", offsetof (struct lo_sum, sends), false },
+  { "runs", "runs", offsetof (struct lo_sum, runs), false },
+  { "over", "over", offsetof (struct lo_sum, over), false },
+  { "late", "late", offsetof (struct lo_sum, late), false },
+  { "doubled", "doubled", offsetof (struct lo_sum, doubled), true },
+  { "lost", "lost", offsetof (struct lo_sum, lost), true },
+  { "wrong", "wrong", offsetof (struct lo_sum, wrong), true },
+  { "false-nr", "false_not_run", offsetof (struct lo_sum, false_not_run),
+    true },
+};
+
+#define COLUMNS (sizeof columns / sizeof columns[0])
+
+bool
+lo_book_print (const struct lo_book *b, bool json, FILE *out)
+{
+  uint64_t bad = 0;
+
+  for (size_t c = 0; !json && c < COLUMNS; c++)
+    fprintf (out, "%s%9s", c > 0 ? "" : "service      ", columns[c].title);
+  fprintf (out, "%s", json ? "" : "   p50 ms   p99 ms\n");
+  for (size_t i = 0; i < b->settings->services; i++)
+    {
+      const char *name = b->settings->service[i].name;
+      double p50 = quantile_ms (b->sum[i].latency, 0.5);
+      double p99 = quantile_ms (b->sum[i].latency, 0.99);
+      if (json)
+        fprintf (out, "{\"service\":\"%s\"", name);
+      else
+        fprintf (out, "%-13s", name);
+      for (size_t c = 0; c < COLUMNS; c++)
+        {
+          uint64_t n;
+          memcpy (&n, (const char *) &b->sum[i] + columns[c].offset, sizeof n);
+          bad += columns[c].bad ? n : 0;
+          if (json)
+            fprintf (out, ",\"%s\":%" PRIu64, columns[c].key, n);
+          else
+            fprintf (out, "%9" PRIu64, n);
+        }
+      if (json)
+        fprintf (out, ",\"p50_ms\":%.2f,\"p99_ms\":%.2f}\n", p50, p99);
+      else
+        fprintf (out, "%9.2f%9.2f\n", p50, p99);
+    }
+  if (json)
+    fprintf (out, "{\"violations\":%" PRIu64 ",\"crashes\":%" PRIu64 "}\n",
+             bad, b->crashes);
+  else
+    fprintf (out, "violations %" PRIu64 ", servers crashed %" PRIu64 "\n", bad,
+             b->crashes);
+  return bad == 0;
+}
+
+void
+lo_book_close (struct lo_book *b)
+{
+  for (size_t i = 0; i < b->settings->services; i++)
+    gsl_histogram_free (b->sum[i].latency);
+  lo_plan_free (&b->plan);
+}
--- /dev/null
+++ b/src/load/book.h
@@ -0,0 +1,52 @@
+/* NAME
+     book - what the callers saw, and its comparison with the run records
+
+   DESCRIPTION
+     lo_book_reconcile reads every run record in the folder of the settings.
+     Per service it counts: doubled (an at-most-once request that ran more than
+     once), lost (answered without a run record, or without an outcome), wrong
+     (another request's answer or body), and false not-run (a key that was told
+     not-run has a run record).  */
+
+#ifndef ZP_LOAD_BOOK_H
+#define ZP_LOAD_BOOK_H
+
+#include <gsl/gsl_histogram.h>
+#include <stdio.h>
+
+#include "load/request.h"
+
+struct lo_sum
+{
+  uint64_t asked, outcome[LO_OUTCOMES], sends, runs;
+  uint64_t doubled, lost, wrong, false_not_run;
+  uint64_t over, late;    /* see backend/work.h */
+  gsl_histogram *latency; /* of answered requests, in microseconds */
+};
+
+struct lo_book
+{
+  const struct lo_settings *settings;
+  struct lo_plan plan;
+  char run[ZP_NAME_MAX]; /* tells the keys of this run from others */
+  struct lo_sum sum[LO_SERVICES_MAX];
+  uint64_t crashes;
+};
+
+void lo_book_open (struct lo_book *b, const struct lo_settings *s,
+                   const char *run);
+
+/* Request I ended after LATENCY.  */
+void lo_book_end (struct lo_book *b, size_t i, zp_time latency);
+
+/* The body of request I, and its length.  The same for every send.  */
+void lo_book_body (const struct lo_book *b, size_t i, struct zp_buf *out);
+uint64_t lo_book_digest (const struct lo_book *b, size_t i);
+
+bool lo_book_reconcile (struct lo_book *b, struct zp_err *err);
+
+/* Returns whether nothing was lost, doubled, wrong or falsely not-run.  */
+bool lo_book_print (const struct lo_book *b, bool json, FILE *out);
+void lo_book_close (struct lo_book *b);
+
+#endif
--- /dev/null
+++ b/src/load/caller.c
@@ -0,0 +1,50 @@
+#include "load/caller.h"
+
+#include <json-c/json.h>
+
+#include "base/settings.h"
+
+/* Keeps one failing entry VM from causing a look-up for each request.  */
+#define LOOKUP_MIN_AGE (200 * ZP_MS)
+
+static struct zp_str
+text_of (struct json_object *o, const char *key)
+{
+  struct json_object *v = NULL;
+
+  if (!json_object_object_get_ex (o, key, &v)
+      || !json_object_is_type (v, json_type_string))
+    return (struct zp_str){ .ptr = NULL };
+  return zp_str_from (json_object_get_string (v));
+}
+
+bool
+lo_caller_read (struct lo_caller *c, struct zp_str body, zp_time now)
+{
+  struct json_object *list = NULL, *ttl = NULL;
+  struct json_object *o = zp_json_parse (body, NULL);
+
+  c->entries = 0;
+  if (json_object_object_get_ex (o, "entries", &list)
+      && json_object_is_type (list, json_type_array))
+    for (size_t i = 0;
+         i < json_object_array_length (list) && c->entries < LO_ENTRIES_MAX;
+         i++)
+      c->entries += zp_str_copy (
+          c->entry[c->entries], ZP_ADDRESS_MAX,
+          text_of (json_object_array_get_idx (list, i), "address"));
+  json_object_object_get_ex (o, "ttl_ms", &ttl);
+  zp_buf_clear (&c->once_home);
+  zp_buf_put (&c->once_home, text_of (o, "once_home"));
+  c->got = now;
+  c->valid_until = now + json_object_get_int64 (ttl) * ZP_MS;
+  json_object_put (o);
+  return c->entries > 0;
+}
+
+void
+lo_caller_doubt (struct lo_caller *c, zp_time now)
+{
+  if (now - c->got > LOOKUP_MIN_AGE)
+    c->valid_until = 0;
+}
--- /dev/null
+++ b/src/load/caller.h
@@ -0,0 +1,29 @@
+/* NAME
+     caller - the cached look-up answer of one group of callers  */
+
+#ifndef ZP_LOAD_CALLER_H
+#define ZP_LOAD_CALLER_H
+
+#include "base/clock.h"
+#include "base/limits.h"
+#include "base/str.h"
+
+#define LO_ENTRIES_MAX 16
+
+struct lo_caller
+{
+  char entry[LO_ENTRIES_MAX][ZP_ADDRESS_MAX]; /* ranked */
+  size_t entries;
+  struct zp_buf once_home;
+  zp_time got, valid_until;
+  bool asking;
+  size_t ask; /* counts the entry VMs that were asked */
+};
+
+/* Replaces the cached answer; false when BODY is none.  */
+bool lo_caller_read (struct lo_caller *c, struct zp_str body, zp_time now);
+
+/* A send went wrong: the entry VM or the home of the key may be gone.  */
+void lo_caller_doubt (struct lo_caller *c, zp_time now);
+
+#endif
--- /dev/null
+++ b/src/load/decide.c
@@ -0,0 +1,48 @@
+#include "load/request.h"
+
+/* Waits before a new try after a refusal, doubled each time.  */
+#define BACKOFF (50 * ZP_MS)
+#define BACKOFF_DOUBLINGS 4
+
+static struct lo_next
+end (struct lo_request *q, enum lo_outcome outcome)
+{
+  q->outcome = (uint8_t) outcome;
+  return (struct lo_next){ .kind = LO_END, .u.outcome = outcome };
+}
+
+struct lo_next
+lo_decide (struct lo_request *q, const struct lo_service *s,
+           enum lo_event event, zp_time now)
+{
+  zp_time delay = 0;
+
+  switch (event)
+    {
+    case LO_GOT_ANSWER:
+      return end (q, LO_ANSWERED);
+    case LO_GOT_WRONG:
+      return end (q, LO_WRONG);
+    case LO_GOT_ERROR:
+      return end (q, LO_FAILED);
+    case LO_GOT_NOT_RUN:
+      q->told_not_run |= 1u << q->key;
+      if (s->once)
+        q->unresolved = false; /* no send with this key can have run */
+      delay = BACKOFF << (q->key < BACKOFF_DOUBLINGS ? q->key
+                                                     : BACKOFF_DOUBLINGS);
+      q->key++;
+      break;
+    case LO_GOT_MAY_HAVE_RUN:
+      q->unresolved = true;
+      q->moves++;
+      q->key += !s->once;
+      break;
+    case LO_GOT_NO_CONNECTION:
+      q->moves++;
+      break;
+    }
+  if (q->sends >= s->tries || now + delay >= q->at + s->deadline_ms * ZP_MS)
+    return end (q, q->unresolved ? LO_MAY_HAVE_RUN : LO_REFUSED);
+  return (struct lo_next){ .kind = LO_SEND, .u.delay = delay };
+}
--- /dev/null
+++ b/src/load/run.c
@@ -0,0 +1,460 @@
+#include "load/run.h"
+
+#include <assert.h>
+#include <inttypes.h>
+#include <json-c/json.h>
+#include <stdlib.h>
+
+#include "base/log.h"
+#include "forward/client.h"
+#include "front/header.h"
+#include "load/caller.h"
+
+#define PART "load"
+#define LOOKUP_BIT ((uint64_t) 1 << 63) /* ids of look-ups */
+#define LOOKUP_TIMEOUT (500 * ZP_MS)
+#define LOOKUP_RETRY 0.02 /* seconds */
+#define OPEN_MAX 8000     /* requests in progress */
+
+enum state
+{
+  NEEDS_LOOKUP,
+  DELAYED,
+  SENT,
+  CANCELLED, /* patience is over; its TK_FORWARD_DONE is still to come */
+};
+
+/* A request in progress.  */
+struct open
+{
+  struct open *next, *prev;
+  struct lo_run *run;
+  size_t index; /* in the plan */
+  enum state state;
+  ev_timer timer;
+  uint64_t id;        /* of the last send */
+  struct zp_buf home; /* token of the key in use; empty: no key yet */
+};
+
+/* The callers of one address and service.  */
+struct group
+{
+  struct lo_run *run;
+  struct lo_caller caller;
+  ev_timer retry;
+};
+
+struct lo_run
+{
+  struct tk_loop *loop;
+  struct tk_task task;
+  struct fw_client *client;
+  struct lo_book *book;
+  zp_time start;
+  size_t next; /* request that arrives next */
+  bool stopping;
+  ev_timer arrivals;
+  struct open open; /* list head */
+  size_t open_count;
+  struct group group[LO_SERVICES_MAX * LO_CALLERS_MAX];
+};
+
+static zp_time
+elapsed (const struct lo_run *r)
+{
+  return zp_clock_mono () - r->start;
+}
+
+static struct lo_request *
+request_of (const struct open *x)
+{
+  return &x->run->book->plan.request[x->index];
+}
+
+static const struct lo_service *
+service_of (const struct open *x)
+{
+  return &x->run->book->settings->service[request_of (x)->service];
+}
+
+static struct group *
+group_of (const struct open *x)
+{
+  const struct lo_request *q = request_of (x);
+
+  return &x->run->group[q->service * LO_CALLERS_MAX + q->caller];
+}
+
+static void
+set_timer (struct open *x, enum state state, zp_time after)
+{
+  x->state = state;
+  ev_timer_stop (x->run->loop->ev, &x->timer);
+  ev_timer_set (&x->timer, (double) after / 1e6, 0.0);
+  ev_timer_start (x->run->loop->ev, &x->timer);
+}
+
+/* Look-ups.  */
+
+static void
+ask (struct group *g)
+{
+  struct lo_run *r = g->run;
+  const struct lo_settings *s = r->book->settings;
+  size_t n = (size_t) (g - r->group);
+  struct tk_msg *m = tk_msg_new (TK_FORWARD);
+  struct tk_forward *f = &m->u.forward;
+
+  g->caller.asking = true;
+  f->id = LOOKUP_BIT | n;
+  zp_str_copy (f->address, sizeof f->address,
+               s->entries.item[(n + g->caller.ask) % s->entries.len]);
+  zp_buf_put (&f->method, ZP_STR ("GET"));
+  zp_buf_printf (&f->target, "/v1/lookup?service=%s&caller=%.*s",
+                 s->service[n / LO_CALLERS_MAX].name,
+                 ZP_ARG (s->callers.item[n % LO_CALLERS_MAX]));
+  zp_buf_printf (&f->request_id, "%s-lookup-%zu", r->book->run, n);
+  f->deadline = zp_clock_mono () + LOOKUP_TIMEOUT;
+  tk_send (fw_client_task (r->client), m);
+}
+
+static void
+on_retry (struct ev_loop *ev, ev_timer *w, int events)
+{
+  (void) ev;
+  (void) events;
+  ask (w->data);
+}
+
+static void send_request (struct open *x);
+
+static void
+take_lookup (struct lo_run *r, struct tk_forward_done *d)
+{
+  struct group *g = &r->group[d->id & ~LOOKUP_BIT];
+  bool waited = false;
+
+  if (d->end == TK_END_ANSWER && d->status == 200
+      && lo_caller_read (&g->caller, zp_str_of (&d->body), elapsed (r)))
+    {
+      g->caller.asking = false;
+      for (struct open *x = r->open.next, *next; x != &r->open; x = next)
+        {
+          next = x->next;
+          if (x->state == NEEDS_LOOKUP && group_of (x) == g)
+            send_request (x);
+        }
+      return;
+    }
+  g->caller.ask++;
+  for (struct open *x = r->open.next; x != &r->open; x = x->next)
+    waited |= x->state == NEEDS_LOOKUP && group_of (x) == g;
+  g->caller.asking = waited;
+  if (waited)
+    {
+      ev_timer_set (&g->retry, LOOKUP_RETRY, 0.0);
+      ev_timer_start (r->loop->ev, &g->retry);
+    }
+}
+
+/* Sends.  */
+
+static void
+send_request (struct open *x)
+{
+  struct lo_run *r = x->run;
+  struct lo_request *q = request_of (x);
+  const struct lo_service *s = service_of (x);
+  struct lo_caller *c = &group_of (x)->caller;
+  zp_time now = elapsed (r);
+  zp_time left = q->at + s->deadline_ms * ZP_MS - now;
+
+  if (c->valid_until <= now)
+    {
+      set_timer (x, NEEDS_LOOKUP, left);
+      if (!c->asking)
+        ask (group_of (x));
+      return;
+    }
+  struct tk_msg *m = tk_msg_new (TK_FORWARD);
+  struct tk_forward *f = &m->u.forward;
+  if (x->home.len == 0)
+    zp_buf_put (&x->home, zp_str_of (&c->once_home));
+  q->sends++;
+  x->id = (uint64_t) x->index << 8 | q->sends;
+  f->id = x->id;
+  f->deadline = r->start + q->at + s->deadline_ms * ZP_MS;
+  zp_str_copy (f->address, sizeof f->address,
+               zp_str_from (c->entry[q->moves % c->entries]));
+  lo_book_body (r->book, x->index, &f->body);
+  zp_buf_put (&f->method,
+              f->body.len > 0 || s->once ? ZP_STR ("POST") : ZP_STR ("GET"));
+  if (s->crash_ms > 0) /* all of them are one request to the system */
+    zp_buf_printf (&f->target, "/%s/crash", s->name);
+  else
+    zp_buf_printf (&f->target, "/%s/%zu", s->name, x->index);
+  zp_buf_printf (&f->request_id, "%s-%zu-%u", r->book->run, x->index, q->key);
+  zp_buf_printf (&f->headers, "X-Request-Key: %s\n", f->request_id.ptr);
+  if (s->once)
+    zp_buf_printf (&f->headers, "Idempotency-Key: %s.%s\n",
+                   x->home.ptr ? x->home.ptr : "", f->request_id.ptr);
+  if (s->crash_ms > 0)
+    zp_buf_printf (&f->headers, "X-Crash: %" PRId64 "\n", s->crash_ms);
+  set_timer (x, SENT,
+             s->patience_ms > 0 ? s->patience_ms * ZP_MS : left + ZP_SEC);
+  tk_send (fw_client_task (r->client), m);
+}
+
+static void
+stop_when_idle (struct lo_run *r)
+{
+  if (r->open_count == 0 && r->next == r->book->plan.count)
+    tk_loop_stop (r->loop);
+}
+
+static void
+proceed (struct open *x, enum lo_event event)
+{
+  struct lo_run *r = x->run;
+  struct lo_request *q = request_of (x);
+  zp_time now = elapsed (r);
+  uint8_t key = q->key;
+  struct lo_next n = lo_decide (q, service_of (x), event, now);
+
+  if (event != LO_GOT_ANSWER)
+    lo_caller_doubt (&group_of (x)->caller, now);
+  if (q->key != key)
+    zp_buf_clear (&x->home);
+  switch (n.kind)
+    {
+    case LO_SEND:
+      set_timer (x, DELAYED, n.u.delay);
+      return;
+    case LO_END:
+      lo_book_end (r->book, x->index, now - q->at);
+      ev_timer_stop (r->loop->ev, &x->timer);
+      x->prev->next = x->next;
+      x->next->prev = x->prev;
+      zp_buf_free (&x->home);
+      free (x);
+      r->open_count--;
+      stop_when_idle (r);
+      return;
+    }
+}
+
+static void
+on_timer (struct ev_loop *ev, ev_timer *w, int events)
+{
+  struct open *x = w->data;
+
+  (void) ev;
+  (void) events;
+  switch (x->state)
+    {
+    case NEEDS_LOOKUP:
+      proceed (x, LO_GOT_NO_CONNECTION);
+      return;
+    case DELAYED:
+      send_request (x);
+      return;
+    case SENT:
+      x->state = CANCELLED;
+      struct tk_msg *m = tk_msg_new (TK_FORWARD_CANCEL);
+      m->u.cancel.id = x->id;
+      tk_send (fw_client_task (x->run->client), m);
+      return;
+    case CANCELLED:
+      return;
+    }
+}
+
+/* Answers.  */
+
+/* Whether the answer is whole and belongs to the last send of X.  */
+static bool
+is_own_answer (const struct open *x, const struct tk_forward_done *d)
+{
+  struct zp_buf want = { .ptr = NULL };
+  struct zp_str headers = zp_str_of (&d->headers), name, value, first, rest;
+  struct zp_str key = { .ptr = NULL }, digest = { .ptr = NULL };
+  const struct lo_book *b = x->run->book;
+
+  while (fr_header_next (&headers, &name, &value))
+    if (fr_header_is (name, "X-Request-Key"))
+      key = value;
+    else if (fr_header_is (name, "X-Body-Digest"))
+      digest = value;
+  zp_str_split (zp_str_of (&d->body), '\n', &first, &rest);
+  zp_buf_printf (&want, "%s-%zu-%u %016" PRIx64 " %zu", b->run, x->index,
+                 request_of (x)->key, lo_book_digest (b, x->index), rest.len);
+  bool own = zp_str_eq (first, zp_str_of (&want));
+  zp_buf_clear (&want);
+  zp_buf_printf (&want, "%.*s %.*s %zu", ZP_ARG (key), ZP_ARG (digest),
+                 rest.len);
+  own = own && zp_str_eq (first, zp_str_of (&want));
+  zp_buf_free (&want);
+  return own;
+}
+
+/* The verdict of a refusal: from its JSON, else as src/forward read it.  */
+static enum zp_verdict
+verdict_of (const struct tk_forward_done *d)
+{
+  struct json_object *v = NULL;
+  struct json_object *o = zp_json_parse (zp_str_of (&d->body), NULL);
+  enum zp_verdict verdict = d->verdict;
+
+  if (json_object_object_get_ex (o, "verdict", &v))
+    zp_verdict_parse (zp_str_from (json_object_get_string (v)), &verdict);
+  json_object_put (o);
+  return verdict;
+}
+
+static enum lo_event
+event_of (const struct open *x, const struct tk_forward_done *d)
+{
+  if (d->end == TK_END_ANSWER && d->status >= 200 && d->status < 300)
+    return is_own_answer (x, d) ? LO_GOT_ANSWER : LO_GOT_WRONG;
+  switch (d->end == TK_END_ANSWER ? verdict_of (d) : d->verdict)
+    {
+    case ZP_NOT_RUN:
+      return d->end == TK_END_ANSWER ? LO_GOT_NOT_RUN : LO_GOT_NO_CONNECTION;
+    case ZP_MAY_HAVE_RUN:
+      return LO_GOT_MAY_HAVE_RUN;
+    case ZP_RAN:
+      return LO_GOT_ERROR;
+    }
+  return LO_GOT_ERROR;
+}
+
+static void
+take_done (struct lo_run *r, struct tk_forward_done *d)
+{
+  struct open *x = r->open.next;
+
+  if (d->id & LOOKUP_BIT)
+    {
+      take_lookup (r, d);
+      return;
+    }
+  while (x != &r->open && x->id != d->id)
+    x = x->next;
+  assert (x != &r->open);
+  enum lo_event e = event_of (x, d);
+  zp_log (ZP_LOG_DEBUG, PART, "request %zu send %u: end %d status %u event %d",
+          x->index, request_of (x)->sends, (int) d->end, d->status, (int) e);
+  proceed (x, e);
+}
+
+/* Arrivals.  */
+
+static void
+arrive (struct lo_run *r)
+{
+  struct open *x = zp_alloc (sizeof *x);
+
+  x->run = r;
+  x->index = r->next++;
+  x->next = r->open.next;
+  x->prev = &r->open;
+  x->next->prev = x;
+  r->open.next = x;
+  r->open_count++;
+  ev_timer_init (&x->timer, on_timer, 0.0, 0.0);
+  x->timer.data = x;
+  send_request (x);
+}
+
+static void
+on_arrivals (struct ev_loop *ev, ev_timer *w, int events)
+{
+  struct lo_run *r = w->data;
+  const struct lo_plan *p = &r->book->plan;
+  zp_time now = elapsed (r);
+
+  (void) events;
+  while (r->next < p->count && p->request[r->next].at <= now)
+    {
+      if (r->open_count >= OPEN_MAX)
+        {
+          zp_log (ZP_LOG_ERR, PART, "%d requests in progress: arrivals end",
+                  OPEN_MAX);
+          tk_send (&r->task, tk_msg_new (TK_STOP));
+          return;
+        }
+      arrive (r);
+    }
+  stop_when_idle (r);
+  if (r->next == p->count)
+    return;
+  ev_timer_set (w, (double) (p->request[r->next].at - now) / 1e6, 0.0);
+  ev_timer_start (ev, w);
+}
+
+static void
+on_message (void *self, struct tk_msg *m)
+{
+  struct lo_run *r = self;
+
+  switch (m->kind)
+    {
+    case TK_FORWARD_DONE:
+      take_done (r, &m->u.done);
+      break;
+    case TK_STOP:
+      ev_timer_stop (r->loop->ev, &r->arrivals);
+      r->book->plan.count = r->next;
+      stop_when_idle (r);
+      break;
+    default:
+      assert (!"message that the callers do not take");
+    }
+  tk_msg_free (m);
+}
+
+/* Set-up.  */
+
+struct lo_run *
+lo_run_open (struct tk_loop *l, struct lo_book *book)
+{
+  struct lo_run *r = zp_alloc (sizeof *r);
+
+  r->loop = l;
+  r->book = book;
+  r->start = zp_clock_mono ();
+  r->open.next = &r->open;
+  r->open.prev = &r->open;
+  tk_task_init (&r->task, l, on_message, r);
+  r->client = fw_client_open (l, &r->task);
+  for (size_t i = 0; i < LO_SERVICES_MAX * LO_CALLERS_MAX; i++)
+    {
+      r->group[i].run = r;
+      ev_timer_init (&r->group[i].retry, on_retry, 0.0, 0.0);
+      r->group[i].retry.data = &r->group[i];
+    }
+  ev_timer_init (&r->arrivals, on_arrivals, 0.0, 0.0);
+  r->arrivals.data = r;
+  ev_timer_start (l->ev, &r->arrivals);
+  return r;
+}
+
+struct tk_task *
+lo_run_task (struct lo_run *r)
+{
+  return &r->task;
+}
+
+void
+lo_run_close (struct lo_run *r)
+{
+  ev_timer_stop (r->loop->ev, &r->arrivals);
+  for (size_t i = 0; i < LO_SERVICES_MAX * LO_CALLERS_MAX; i++)
+    {
+      ev_timer_stop (r->loop->ev, &r->group[i].retry);
+      zp_buf_free (&r->group[i].caller.once_home);
+    }
+  fw_client_close (r->client);
+  tk_task_free (&r->task);
+  free (r);
+}
