Add change tickets and the configuration state

Operators change a deployment only by tickets, so a ticket has to be checked as a whole before it can come into force. Validation reports every mistake at once and looks at the configuration as it would be with the ticket in force. Encoded forms are one JSON value a line with a fixed key order, so that members agree byte for byte.

--- /dev/null
+++ b/src/ticket/command.c
@@ -0,0 +1,156 @@
+#include "ticket/command.h"
+
+#include <inttypes.h>
+
+#include "base/settings.h"
+#include "ticket/json.h"
+
+static const char *const names[] = {
+  [TI_SUBMIT] = "submit",
+  [TI_REVIEW] = "review",
+  [TI_NUMBER] = "number",
+  [TI_STEP] = "step",
+};
+
+void
+ti_command_encode (const struct ti_command *c, struct zp_buf *out)
+{
+  zp_buf_printf (out, "{\"command\":\"%s\",\"now\":%" PRId64, names[c->kind],
+                 c->now);
+  switch (c->kind)
+    {
+    case TI_SUBMIT:
+      zp_buf_put (out, ZP_STR (",\"ticket\":"));
+      ti_ticket_write (c->u.submit.ticket, out);
+      break;
+    case TI_REVIEW:
+      zp_buf_printf (out, ",\"digest\":\"%.*s\",\"reviewer\":\"%.*s\"",
+                     ZP_ARG (ti_digest_str (&c->u.review.digest)),
+                     ZP_ARG (ti_text_str (&c->u.review.reviewer)));
+      break;
+    case TI_NUMBER:
+      zp_buf_printf (out, ",\"digest\":\"%.*s\",\"number\":%" PRIu64,
+                     ZP_ARG (ti_digest_str (&c->u.number.digest)),
+                     c->u.number.number);
+      break;
+    case TI_STEP:
+      zp_buf_printf (out, ",\"shift\":\"%.*s\",\"before\":%u,\"after\":%u",
+                     ZP_ARG (ti_text_str (&c->u.step.shift)), c->u.step.before,
+                     c->u.step.after);
+      break;
+    }
+  zp_buf_put (out, ZP_STR ("}"));
+}
+
+static struct json_object *
+get (struct json_object *root, const char *key)
+{
+  struct json_object *v = NULL;
+
+  json_object_object_get_ex (root, key, &v);
+  return v;
+}
+
+static bool
+get_share (struct json_object *root, const char *key, uint32_t *out)
+{
+  uint64_t n;
+
+  if (!ti_json_u64 (get (root, key), &n) || n > TI_SHARE_ONE)
+    return false;
+  *out = (uint32_t) n;
+  return true;
+}
+
+static bool
+decode_submit (struct json_object *root, struct ti_submit_command *out,
+               struct zp_err *err)
+{
+  struct zp_report report = { .count = 0 };
+
+  out->ticket = ti_ticket_read (get (root, "ticket"), &report);
+  if (!out->ticket)
+    zp_fail (err, ZP_ECORRUPT, "%.*s", ZP_ARG (zp_str_of (&report.lines)));
+  zp_report_free (&report);
+  return out->ticket != NULL;
+}
+
+static bool
+decode_kind (struct json_object *root, struct ti_command *out,
+             struct zp_err *err)
+{
+  bool ok = false;
+
+  switch (out->kind)
+    {
+    case TI_SUBMIT:
+      return decode_submit (root, &out->u.submit, err);
+    case TI_REVIEW:
+      ok = ti_digest_parse (ti_json_str (get (root, "digest")),
+                            &out->u.review.digest)
+           && ti_name_parse (ti_json_str (get (root, "reviewer")),
+                             &out->u.review.reviewer);
+      break;
+    case TI_NUMBER:
+      ok = ti_digest_parse (ti_json_str (get (root, "digest")),
+                            &out->u.number.digest)
+           && ti_json_u64 (get (root, "number"), &out->u.number.number);
+      break;
+    case TI_STEP:
+      ok = ti_name_parse (ti_json_str (get (root, "shift")),
+                          &out->u.step.shift)
+           && get_share (root, "before", &out->u.step.before)
+           && get_share (root, "after", &out->u.step.after);
+      break;
+    }
+  return ok
+         || zp_fail (err, ZP_ECORRUPT, "bad fields of command \"%s\"",
+                     names[out->kind]);
+}
+
+bool
+ti_command_decode (struct zp_str bytes, struct ti_command *out,
+                   struct zp_err *err)
+{
+  struct json_object *root = zp_json_parse (bytes, err);
+  bool ok = false;
+  uint64_t now;
+
+  *out = (struct ti_command){ .kind = TI_SUBMIT };
+  if (!root)
+    return false;
+  struct zp_str name = ti_json_str (get (root, "command"));
+  for (enum ti_command_kind k = TI_SUBMIT; k <= TI_STEP; k++)
+    if (zp_str_eq (name, zp_str_from (names[k])))
+      {
+        out->kind = k;
+        ok = true;
+      }
+  if (!ok || !ti_json_u64 (get (root, "now"), &now))
+    {
+      ok = zp_fail (err, ZP_ECORRUPT, "not a command of the ticket state");
+    }
+  else
+    {
+      out->now = (zp_time) now;
+      ok = decode_kind (root, out, err);
+    }
+  json_object_put (root);
+  return ok;
+}
+
+void
+ti_command_clear (struct ti_command *c)
+{
+  switch (c->kind)
+    {
+    case TI_SUBMIT:
+      ti_ticket_free (c->u.submit.ticket);
+      c->u.submit.ticket = NULL;
+      break;
+    case TI_REVIEW:
+    case TI_NUMBER:
+    case TI_STEP:
+      break;
+    }
+}
--- /dev/null
+++ b/src/ticket/store_apply.c
@@ -0,0 +1,310 @@
+#include <assert.h>
+#include <inttypes.h>
+
+#include "ticket/store_state.h"
+#include "ticket/validate.h"
+
+/* Results.  */
+
+/* Keeps the first TI_ERRORS_BYTES of the mistakes and counts the rest.  */
+static void
+cut_errors (struct zp_report *r)
+{
+  size_t kept = 0, lines = 0;
+
+  if (r->lines.len <= TI_ERRORS_BYTES)
+    return;
+  for (size_t i = 0; i < TI_ERRORS_BYTES; i++)
+    if (r->lines.ptr[i] == '\n')
+      {
+        kept = i + 1;
+        lines++;
+      }
+  size_t more = r->count - lines;
+  r->lines.len = kept;
+  r->count = lines;
+  zp_report_add (r, "%zu more mistakes", more);
+}
+
+/* Ends the pending ticket P with the result OUT, which is remembered.  */
+static void
+decide (struct ti_store *s, struct ti_pending *p, struct ti_result *out)
+{
+  struct ti_record r = { .digest = p->digest,
+                         .state = out->state,
+                         .number = out->number,
+                         .at = s->now };
+
+  ti_store_copy_errors (&out->errors, &r.errors);
+  ti_conflict_copy (&out->conflict, &r.conflict);
+  ti_store_add_record (s, &r);
+  ti_store_drop_pending (s, (size_t) (p - s->pending));
+}
+
+/* Fills OUT when T cannot win a number any more.  */
+static bool
+overtaken (const struct ti_store *s, const struct ti_ticket *t, uint64_t claim,
+           struct ti_result *out)
+{
+  bool taken = claim > 0 && claim <= s->config->number;
+
+  if (!ti_conflict_check (s->config, s->rule, t, &out->conflict) && !taken)
+    {
+      ti_conflict_free (&out->conflict);
+      return false;
+    }
+  if (taken)
+    out->conflict.number = claim;
+  ti_store_winner (s, out->conflict.number, &out->conflict.digest);
+  out->outcome = TI_OVERTAKEN;
+  out->state = TI_STATE_CONFLICT;
+  return true;
+}
+
+static bool
+invalid (const struct ti_store *s, const struct ti_ticket *t,
+         struct ti_result *out)
+{
+  if (ti_validate (s->config, t, &out->errors))
+    return false;
+  cut_errors (&out->errors);
+  out->outcome = TI_REFUSED;
+  out->state = TI_STATE_REFUSED;
+  return true;
+}
+
+/* Commands.  */
+
+static struct ti_pending *
+find_pending (struct ti_store *s, const struct ti_digest *d)
+{
+  for (size_t i = 0; i < s->pending_len; i++)
+    if (ti_digest_eq (&s->pending[i].digest, d))
+      return &s->pending[i];
+  return NULL;
+}
+
+static bool
+known (const struct ti_store *s, struct ti_result *out)
+{
+  struct ti_digest digest = out->digest;
+
+  ti_store_find (s, &digest, out);
+  return out->outcome != TI_UNKNOWN;
+}
+
+static void
+apply_submit (struct ti_store *s, struct ti_submit_command *c,
+              struct ti_result *out)
+{
+  struct zp_buf text = { .ptr = NULL };
+
+  ti_ticket_digest (c->ticket, &out->digest);
+  if (known (s, out))
+    return;
+  if (overtaken (s, c->ticket, c->ticket->number, out)
+      || invalid (s, c->ticket, out))
+    return;
+  ti_ticket_write (c->ticket, &text);
+  size_t bytes = text.len;
+  zp_buf_free (&text);
+  if (s->pending_len == TI_PENDING_MAX
+      || s->pending_bytes + bytes > TI_PENDING_BYTES)
+    {
+      out->outcome = TI_FULL;
+      zp_report_add (&out->errors,
+                     "%zu tickets wait for review or a number; number some of "
+                     "them first",
+                     s->pending_len);
+      return;
+    }
+  ti_store_add_pending (s, &(struct ti_pending){ .digest = out->digest,
+                                                 .ticket = c->ticket,
+                                                 .bytes = bytes,
+                                                 .submitted = s->now });
+  c->ticket = NULL;
+  out->outcome = TI_DONE;
+  out->state = TI_STATE_SUBMITTED;
+}
+
+static void
+apply_review (struct ti_store *s, const struct ti_review_command *c,
+              struct ti_result *out)
+{
+  struct ti_pending *p = find_pending (s, &c->digest);
+
+  out->digest = c->digest;
+  if (!known (s, out) || !p || p->reviewed)
+    return;
+  if (ti_text_eq (&c->reviewer, &p->ticket->author))
+    {
+      out->outcome = TI_REFUSED;
+      zp_report_add (&out->errors,
+                     "\"reviewer\": found \"%.*s\", the author; allowed: "
+                     "another operator",
+                     ZP_ARG (ti_text_str (&c->reviewer)));
+      return;
+    }
+  p->reviewed = true;
+  p->reviewer = c->reviewer;
+  out->state = TI_STATE_REVIEWED;
+}
+
+/* Whether the number command comes too early or contradicts the ticket; the
+   ticket then goes on waiting.  */
+static bool
+too_early (const struct ti_store *s, const struct ti_pending *p,
+           uint64_t asked, uint64_t claim, struct ti_result *out)
+{
+  uint64_t next = s->config->number + 1;
+
+  if (!p->reviewed)
+    zp_report_add (&out->errors,
+                   "the ticket waits for a review by another operator than "
+                   "\"%.*s\"",
+                   ZP_ARG (ti_text_str (&p->ticket->author)));
+  if (asked > 0 && asked != claim)
+    zp_report_add (&out->errors,
+                   "\"number\": found %" PRIu64 ", allowed: %" PRIu64
+                   ", the number in the ticket",
+                   asked, claim);
+  if (claim > next)
+    zp_report_add (&out->errors,
+                   "\"number\": found %" PRIu64 ", allowed: %" PRIu64
+                   ", the next number",
+                   claim, next);
+  if (out->errors.count > 0)
+    out->outcome = TI_REFUSED;
+  return out->errors.count > 0;
+}
+
+static void
+put_in_force (struct ti_store *s, uint64_t index, struct ti_pending *p,
+              struct ti_result *out)
+{
+  struct ti_change *change = zp_alloc (sizeof *change);
+  struct ti_past past = { .number = s->config->number + 1 };
+  struct zp_buf text = { .ptr = NULL };
+
+  *change = (struct ti_change){
+    .kind = TI_CHANGE_EDIT,
+    .index = index,
+    .time = s->now,
+    .u.edit = { .number = past.number, .digest = p->digest },
+  };
+  change->u.edit.edit = p->ticket->edit;
+  p->ticket->edit = (struct ti_edit){ .set = NULL };
+
+  ti_config_undo (s->config, &change->u.edit.edit, &past.undo);
+  ti_edit_write (&past.undo, &text);
+  past.bytes = text.len;
+  zp_buf_free (&text);
+  bool ok = ti_config_apply (s->config, change, NULL);
+  assert (ok);
+  (void) ok;
+  ti_store_add_past (s, &past);
+  out->outcome = TI_DONE;
+  out->state = TI_STATE_NUMBERED;
+  out->number = past.number;
+  out->change = change;
+}
+
+static void
+apply_number (struct ti_store *s, uint64_t index,
+              const struct ti_number_command *c, struct ti_result *out)
+{
+  struct ti_pending *p = find_pending (s, &c->digest);
+
+  out->digest = c->digest;
+  if (!known (s, out) || !p)
+    return;
+  uint64_t claim = p->ticket->number > 0 ? p->ticket->number : c->number;
+  if (too_early (s, p, c->number, claim, out))
+    return;
+  /* A number that was only asked for leaves the ticket free to take another
+     one, unless its objects are in conflict too.  */
+  if (overtaken (s, p->ticket, claim, out))
+    {
+      if (p->ticket->number > 0 || out->conflict.objects.len > 0
+          || s->rule == TI_CONFLICT_BY_NUMBER)
+        decide (s, p, out);
+      else
+        out->state = TI_STATE_REVIEWED;
+      return;
+    }
+  if (!invalid (s, p->ticket, out))
+    put_in_force (s, index, p, out);
+  decide (s, p, out);
+}
+
+static void
+apply_step (struct ti_store *s, uint64_t index,
+            const struct ti_step_command *c, struct ti_result *out)
+{
+  const struct ti_key key = { .kind = TI_SHIFT, .name = c->shift };
+  const struct ti_slot *slot = ti_config_slot (s->config, &key);
+  uint32_t size
+      = c->after > c->before ? c->after - c->before : c->before - c->after;
+
+  out->outcome = TI_REFUSED;
+  if (!slot || !slot->object)
+    zp_report_add (&out->errors, "shift/%.*s: no such shift",
+                   ZP_ARG (ti_text_str (&c->shift)));
+  else if (slot->moved != c->before)
+    zp_report_add (&out->errors,
+                   "shift/%.*s: found a step from %u, allowed: from %u",
+                   ZP_ARG (ti_text_str (&c->shift)), c->before, slot->moved);
+  else if (size > slot->object->u.shift.cap_per_minute)
+    zp_report_add (&out->errors,
+                   "shift/%.*s: found a step of %u, allowed: at most %u",
+                   ZP_ARG (ti_text_str (&c->shift)), size,
+                   slot->object->u.shift.cap_per_minute);
+  else
+    out->outcome = TI_DONE;
+  if (out->outcome != TI_DONE)
+    return;
+  out->change = zp_alloc (sizeof *out->change);
+  *out->change = (struct ti_change){
+    .kind = TI_CHANGE_STEP,
+    .index = index,
+    .time = s->now,
+    .u.step = { .shift = c->shift, .moved = c->after },
+  };
+  bool ok = ti_config_apply (s->config, out->change, NULL);
+  assert (ok);
+  (void) ok;
+}
+
+void
+ti_store_apply (struct ti_store *s, uint64_t index, struct zp_str bytes,
+                struct ti_result *out)
+{
+  struct ti_command c;
+  struct zp_err err;
+
+  *out = (struct ti_result){ .outcome = TI_REFUSED };
+  if (!ti_command_decode (bytes, &c, &err))
+    {
+      zp_report_add (&out->errors, "%s", err.text);
+      return;
+    }
+  if (c.now > s->now)
+    s->now = c.now;
+  ti_store_expire (s);
+  switch (c.kind)
+    {
+    case TI_SUBMIT:
+      apply_submit (s, &c.u.submit, out);
+      break;
+    case TI_REVIEW:
+      apply_review (s, &c.u.review, out);
+      break;
+    case TI_NUMBER:
+      apply_number (s, index, &c.u.number, out);
+      break;
+    case TI_STEP:
+      apply_step (s, index, &c.u.step, out);
+      break;
+    }
+  ti_command_clear (&c);
+}
--- /dev/null
+++ b/src/ticket/view.c
@@ -0,0 +1,74 @@
+#include "ticket/view.h"
+
+#include <stdlib.h>
+
+void
+ti_view_open (struct ti_view *v, const struct ti_config *c,
+              const struct ti_edit *e)
+{
+  size_t i = 0, j = 0;
+
+  *v = (struct ti_view){
+    .item = zp_alloc ((c->len + e->set_len) * sizeof (struct ti_object *)),
+  };
+  while (i < c->len || j < e->set_len)
+    {
+      int order = i == c->len ? 1
+                  : j == e->set_len
+                      ? -1
+                      : ti_key_cmp (&c->slot[i].key, &e->set[j]->key);
+      if (order >= 0)
+        {
+          v->item[v->len++] = e->set[j++];
+          i += order == 0;
+          continue;
+        }
+      const struct ti_slot *s = &c->slot[i++];
+      if (s->object && !ti_edit_deletes (e, &s->key))
+        v->item[v->len++] = s->object;
+    }
+}
+
+void
+ti_view_close (struct ti_view *v)
+{
+  free (v->item);
+  *v = (struct ti_view){ .len = 0 };
+}
+
+static size_t
+lower_bound (const struct ti_view *v, const struct ti_key *key)
+{
+  size_t low = 0, high = v->len;
+
+  while (low < high)
+    {
+      size_t mid = low + (high - low) / 2;
+      if (ti_key_cmp (&v->item[mid]->key, key) < 0)
+        low = mid + 1;
+      else
+        high = mid;
+    }
+  return low;
+}
+
+const struct ti_object *
+ti_view_find (const struct ti_view *v, const struct ti_key *key)
+{
+  size_t at = lower_bound (v, key);
+
+  if (at == v->len || ti_key_cmp (&v->item[at]->key, key) != 0)
+    return NULL;
+  return v->item[at];
+}
+
+size_t
+ti_view_kind (const struct ti_view *v, enum ti_kind kind,
+              const struct ti_object *const **first)
+{
+  const struct ti_key low = { .kind = kind }, high = { .kind = kind + 1 };
+  size_t from = lower_bound (v, &low);
+
+  *first = v->item + from;
+  return lower_bound (v, &high) - from;
+}
