--- a/src/ticket/store.c
+++ b/src/ticket/store.c
@@ -75,6 +75,7 @@
   for (size_t i = 0; i < s->past_len; i++)
     ti_edit_free (&s->past[i].undo);
   free (s->record);
+  free (s->record_hash);
   free (s->past);
   ti_config_free (s->config);
   free (s);
@@ -98,6 +99,12 @@
            (s->pending_len - at) * sizeof s->pending[0]);
 }
 
+static uint64_t
+digest_hash (const struct ti_digest *d)
+{
+  return zp_str_hash (ti_digest_str (d), 0);
+}
+
 void
 ti_store_add_record (struct ti_store *s, const struct ti_record *r)
 {
@@ -105,7 +112,10 @@
     {
       s->record_cap = s->record_cap > 0 ? s->record_cap * 2 : 64;
       s->record = zp_realloc (s->record, s->record_cap * sizeof *s->record);
+      s->record_hash = zp_realloc (s->record_hash,
+                                   s->record_cap * sizeof *s->record_hash);
     }
+  s->record_hash[s->record_len] = digest_hash (&r->digest);
   s->record[s->record_len++] = *r;
 }
 
@@ -137,6 +147,8 @@
     {
       s->record_len -= old;
       memmove (s->record, s->record + old, s->record_len * sizeof *s->record);
+      memmove (s->record_hash, s->record_hash + old,
+               s->record_len * sizeof *s->record_hash);
     }
 
   for (old = 0;
@@ -153,14 +165,17 @@
     }
 }
 
-/* Look-up.  A linear search over 20,000 records takes well under a
-   millisecond, and there are some thousand commands a day.  */
+/* Look-up.  A linear search over the hashes of 20,000 records takes some
+   microseconds, and there are some thousand commands a day.  */
 
 static const struct ti_record *
 find_record (const struct ti_store *s, const struct ti_digest *d)
 {
+  uint64_t hash = digest_hash (d);
+
   for (size_t i = s->record_len; i > 0; i--)
-    if (ti_digest_eq (&s->record[i - 1].digest, d))
+    if (s->record_hash[i - 1] == hash
+        && ti_digest_eq (&s->record[i - 1].digest, d))
       return &s->record[i - 1];
   return NULL;
 }
--- a/src/ticket/store_state.h
+++ b/src/ticket/store_state.h
@@ -45,6 +45,7 @@
   size_t pending_bytes;
 
   struct ti_record *record; /* in order of decision */
+  uint64_t *record_hash;    /* of the digests, for the search */
   size_t record_len, record_cap;
 
   struct ti_past *past; /* in order of number */
