--- /dev/null
+++ b/src/ledger/core.h
@@ -0,0 +1,400 @@
+/* NAME
+     core - consensus core of the replicated log, a pure state machine
+
+   SYNOPSIS
+     struct lg_core *c = lg_core_new (&start, now, &rng);
+     lg_core_receive (c, now, &msg);
+     while ((out = lg_core_next (c)))
+       ... switch (out->kind) ... lg_out_free (out);
+
+   DESCRIPTION
+     Inputs are function calls with the time as an argument; outputs wait in a
+     queue that the caller drains with lg_core_next after one or more inputs.
+     Inputs that arrive between two drains share one disk write and one append
+     message per member.
+
+     Disk writes are numbered from 1 and must be done in order.  No vote and no
+     acknowledgement leaves the queue before lg_core_written has reported all
+     writes that it depends on.  After a failed write the member stops: it
+     sends nothing more and reports LG_STOPPED.
+
+     A leader answers proposals only while it holds its lease.  The lease ends
+     LG_LEASE after the time at which the requests were sent that a majority
+     of the voters has answered.  A voter that has heard from a leader grants
+     no vote for LG_VOTE_WAIT, and neither does one that has restarted.
+
+     The first leader of a new group needs the votes of all voters; later ones
+     need a majority.  A voter with an empty log that was not part of the first
+     election has lost its storage: it stops with LG_STOP_WIPED and has to
+     join again as a learner with a new id.  */
+
+#ifndef ZP_LEDGER_CORE_H
+#define ZP_LEDGER_CORE_H
+
+#include "base/clock.h"
+#include "base/rng.h"
+#include "ledger/members.h"
+
+#define LG_ELECTION_MIN (2000 * ZP_MS)
+#define LG_ELECTION_MAX (4000 * ZP_MS)
+#define LG_LEASE (1500 * ZP_MS)
+
+/* Longer than the lease by more than the clock-rate error, and shorter than
+   the election timeout by more than half a heartbeat, so that the votes of
+   followers that last heard from the leader at different times are ready.  */
+#define LG_VOTE_WAIT (1800 * ZP_MS)
+#define LG_HEARTBEAT (300 * ZP_MS)
+
+/* An append without answer is sent again after this time.  */
+#define LG_RESEND (1000 * ZP_MS)
+
+/* An entry, a batch and a snapshot chunk have to fit into one frame.  */
+#define LG_ENTRY_MAX (512 * 1024)
+#define LG_BATCH_BYTES (512 * 1024)
+#define LG_BATCH_ENTRIES 1024
+#define LG_CHUNK_BYTES (256 * 1024)
+
+/* Bytes that may be sent to one member without its acknowledgement.  */
+#define LG_WINDOW_BYTES (2 * 1024 * 1024)
+
+/* Bytes of uncommitted entries above which a leader refuses proposals.  */
+#define LG_UNCOMMITTED_BYTES (16 * 1024 * 1024)
+
+/* A snapshot is wanted after this many entries or bytes.  */
+#define LG_SNAPSHOT_ENTRIES 4096
+#define LG_SNAPSHOT_BYTES (8 * 1024 * 1024)
+
+/* Entries that stay in the log behind a snapshot for slow members.  */
+#define LG_KEEP_ENTRIES 1024
+
+/* Entries.  */
+
+enum lg_entry_kind
+{
+  LG_ENTRY_EMPTY,   /* first entry of a leader */
+  LG_ENTRY_DATA,    /* a proposal */
+  LG_ENTRY_MEMBERS, /* an encoded struct lg_members */
+};
+
+struct lg_entry
+{
+  uint64_t index;
+  uint64_t term;
+  enum lg_entry_kind kind;
+  struct zp_buf bytes;
+};
+
+struct lg_entries
+{
+  struct lg_entry *item;
+  size_t len;
+};
+
+void lg_entries_add (struct lg_entries *to, const struct lg_entry *e);
+void lg_entries_free (struct lg_entries *e);
+
+/* State after the entries up to INDEX.  Counted references: lg_snapshot_free
+   releases one.  */
+struct lg_snapshot
+{
+  unsigned refs;
+  uint64_t index;
+  uint64_t term;
+  struct lg_members members;
+  struct zp_buf bytes;
+};
+
+struct lg_snapshot *lg_snapshot_new (uint64_t index, uint64_t term,
+                                     const struct lg_members *members,
+                                     struct zp_str bytes);
+struct lg_snapshot *lg_snapshot_ref (struct lg_snapshot *s);
+void lg_snapshot_free (struct lg_snapshot *s);
+
+/* Messages between members.  */
+
+enum lg_msg_kind
+{
+  LG_VOTE_ASK,
+  LG_VOTE_ANSWER,
+  LG_APPEND,
+  LG_APPEND_ANSWER,
+  LG_SNAPSHOT,
+  LG_SNAPSHOT_ANSWER,
+};
+
+struct lg_vote_ask
+{
+  bool pre;   /* changes nothing at the receiver */
+  bool voter; /* the receiver is a voter in the sender's member set */
+  uint64_t last_index;
+  uint64_t last_term;
+  uint64_t formed; /* of the sender's member set */
+};
+
+struct lg_vote_answer
+{
+  bool pre;
+  bool granted;
+};
+
+struct lg_append
+{
+  bool voter;
+  uint64_t formed;
+  uint64_t prev_index;
+  uint64_t prev_term;
+  uint64_t commit;
+  zp_time sent; /* leader's clock; the answer carries it back */
+  struct lg_entries entries;
+};
+
+struct lg_append_answer
+{
+  bool ok;
+  uint64_t prev_index; /* of the append */
+  uint64_t match;      /* ok: last entry that is on disk and equal; otherwise
+                          the last index that may be equal */
+  zp_time sent;
+};
+
+struct lg_snapshot_chunk
+{
+  bool voter;
+  uint64_t formed;
+  uint64_t index; /* of the snapshot */
+  uint64_t last_term;
+  struct lg_members members;
+  uint64_t total; /* bytes of the whole state */
+  uint64_t hash;  /* zp_str_hash of the whole state */
+  uint64_t offset;
+  zp_time sent;
+  struct zp_buf bytes;
+};
+
+struct lg_snapshot_answer
+{
+  uint64_t index;
+  uint64_t offset; /* next wanted byte */
+  bool done;       /* the snapshot is on disk */
+  zp_time sent;
+};
+
+struct lg_msg
+{
+  enum lg_msg_kind kind;
+  uint64_t from;
+  uint64_t to;
+  uint64_t term;
+  union
+  {
+    struct lg_vote_ask vote_ask;
+    struct lg_vote_answer vote_answer;
+    struct lg_append append;
+    struct lg_append_answer append_answer;
+    struct lg_snapshot_chunk snapshot;
+    struct lg_snapshot_answer snapshot_answer;
+  } u;
+};
+
+/* Releases what M holds, not M itself.  */
+void lg_msg_clear (struct lg_msg *m);
+
+/* Outputs.  */
+
+enum lg_role
+{
+  LG_FOLLOWER,
+  LG_PRE_CANDIDATE,
+  LG_CANDIDATE,
+  LG_LEADER,
+  LG_STOPPED,
+};
+
+enum lg_stop
+{
+  LG_RUNNING,
+  LG_STOP_DISK,  /* a write failed */
+  LG_STOP_WIPED, /* empty storage under the id of a known voter */
+};
+
+enum lg_write_kind
+{
+  LG_WRITE_APPEND,   /* one record at the end of the log file */
+  LG_WRITE_REWRITE,  /* atomically replaces the log file */
+  LG_WRITE_SNAPSHOT, /* atomically replaces the snapshot file */
+};
+
+/* The durable state of the log file; APPEND uses term, vote and entries.  */
+struct lg_write_log
+{
+  uint64_t id; /* of the member */
+  uint64_t born;
+  uint64_t term;
+  uint64_t vote;
+  uint64_t base_index;
+  uint64_t base_term;
+  struct lg_members base_members;
+  struct lg_entries entries;
+};
+
+struct lg_write
+{
+  uint64_t number;
+  enum lg_write_kind kind;
+  union
+  {
+    struct lg_write_log log;
+    struct lg_snapshot *snapshot;
+  } u;
+};
+
+enum lg_reply_kind
+{
+  LG_REPLY_ACCEPTED,  /* in the leader's log at INDEX, not committed yet */
+  LG_REPLY_COMMITTED, /* follows the LG_OUT_COMMITTED of the entry */
+  LG_REPLY_REFUSED,   /* nothing was logged; LEADER is 0 or a hint */
+  LG_REPLY_LOST,      /* accepted earlier; whether it commits is not known */
+};
+
+struct lg_reply
+{
+  uint64_t proposal;
+  enum lg_reply_kind kind;
+  uint64_t index;
+  uint64_t leader;
+  const char *reason; /* static text; NULL unless refused or lost */
+};
+
+struct lg_role_change
+{
+  enum lg_role role;
+  enum lg_stop stop;
+  int error; /* errno value behind LG_STOP_DISK */
+  uint64_t term;
+  uint64_t leader; /* 0: not known */
+};
+
+enum lg_out_kind
+{
+  LG_OUT_MSG,
+  LG_OUT_WRITE,
+  LG_OUT_COMMITTED,     /* every entry once, in the order of the index */
+  LG_OUT_RESTORE,       /* state to install in place of all before */
+  LG_OUT_WANT_SNAPSHOT, /* call lg_core_snapshot with the state so far */
+  LG_OUT_ROLE,
+  LG_OUT_MEMBERS, /* the member set in use has changed */
+  LG_OUT_REPLY,
+};
+
+struct lg_out
+{
+  struct lg_out *next; /* used by the core only */
+  uint64_t after;      /* used by the core only */
+  enum lg_out_kind kind;
+  union
+  {
+    struct lg_msg msg;
+    struct lg_write write;
+    struct lg_entry committed;
+    struct lg_snapshot *restore;
+    uint64_t want_index;
+    struct lg_role_change role;
+    struct lg_members members;
+    struct lg_reply reply;
+  } u;
+};
+
+void lg_out_free (struct lg_out *out);
+
+/* Start state, as recovery reads it from disk.  */
+struct lg_start
+{
+  uint64_t id;
+  bool fresh;   /* the storage is empty */
+  bool rewrite; /* the log file has to be replaced before the first append */
+  uint64_t born;
+  uint64_t term;
+  uint64_t vote;
+  uint64_t base_index;
+  uint64_t base_term;
+  struct lg_members base_members; /* fresh: the voters of a new group, or
+                                     empty for a member that joins one */
+  struct lg_entries entries;
+  struct lg_snapshot *snapshot; /* NULL: none */
+
+  /* 0: LG_SNAPSHOT_ENTRIES, LG_KEEP_ENTRIES */
+  uint64_t snapshot_entries;
+  uint64_t keep_entries;
+};
+
+void lg_start_free (struct lg_start *s);
+
+/* Inputs.  */
+
+struct lg_core;
+
+/* Copies START.  RNG has to live as long as the core.  */
+struct lg_core *lg_core_new (const struct lg_start *start, zp_time now,
+                             struct zp_rng *rng);
+void lg_core_free (struct lg_core *c);
+
+void lg_core_receive (struct lg_core *c, zp_time now, const struct lg_msg *m);
+void lg_core_tick (struct lg_core *c, zp_time now);
+
+/* The write NUMBER is synced (ERROR 0) or failed (errno value).  */
+void lg_core_written (struct lg_core *c, zp_time now, uint64_t number,
+                      int error);
+
+/* The outcome follows as LG_OUT_REPLY with the caller's number PROPOSAL.  */
+void lg_core_propose (struct lg_core *c, zp_time now, uint64_t proposal,
+                      struct zp_str bytes);
+
+enum lg_change_kind
+{
+  LG_ADD_LEARNER,
+  LG_PROMOTE, /* a learner that holds the state becomes a voter */
+  LG_REMOVE,
+};
+
+struct lg_change
+{
+  enum lg_change_kind kind;
+  uint64_t id;
+  struct zp_str address; /* LG_ADD_LEARNER only */
+};
+
+void lg_core_change (struct lg_core *c, zp_time now, uint64_t proposal,
+                     const struct lg_change *change);
+
+/* STATE is the state after the committed entries up to INDEX.  */
+void lg_core_snapshot (struct lg_core *c, uint64_t index, struct zp_str state);
+
+/* NULL when nothing is left to do.  The caller frees it with lg_out_free.  */
+struct lg_out *lg_core_next (struct lg_core *c);
+
+/* Views.  */
+
+struct lg_status
+{
+  enum lg_role role;
+  enum lg_stop stop;
+  bool voter;
+  bool lease; /* leader with a valid lease */
+  uint64_t term;
+  uint64_t leader;
+  uint64_t commit;
+  uint64_t applied;
+  uint64_t last_index;
+  uint64_t snapshot_index;
+};
+
+struct lg_status lg_core_status (const struct lg_core *c, zp_time now);
+const struct lg_members *lg_core_members (const struct lg_core *c);
+
+/* Whether C leads and its lease covers NOW.  */
+bool lg_core_lease (const struct lg_core *c, zp_time now);
+
+/* When the next lg_core_tick is due.  */
+zp_time lg_core_due (const struct lg_core *c);
+
+#endif
