--- a/src/wire/peer.pb-c.c
+++ b/src/wire/peer.pb-c.c
@@ -142,6 +142,384 @@
   assert(message->base.descriptor == &wire__heartbeat__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wire__summary__service__init
+                     (Wire__Summary__Service         *message)
+{
+  static const Wire__Summary__Service init_value = WIRE__SUMMARY__SERVICE__INIT;
+  *message = init_value;
+}
+void   wire__summary__init
+                     (Wire__Summary         *message)
+{
+  static const Wire__Summary init_value = WIRE__SUMMARY__INIT;
+  *message = init_value;
+}
+size_t wire__summary__get_packed_size
+                     (const Wire__Summary *message)
+{
+  assert(message->base.descriptor == &wire__summary__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__summary__pack
+                     (const Wire__Summary *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__summary__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__summary__pack_to_buffer
+                     (const Wire__Summary *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__summary__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__Summary *
+       wire__summary__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__Summary *)
+     protobuf_c_message_unpack (&wire__summary__descriptor,
+                                allocator, len, data);
+}
+void   wire__summary__free_unpacked
+                     (Wire__Summary *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__summary__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__lease_id__init
+                     (Wire__LeaseId         *message)
+{
+  static const Wire__LeaseId init_value = WIRE__LEASE_ID__INIT;
+  *message = init_value;
+}
+size_t wire__lease_id__get_packed_size
+                     (const Wire__LeaseId *message)
+{
+  assert(message->base.descriptor == &wire__lease_id__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__lease_id__pack
+                     (const Wire__LeaseId *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__lease_id__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__lease_id__pack_to_buffer
+                     (const Wire__LeaseId *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__lease_id__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__LeaseId *
+       wire__lease_id__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__LeaseId *)
+     protobuf_c_message_unpack (&wire__lease_id__descriptor,
+                                allocator, len, data);
+}
+void   wire__lease_id__free_unpacked
+                     (Wire__LeaseId *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__lease_id__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__lease_keep__init
+                     (Wire__LeaseKeep         *message)
+{
+  static const Wire__LeaseKeep init_value = WIRE__LEASE_KEEP__INIT;
+  *message = init_value;
+}
+size_t wire__lease_keep__get_packed_size
+                     (const Wire__LeaseKeep *message)
+{
+  assert(message->base.descriptor == &wire__lease_keep__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__lease_keep__pack
+                     (const Wire__LeaseKeep *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__lease_keep__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__lease_keep__pack_to_buffer
+                     (const Wire__LeaseKeep *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__lease_keep__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__LeaseKeep *
+       wire__lease_keep__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__LeaseKeep *)
+     protobuf_c_message_unpack (&wire__lease_keep__descriptor,
+                                allocator, len, data);
+}
+void   wire__lease_keep__free_unpacked
+                     (Wire__LeaseKeep *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__lease_keep__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__lease_ask__init
+                     (Wire__LeaseAsk         *message)
+{
+  static const Wire__LeaseAsk init_value = WIRE__LEASE_ASK__INIT;
+  *message = init_value;
+}
+size_t wire__lease_ask__get_packed_size
+                     (const Wire__LeaseAsk *message)
+{
+  assert(message->base.descriptor == &wire__lease_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__lease_ask__pack
+                     (const Wire__LeaseAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__lease_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__lease_ask__pack_to_buffer
+                     (const Wire__LeaseAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__lease_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__LeaseAsk *
+       wire__lease_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__LeaseAsk *)
+     protobuf_c_message_unpack (&wire__lease_ask__descriptor,
+                                allocator, len, data);
+}
+void   wire__lease_ask__free_unpacked
+                     (Wire__LeaseAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__lease_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__lease_grant__init
+                     (Wire__LeaseGrant         *message)
+{
+  static const Wire__LeaseGrant init_value = WIRE__LEASE_GRANT__INIT;
+  *message = init_value;
+}
+size_t wire__lease_grant__get_packed_size
+                     (const Wire__LeaseGrant *message)
+{
+  assert(message->base.descriptor == &wire__lease_grant__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__lease_grant__pack
+                     (const Wire__LeaseGrant *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__lease_grant__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__lease_grant__pack_to_buffer
+                     (const Wire__LeaseGrant *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__lease_grant__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__LeaseGrant *
+       wire__lease_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__LeaseGrant *)
+     protobuf_c_message_unpack (&wire__lease_grant__descriptor,
+                                allocator, len, data);
+}
+void   wire__lease_grant__free_unpacked
+                     (Wire__LeaseGrant *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__lease_grant__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__lease_return__init
+                     (Wire__LeaseReturn         *message)
+{
+  static const Wire__LeaseReturn init_value = WIRE__LEASE_RETURN__INIT;
+  *message = init_value;
+}
+size_t wire__lease_return__get_packed_size
+                     (const Wire__LeaseReturn *message)
+{
+  assert(message->base.descriptor == &wire__lease_return__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__lease_return__pack
+                     (const Wire__LeaseReturn *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__lease_return__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__lease_return__pack_to_buffer
+                     (const Wire__LeaseReturn *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__lease_return__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__LeaseReturn *
+       wire__lease_return__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__LeaseReturn *)
+     protobuf_c_message_unpack (&wire__lease_return__descriptor,
+                                allocator, len, data);
+}
+void   wire__lease_return__free_unpacked
+                     (Wire__LeaseReturn *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__lease_return__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__handover__lease__init
+                     (Wire__Handover__Lease         *message)
+{
+  static const Wire__Handover__Lease init_value = WIRE__HANDOVER__LEASE__INIT;
+  *message = init_value;
+}
+void   wire__handover__init
+                     (Wire__Handover         *message)
+{
+  static const Wire__Handover init_value = WIRE__HANDOVER__INIT;
+  *message = init_value;
+}
+size_t wire__handover__get_packed_size
+                     (const Wire__Handover *message)
+{
+  assert(message->base.descriptor == &wire__handover__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__handover__pack
+                     (const Wire__Handover *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__handover__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__handover__pack_to_buffer
+                     (const Wire__Handover *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__handover__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__Handover *
+       wire__handover__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__Handover *)
+     protobuf_c_message_unpack (&wire__handover__descriptor,
+                                allocator, len, data);
+}
+void   wire__handover__free_unpacked
+                     (Wire__Handover *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__handover__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__poison_report__loss__init
+                     (Wire__PoisonReport__Loss         *message)
+{
+  static const Wire__PoisonReport__Loss init_value = WIRE__POISON_REPORT__LOSS__INIT;
+  *message = init_value;
+}
+void   wire__poison_report__init
+                     (Wire__PoisonReport         *message)
+{
+  static const Wire__PoisonReport init_value = WIRE__POISON_REPORT__INIT;
+  *message = init_value;
+}
+size_t wire__poison_report__get_packed_size
+                     (const Wire__PoisonReport *message)
+{
+  assert(message->base.descriptor == &wire__poison_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__poison_report__pack
+                     (const Wire__PoisonReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__poison_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__poison_report__pack_to_buffer
+                     (const Wire__PoisonReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__poison_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__PoisonReport *
+       wire__poison_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__PoisonReport *)
+     protobuf_c_message_unpack (&wire__poison_report__descriptor,
+                                allocator, len, data);
+}
+void   wire__poison_report__free_unpacked
+                     (Wire__PoisonReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__poison_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor wire__peer_address__field_descriptors[2] =
 {
   {
@@ -386,3 +764,876 @@
   (ProtobufCMessageInit) wire__heartbeat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor wire__summary__service__field_descriptors[3] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Summary__Service, name),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "free",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Summary__Service, free),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slots",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Summary__Service, slots),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__summary__service__field_indices_by_name[] = {
+  1,   /* field[1] = free */
+  0,   /* field[0] = name */
+  2,   /* field[2] = slots */
+};
+static const ProtobufCIntRange wire__summary__service__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor wire__summary__service__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.Summary.Service",
+  "Service",
+  "Wire__Summary__Service",
+  "wire",
+  sizeof(Wire__Summary__Service),
+  3,
+  wire__summary__service__field_descriptors,
+  wire__summary__service__field_indices_by_name,
+  1,  wire__summary__service__number_ranges,
+  (ProtobufCMessageInit) wire__summary__service__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__summary__field_descriptors[4] =
+{
+  {
+    "incarnation",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Summary, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "generation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Summary, generation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "number",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Summary, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "services",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Summary, n_services),
+    offsetof(Wire__Summary, services),
+    &wire__summary__service__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__summary__field_indices_by_name[] = {
+  1,   /* field[1] = generation */
+  0,   /* field[0] = incarnation */
+  2,   /* field[2] = number */
+  3,   /* field[3] = services */
+};
+static const ProtobufCIntRange wire__summary__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor wire__summary__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.Summary",
+  "Summary",
+  "Wire__Summary",
+  "wire",
+  sizeof(Wire__Summary),
+  4,
+  wire__summary__field_descriptors,
+  wire__summary__field_indices_by_name,
+  1,  wire__summary__number_ranges,
+  (ProtobufCMessageInit) wire__summary__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__lease_id__field_descriptors[3] =
+{
+  {
+    "owner",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseId, owner),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "epoch",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseId, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "number",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseId, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__lease_id__field_indices_by_name[] = {
+  1,   /* field[1] = epoch */
+  2,   /* field[2] = number */
+  0,   /* field[0] = owner */
+};
+static const ProtobufCIntRange wire__lease_id__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor wire__lease_id__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.LeaseId",
+  "LeaseId",
+  "Wire__LeaseId",
+  "wire",
+  sizeof(Wire__LeaseId),
+  3,
+  wire__lease_id__field_descriptors,
+  wire__lease_id__field_indices_by_name,
+  1,  wire__lease_id__number_ranges,
+  (ProtobufCMessageInit) wire__lease_id__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__lease_keep__field_descriptors[2] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseKeep, id),
+    &wire__lease_id__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slots",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseKeep, slots),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__lease_keep__field_indices_by_name[] = {
+  0,   /* field[0] = id */
+  1,   /* field[1] = slots */
+};
+static const ProtobufCIntRange wire__lease_keep__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor wire__lease_keep__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.LeaseKeep",
+  "LeaseKeep",
+  "Wire__LeaseKeep",
+  "wire",
+  sizeof(Wire__LeaseKeep),
+  2,
+  wire__lease_keep__field_descriptors,
+  wire__lease_keep__field_indices_by_name,
+  1,  wire__lease_keep__number_ranges,
+  (ProtobufCMessageInit) wire__lease_keep__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__lease_ask__field_descriptors[4] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseAsk, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseAsk, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "want",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseAsk, want),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "keep",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__LeaseAsk, n_keep),
+    offsetof(Wire__LeaseAsk, keep),
+    &wire__lease_keep__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__lease_ask__field_indices_by_name[] = {
+  3,   /* field[3] = keep */
+  0,   /* field[0] = number */
+  1,   /* field[1] = service */
+  2,   /* field[2] = want */
+};
+static const ProtobufCIntRange wire__lease_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor wire__lease_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.LeaseAsk",
+  "LeaseAsk",
+  "Wire__LeaseAsk",
+  "wire",
+  sizeof(Wire__LeaseAsk),
+  4,
+  wire__lease_ask__field_descriptors,
+  wire__lease_ask__field_indices_by_name,
+  1,  wire__lease_ask__number_ranges,
+  (ProtobufCMessageInit) wire__lease_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__lease_grant__field_descriptors[12] =
+{
+  {
+    "kind",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseGrant, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ask",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseGrant, ask),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "id",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseGrant, id),
+    &wire__lease_id__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "server",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseGrant, server),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseGrant, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseGrant, address),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slots",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseGrant, slots),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "connections",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseGrant, connections),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "keep",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseGrant, keep),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "missing",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseGrant, missing),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ttl_us",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseGrant, ttl_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "owner",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseGrant, owner),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__lease_grant__field_indices_by_name[] = {
+  5,   /* field[5] = address */
+  1,   /* field[1] = ask */
+  7,   /* field[7] = connections */
+  2,   /* field[2] = id */
+  8,   /* field[8] = keep */
+  0,   /* field[0] = kind */
+  9,   /* field[9] = missing */
+  11,   /* field[11] = owner */
+  3,   /* field[3] = server */
+  4,   /* field[4] = service */
+  6,   /* field[6] = slots */
+  10,   /* field[10] = ttl_us */
+};
+static const ProtobufCIntRange wire__lease_grant__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 12 }
+};
+const ProtobufCMessageDescriptor wire__lease_grant__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.LeaseGrant",
+  "LeaseGrant",
+  "Wire__LeaseGrant",
+  "wire",
+  sizeof(Wire__LeaseGrant),
+  12,
+  wire__lease_grant__field_descriptors,
+  wire__lease_grant__field_indices_by_name,
+  1,  wire__lease_grant__number_ranges,
+  (ProtobufCMessageInit) wire__lease_grant__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__lease_return__field_descriptors[1] =
+{
+  {
+    "keep",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LeaseReturn, keep),
+    &wire__lease_keep__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__lease_return__field_indices_by_name[] = {
+  0,   /* field[0] = keep */
+};
+static const ProtobufCIntRange wire__lease_return__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor wire__lease_return__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.LeaseReturn",
+  "LeaseReturn",
+  "Wire__LeaseReturn",
+  "wire",
+  sizeof(Wire__LeaseReturn),
+  1,
+  wire__lease_return__field_descriptors,
+  wire__lease_return__field_indices_by_name,
+  1,  wire__lease_return__number_ranges,
+  (ProtobufCMessageInit) wire__lease_return__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__handover__lease__field_descriptors[5] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Handover__Lease, id),
+    &wire__lease_id__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "holder",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Handover__Lease, holder),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slots",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Handover__Lease, slots),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "per_slot",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Handover__Lease, per_slot),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left_us",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Handover__Lease, left_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__handover__lease__field_indices_by_name[] = {
+  1,   /* field[1] = holder */
+  0,   /* field[0] = id */
+  4,   /* field[4] = left_us */
+  3,   /* field[3] = per_slot */
+  2,   /* field[2] = slots */
+};
+static const ProtobufCIntRange wire__handover__lease__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor wire__handover__lease__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.Handover.Lease",
+  "Lease",
+  "Wire__Handover__Lease",
+  "wire",
+  sizeof(Wire__Handover__Lease),
+  5,
+  wire__handover__lease__field_descriptors,
+  wire__handover__lease__field_indices_by_name,
+  1,  wire__handover__lease__number_ranges,
+  (ProtobufCMessageInit) wire__handover__lease__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__handover__field_descriptors[3] =
+{
+  {
+    "server",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Handover, server),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "uptime_us",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Handover, uptime_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leases",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Handover, n_leases),
+    offsetof(Wire__Handover, leases),
+    &wire__handover__lease__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__handover__field_indices_by_name[] = {
+  2,   /* field[2] = leases */
+  0,   /* field[0] = server */
+  1,   /* field[1] = uptime_us */
+};
+static const ProtobufCIntRange wire__handover__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor wire__handover__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.Handover",
+  "Handover",
+  "Wire__Handover",
+  "wire",
+  sizeof(Wire__Handover),
+  3,
+  wire__handover__field_descriptors,
+  wire__handover__field_indices_by_name,
+  1,  wire__handover__number_ranges,
+  (ProtobufCMessageInit) wire__handover__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__poison_report__loss__field_descriptors[3] =
+{
+  {
+    "server",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PoisonReport__Loss, server),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "trial",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PoisonReport__Loss, trial),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_us",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PoisonReport__Loss, age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__poison_report__loss__field_indices_by_name[] = {
+  2,   /* field[2] = age_us */
+  0,   /* field[0] = server */
+  1,   /* field[1] = trial */
+};
+static const ProtobufCIntRange wire__poison_report__loss__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor wire__poison_report__loss__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.PoisonReport.Loss",
+  "Loss",
+  "Wire__PoisonReport__Loss",
+  "wire",
+  sizeof(Wire__PoisonReport__Loss),
+  3,
+  wire__poison_report__loss__field_descriptors,
+  wire__poison_report__loss__field_indices_by_name,
+  1,  wire__poison_report__loss__number_ranges,
+  (ProtobufCMessageInit) wire__poison_report__loss__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__poison_report__field_descriptors[6] =
+{
+  {
+    "kind",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PoisonReport, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hi",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PoisonReport, hi),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lo",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PoisonReport, lo),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "origin",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PoisonReport, origin),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "seq",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__PoisonReport, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "losses",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__PoisonReport, n_losses),
+    offsetof(Wire__PoisonReport, losses),
+    &wire__poison_report__loss__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__poison_report__field_indices_by_name[] = {
+  1,   /* field[1] = hi */
+  0,   /* field[0] = kind */
+  2,   /* field[2] = lo */
+  5,   /* field[5] = losses */
+  3,   /* field[3] = origin */
+  4,   /* field[4] = seq */
+};
+static const ProtobufCIntRange wire__poison_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor wire__poison_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.PoisonReport",
+  "PoisonReport",
+  "Wire__PoisonReport",
+  "wire",
+  sizeof(Wire__PoisonReport),
+  6,
+  wire__poison_report__field_descriptors,
+  wire__poison_report__field_indices_by_name,
+  1,  wire__poison_report__number_ranges,
+  (ProtobufCMessageInit) wire__poison_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/src/wire/peer.pb-c.h
+++ b/src/wire/peer.pb-c.h
@@ -18,6 +18,17 @@
 typedef struct Wire__PeerAddress Wire__PeerAddress;
 typedef struct Wire__Hello Wire__Hello;
 typedef struct Wire__Heartbeat Wire__Heartbeat;
+typedef struct Wire__Summary Wire__Summary;
+typedef struct Wire__Summary__Service Wire__Summary__Service;
+typedef struct Wire__LeaseId Wire__LeaseId;
+typedef struct Wire__LeaseKeep Wire__LeaseKeep;
+typedef struct Wire__LeaseAsk Wire__LeaseAsk;
+typedef struct Wire__LeaseGrant Wire__LeaseGrant;
+typedef struct Wire__LeaseReturn Wire__LeaseReturn;
+typedef struct Wire__Handover Wire__Handover;
+typedef struct Wire__Handover__Lease Wire__Handover__Lease;
+typedef struct Wire__PoisonReport Wire__PoisonReport;
+typedef struct Wire__PoisonReport__Loss Wire__PoisonReport__Loss;
 
 
 /* --- enums --- */
@@ -78,6 +89,173 @@
     , 0, 0, 0, NULL }
 
 
+struct  Wire__Summary__Service
+{
+  ProtobufCMessage base;
+  ProtobufCBinaryData name;
+  /*
+   * slots that could be granted now
+   */
+  uint32_t free;
+  /*
+   * slots of the servers owned by the sender
+   */
+  uint32_t slots;
+};
+#define WIRE__SUMMARY__SERVICE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__summary__service__descriptor) \
+    , {0,NULL}, 0, 0 }
+
+
+/*
+ * Sent to every live member once a second and after a change.
+ */
+struct  Wire__Summary
+{
+  ProtobufCMessage base;
+  /*
+   * of its table of claims
+   */
+  uint64_t incarnation;
+  uint64_t generation;
+  /*
+   * of the configuration in force
+   */
+  uint64_t number;
+  size_t n_services;
+  Wire__Summary__Service **services;
+};
+#define WIRE__SUMMARY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__summary__descriptor) \
+    , 0, 0, 0, 0,NULL }
+
+
+struct  Wire__LeaseId
+{
+  ProtobufCMessage base;
+  uint64_t owner;
+  uint64_t epoch;
+  uint64_t number;
+};
+#define WIRE__LEASE_ID__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__lease_id__descriptor) \
+    , 0, 0, 0 }
+
+
+struct  Wire__LeaseKeep
+{
+  ProtobufCMessage base;
+  Wire__LeaseId *id;
+  uint32_t slots;
+};
+#define WIRE__LEASE_KEEP__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__lease_keep__descriptor) \
+    , NULL, 0 }
+
+
+struct  Wire__LeaseAsk
+{
+  ProtobufCMessage base;
+  uint64_t number;
+  ProtobufCBinaryData service;
+  uint32_t want;
+  size_t n_keep;
+  Wire__LeaseKeep **keep;
+};
+#define WIRE__LEASE_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__lease_ask__descriptor) \
+    , 0, {0,NULL}, 0, 0,NULL }
+
+
+/*
+ * A tagged union: KIND says which of the fields from SERVER on are read.
+ */
+struct  Wire__LeaseGrant
+{
+  ProtobufCMessage base;
+  uint32_t kind;
+  uint64_t ask;
+  Wire__LeaseId *id;
+  ProtobufCBinaryData server;
+  ProtobufCBinaryData service;
+  ProtobufCBinaryData address;
+  uint32_t slots;
+  uint32_t connections;
+  uint32_t keep;
+  uint32_t missing;
+  uint64_t ttl_us;
+  uint64_t owner;
+};
+#define WIRE__LEASE_GRANT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__lease_grant__descriptor) \
+    , 0, 0, NULL, {0,NULL}, {0,NULL}, {0,NULL}, 0, 0, 0, 0, 0, 0 }
+
+
+struct  Wire__LeaseReturn
+{
+  ProtobufCMessage base;
+  Wire__LeaseKeep *keep;
+};
+#define WIRE__LEASE_RETURN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__lease_return__descriptor) \
+    , NULL }
+
+
+struct  Wire__Handover__Lease
+{
+  ProtobufCMessage base;
+  Wire__LeaseId *id;
+  uint64_t holder;
+  uint32_t slots;
+  uint32_t per_slot;
+  uint64_t left_us;
+};
+#define WIRE__HANDOVER__LEASE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__handover__lease__descriptor) \
+    , NULL, 0, 0, 0, 0 }
+
+
+struct  Wire__Handover
+{
+  ProtobufCMessage base;
+  ProtobufCBinaryData server;
+  uint64_t uptime_us;
+  size_t n_leases;
+  Wire__Handover__Lease **leases;
+};
+#define WIRE__HANDOVER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__handover__descriptor) \
+    , {0,NULL}, 0, 0,NULL }
+
+
+struct  Wire__PoisonReport__Loss
+{
+  ProtobufCMessage base;
+  uint64_t server;
+  uint64_t trial;
+  uint64_t age_us;
+};
+#define WIRE__POISON_REPORT__LOSS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__poison_report__loss__descriptor) \
+    , 0, 0, 0 }
+
+
+struct  Wire__PoisonReport
+{
+  ProtobufCMessage base;
+  uint32_t kind;
+  uint64_t hi;
+  uint64_t lo;
+  uint64_t origin;
+  uint64_t seq;
+  size_t n_losses;
+  Wire__PoisonReport__Loss **losses;
+};
+#define WIRE__POISON_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__poison_report__descriptor) \
+    , 0, 0, 0, 0, 0, 0,NULL }
+
+
 /* Wire__PeerAddress methods */
 void   wire__peer_address__init
                      (Wire__PeerAddress         *message);
@@ -135,6 +313,167 @@
 void   wire__heartbeat__free_unpacked
                      (Wire__Heartbeat *message,
                       ProtobufCAllocator *allocator);
+/* Wire__Summary__Service methods */
+void   wire__summary__service__init
+                     (Wire__Summary__Service         *message);
+/* Wire__Summary methods */
+void   wire__summary__init
+                     (Wire__Summary         *message);
+size_t wire__summary__get_packed_size
+                     (const Wire__Summary   *message);
+size_t wire__summary__pack
+                     (const Wire__Summary   *message,
+                      uint8_t             *out);
+size_t wire__summary__pack_to_buffer
+                     (const Wire__Summary   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__Summary *
+       wire__summary__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__summary__free_unpacked
+                     (Wire__Summary *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__LeaseId methods */
+void   wire__lease_id__init
+                     (Wire__LeaseId         *message);
+size_t wire__lease_id__get_packed_size
+                     (const Wire__LeaseId   *message);
+size_t wire__lease_id__pack
+                     (const Wire__LeaseId   *message,
+                      uint8_t             *out);
+size_t wire__lease_id__pack_to_buffer
+                     (const Wire__LeaseId   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__LeaseId *
+       wire__lease_id__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__lease_id__free_unpacked
+                     (Wire__LeaseId *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__LeaseKeep methods */
+void   wire__lease_keep__init
+                     (Wire__LeaseKeep         *message);
+size_t wire__lease_keep__get_packed_size
+                     (const Wire__LeaseKeep   *message);
+size_t wire__lease_keep__pack
+                     (const Wire__LeaseKeep   *message,
+                      uint8_t             *out);
+size_t wire__lease_keep__pack_to_buffer
+                     (const Wire__LeaseKeep   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__LeaseKeep *
+       wire__lease_keep__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__lease_keep__free_unpacked
+                     (Wire__LeaseKeep *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__LeaseAsk methods */
+void   wire__lease_ask__init
+                     (Wire__LeaseAsk         *message);
+size_t wire__lease_ask__get_packed_size
+                     (const Wire__LeaseAsk   *message);
+size_t wire__lease_ask__pack
+                     (const Wire__LeaseAsk   *message,
+                      uint8_t             *out);
+size_t wire__lease_ask__pack_to_buffer
+                     (const Wire__LeaseAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__LeaseAsk *
+       wire__lease_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__lease_ask__free_unpacked
+                     (Wire__LeaseAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__LeaseGrant methods */
+void   wire__lease_grant__init
+                     (Wire__LeaseGrant         *message);
+size_t wire__lease_grant__get_packed_size
+                     (const Wire__LeaseGrant   *message);
+size_t wire__lease_grant__pack
+                     (const Wire__LeaseGrant   *message,
+                      uint8_t             *out);
+size_t wire__lease_grant__pack_to_buffer
+                     (const Wire__LeaseGrant   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__LeaseGrant *
+       wire__lease_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__lease_grant__free_unpacked
+                     (Wire__LeaseGrant *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__LeaseReturn methods */
+void   wire__lease_return__init
+                     (Wire__LeaseReturn         *message);
+size_t wire__lease_return__get_packed_size
+                     (const Wire__LeaseReturn   *message);
+size_t wire__lease_return__pack
+                     (const Wire__LeaseReturn   *message,
+                      uint8_t             *out);
+size_t wire__lease_return__pack_to_buffer
+                     (const Wire__LeaseReturn   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__LeaseReturn *
+       wire__lease_return__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__lease_return__free_unpacked
+                     (Wire__LeaseReturn *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__Handover__Lease methods */
+void   wire__handover__lease__init
+                     (Wire__Handover__Lease         *message);
+/* Wire__Handover methods */
+void   wire__handover__init
+                     (Wire__Handover         *message);
+size_t wire__handover__get_packed_size
+                     (const Wire__Handover   *message);
+size_t wire__handover__pack
+                     (const Wire__Handover   *message,
+                      uint8_t             *out);
+size_t wire__handover__pack_to_buffer
+                     (const Wire__Handover   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__Handover *
+       wire__handover__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__handover__free_unpacked
+                     (Wire__Handover *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__PoisonReport__Loss methods */
+void   wire__poison_report__loss__init
+                     (Wire__PoisonReport__Loss         *message);
+/* Wire__PoisonReport methods */
+void   wire__poison_report__init
+                     (Wire__PoisonReport         *message);
+size_t wire__poison_report__get_packed_size
+                     (const Wire__PoisonReport   *message);
+size_t wire__poison_report__pack
+                     (const Wire__PoisonReport   *message,
+                      uint8_t             *out);
+size_t wire__poison_report__pack_to_buffer
+                     (const Wire__PoisonReport   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__PoisonReport *
+       wire__poison_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__poison_report__free_unpacked
+                     (Wire__PoisonReport *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Wire__PeerAddress_Closure)
@@ -146,6 +485,39 @@
 typedef void (*Wire__Heartbeat_Closure)
                  (const Wire__Heartbeat *message,
                   void *closure_data);
+typedef void (*Wire__Summary__Service_Closure)
+                 (const Wire__Summary__Service *message,
+                  void *closure_data);
+typedef void (*Wire__Summary_Closure)
+                 (const Wire__Summary *message,
+                  void *closure_data);
+typedef void (*Wire__LeaseId_Closure)
+                 (const Wire__LeaseId *message,
+                  void *closure_data);
+typedef void (*Wire__LeaseKeep_Closure)
+                 (const Wire__LeaseKeep *message,
+                  void *closure_data);
+typedef void (*Wire__LeaseAsk_Closure)
+                 (const Wire__LeaseAsk *message,
+                  void *closure_data);
+typedef void (*Wire__LeaseGrant_Closure)
+                 (const Wire__LeaseGrant *message,
+                  void *closure_data);
+typedef void (*Wire__LeaseReturn_Closure)
+                 (const Wire__LeaseReturn *message,
+                  void *closure_data);
+typedef void (*Wire__Handover__Lease_Closure)
+                 (const Wire__Handover__Lease *message,
+                  void *closure_data);
+typedef void (*Wire__Handover_Closure)
+                 (const Wire__Handover *message,
+                  void *closure_data);
+typedef void (*Wire__PoisonReport__Loss_Closure)
+                 (const Wire__PoisonReport__Loss *message,
+                  void *closure_data);
+typedef void (*Wire__PoisonReport_Closure)
+                 (const Wire__PoisonReport *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -155,6 +527,17 @@
 extern const ProtobufCMessageDescriptor wire__peer_address__descriptor;
 extern const ProtobufCMessageDescriptor wire__hello__descriptor;
 extern const ProtobufCMessageDescriptor wire__heartbeat__descriptor;
+extern const ProtobufCMessageDescriptor wire__summary__descriptor;
+extern const ProtobufCMessageDescriptor wire__summary__service__descriptor;
+extern const ProtobufCMessageDescriptor wire__lease_id__descriptor;
+extern const ProtobufCMessageDescriptor wire__lease_keep__descriptor;
+extern const ProtobufCMessageDescriptor wire__lease_ask__descriptor;
+extern const ProtobufCMessageDescriptor wire__lease_grant__descriptor;
+extern const ProtobufCMessageDescriptor wire__lease_return__descriptor;
+extern const ProtobufCMessageDescriptor wire__handover__descriptor;
+extern const ProtobufCMessageDescriptor wire__handover__lease__descriptor;
+extern const ProtobufCMessageDescriptor wire__poison_report__descriptor;
+extern const ProtobufCMessageDescriptor wire__poison_report__loss__descriptor;
 
 PROTOBUF_C__END_DECLS
 
