--- /dev/null
+++ b/src/ledger/core-election.c
@@ -0,0 +1,263 @@
+/* Terms, votes and the election timeout.  */
+
+#include <assert.h>
+
+#include "ledger/core-state.h"
+
+void
+lg_reset_deadline (struct lg_core *c)
+{
+  uint32_t spread = (uint32_t) (LG_ELECTION_MAX - LG_ELECTION_MIN);
+
+  c->deadline
+      = c->now + LG_ELECTION_MIN + (zp_time) zp_rng_below (c->rng, spread);
+}
+
+/* Gives up what only a leader has.  */
+static void
+leave_lead (struct lg_core *c)
+{
+  for (size_t i = 0; i < c->peers; i++)
+    lg_end_transfer (&c->peer[i]);
+  for (size_t i = 0; i < c->proposals; i++)
+    lg_reply (c, c->proposal[i].id, LG_REPLY_LOST, c->proposal[i].index,
+              "this member leads no longer");
+  c->proposals = 0;
+  lg_reset_deadline (c);
+}
+
+void
+lg_follow (struct lg_core *c, uint64_t term, uint64_t leader)
+{
+  assert (term >= c->term);
+  enum lg_role before = c->role;
+  if (term > c->term)
+    {
+      c->term = term;
+      c->vote = 0;
+      lg_dirty (c);
+    }
+  c->role = LG_FOLLOWER;
+  c->leader = leader;
+  if (before == LG_LEADER)
+    leave_lead (c);
+}
+
+/* Notes the first vote of this member for a leader of a new group.  The vote
+   has to be of the term itself: a member whose storage was wiped learns the
+   term of the group from any message.  */
+static void
+note_first_vote (struct lg_core *c, uint64_t last_index)
+{
+  if (last_index > 0 || c->born > 0)
+    return;
+  c->born = c->term;
+  c->rewrite = true;
+}
+
+/* Candidate.  */
+
+/* A voter whose own removal is not committed has to stand for election, as the
+   others may lack the entry that removes it and need its vote.  */
+bool
+lg_may_lead (const struct lg_core *c)
+{
+  struct lg_members before;
+
+  if (lg_members_voter (&c->members, c->id))
+    return true;
+  if (c->members_index <= c->commit)
+    return false;
+  lg_log_members (&c->log, c->members_index - 1, &before);
+  return lg_members_voter (&before, c->id);
+}
+
+static struct lg_vote_ask
+ask_of (const struct lg_core *c, bool pre)
+{
+  return (struct lg_vote_ask){ .pre = pre,
+                               .voter = true,
+                               .last_index = lg_log_last (&c->log),
+                               .last_term = lg_log_last_term (&c->log),
+                               .formed = c->members.formed };
+}
+
+/* Asks for votes; a pre-vote leaves the term alone, so that a member that was
+   cut off does not disturb a leader with a higher term when it returns.  */
+void
+lg_campaign (struct lg_core *c, bool pre)
+{
+  c->leader = 0;
+  c->role = pre ? LG_PRE_CANDIDATE : LG_CANDIDATE;
+  if (!pre)
+    {
+      c->term++;
+      c->vote = c->id;
+      note_first_vote (c, lg_log_last (&c->log));
+      lg_dirty (c);
+      c->vote_write = lg_barrier (c);
+    }
+  lg_reset_deadline (c);
+  for (size_t i = 0; i < c->peers; i++)
+    {
+      struct lg_peer *p = &c->peer[i];
+      p->granted = false;
+      if (!p->voter)
+        continue;
+      struct lg_msg *m = lg_send (c, LG_VOTE_ASK, p->id, true);
+      m->term = c->term + pre;
+      m->u.vote_ask = ask_of (c, pre);
+    }
+  lg_tally (c);
+}
+
+static void
+become_leader (struct lg_core *c)
+{
+  c->role = LG_LEADER;
+  c->leader = c->id;
+  c->led_since = c->now;
+  c->next_heartbeat = c->now + LG_HEARTBEAT;
+  c->send_heartbeat = true;
+  for (size_t i = 0; i < c->peers; i++)
+    {
+      struct lg_peer *p = &c->peer[i];
+      p->match = 0;
+      p->next = lg_log_last (&c->log) + 1;
+      p->probing = true;
+      p->acked = LG_PAST;
+      p->progress = c->now;
+    }
+  if (lg_log_last (&c->log) > 0)
+    {
+      lg_leader_append (c, LG_ENTRY_EMPTY, ZP_STR (""));
+      return;
+    }
+  struct lg_members first = c->members;
+  struct zp_buf bytes = { .ptr = NULL };
+  first.formed = c->term;
+  lg_members_encode (&first, &bytes);
+  lg_leader_append (c, LG_ENTRY_MEMBERS, zp_str_of (&bytes));
+  zp_buf_free (&bytes);
+}
+
+void
+lg_tally (struct lg_core *c)
+{
+  bool pre = c->role == LG_PRE_CANDIDATE;
+  size_t voters = lg_members_voters (&c->members);
+  size_t votes = lg_members_voter (&c->members, c->id)
+                 && (pre || c->synced >= c->vote_write);
+
+  if (!pre && c->role != LG_CANDIDATE)
+    return;
+  for (size_t i = 0; i < c->peers; i++)
+    votes += c->peer[i].voter && c->peer[i].granted;
+  /* A majority is not enough while the group has no log: then a member whose
+     storage was wiped could help to form a second group.  */
+  size_t need = lg_log_last (&c->log) == 0 ? voters : voters / 2 + 1;
+  if (votes < need)
+    return;
+  if (pre)
+    lg_campaign (c, false);
+  else
+    become_leader (c);
+}
+
+void
+lg_on_vote_answer (struct lg_core *c, const struct lg_msg *m)
+{
+  const struct lg_vote_answer *a = &m->u.vote_answer;
+  struct lg_peer *p = lg_peer_find (c, m->from);
+
+  if (!a->granted)
+    {
+      if (m->term > c->term)
+        lg_follow (c, m->term, 0);
+      return;
+    }
+  if (!p
+      || (a->pre ? c->role != LG_PRE_CANDIDATE || m->term != c->term + 1
+                 : c->role != LG_CANDIDATE || m->term != c->term))
+    return;
+  p->granted = true;
+  lg_tally (c);
+}
+
+/* Voter.  */
+
+/* Whether a leader may hold a lease that this member has supported.  */
+static bool
+supports_lease (const struct lg_core *c)
+{
+  _Static_assert(LG_LEASE * (100 + 2 * ZP_CLOCK_RATE_ERROR_PERCENT)
+                     < LG_VOTE_WAIT * 100,
+                 "a lease has to end before its supporters vote again");
+  _Static_assert(LG_VOTE_WAIT <= LG_ELECTION_MIN,
+                 "a candidate does not support a lease itself");
+  if (c->role == LG_LEADER)
+    return lg_core_lease (c, c->now);
+  return c->now < c->heard + LG_VOTE_WAIT;
+}
+
+/* Whether this member was not part of the first election of a group with this
+   FORMED and has nothing of its log.  */
+static bool
+knows_nothing_of (const struct lg_core *c, uint64_t formed)
+{
+  return lg_log_last (&c->log) == 0 && (c->born == 0 || c->born > formed);
+}
+
+bool
+lg_wiped (struct lg_core *c, bool voter, uint64_t formed)
+{
+  if (!voter || !knows_nothing_of (c, formed))
+    return false;
+  lg_stop (c, LG_STOP_WIPED, 0);
+  return true;
+}
+
+static bool
+log_is_enough (const struct lg_core *c, const struct lg_vote_ask *a)
+{
+  uint64_t term = lg_log_last_term (&c->log);
+
+  if (a->last_index == 0)
+    return lg_log_last (&c->log) == 0 && c->members.len > 0;
+  if (knows_nothing_of (c, a->formed))
+    return false;
+  return a->last_term > term
+         || (a->last_term == term && a->last_index >= lg_log_last (&c->log));
+}
+
+void
+lg_on_vote_ask (struct lg_core *c, const struct lg_msg *m)
+{
+  const struct lg_vote_ask *a = &m->u.vote_ask;
+  bool free_to_vote = !supports_lease (c);
+  bool granted = false;
+
+  if (a->pre)
+    granted = m->term > c->term;
+  else if (free_to_vote && m->term >= c->term)
+    {
+      if (m->term > c->term)
+        lg_follow (c, m->term, 0);
+      granted = c->vote == 0 || c->vote == m->from;
+    }
+  /* The asking member's set decides, not the own: the entry that made this
+     member a voter may not have arrived yet.  A learner is never asked with
+     this flag.  */
+  granted = granted && free_to_vote && a->voter && log_is_enough (c, a);
+  if (granted && !a->pre)
+    {
+      c->vote = m->from;
+      note_first_vote (c, a->last_index);
+      lg_dirty (c);
+      lg_reset_deadline (c);
+    }
+  struct lg_msg *answer = lg_send (c, LG_VOTE_ANSWER, m->from, true);
+  answer->term = granted ? m->term : c->term;
+  answer->u.vote_answer
+      = (struct lg_vote_answer){ .pre = a->pre, .granted = granted };
+}
--- /dev/null
+++ b/src/ledger/core-replication.c
@@ -0,0 +1,313 @@
+/* Appends, their answers, commit and the leader's lease.  */
+
+#include <assert.h>
+
+#include "ledger/core-state.h"
+
+/* Leader: lease and commit.  */
+
+/* The value that a majority of the voters has reached: the VALUES of the
+   other voters with OWN for this member when it is a voter.  */
+static int64_t
+majority_value (const struct lg_core *c, int64_t own,
+                int64_t (*value) (const struct lg_peer *p), int64_t none)
+{
+  int64_t sorted[LG_MEMBERS_MAX] = { 0 };
+  size_t n = 0;
+
+  for (size_t i = 0; i <= c->peers; i++)
+    {
+      bool self = i == c->peers;
+      if (self ? !lg_members_voter (&c->members, c->id) : !c->peer[i].voter)
+        continue;
+      int64_t v = self ? own : value (&c->peer[i]);
+      size_t at = n++;
+      for (; at > 0 && sorted[at - 1] < v; at--)
+        sorted[at] = sorted[at - 1];
+      sorted[at] = v;
+    }
+  return n > 0 ? sorted[n / 2] : none;
+}
+
+static int64_t
+acked_of (const struct lg_peer *p)
+{
+  return p->acked;
+}
+
+static int64_t
+match_of (const struct lg_peer *p)
+{
+  return (int64_t) p->match;
+}
+
+zp_time
+lg_lease_until (const struct lg_core *c)
+{
+  /* The own answer is never too old.  */
+  zp_time t = majority_value (c, ZP_NEVER / 2, acked_of, LG_PAST);
+
+  return t + LG_LEASE;
+}
+
+void
+lg_advance_commit (struct lg_core *c)
+{
+  uint64_t n = (uint64_t) majority_value (c, (int64_t) c->durable, match_of,
+                                          (int64_t) c->commit);
+
+  /* Only an entry of the own term commits by count: an older one that a
+     majority holds can still be replaced by a later leader.  */
+  if (n <= c->commit || lg_log_term (&c->log, n) != c->term)
+    return;
+  c->commit = n;
+  c->send_heartbeat = true;
+}
+
+/* Leader: sending.  */
+
+void
+lg_leader_append (struct lg_core *c, enum lg_entry_kind kind,
+                  struct zp_str bytes)
+{
+  assert (c->role == LG_LEADER);
+  lg_log_append (&c->log, c->term, kind, bytes);
+  c->send_entries = true;
+  if (kind == LG_ENTRY_MEMBERS)
+    lg_use_members (c);
+}
+
+/* Sends the entries behind PREV that fit into one message, or none of them.
+   Returns their number.  */
+static size_t
+send_append (struct lg_core *c, struct lg_peer *p, uint64_t prev, bool entries)
+{
+  struct lg_msg *m = lg_send (c, LG_APPEND, p->id, false);
+  struct lg_append *a = &m->u.append;
+
+  *a = (struct lg_append){ .voter = p->voter,
+                           .formed = c->members.formed,
+                           .prev_index = prev,
+                           .prev_term = lg_log_term (&c->log, prev),
+                           .commit = c->commit,
+                           .sent = c->now };
+  if (entries)
+    lg_log_copy (&c->log, prev + 1, LG_BATCH_BYTES, LG_BATCH_ENTRIES,
+                 &a->entries);
+  return a->entries.len;
+}
+
+static bool
+window_open (const struct lg_core *c, const struct lg_peer *p)
+{
+  uint64_t from = p->match + 1;
+
+  if (from <= c->log.base_index)
+    from = c->log.base_index + 1;
+  return lg_log_bytes (&c->log, from, p->next - 1) < LG_WINDOW_BYTES;
+}
+
+void
+lg_replicate (struct lg_core *c, struct lg_peer *p, bool heartbeat)
+{
+  bool sent = false;
+
+  if (p->transfer || p->next <= c->log.base_index)
+    {
+      if (!p->transfer || c->now >= p->chunk_sent + LG_RESEND)
+        lg_send_chunk (c, p);
+      /* The lease goes on during a transfer; a refusal is ignored.  */
+      if (heartbeat)
+        send_append (c, p, lg_log_last (&c->log), false);
+      return;
+    }
+  if (!p->probing && p->next - 1 > p->match
+      && c->now >= p->progress + LG_RESEND)
+    {
+      p->probing = true;
+      p->next = p->match + 1;
+      p->progress = c->now;
+      lg_replicate (c, p, heartbeat);
+      return;
+    }
+  if (p->probing)
+    {
+      if (heartbeat)
+        send_append (c, p, p->next - 1, true);
+      return;
+    }
+  if (p->next - 1 == p->match)
+    p->progress = c->now;
+  while (p->next <= lg_log_last (&c->log) && window_open (c, p))
+    {
+      p->next += send_append (c, p, p->next - 1, true);
+      sent = true;
+    }
+  if (heartbeat && !sent)
+    send_append (c, p, p->next - 1, false);
+}
+
+void
+lg_broadcast (struct lg_core *c)
+{
+  bool heartbeat = c->send_heartbeat;
+
+  if (!heartbeat && !c->send_entries)
+    return;
+  c->send_heartbeat = false;
+  c->send_entries = false;
+  for (size_t i = 0; i < c->peers; i++)
+    lg_replicate (c, &c->peer[i], heartbeat);
+}
+
+void
+lg_on_append_answer (struct lg_core *c, const struct lg_msg *m)
+{
+  const struct lg_append_answer *a = &m->u.append_answer;
+  struct lg_peer *p = lg_peer_find (c, m->from);
+
+  if (m->term > c->term)
+    {
+      lg_follow (c, m->term, 0);
+      return;
+    }
+  if (c->role != LG_LEADER || !p || m->term < c->term
+      || a->match > lg_log_last (&c->log))
+    return;
+  if (a->sent > p->acked && a->sent <= c->now)
+    p->acked = a->sent;
+  if (a->ok)
+    {
+      if (a->match > p->match)
+        {
+          p->match = a->match;
+          p->progress = c->now;
+          lg_advance_commit (c);
+        }
+      if (p->next <= p->match)
+        p->next = p->match + 1;
+      if (p->next > c->log.base_index)
+        lg_end_transfer (p);
+      p->probing = false;
+    }
+  else
+    {
+      /* A refusal from before the newest acknowledgement is late.  */
+      if (p->transfer || a->prev_index <= p->match || a->match < p->match)
+        return;
+      p->next = a->match + 1;
+      p->probing = true;
+    }
+  lg_replicate (c, p, !a->ok);
+}
+
+/* Follower.  */
+
+/* The first entry of the term of INDEX that is not committed: the leader may
+   skip the whole term.  */
+static uint64_t
+last_that_may_match (const struct lg_core *c, const struct lg_append *a)
+{
+  uint64_t last = lg_log_last (&c->log);
+
+  if (a->prev_index > last)
+    return last;
+  if (a->prev_index == 0)
+    return 0;
+  uint64_t i = a->prev_index;
+  uint64_t term = lg_log_term (&c->log, i);
+  while (i > c->commit + 1 && lg_log_term (&c->log, i - 1) == term)
+    i--;
+  return i - 1;
+}
+
+/* Adds the entries of A that are not in the log yet, and removes those that
+   differ.  */
+static void
+store_entries (struct lg_core *c, const struct lg_append *a)
+{
+  bool members = false;
+
+  for (size_t i = 0; i < a->entries.len; i++)
+    {
+      const struct lg_entry *e = &a->entries.item[i];
+      uint64_t index = a->prev_index + 1 + i;
+      if (index <= c->log.base_index)
+        continue;
+      if (index <= lg_log_last (&c->log))
+        {
+          if (lg_log_term (&c->log, index) == e->term)
+            continue;
+          lg_truncate (c, index);
+        }
+      lg_log_append (&c->log, e->term, e->kind, zp_str_of (&e->bytes));
+      members = members || e->kind == LG_ENTRY_MEMBERS;
+    }
+  if (members)
+    lg_use_members (c);
+}
+
+/* Whether the entries can follow one another in a log, their member sets can
+   be read, and none contradicts one that is committed.  */
+static bool
+entries_valid (const struct lg_core *c, const struct lg_msg *m)
+{
+  const struct lg_append *a = &m->u.append;
+  uint64_t term = a->prev_term;
+
+  for (size_t i = 0; i < a->entries.len; i++)
+    {
+      const struct lg_entry *e = &a->entries.item[i];
+      uint64_t index = a->prev_index + 1 + i;
+      struct lg_members members;
+      if (e->term < term || e->term > m->term)
+        return false;
+      if (e->kind == LG_ENTRY_MEMBERS
+          && !lg_members_decode (&members, zp_str_of (&e->bytes)))
+        return false;
+      if (index >= c->log.base_index && index <= c->commit
+          && lg_log_term (&c->log, index) != e->term)
+        return false;
+      term = e->term;
+    }
+  return true;
+}
+
+void
+lg_on_append (struct lg_core *c, const struct lg_msg *m)
+{
+  const struct lg_append *a = &m->u.append;
+  struct lg_append_answer answer = { .prev_index = a->prev_index };
+
+  if (m->term >= c->term)
+    {
+      /* A second leader of the own term, or entries that contradict what is
+         committed, come from a faulty member.  */
+      if ((m->term == c->term && c->role == LG_LEADER) || !entries_valid (c, m)
+          || lg_wiped (c, a->voter, a->formed))
+        return;
+      lg_follow (c, m->term, m->from);
+      c->heard = c->now;
+      lg_reset_deadline (c);
+      answer.sent = a->sent;
+      bool behind_base = a->prev_index < c->log.base_index;
+      answer.ok = behind_base
+                  || (lg_log_knows (&c->log, a->prev_index)
+                      && lg_log_term (&c->log, a->prev_index) == a->prev_term);
+      if (answer.ok)
+        {
+          store_entries (c, a);
+          answer.match = a->prev_index + a->entries.len;
+          if (answer.match < c->log.base_index)
+            answer.match = c->log.base_index;
+          uint64_t commit
+              = a->commit < answer.match ? a->commit : answer.match;
+          if (commit > c->commit)
+            c->commit = commit;
+        }
+      else
+        answer.match = last_that_may_match (c, a);
+    }
+  struct lg_msg *out = lg_send (c, LG_APPEND_ANSWER, m->from, true);
+  out->u.append_answer = answer;
+}
--- /dev/null
+++ b/src/ledger/core-write.c
@@ -0,0 +1,231 @@
+/* Output queues and disk writes.  Votes and acknowledgements are held back
+   until the writes that they depend on are synced.  */
+
+#include <assert.h>
+#include <string.h>
+
+#include "ledger/core-state.h"
+
+/* Output queues.  */
+
+static void
+queue_put (struct lg_queue *q, struct lg_out *o)
+{
+  o->next = NULL;
+  if (q->tail)
+    q->tail->next = o;
+  else
+    q->head = o;
+  q->tail = o;
+}
+
+struct lg_out *
+lg_queue_take (struct lg_queue *q)
+{
+  struct lg_out *o = q->head;
+
+  if (!o)
+    return NULL;
+  q->head = o->next;
+  if (!q->head)
+    q->tail = NULL;
+  return o;
+}
+
+void
+lg_queue_free (struct lg_queue *q)
+{
+  for (struct lg_out *o = lg_queue_take (q); o; o = lg_queue_take (q))
+    lg_out_free (o);
+}
+
+static bool
+has_changes (const struct lg_core *c)
+{
+  return c->dirty || c->unwritten <= lg_log_last (&c->log);
+}
+
+uint64_t
+lg_barrier (const struct lg_core *c)
+{
+  return c->issued + has_changes (c);
+}
+
+struct lg_out *
+lg_emit (struct lg_core *c, enum lg_out_kind kind)
+{
+  struct lg_out *o = zp_alloc (sizeof *o);
+
+  o->kind = kind;
+  queue_put (&c->out, o);
+  return o;
+}
+
+struct lg_out *
+lg_emit_held (struct lg_core *c, enum lg_out_kind kind)
+{
+  uint64_t after = lg_barrier (c);
+
+  if (after <= c->synced)
+    return lg_emit (c, kind);
+  struct lg_out *o = zp_alloc (sizeof *o);
+  o->kind = kind;
+  o->after = after;
+  queue_put (&c->held, o);
+  return o;
+}
+
+struct lg_msg *
+lg_send (struct lg_core *c, enum lg_msg_kind kind, uint64_t to, bool held)
+{
+  struct lg_out *o
+      = held ? lg_emit_held (c, LG_OUT_MSG) : lg_emit (c, LG_OUT_MSG);
+
+  o->u.msg = (struct lg_msg){
+    .kind = kind, .from = c->id, .to = to, .term = c->term
+  };
+  return &o->u.msg;
+}
+
+/* Disk writes.  */
+
+void
+lg_dirty (struct lg_core *c)
+{
+  c->dirty = true;
+}
+
+static struct lg_write *
+issue (struct lg_core *c, enum lg_write_kind kind, uint64_t last)
+{
+  struct lg_out *o = lg_emit (c, LG_OUT_WRITE);
+
+  if (c->pendings == c->pendings_cap)
+    {
+      c->pendings_cap = c->pendings_cap > 0 ? c->pendings_cap * 2 : 16;
+      c->pending
+          = zp_realloc (c->pending, c->pendings_cap * sizeof *c->pending);
+    }
+  c->issued++;
+  c->pending[c->pendings++]
+      = (struct lg_pending){ .number = c->issued, .last = last };
+  o->u.write.number = c->issued;
+  o->u.write.kind = kind;
+  return &o->u.write;
+}
+
+static void
+issue_log (struct lg_core *c, enum lg_write_kind kind, uint64_t from)
+{
+  struct lg_write *w = issue (c, kind, lg_log_last (&c->log));
+
+  w->u.log = (struct lg_write_log){ .id = c->id,
+                                    .born = c->born,
+                                    .term = c->term,
+                                    .vote = c->vote,
+                                    .base_index = c->log.base_index,
+                                    .base_term = c->log.base_term,
+                                    .base_members = c->log.base_members };
+  lg_log_copy (&c->log, from, UINT64_MAX, SIZE_MAX, &w->u.log.entries);
+  c->unwritten = lg_log_last (&c->log) + 1;
+  c->dirty = false;
+}
+
+void
+lg_issue_rewrite (struct lg_core *c)
+{
+  issue_log (c, LG_WRITE_REWRITE, c->log.base_index + 1);
+  c->rewrite = false;
+}
+
+void
+lg_issue_changes (struct lg_core *c)
+{
+  if (!has_changes (c))
+    return;
+  if (c->rewrite)
+    lg_issue_rewrite (c);
+  else
+    issue_log (c, LG_WRITE_APPEND, c->unwritten);
+}
+
+uint64_t
+lg_issue_snapshot (struct lg_core *c, struct lg_snapshot *s)
+{
+  lg_issue_changes (c);
+  issue (c, LG_WRITE_SNAPSHOT, s->index)->u.snapshot = lg_snapshot_ref (s);
+  return c->issued;
+}
+
+void
+lg_truncate (struct lg_core *c, uint64_t from)
+{
+  assert (from > c->commit);
+  lg_log_truncate (&c->log, from);
+  if (c->durable >= from)
+    c->durable = from - 1;
+  if (c->unwritten > from)
+    c->unwritten = from;
+  for (size_t i = 0; i < c->pendings; i++)
+    if (c->pending[i].last >= from)
+      c->pending[i].last = from - 1;
+  if (c->members_index >= from)
+    lg_use_members (c);
+}
+
+static void
+release_held (struct lg_core *c)
+{
+  while (c->held.head && c->held.head->after <= c->synced)
+    queue_put (&c->out, lg_queue_take (&c->held));
+}
+
+void
+lg_core_written (struct lg_core *c, zp_time now, uint64_t number, int error)
+{
+  if (c->role == LG_STOPPED)
+    return;
+  c->now = now;
+  if (error != 0)
+    {
+      lg_stop (c, LG_STOP_DISK, error);
+      return;
+    }
+  assert (c->pendings > 0 && c->pending[0].number == number);
+  uint64_t last = c->pending[0].last;
+  c->pendings--;
+  memmove (c->pending, c->pending + 1, c->pendings * sizeof *c->pending);
+  c->synced = number;
+  if (last > c->durable)
+    c->durable = last;
+  release_held (c);
+  lg_snapshot_written (c, number);
+  switch (c->role)
+    {
+    case LG_LEADER:
+      lg_advance_commit (c);
+      break;
+    case LG_CANDIDATE:
+      lg_tally (c);
+      break;
+    case LG_FOLLOWER:
+    case LG_PRE_CANDIDATE:
+    case LG_STOPPED:
+      break;
+    }
+  lg_apply (c);
+}
+
+void
+lg_stop (struct lg_core *c, enum lg_stop stop, int error)
+{
+  lg_follow (c, c->term, 0);
+  c->role = LG_STOPPED;
+  c->stop = stop;
+  c->error = error;
+  c->dirty = false;
+  c->send_entries = false;
+  c->send_heartbeat = false;
+  c->unwritten = lg_log_last (&c->log) + 1;
+  lg_queue_free (&c->held);
+}
--- /dev/null
+++ b/src/ledger/core.c
@@ -0,0 +1,322 @@
+/* Inputs, outputs and disk writes of the consensus core.  */
+
+#include "ledger/core.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ledger/core-state.h"
+
+/* Proposals and committed entries.  */
+
+void
+lg_reply (struct lg_core *c, uint64_t proposal, enum lg_reply_kind kind,
+          uint64_t index, const char *reason)
+{
+  struct lg_out *o = lg_emit (c, LG_OUT_REPLY);
+
+  o->u.reply = (struct lg_reply){ .proposal = proposal,
+                                  .kind = kind,
+                                  .index = index,
+                                  .leader = c->leader,
+                                  .reason = reason };
+}
+
+static void
+reply_committed (struct lg_core *c)
+{
+  size_t n = 0;
+
+  while (n < c->proposals && c->proposal[n].index <= c->applied)
+    {
+      lg_reply (c, c->proposal[n].id, LG_REPLY_COMMITTED, c->proposal[n].index,
+                NULL);
+      n++;
+    }
+  c->proposals -= n;
+  if (n > 0)
+    memmove (c->proposal, c->proposal + n, c->proposals * sizeof *c->proposal);
+}
+
+void
+lg_apply (struct lg_core *c)
+{
+  uint64_t limit = c->commit < c->durable ? c->commit : c->durable;
+
+  if (c->role == LG_STOPPED || c->synced < c->restore_write)
+    return;
+  while (c->applied < limit)
+    {
+      const struct lg_entry *e = lg_log_at (&c->log, ++c->applied);
+      struct lg_out *o = lg_emit (c, LG_OUT_COMMITTED);
+      o->u.committed = *e;
+      o->u.committed.bytes = zp_buf_from (zp_str_of (&e->bytes));
+      reply_committed (c);
+    }
+  /* A leader that was removed serves until the change is committed.  */
+  if (c->role == LG_LEADER && c->applied >= c->members_index
+      && !lg_members_voter (&c->members, c->id))
+    lg_follow (c, c->term, 0);
+  lg_want_snapshot (c);
+}
+
+void
+lg_add_proposal (struct lg_core *c, uint64_t proposal)
+{
+  uint64_t index = lg_log_last (&c->log);
+
+  if (c->proposals == c->proposals_cap)
+    {
+      c->proposals_cap = c->proposals_cap > 0 ? c->proposals_cap * 2 : 16;
+      c->proposal
+          = zp_realloc (c->proposal, c->proposals_cap * sizeof *c->proposal);
+    }
+  c->proposal[c->proposals++]
+      = (struct lg_proposal){ .id = proposal, .index = index };
+  lg_reply (c, proposal, LG_REPLY_ACCEPTED, index, NULL);
+}
+
+void
+lg_core_propose (struct lg_core *c, zp_time now, uint64_t proposal,
+                 struct zp_str bytes)
+{
+  c->now = now;
+  if (c->role != LG_LEADER || !lg_core_lease (c, now))
+    {
+      lg_reply (c, proposal, LG_REPLY_REFUSED, 0,
+                c->role == LG_LEADER ? "the leader has no lease"
+                                     : "not the leader");
+      return;
+    }
+  if (bytes.len > LG_ENTRY_MAX)
+    {
+      lg_reply (c, proposal, LG_REPLY_REFUSED, 0, "the proposal is too large");
+      return;
+    }
+  if (lg_log_bytes (&c->log, c->commit + 1, lg_log_last (&c->log))
+      > LG_UNCOMMITTED_BYTES)
+    {
+      lg_reply (c, proposal, LG_REPLY_REFUSED, 0,
+                "too many entries wait to be committed");
+      return;
+    }
+  lg_leader_append (c, LG_ENTRY_DATA, bytes);
+  lg_add_proposal (c, proposal);
+}
+
+/* Other inputs.  */
+
+void
+lg_core_receive (struct lg_core *c, zp_time now, const struct lg_msg *m)
+{
+  if (c->role == LG_STOPPED || m->to != c->id || m->from == c->id
+      || m->from == 0)
+    return;
+  c->now = now;
+  switch (m->kind)
+    {
+    case LG_VOTE_ASK:
+      lg_on_vote_ask (c, m);
+      break;
+    case LG_VOTE_ANSWER:
+      lg_on_vote_answer (c, m);
+      break;
+    case LG_APPEND:
+      lg_on_append (c, m);
+      break;
+    case LG_APPEND_ANSWER:
+      lg_on_append_answer (c, m);
+      break;
+    case LG_SNAPSHOT:
+      lg_on_snapshot (c, m);
+      break;
+    case LG_SNAPSHOT_ANSWER:
+      lg_on_snapshot_answer (c, m);
+      break;
+    }
+  lg_apply (c);
+}
+
+static void
+tick_leader (struct lg_core *c)
+{
+  zp_time held = lg_lease_until (c);
+
+  if (held < c->led_since)
+    held = c->led_since;
+  /* A leader without majority steps down, so that it names itself no longer
+     as the leader.  */
+  if (c->now >= held + LG_ELECTION_MIN)
+    {
+      lg_follow (c, c->term, 0);
+      return;
+    }
+  if (c->now < c->next_heartbeat)
+    return;
+  c->next_heartbeat = c->now + LG_HEARTBEAT;
+  c->send_heartbeat = true;
+}
+
+void
+lg_core_tick (struct lg_core *c, zp_time now)
+{
+  c->now = now;
+  switch (c->role)
+    {
+    case LG_LEADER:
+      tick_leader (c);
+      break;
+    case LG_FOLLOWER:
+    case LG_PRE_CANDIDATE:
+    case LG_CANDIDATE:
+      if (now >= c->deadline && lg_may_lead (c))
+        lg_campaign (c, true);
+      break;
+    case LG_STOPPED:
+      break;
+    }
+}
+
+zp_time
+lg_core_due (const struct lg_core *c)
+{
+  switch (c->role)
+    {
+    case LG_LEADER:
+      return c->next_heartbeat;
+    case LG_FOLLOWER:
+    case LG_PRE_CANDIDATE:
+    case LG_CANDIDATE:
+      return lg_may_lead (c) ? c->deadline : ZP_NEVER;
+    case LG_STOPPED:
+      break;
+    }
+  return ZP_NEVER;
+}
+
+static void
+report_role (struct lg_core *c)
+{
+  struct lg_role_change now = { .role = c->role,
+                                .stop = c->stop,
+                                .error = c->error,
+                                .term = c->term,
+                                .leader = c->leader };
+
+  if (c->reported.role == now.role && c->reported.term == now.term
+      && c->reported.leader == now.leader)
+    return;
+  c->reported = now;
+  lg_emit (c, LG_OUT_ROLE)->u.role = now;
+}
+
+struct lg_out *
+lg_core_next (struct lg_core *c)
+{
+  if (!c->out.head)
+    {
+      /* Appends leave before the own write, so that both run at once.  */
+      if (c->role == LG_LEADER)
+        lg_broadcast (c);
+      lg_issue_changes (c);
+      report_role (c);
+    }
+  return lg_queue_take (&c->out);
+}
+
+/* Life.  */
+
+struct lg_core *
+lg_core_new (const struct lg_start *start, zp_time now, struct zp_rng *rng)
+{
+  struct lg_core *c = zp_alloc (sizeof *c);
+
+  assert (start->id != 0);
+  *c = (struct lg_core){ .id = start->id,
+                         .rng = rng,
+                         .now = now,
+                         .rewrite = start->rewrite || start->fresh,
+                         .dirty = start->rewrite,
+                         .born = start->born,
+                         .term = start->term,
+                         .vote = start->vote,
+                         /* An earlier run may have answered a leader just
+                            before; fresh storage has answered none.  */
+                         .heard = start->fresh ? LG_PAST : now,
+                         .snapshot_entries = start->snapshot_entries > 0
+                                                 ? start->snapshot_entries
+                                                 : LG_SNAPSHOT_ENTRIES,
+                         .keep_entries = start->keep_entries > 0
+                                             ? start->keep_entries
+                                             : LG_KEEP_ENTRIES };
+  c->log.base_index = start->base_index;
+  c->log.base_term = start->base_term;
+  c->log.base_members = start->base_members;
+  for (size_t i = 0; i < start->entries.len; i++)
+    {
+      const struct lg_entry *e = &start->entries.item[i];
+      assert (e->index == lg_log_last (&c->log) + 1);
+      lg_log_append (&c->log, e->term, e->kind, zp_str_of (&e->bytes));
+    }
+  c->durable = lg_log_last (&c->log);
+  c->unwritten = c->durable + 1;
+  if (start->snapshot)
+    {
+      c->snapshot = lg_snapshot_ref (start->snapshot);
+      c->commit = c->snapshot->index;
+      c->applied = c->commit;
+      lg_emit (c, LG_OUT_RESTORE)->u.restore = lg_snapshot_ref (c->snapshot);
+    }
+  lg_use_members (c);
+  lg_reset_deadline (c);
+  return c;
+}
+
+void
+lg_core_free (struct lg_core *c)
+{
+  if (!c)
+    return;
+  for (size_t i = 0; i < c->peers; i++)
+    lg_end_transfer (&c->peer[i]);
+  lg_queue_free (&c->out);
+  lg_queue_free (&c->held);
+  lg_log_free (&c->log);
+  lg_snapshot_free (c->snapshot);
+  lg_snapshot_free (c->taken);
+  zp_buf_free (&c->incoming.bytes);
+  free (c->pending);
+  free (c->proposal);
+  free (c);
+}
+
+/* Views.  */
+
+bool
+lg_core_lease (const struct lg_core *c, zp_time now)
+{
+  return c->role == LG_LEADER && now < lg_lease_until (c);
+}
+
+struct lg_status
+lg_core_status (const struct lg_core *c, zp_time now)
+{
+  return (struct lg_status){ .role = c->role,
+                             .stop = c->stop,
+                             .voter = lg_members_voter (&c->members, c->id),
+                             .lease = lg_core_lease (c, now),
+                             .term = c->term,
+                             .leader = c->leader,
+                             .commit = c->commit,
+                             .applied = c->applied,
+                             .last_index = lg_log_last (&c->log),
+                             .snapshot_index
+                             = c->snapshot ? c->snapshot->index : 0 };
+}
+
+const struct lg_members *
+lg_core_members (const struct lg_core *c)
+{
+  return &c->members;
+}
--- a/src/ledger/core.h
+++ b/src/ledger/core.h
@@ -227,8 +227,8 @@
 /* The durable state of the log file; APPEND uses term, vote and entries.  */
 struct lg_write_log
 {
-  uint64_t id; /* of the member */
-  uint64_t born;
+  uint64_t id;   /* of the member */
+  uint64_t born; /* term of its first vote for the leader of a new group */
   uint64_t term;
   uint64_t vote;
   uint64_t base_index;
@@ -310,9 +310,9 @@
 struct lg_start
 {
   uint64_t id;
-  bool fresh;   /* the storage is empty */
-  bool rewrite; /* the log file has to be replaced before the first append */
-  uint64_t born;
+  bool fresh;    /* the storage is empty */
+  bool rewrite;  /* the log file has to be replaced before the first append */
+  uint64_t born; /* as in struct lg_write_log; 0: none */
   uint64_t term;
   uint64_t vote;
   uint64_t base_index;
--- /dev/null
+++ b/tests/test-ledger-steps.c
@@ -0,0 +1,299 @@
+/* Guards the log and the lease: three to five cores over a network that loses,
+   delays, doubles, reorders and cuts, with crashes between any two disk steps.
+   test-ledger-steps [FIRST-SEED [COUNT]] traces a seed that fails.  */
+
+#include "harness.h"
+
+#include <inttypes.h>
+#include "ledger-fake.h"
+
+#define NODES 5
+#define CALM (6 * ZP_SEC) /* without faults, at the start */
+#define FAULTS (60 * ZP_SEC)
+#define END (90 * ZP_SEC)
+
+struct node
+{
+  struct fake member;
+  uint64_t applied, chain; /* hash of all entries so far */
+  zp_time paused_until, skew;
+  double rate;
+};
+
+static struct sim
+{
+  _Alignas(16) struct zp_rng rng;
+  zp_time now;
+  size_t nodes, voters; /* the nodes behind the voters may join */
+  struct node node[NODES];
+  bool cut[NODES][NODES];
+  struct lg_out *flight[8192];
+  zp_time arrival[8192];
+  size_t flights, pad; /* bytes of state: transfers need several chunks */
+  bool faults, trace, failed, wiped, led[4096];
+  uint32_t disk, restart; /* speeds; differ from run to run */
+  uint64_t proposals, top, chain[20000];
+} sim;
+
+static uint32_t
+below (uint32_t n)
+{
+  return zp_rng_below (&sim.rng, n);
+}
+
+static void
+event (const struct node *n, const char *what, uint64_t a, uint64_t b)
+{
+  if (sim.trace)
+    printf ("%9.3f ms node %" PRIu64 ": %s %" PRIu64 " %" PRIu64 "\n",
+            (double) sim.now / 1000, n->member.id, what, a, b);
+}
+
+static void
+check (const struct node *n, bool ok, const char *rule)
+{
+  if (!ok)
+    event (n, rule, 0, 0);
+  sim.failed = sim.failed || !ok;
+}
+
+/* Every node has a clock of its own, with another rate.  */
+static zp_time
+local (const struct node *n)
+{
+  return n->skew + (zp_time) ((double) sim.now * n->rate);
+}
+
+static void
+crash (struct node *n)
+{
+  event (n, "crash; writes queued", n->member.writes, 0);
+  fake_crash (&n->member, below ((uint32_t) n->member.writes + 1), below (40));
+}
+
+static void
+start (struct node *n)
+{
+  struct lg_members members = { .len = 0 };
+  struct zp_err err = { .code = ZP_OK };
+
+  for (size_t i = 0; i < sim.voters && n->member.id <= sim.voters; i++)
+    lg_members_put (&members, i + 1, true, ZP_STR ("here"));
+  n->applied = n->chain = 0;
+  event (n, "start; bytes of log", n->member.log.len, 0);
+  check (n, fake_start (&n->member, &members, local (n), &err), err.text);
+}
+
+/* N has the state up to INDEX now; all members have to agree on it.  */
+static void
+applied (struct node *n, const char *how, uint64_t index, uint64_t chain)
+{
+  event (n, how, index, chain);
+  n->applied = index;
+  n->chain = chain;
+  if (index > sim.top)
+    sim.chain[sim.top = index] = chain;
+  check (n, sim.chain[index] == chain, "BROKEN: committed is final");
+}
+
+static void
+commit (struct node *n, const struct lg_entry *e)
+{
+  uint64_t head[3] = { e->index, e->term, n->chain };
+  struct zp_str s = { (char *) head, sizeof head };
+  check (n, e->index == n->applied + 1, "BROKEN: applied in order");
+  applied (n, "applies", e->index,
+           zp_str_hash (zp_str_of (&e->bytes), zp_str_hash (s, 0)));
+}
+
+static void
+restore (struct node *n, const struct lg_snapshot *s)
+{
+  uint64_t chain;
+  memcpy (&chain, s->bytes.ptr, sizeof chain);
+  check (n, s->index >= n->applied, "BROKEN: applied never goes back");
+  check (n, s->index <= sim.top, "BROKEN: a snapshot is committed");
+  applied (n, "restores", s->index, chain);
+}
+
+static void
+drain (struct node *n)
+{
+  struct zp_buf state = { .ptr = NULL };
+
+  for (struct lg_out *o; (o = lg_core_next (n->member.core)); lg_out_free (o))
+    switch (o->kind)
+      {
+      case LG_OUT_MSG:
+        if (sim.flights == 8192 || (sim.faults && below (20) == 0))
+          break;
+        sim.arrival[sim.flights]
+            = sim.now + below (below (20) == 0 ? 1000000 : 60000);
+        sim.flight[sim.flights++] = fake_take (o);
+        break;
+      case LG_OUT_WRITE:
+        fake_queue (&n->member, o);
+        break;
+      case LG_OUT_COMMITTED:
+        commit (n, &o->u.committed);
+        break;
+      case LG_OUT_RESTORE:
+        restore (n, o->u.restore);
+        break;
+      case LG_OUT_WANT_SNAPSHOT:
+        zp_buf_clear (&state);
+        zp_buf_put_bytes (&state, &n->chain, sizeof n->chain);
+        while (state.len < sim.pad)
+          zp_buf_put (&state, ZP_STR ("0123456789abcdef0123456789abcdef"));
+        lg_core_snapshot (n->member.core, o->u.want_index, zp_str_of (&state));
+        break;
+      case LG_OUT_ROLE:
+        event (n, "role, term", o->u.role.role, o->u.role.term);
+        if (o->u.role.role != LG_LEADER)
+          break;
+        check (n, !sim.led[o->u.role.term], "BROKEN: one leader a term");
+        sim.led[o->u.role.term] = true;
+        break;
+      case LG_OUT_MEMBERS:
+      case LG_OUT_REPLY:
+        break;
+      }
+  zp_buf_free (&state);
+}
+
+/* Messages to a process that is down end with its connections.  */
+static void
+deliver (void)
+{
+  for (size_t i = 0; i < sim.flights; i++)
+    {
+      struct lg_msg *m = &sim.flight[i]->u.msg;
+      struct node *n = &sim.node[m->to - 1];
+      if (n->member.core
+          && (sim.arrival[i] > sim.now || n->paused_until > sim.now))
+        continue;
+      event (n, "receives; kind, from", m->kind, m->from);
+      if (n->member.core && !sim.cut[m->from - 1][n->member.id - 1])
+        lg_core_receive (n->member.core, local (n), m);
+      sim.arrival[i] += below (3000000);
+      if (sim.faults && below (30) == 0)
+        continue;
+      lg_out_free (sim.flight[i]);
+      sim.flight[i] = sim.flight[--sim.flights];
+      sim.arrival[i--] = sim.arrival[sim.flights];
+    }
+}
+
+static void
+fault (struct node *n)
+{
+  if (!n->member.core ? below (sim.restart) == 0
+                      : below (n->member.writes > 0 ? 200 : 3000) == 0)
+    n->member.core ? crash (n) : start (n);
+  if (below (2000) == 0)
+    n->paused_until = sim.now + below (4000000);
+  /* Links break in one direction at a time.  */
+  if (below (100) == 0)
+    sim.cut[below (NODES)][n->member.id - 1] = below (10) < 4;
+  /* Storage lost under the same id, once, in groups of fixed members.  */
+  if (n->member.core || sim.nodes > sim.voters || sim.wiped || below (50) > 0)
+    return;
+  sim.wiped = true;
+  event (n, "storage wiped", 0, 0);
+  fake_wipe (&n->member);
+}
+
+static void
+step (struct node *n)
+{
+  struct lg_change change = { .address = ZP_STR ("here") };
+
+  change.kind = (enum lg_change_kind) below (3);
+  change.id = 1 + below (NODES);
+  if (sim.faults)
+    fault (n);
+  else if (!n->member.core)
+    start (n);
+  if (!n->member.core || n->paused_until > sim.now)
+    return;
+  if (below (25) == 0)
+    lg_core_propose (n->member.core, local (n), ++sim.proposals,
+                     (struct zp_str){ (char *) &sim.proposals, 8 });
+  if (sim.faults && sim.nodes > sim.voters && below (500) == 0)
+    lg_core_change (n->member.core, local (n), 0, &change);
+  if (local (n) >= lg_core_due (n->member.core))
+    lg_core_tick (n->member.core, local (n));
+  for (drain (n); n->member.writes > 0 && below (10) < sim.disk; drain (n))
+    lg_core_written (n->member.core, local (n),
+                     fake_disk_step (&n->member, SIZE_MAX), 0);
+}
+
+static bool
+run (uint32_t seed, bool trace)
+{
+  struct node *leader = NULL, *end;
+  uint64_t top = 0; /* committed when the faults ended */
+  sim = (struct sim){ .trace = trace, .voters = seed % 3 == 0 ? 5 : 3 };
+  zp_rng_seed (&sim.rng, seed);
+  sim.disk = 1 + below (6);
+  sim.restart = below (2) == 0 ? 4 : 200;
+  sim.nodes = seed % 2 == 0 ? NODES : sim.voters;
+  sim.pad = seed % 8 == 0 ? 300 * 1024 : 8;
+  end = sim.node + sim.nodes;
+  for (struct node *n = sim.node; n < end; n++)
+    {
+      n->member.id = (uint64_t) (n - sim.node) + 1;
+      n->skew = below (1000000000);
+      n->rate = 0.99 + 0.02 * zp_rng_unit (&sim.rng);
+      zp_rng_seed (&n->member.rng, below (UINT32_MAX));
+    }
+  for (; sim.now < END && !sim.failed; sim.now += 5 * ZP_MS)
+    {
+      sim.faults = sim.now >= CALM && sim.now < FAULTS;
+      top = sim.faults ? sim.top : top;
+      if (!sim.faults)
+        memset (sim.cut, 0, sizeof sim.cut);
+      deliver ();
+      leader = NULL;
+      for (struct node *n = sim.node; n < end; n++)
+        {
+          step (n);
+          if (!n->member.core || !lg_core_lease (n->member.core, local (n)))
+            continue;
+          check (n, !leader, "BROKEN: one lease at a time");
+          leader = n;
+        }
+    }
+  check (sim.node, leader && leader->applied > top + 50,
+         "BROKEN: the group works in the end");
+  for (struct node *n = sim.node; n < end; n++)
+    fake_free (&n->member);
+  while (sim.flights > 0)
+    lg_out_free (sim.flight[--sim.flights]);
+  return !sim.failed;
+}
+
+static uint32_t first = 1, count = 100;
+
+static void
+test_steps (void)
+{
+  for (uint32_t seed = first; seed < first + count; seed++)
+    if (!run (seed, false))
+      {
+        run (seed, true);
+        printf ("replay: test-ledger-steps %" PRIu32 " 1\n", seed);
+        CU_FAIL_FATAL ("a rule was broken");
+      }
+}
+
+int
+main (int argc, char **argv)
+{
+  first = argc > 1 ? (uint32_t) strtoul (argv[1], NULL, 10) : first;
+  count = argc > 2 ? (uint32_t) strtoul (argv[2], NULL, 10) : count;
+  CU_initialize_registry ();
+  CU_add_test (CU_add_suite ("ledger-steps", NULL, NULL), "steps", test_steps);
+  CU_basic_run_tests ();
+  return CU_get_number_of_failures () == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/tests/test-wal.c
@@ -0,0 +1,193 @@
+#include "harness.h"
+
+#include "ledger-fake.h"
+
+#define ID 7
+
+/* A log file of a first record and APPENDS records of one entry each.  The
+   offsets of the records are stored in AT.  */
+static struct zp_buf
+log_file (size_t appends, size_t *at)
+{
+  struct lg_write w = { .kind = LG_WRITE_REWRITE };
+  struct zp_buf file = { .ptr = NULL };
+
+  w.u.log = (struct lg_write_log){ .id = ID, .born = 1, .term = 1, .vote = 3 };
+  lg_members_put (&w.u.log.base_members, ID, true, ZP_STR ("127.0.0.1:1"));
+  lg_wal_put (&file, &w);
+  w.kind = LG_WRITE_APPEND;
+  for (size_t i = 0; i < appends; i++)
+    {
+      struct lg_entry e = { .index = i + 1,
+                            .term = 1,
+                            .kind = LG_ENTRY_DATA,
+                            .bytes = zp_buf_from (ZP_STR ("entry")) };
+      lg_entries_add (&w.u.log.entries, &e);
+      if (at)
+        at[i] = file.len;
+      lg_wal_put (&file, &w);
+      lg_entries_free (&w.u.log.entries);
+      zp_buf_free (&e.bytes);
+    }
+  return file;
+}
+
+static bool
+recover (struct zp_str log, struct lg_start *out, struct zp_err *err)
+{
+  struct lg_files files = { .log = log };
+  struct lg_members none = { .len = 0 };
+  size_t cut;
+
+  *err = (struct zp_err){ .code = ZP_OK };
+  return lg_recover (&files, ID, &none, out, &cut, err);
+}
+
+/* Guards against state that is lost between writing and reading.  */
+static void
+test_read_back (void)
+{
+  struct zp_buf file = log_file (3, NULL);
+  struct lg_start s;
+  struct zp_err err;
+
+  CU_ASSERT_FATAL (recover (zp_str_of (&file), &s, &err));
+  CU_ASSERT (!s.fresh && !s.rewrite);
+  CU_ASSERT_EQUAL (s.term, 1);
+  CU_ASSERT_EQUAL (s.vote, 3);
+  CU_ASSERT_EQUAL (s.born, 1);
+  CU_ASSERT_EQUAL (s.entries.len, 3);
+  CU_ASSERT (lg_members_voter (&s.base_members, ID));
+  CU_ASSERT (
+      zp_str_eq (zp_str_of (&s.entries.item[2].bytes), ZP_STR ("entry")));
+  lg_start_free (&s);
+  zp_buf_free (&file);
+}
+
+/* Guards against a daemon that cannot start after a crash inside a write: the
+   file may end at any byte of the last record.  */
+static void
+test_torn_tail_is_cut (void)
+{
+  size_t at[3];
+  struct zp_buf file = log_file (3, at);
+  struct lg_start s;
+  struct zp_err err;
+
+  for (size_t len = at[2]; len < file.len; len++)
+    {
+      CU_ASSERT (recover ((struct zp_str){ file.ptr, len }, &s, &err));
+      CU_ASSERT_EQUAL (s.entries.len, 2);
+      CU_ASSERT_EQUAL (s.rewrite, len > at[2]);
+      lg_start_free (&s);
+    }
+  /* The file may have its full size before its data is written.  */
+  memset (file.ptr + at[2], 0, file.len - at[2]);
+  CU_ASSERT (recover (zp_str_of (&file), &s, &err));
+  CU_ASSERT_EQUAL (s.entries.len, 2);
+  lg_start_free (&s);
+  zp_buf_free (&file);
+}
+
+/* Guards against silent loss of acknowledged entries: a changed byte anywhere
+   is refused with the file and the offset of its record, also in the last
+   record, which may have been acknowledged, and in a length.  */
+static void
+test_damage_is_refused (void)
+{
+  size_t at[3];
+  struct zp_buf file = log_file (3, at);
+  struct lg_start s;
+  struct zp_err err;
+
+  for (size_t i = 0; i < file.len; i++)
+    {
+      size_t record = 0;
+      char want[32];
+      for (size_t r = 0; r < 3; r++)
+        record = i >= at[r] ? at[r] : record;
+      snprintf (want, sizeof want, "log, offset %zu:", record);
+      file.ptr[i] ^= 0x20;
+      CU_ASSERT (!recover (zp_str_of (&file), &s, &err));
+      CU_ASSERT_EQUAL (err.code, ZP_ECORRUPT);
+      CU_ASSERT (HAS_TEXT (err.text, want));
+      lg_start_free (&s);
+      file.ptr[i] ^= 0x20;
+    }
+  zp_buf_free (&file);
+}
+
+/* Guards against a first record that ends early: the file got its name only
+   after its first record was synced.  */
+static void
+test_first_record_has_to_be_whole (void)
+{
+  struct zp_buf file = log_file (0, NULL);
+  struct lg_start s;
+  struct zp_err err;
+
+  for (size_t len = 0; len < file.len; len++)
+    {
+      CU_ASSERT (!recover ((struct zp_str){ file.ptr, len }, &s, &err));
+      CU_ASSERT_EQUAL (err.code, ZP_ECORRUPT);
+      lg_start_free (&s);
+    }
+  zp_buf_free (&file);
+}
+
+/* Guards against a snapshot that is older or newer than the log fits.  */
+static void
+test_snapshot_and_log_have_to_fit (void)
+{
+  struct lg_members none = { .len = 0 };
+  struct lg_snapshot *s = lg_snapshot_new (2, 1, &none, ZP_STR ("state"));
+  struct lg_snapshot *later = lg_snapshot_new (9, 1, &none, ZP_STR ("more"));
+  struct zp_buf log = log_file (3, NULL), file = { .ptr = NULL };
+  struct lg_start start;
+  struct zp_err err;
+  size_t cut;
+
+  lg_snapshot_put (&file, s);
+  struct lg_files files = { zp_str_of (&log), zp_str_of (&file) };
+  CU_ASSERT (lg_recover (&files, ID, &none, &start, &cut, &err));
+  CU_ASSERT (!start.rewrite);
+  CU_ASSERT_EQUAL (start.entries.len, 3);
+  lg_start_free (&start);
+
+  /* A crash before the log of a received snapshot was written.  */
+  zp_buf_clear (&file);
+  lg_snapshot_put (&file, later);
+  files.snapshot = zp_str_of (&file);
+  CU_ASSERT (lg_recover (&files, ID, &none, &start, &cut, &err));
+  CU_ASSERT (start.rewrite);
+  CU_ASSERT_EQUAL (start.entries.len, 0);
+  CU_ASSERT_EQUAL (start.base_index, 9);
+  lg_start_free (&start);
+
+  files.log = (struct zp_str){ .ptr = NULL };
+  CU_ASSERT (!lg_recover (&files, ID, &none, &start, &cut, &err));
+  CU_ASSERT (HAS_TEXT (err.text, "log is missing"));
+  lg_start_free (&start);
+
+  files.log = zp_str_of (&log);
+  file.ptr[file.len - 1] ^= 1;
+  CU_ASSERT (!lg_recover (&files, ID, &none, &start, &cut, &err));
+  CU_ASSERT (HAS_TEXT (err.text, "snapshot, offset 0"));
+  lg_start_free (&start);
+  CU_ASSERT (!lg_recover (&files, ID + 1, &none, &start, &cut, &err));
+  CU_ASSERT (HAS_TEXT (err.text, "belongs to member 7"));
+  lg_start_free (&start);
+  lg_snapshot_free (s);
+  lg_snapshot_free (later);
+  zp_buf_free (&file);
+  zp_buf_free (&log);
+}
+
+static const struct zp_test tests[]
+    = { { "state is read back", test_read_back },
+        { "a torn tail is cut", test_torn_tail_is_cut },
+        { "damage is refused", test_damage_is_refused },
+        { "the first record is whole", test_first_record_has_to_be_whole },
+        { "snapshot and log fit", test_snapshot_and_log_have_to_fit } };
+
+TEST_MAIN ("wal", tests)
