--- /dev/null
+++ b/src/ledger/codec.c
@@ -0,0 +1,347 @@
+#include "ledger/codec.h"
+
+#include <assert.h>
+#include <stdlib.h>
+
+#include "wire/frame.h"
+
+/* cppcheck does not read system headers, and the generated header refuses an
+   unknown version of the library.  */
+#include <protobuf-c/protobuf-c.h>
+#ifndef PROTOBUF_C_VERSION_NUMBER
+#define PROTOBUF_C_VERSION_NUMBER 1003000
+#endif
+#include "wire/ledger.pb-c.h"
+
+/* Indexes and terms above this are refused, so that sums never wrap.  */
+#define NUMBER_MAX (UINT64_MAX / 4)
+
+/* Encoding.  */
+
+static ProtobufCBinaryData
+data_of (struct zp_str s)
+{
+  return (ProtobufCBinaryData){ .len = s.len, .data = (uint8_t *) s.ptr };
+}
+
+/* Packs MESSAGE behind the end of OUT.  */
+static void
+pack (const ProtobufCMessage *message, struct zp_buf *out)
+{
+  size_t n = protobuf_c_message_get_packed_size (message);
+  uint8_t *bytes = zp_alloc (n);
+
+  protobuf_c_message_pack (message, bytes);
+  zp_buf_put_bytes (out, bytes, n);
+  free (bytes);
+  assert (out->len <= ZP_FRAME_MAX);
+}
+
+static void
+put_vote_ask (const struct lg_msg *m, struct zp_buf *out)
+{
+  const struct lg_vote_ask *a = &m->u.vote_ask;
+  Ledger__VoteAsk p = LEDGER__VOTE_ASK__INIT;
+
+  p.from = m->from;
+  p.to = m->to;
+  p.term = m->term;
+  p.pre = a->pre;
+  p.voter = a->voter;
+  p.last_index = a->last_index;
+  p.last_term = a->last_term;
+  p.formed = a->formed;
+  pack (&p.base, out);
+}
+
+static void
+put_vote_answer (const struct lg_msg *m, struct zp_buf *out)
+{
+  Ledger__VoteAnswer p = LEDGER__VOTE_ANSWER__INIT;
+
+  p.from = m->from;
+  p.to = m->to;
+  p.term = m->term;
+  p.pre = m->u.vote_answer.pre;
+  p.granted = m->u.vote_answer.granted;
+  pack (&p.base, out);
+}
+
+static void
+put_append (const struct lg_msg *m, struct zp_buf *out)
+{
+  const struct lg_append *a = &m->u.append;
+  Ledger__Append p = LEDGER__APPEND__INIT;
+  size_t n = a->entries.len;
+  Ledger__Entry *entry = zp_alloc (n * sizeof *entry);
+
+  p.from = m->from;
+  p.to = m->to;
+  p.term = m->term;
+  p.voter = a->voter;
+  p.formed = a->formed;
+  p.prev_index = a->prev_index;
+  p.prev_term = a->prev_term;
+  p.commit = a->commit;
+  p.sent = a->sent;
+  p.n_entries = n;
+  p.entries = zp_alloc (n * sizeof (void *));
+  for (size_t i = 0; i < n; i++)
+    {
+      const struct lg_entry *e = &a->entries.item[i];
+      ledger__entry__init (&entry[i]);
+      entry[i].term = e->term;
+      entry[i].kind = (uint32_t) e->kind;
+      entry[i].data = data_of (zp_str_of (&e->bytes));
+      p.entries[i] = &entry[i];
+    }
+  pack (&p.base, out);
+  free (p.entries);
+  free (entry);
+}
+
+static void
+put_append_answer (const struct lg_msg *m, struct zp_buf *out)
+{
+  const struct lg_append_answer *a = &m->u.append_answer;
+  Ledger__AppendAnswer p = LEDGER__APPEND_ANSWER__INIT;
+
+  p.from = m->from;
+  p.to = m->to;
+  p.term = m->term;
+  p.ok = a->ok;
+  p.prev_index = a->prev_index;
+  p.match = a->match;
+  p.sent = a->sent;
+  pack (&p.base, out);
+}
+
+static void
+put_snapshot (const struct lg_msg *m, struct zp_buf *out)
+{
+  const struct lg_snapshot_chunk *s = &m->u.snapshot;
+  Ledger__Snapshot p = LEDGER__SNAPSHOT__INIT;
+  struct zp_buf members = { .ptr = NULL };
+
+  lg_members_encode (&s->members, &members);
+  p.from = m->from;
+  p.to = m->to;
+  p.term = m->term;
+  p.voter = s->voter;
+  p.formed = s->formed;
+  p.index = s->index;
+  p.last_term = s->last_term;
+  p.members = data_of (zp_str_of (&members));
+  p.total = s->total;
+  p.hash = s->hash;
+  p.offset = s->offset;
+  p.sent = s->sent;
+  p.data = data_of (zp_str_of (&s->bytes));
+  pack (&p.base, out);
+  zp_buf_free (&members);
+}
+
+static void
+put_snapshot_answer (const struct lg_msg *m, struct zp_buf *out)
+{
+  const struct lg_snapshot_answer *a = &m->u.snapshot_answer;
+  Ledger__SnapshotAnswer p = LEDGER__SNAPSHOT_ANSWER__INIT;
+
+  p.from = m->from;
+  p.to = m->to;
+  p.term = m->term;
+  p.index = a->index;
+  p.offset = a->offset;
+  p.done = a->done;
+  p.sent = a->sent;
+  pack (&p.base, out);
+}
+
+uint8_t
+lg_codec_put (const struct lg_msg *m, struct zp_buf *out)
+{
+  switch (m->kind)
+    {
+    case LG_VOTE_ASK:
+      put_vote_ask (m, out);
+      return WI_VOTE_ASK;
+    case LG_VOTE_ANSWER:
+      put_vote_answer (m, out);
+      return WI_VOTE_ANSWER;
+    case LG_APPEND:
+      put_append (m, out);
+      return WI_APPEND;
+    case LG_APPEND_ANSWER:
+      put_append_answer (m, out);
+      return WI_APPEND_ANSWER;
+    case LG_SNAPSHOT:
+      put_snapshot (m, out);
+      return WI_SNAPSHOT;
+    case LG_SNAPSHOT_ANSWER:
+      put_snapshot_answer (m, out);
+      return WI_SNAPSHOT_ANSWER;
+    }
+  abort ();
+}
+
+/* Decoding.  */
+
+static struct zp_str
+str_of (const ProtobufCBinaryData *d)
+{
+  return (struct zp_str){ .ptr = (const char *) d->data, .len = d->len };
+}
+
+static bool
+take_vote_ask (const Ledger__VoteAsk *p, struct lg_msg *m)
+{
+  m->from = p->from;
+  m->to = p->to;
+  m->term = p->term;
+  m->u.vote_ask = (struct lg_vote_ask){ .pre = p->pre,
+                                        .voter = p->voter,
+                                        .last_index = p->last_index,
+                                        .last_term = p->last_term,
+                                        .formed = p->formed };
+  return p->last_index <= NUMBER_MAX && p->last_term <= m->term;
+}
+
+static bool
+take_vote_answer (const Ledger__VoteAnswer *p, struct lg_msg *m)
+{
+  m->from = p->from;
+  m->to = p->to;
+  m->term = p->term;
+  m->u.vote_answer
+      = (struct lg_vote_answer){ .pre = p->pre, .granted = p->granted };
+  return true;
+}
+
+static bool
+take_append (const Ledger__Append *p, struct lg_msg *m)
+{
+  m->from = p->from;
+  m->to = p->to;
+  m->term = p->term;
+  m->u.append = (struct lg_append){ .voter = p->voter,
+                                    .formed = p->formed,
+                                    .prev_index = p->prev_index,
+                                    .prev_term = p->prev_term,
+                                    .commit = p->commit,
+                                    .sent = p->sent };
+  for (size_t i = 0; i < p->n_entries; i++)
+    {
+      const Ledger__Entry *from = p->entries[i];
+      struct lg_entry e = { .index = p->prev_index + 1 + i,
+                            .term = from->term,
+                            .kind = (enum lg_entry_kind) from->kind };
+      if (from->kind > LG_ENTRY_MEMBERS)
+        return false;
+      /* A view for the call only: lg_entries_add copies the bytes.  */
+      e.bytes = (struct zp_buf){ .ptr = (char *) from->data.data,
+                                 .len = from->data.len };
+      lg_entries_add (&m->u.append.entries, &e);
+    }
+  return p->prev_index <= NUMBER_MAX && p->prev_term <= m->term
+         && p->commit <= NUMBER_MAX;
+}
+
+static bool
+take_append_answer (const Ledger__AppendAnswer *p, struct lg_msg *m)
+{
+  m->from = p->from;
+  m->to = p->to;
+  m->term = p->term;
+  m->u.append_answer = (struct lg_append_answer){ .ok = p->ok,
+                                                  .prev_index = p->prev_index,
+                                                  .match = p->match,
+                                                  .sent = p->sent };
+  return p->match <= NUMBER_MAX;
+}
+
+static bool
+take_snapshot (const Ledger__Snapshot *p, struct lg_msg *m)
+{
+  m->from = p->from;
+  m->to = p->to;
+  m->term = p->term;
+  m->u.snapshot
+      = (struct lg_snapshot_chunk){ .voter = p->voter,
+                                    .formed = p->formed,
+                                    .index = p->index,
+                                    .last_term = p->last_term,
+                                    .total = p->total,
+                                    .hash = p->hash,
+                                    .offset = p->offset,
+                                    .sent = p->sent,
+                                    .bytes = zp_buf_from (str_of (&p->data)) };
+  return p->index > 0 && p->index <= NUMBER_MAX && p->last_term <= m->term
+         && lg_members_decode (&m->u.snapshot.members, str_of (&p->members));
+}
+
+static bool
+take_snapshot_answer (const Ledger__SnapshotAnswer *p, struct lg_msg *m)
+{
+  m->from = p->from;
+  m->to = p->to;
+  m->term = p->term;
+  m->u.snapshot_answer = (struct lg_snapshot_answer){
+    .index = p->index, .offset = p->offset, .done = p->done, .sent = p->sent
+  };
+  return true;
+}
+
+/* Unpacks a message of one type and hands it to its function.  */
+#define TAKE(type, name)                                                      \
+  do                                                                          \
+    {                                                                         \
+      Ledger__##type *p = ledger__##name##__unpack (                          \
+          NULL, payload.len, (const uint8_t *) payload.ptr);                  \
+      ok = p && take_##name (p, m);                                           \
+      if (p)                                                                  \
+        ledger__##name##__free_unpacked (p, NULL);                            \
+    }                                                                         \
+  while (0)
+
+bool
+lg_codec_take (uint8_t kind, struct zp_str payload, struct lg_msg *m,
+               struct zp_err *err)
+{
+  bool ok = false;
+
+  *m = (struct lg_msg){ .kind = LG_VOTE_ASK };
+  switch (kind)
+    {
+    case WI_VOTE_ASK:
+      m->kind = LG_VOTE_ASK;
+      TAKE (VoteAsk, vote_ask);
+      break;
+    case WI_VOTE_ANSWER:
+      m->kind = LG_VOTE_ANSWER;
+      TAKE (VoteAnswer, vote_answer);
+      break;
+    case WI_APPEND:
+      m->kind = LG_APPEND;
+      TAKE (Append, append);
+      break;
+    case WI_APPEND_ANSWER:
+      m->kind = LG_APPEND_ANSWER;
+      TAKE (AppendAnswer, append_answer);
+      break;
+    case WI_SNAPSHOT:
+      m->kind = LG_SNAPSHOT;
+      TAKE (Snapshot, snapshot);
+      break;
+    case WI_SNAPSHOT_ANSWER:
+      m->kind = LG_SNAPSHOT_ANSWER;
+      TAKE (SnapshotAnswer, snapshot_answer);
+      break;
+    default:
+      break;
+    }
+  if (ok && m->term <= NUMBER_MAX)
+    return true;
+  lg_msg_clear (m);
+  *m = (struct lg_msg){ .kind = LG_VOTE_ASK };
+  return zp_fail (err, ZP_EINVAL, "no valid ledger message of kind %u", kind);
+}
--- /dev/null
+++ b/src/ledger/codec.h
@@ -0,0 +1,22 @@
+/* NAME
+     codec - messages of the consensus core as payloads of inner frames
+
+   DESCRIPTION
+     Converts between struct lg_msg and the kinds WI_VOTE_ASK to
+     WI_SNAPSHOT_ANSWER.  A payload of a core never exceeds ZP_FRAME_MAX.  */
+
+#ifndef ZP_LEDGER_CODEC_H
+#define ZP_LEDGER_CODEC_H
+
+#include "base/err.h"
+#include "ledger/core.h"
+
+/* Appends the payload of M to OUT and returns its kind (enum wi_kind).  */
+uint8_t lg_codec_put (const struct lg_msg *m, struct zp_buf *out);
+
+/* Fills M, which is released with lg_msg_clear.  False for another kind and
+   for a payload that is no message of the protocol.  */
+bool lg_codec_take (uint8_t kind, struct zp_str payload, struct lg_msg *m,
+                    struct zp_err *err);
+
+#endif
