Add decisions of shifts and drains

Cause: shifts have to keep their cap over changes of leader, late daemons and ways back (P1), and drains need one meaning for look-ups, leases and owners (P6, P7).

--- /dev/null
+++ b/src/steer/shift.c
@@ -0,0 +1,182 @@
+#include "steer/shift.h"
+
+#include <assert.h>
+#include <math.h>
+#include <stdlib.h>
+
+#include "steer/view.h"
+
+/* Rounding of sums of shares must not pass the cap.  */
+#define ROUNDING 1e-12
+
+/* Leader.  */
+
+static zp_time
+made_at (const struct st_step *s, const struct st_leader *l)
+{
+  return s->term == l->term && s->at > l->since ? s->at : l->since;
+}
+
+/* Changes that still count at NOW, and when the first of them ends to.  */
+static double
+counted (const struct st_shift *s, const struct st_leader *l, zp_time now,
+         zp_time *until)
+{
+  double sum = 0, before = 0;
+
+  *until = ZP_NEVER;
+  for (size_t i = 0; i < s->steps; i++)
+    {
+      double change = fabs (s->step[i].share - before);
+      zp_time end = made_at (&s->step[i], l) + ST_SHIFT_WINDOW;
+
+      before = s->step[i].share;
+      if (change == 0 || now > end)
+        continue;
+      sum += change;
+      *until = end < *until ? end : *until;
+    }
+  return sum;
+}
+
+/* Changes after the report, which the free slots do not show yet.  Callers
+   follow a step within the look-up ttl.  */
+static double
+not_reported (const struct st_shift *s, const struct st_leader *l,
+              zp_time reported_at)
+{
+  double sum = 0, before = 0;
+
+  for (size_t i = 0; i < s->steps; i++)
+    {
+      if (made_at (&s->step[i], l) > reported_at - ZP_LOOKUP_TTL)
+        sum += fabs (s->step[i].share - before);
+      before = s->step[i].share;
+    }
+  return sum;
+}
+
+static struct st_shift_decision
+decision (enum st_shift_action a, enum st_shift_reason r, zp_time at)
+{
+  return (struct st_shift_decision){ .action = a, .reason = r, .at = at };
+}
+
+struct st_shift_decision
+st_shift_decide (const struct st_shift *s, const struct st_leader *l,
+                 const struct st_site_state *to, zp_time now)
+{
+  double share = s->steps > 0 ? s->step[s->steps - 1].share : 0;
+  double left = s->target - share;
+  zp_time until;
+
+  assert (s->target >= 0 && s->target <= 1 && s->cap >= 0);
+  if (!l->lease)
+    return decision (ST_SHIFT_WAIT, ST_SHIFT_NO_LEASE, ZP_NEVER);
+  if (s->pending)
+    return decision (ST_SHIFT_WAIT, ST_SHIFT_PENDING, ZP_NEVER);
+  if (fabs (left) < ST_SHIFT_LEAST)
+    return decision (ST_SHIFT_DONE, ST_SHIFT_NO_REASON, ZP_NEVER);
+  if (to->failing)
+    return decision (ST_SHIFT_STOP, ST_SHIFT_IS_FAILING, ZP_NEVER);
+  if (now - to->reported_at > ST_SHIFT_SILENT)
+    return decision (ST_SHIFT_STOP, ST_SHIFT_IS_SILENT, ZP_NEVER);
+
+  double room = s->cap - counted (s, l, now, &until) - ROUNDING;
+  if (room < ST_SHIFT_LEAST)
+    return decision (ST_SHIFT_WAIT, ST_SHIFT_CAP,
+                     until == ZP_NEVER ? ZP_NEVER : until + 1);
+  /* Steps are spread over the window.  */
+  zp_time last = s->steps > 0 ? made_at (&s->step[s->steps - 1], l) : l->since;
+  zp_time due = last + ST_SHIFT_WINDOW / ST_SHIFT_PARTS;
+  if (s->steps > 0 && now < due)
+    return decision (ST_SHIFT_WAIT, ST_SHIFT_CAP, due);
+
+  double warm
+      = to->warmth > ST_SHIFT_COLD_LEAST ? to->warmth : ST_SHIFT_COLD_LEAST;
+  double change = s->cap / ST_SHIFT_PARTS * (warm < 1 ? warm : 1);
+  change = change < room ? change : room;
+  if (to->slots_share > 0)
+    {
+      double fits = to->free_slots * ST_SHIFT_HEADROOM / to->slots_share
+                    - not_reported (s, l, to->reported_at);
+      change = change < fits ? change : fits;
+    }
+  if (change < ST_SHIFT_LEAST)
+    return decision (ST_SHIFT_STOP, ST_SHIFT_NO_HEADROOM, ZP_NEVER);
+  if (change >= fabs (left))
+    change = fabs (left);
+  struct st_shift_decision d
+      = decision (ST_SHIFT_STEP, ST_SHIFT_NO_REASON, now);
+  d.share = left > 0 ? share + change : share - change;
+  return d;
+}
+
+const char *
+st_shift_reason_text (enum st_shift_reason r)
+{
+  switch (r)
+    {
+    case ST_SHIFT_NO_REASON:
+      break;
+    case ST_SHIFT_NO_LEASE:
+      return "not the leader";
+    case ST_SHIFT_PENDING:
+      return "a step is not committed yet";
+    case ST_SHIFT_CAP:
+      return "cap of the shift";
+    case ST_SHIFT_IS_SILENT:
+      return "the receiving site does not report";
+    case ST_SHIFT_IS_FAILING:
+      return "the receiving site fails";
+    case ST_SHIFT_NO_HEADROOM:
+      return "the receiving site has no headroom";
+    }
+  return "";
+}
+
+/* Entry daemons.  */
+
+bool
+st_shift_moved (uint64_t h, double share)
+{
+  return (double) (h >> 11) * 0x1p-53 < share;
+}
+
+void
+st_shift_follow_first (struct st_shift_follower *f, double logged)
+{
+  f->share = logged;
+}
+
+double
+st_shift_follow (struct st_shift_follower *f, double logged, double cap,
+                 zp_time now)
+{
+  double sum = 0;
+
+  for (size_t i = f->steps; i-- > 0;)
+    if (now - f->step[i].at > ST_SHIFT_WINDOW)
+      f->step[i] = f->step[--f->steps];
+  for (size_t i = 0; i < f->steps; i++)
+    sum += f->step[i].change;
+  double room = cap - sum - ROUNDING;
+  double change = fabs (logged - f->share);
+  if (change > room)
+    change = room;
+  if (change <= 0)
+    return f->share;
+  f->share = change == fabs (logged - f->share) ? logged
+             : logged > f->share                ? f->share + change
+                                                : f->share - change;
+  f->step = st_room (f->step, &f->cap, f->steps, sizeof *f->step);
+  f->step[f->steps++] = (struct st_follow_step){ .change = change, .at = now };
+  return f->share;
+}
+
+void
+st_shift_follower_free (struct st_shift_follower *f)
+{
+  free (f->step);
+  *f = (struct st_shift_follower){ .step = NULL };
+}
--- /dev/null
+++ b/tests/test-drain.c
@@ -0,0 +1,251 @@
+#include "harness.h"
+
+#include "steer/drain.h"
+
+#define S ZP_SEC
+#define MS ZP_MS
+
+static const struct st_drain_self self = { .entry = { "e1", 2 },
+                                           .failure_domain = { "west-1", 6 },
+                                           .region = { "west", 4 } };
+
+static struct st_drains
+one_drain (const char *text, zp_time since)
+{
+  struct st_drains d = { .item = NULL };
+  struct st_drain item;
+
+  CU_ASSERT (st_drain_parse (zp_str_from (text), &item, NULL));
+  item.since = since;
+  st_drains_add (&d, &item);
+  return d;
+}
+
+/* Guards against a drain that means another object, or nothing.  */
+static void
+test_targets (void)
+{
+  struct st_drain d;
+  struct zp_err err;
+
+  CU_ASSERT (st_drain_parse (ZP_STR ("server/b/1"), &d, &err));
+  CU_ASSERT_STRING_EQUAL (d.name, "b/1");
+  CU_ASSERT (!st_drain_parse (ZP_STR ("server/"), &d, &err));
+  CU_ASSERT (!st_drain_parse (ZP_STR ("server"), &d, &err));
+  CU_ASSERT (!st_drain_parse (ZP_STR ("site/west"), &d, &err));
+  CU_ASSERT (HAS_TEXT (err.text, "expected server/ID"));
+}
+
+/* The table of the header: look-ups, grants, ownership.  */
+static void
+test_what_each_kind_means (void)
+{
+  static const struct
+  {
+    const char *text;
+    bool look_up, server, owner;
+  } row[] = {
+    { "server/b1", false, true, false },
+    { "server/b2", false, false, false },
+    { "entry/e1", true, false, true },
+    { "entry/b1", false, false, false },
+    { "failure_domain/west-1", true, true, false },
+    { "failure_domain/west", false, false, false },
+    { "region/west", true, true, false },
+    { "region/west-1", false, false, false },
+  };
+
+  for (size_t i = 0; i < sizeof row / sizeof row[0]; i++)
+    {
+      struct st_drains d = one_drain (row[i].text, 0);
+
+      CU_ASSERT_EQUAL (
+          st_drains_look_up (&d, self.entry, self.failure_domain, self.region),
+          row[i].look_up);
+      CU_ASSERT_EQUAL (st_drains_server (&d, ZP_STR ("b1"),
+                                         self.failure_domain, self.region),
+                       row[i].server);
+      CU_ASSERT_EQUAL (st_drains_owner (&d, self.entry), row[i].owner);
+      st_drains_free (&d);
+    }
+}
+
+struct daemon
+{
+  struct st_lessor l;
+  struct st_holder h;
+  struct st_view v;
+  struct st_grants grants;
+  struct st_outs outs;
+};
+
+static void
+announce (struct daemon *e, unsigned inflight, zp_time now)
+{
+  struct st_announce a = { .id = ZP_STR ("b1"),
+                           .service = ZP_STR ("booking"),
+                           .address = ZP_STR ("127.0.0.1:1"),
+                           .slots = 5,
+                           .connections = 360,
+                           .inflight = inflight,
+                           .uptime = now };
+
+  st_lessor_announce (&e->l, &e->v, &a, now, &e->grants, NULL);
+}
+
+/* Owner of b1 with demand for one slot of its own; sends all messages to
+   itself.  */
+static void
+exchange (struct daemon *e, zp_time now)
+{
+  st_view_summary (&e->v, 1, ZP_STR ("booking"), 5, 5, now);
+  st_holder_step (&e->h, &e->v, now, &e->outs);
+  for (size_t i = 0; i < e->outs.len; i++)
+    {
+      const struct st_out *o = &e->outs.item[i];
+      struct st_ask a = { .from = 1 };
+
+      switch (o->kind)
+        {
+        case ST_OUT_ASK:
+          a.number = o->u.ask.number;
+          a.service = zp_str_from (o->u.ask.service);
+          a.want = o->u.ask.want;
+          a.keep = o->u.ask.keep;
+          a.keeps = o->u.ask.keeps;
+          st_lessor_ask (&e->l, &e->v, &a, now, &e->grants);
+          break;
+        case ST_OUT_RETURN:
+          st_lessor_return (&e->l, &e->v, 1, &o->u.ret, now, &e->grants);
+          break;
+        case ST_OUT_CANCEL:
+          break;
+        }
+    }
+  st_outs_free (&e->outs);
+  for (size_t i = 0; i < e->grants.len; i++)
+    st_holder_grant (&e->h, 1, &e->grants.item[i], now, &e->outs);
+  st_grants_free (&e->grants);
+}
+
+static void
+start (struct daemon *e)
+{
+  *e = (struct daemon){ .v.self = 1 };
+  st_lessor_init (&e->l, 1, 1, 0);
+  st_holder_init (&e->h, 1, 0);
+  for (zp_time t = 0; t <= 3 * S; t += 500 * MS)
+    announce (e, 0, t);
+  st_holder_want (&e->h, ZP_STR ("booking"), 1);
+  exchange (e, 3 * S);
+}
+
+static void
+end (struct daemon *e)
+{
+  st_lessor_free (&e->l);
+  st_holder_free (&e->h);
+  st_view_free (&e->v);
+  st_outs_free (&e->outs);
+  st_grants_free (&e->grants);
+}
+
+/* Guards against new work for a draining server after 2 s (P6), however busy
+   its holder keeps it.  */
+static void
+test_no_new_work_after_ttl (void)
+{
+  struct daemon e;
+  struct st_drains d = one_drain ("server/b1", 3 * S);
+  zp_time last = 0;
+  unsigned early = 0;
+
+  start (&e);
+  for (zp_time t = 3 * S + 10 * MS; t <= 9 * S; t += 10 * MS)
+    {
+      if (t % (500 * MS) == 0)
+        announce (&e, 0, t);
+      if (t == 4 * S)
+        CU_ASSERT_EQUAL (st_drains_apply (&d, &e.l, &self), 1);
+      exchange (&e, t);
+      if (st_holder_take (&e.h, ZP_STR ("b1"), t, &e.outs))
+        {
+          last = t;
+          early += t < 4 * S;
+          st_holder_give (&e.h, ZP_STR ("b1"), t, &e.outs);
+        }
+    }
+  CU_ASSERT (early > 0);
+  CU_ASSERT (last <= 4 * S + ZP_LEASE_TTL);
+  st_drains_free (&d);
+  end (&e);
+}
+
+/* Guards against a drain that counts as done while work is left.  */
+static void
+test_progress_of_a_server (void)
+{
+  struct daemon e;
+  struct st_drains d = one_drain ("server/b1", 3 * S);
+  struct st_drain_left left;
+
+  start (&e);
+  CU_ASSERT (st_holder_take (&e.h, ZP_STR ("b1"), 3 * S, &e.outs));
+  st_drains_apply (&d, &e.l, &self);
+  left = st_drain_left (&d.item[0], &self, &e.l, &e.h, 3 * S);
+  CU_ASSERT_EQUAL (left.slots, 1);
+  CU_ASSERT (!left.done);
+  for (zp_time t = 3500 * MS; t <= 6 * S; t += 500 * MS)
+    announce (&e, t < 6 * S ? 1 : 0, t);
+  left = st_drain_left (&d.item[0], &self, &e.l, &e.h, 6 * S);
+  CU_ASSERT_EQUAL (left.slots, 0);
+  CU_ASSERT (left.done);
+  announce (&e, 1, 6500 * MS);
+  left = st_drain_left (&d.item[0], &self, &e.l, &e.h, 6500 * MS);
+  CU_ASSERT_EQUAL (left.inflight, 1);
+  CU_ASSERT (!left.done);
+  st_drains_free (&d);
+  end (&e);
+}
+
+/* Guards against stopping an entry daemon while callers still have it in a
+   cached answer, or while it owns servers (P7).  */
+static void
+test_progress_of_an_entry (void)
+{
+  struct daemon e;
+  struct st_drains d = one_drain ("entry/e1", 3 * S);
+  struct st_drain_left left;
+
+  start (&e);
+  CU_ASSERT (st_holder_take (&e.h, ZP_STR ("b1"), 3 * S, &e.outs));
+  left = st_drain_left (&d.item[0], &self, &e.l, &e.h, 3 * S);
+  CU_ASSERT_EQUAL (left.owned, 1);
+  CU_ASSERT_EQUAL (left.requests, 1);
+  CU_ASSERT_EQUAL (left.slots, 0);
+  st_holder_give (&e.h, ZP_STR ("b1"), 3 * S, &e.outs);
+  for (zp_time t = 3 * S; t <= 6 * S; t += 500 * MS)
+    st_lessor_step (&e.l, &e.v, t, &e.grants);
+  left = st_drain_left (&d.item[0], &self, &e.l, &e.h, 6 * S);
+  CU_ASSERT_EQUAL (left.owned, 0);
+  CU_ASSERT (!left.done);
+  left = st_drain_left (&d.item[0], &self, &e.l, &e.h, 3 * S + ZP_LOOKUP_TTL);
+  CU_ASSERT (left.done);
+  /* Another daemon has no part in it.  */
+  struct st_drain_self other = self;
+  other.entry = ZP_STR ("e2");
+  left = st_drain_left (&d.item[0], &other, &e.l, &e.h, 3 * S);
+  CU_ASSERT (left.done);
+  st_drains_free (&d);
+  end (&e);
+}
+
+static const struct zp_test tests[] = {
+  { "targets", test_targets },
+  { "what each kind means", test_what_each_kind_means },
+  { "no new work after ttl", test_no_new_work_after_ttl },
+  { "progress of a server", test_progress_of_a_server },
+  { "progress of an entry", test_progress_of_an_entry },
+};
+
+TEST_MAIN ("drain", tests)
--- /dev/null
+++ b/tests/test-shift.c
@@ -0,0 +1,354 @@
+#include "harness.h"
+#include "seeds.h"
+
+#include <math.h>
+
+#include "steer/shift.h"
+
+#define S ZP_SEC
+
+/* Real time in which at most the cap may move.  */
+#define WINDOW (60 * S + ZP_LOOKUP_TTL)
+
+static const struct st_leader leader = { .term = 3, .lease = true };
+
+static struct st_site_state
+good_site (zp_time now)
+{
+  return (struct st_site_state){
+    .reported_at = now, .free_slots = 1000, .slots_share = 10, .warmth = 1
+  };
+}
+
+/* The decision at NOW for a shift to 0.5 with a cap of 0.08 after N steps.  */
+static struct st_shift_decision
+decide (const struct st_step *step, size_t n, struct st_site_state to,
+        zp_time now)
+{
+  struct st_shift s = { .target = 0.5, .cap = 0.08, .step = step, .steps = n };
+
+  return st_shift_decide (&s, &leader, &to, now);
+}
+
+/* Guards against steps towards a site that cannot take them (P2).  */
+static void
+test_stops_for_the_receiving_site (void)
+{
+  struct st_site_state to = good_site (100 * S);
+
+  CU_ASSERT_EQUAL (decide (NULL, 0, to, 100 * S).action, ST_SHIFT_STEP);
+  to.failing = true;
+  CU_ASSERT_EQUAL (decide (NULL, 0, to, 100 * S).reason, ST_SHIFT_IS_FAILING);
+  to = good_site (100 * S - ST_SHIFT_SILENT - 1);
+  CU_ASSERT_EQUAL (decide (NULL, 0, to, 100 * S).reason, ST_SHIFT_IS_SILENT);
+  to = good_site (100 * S);
+  to.free_slots = 0;
+  CU_ASSERT_EQUAL (decide (NULL, 0, to, 100 * S).reason, ST_SHIFT_NO_HEADROOM);
+}
+
+/* Guards against a second step into headroom that the first has used but that
+   the late report still shows.  */
+static void
+test_late_report_does_not_count_headroom_twice (void)
+{
+  struct st_site_state to = good_site (99 * S);
+  struct st_step one = { .term = 3, .share = 0.01, .at = 90 * S };
+
+  to.free_slots = 0.15;
+  to.slots_share = 10;
+  CU_ASSERT_DOUBLE_EQUAL (decide (NULL, 0, to, 100 * S).share, 0.0075, 1e-9);
+  one.share = 0.0075;
+  one.at = 95 * S;
+  CU_ASSERT_EQUAL (decide (&one, 1, to, 104 * S).action, ST_SHIFT_STOP);
+}
+
+/* Guards against filling a cold site at full speed.  */
+static void
+test_cold_site_gets_small_steps (void)
+{
+  struct st_site_state to = good_site (100 * S);
+  double warm = decide (NULL, 0, to, 100 * S).share;
+
+  to.warmth = 0;
+  double cold = decide (NULL, 0, to, 100 * S).share;
+  CU_ASSERT (cold > 0 && cold <= warm / 8 + 1e-12);
+}
+
+/* Guards against a leader without lease, a step on top of one that may still
+   be lost, and a new leader that forgets earlier steps.  */
+static void
+test_leader_rules (void)
+{
+  struct st_step old = { .term = 2, .share = 0.08, .at = 5 };
+  struct st_leader l = leader;
+  struct st_shift s = { .target = 0.5, .cap = 0.08, .step = &old, .steps = 1 };
+  struct st_site_state to = good_site (0);
+
+  l.since = 1000 * S;
+  to.reported_at = l.since + ST_SHIFT_WINDOW;
+  struct st_shift_decision d
+      = st_shift_decide (&s, &l, &to, l.since + ST_SHIFT_WINDOW);
+  CU_ASSERT_EQUAL (d.reason, ST_SHIFT_CAP);
+  CU_ASSERT_EQUAL (d.at, l.since + ST_SHIFT_WINDOW + 1);
+  CU_ASSERT_EQUAL (st_shift_decide (&s, &l, &to, d.at).action, ST_SHIFT_STEP);
+  s.pending = true;
+  CU_ASSERT_EQUAL (st_shift_decide (&s, &l, &to, d.at).reason,
+                   ST_SHIFT_PENDING);
+  s.pending = l.lease = false;
+  CU_ASSERT_EQUAL (st_shift_decide (&s, &l, &to, d.at).reason,
+                   ST_SHIFT_NO_LEASE);
+}
+
+/* Guards against a way back that is not counted, in either direction.  */
+static void
+test_way_back_counts (void)
+{
+  struct st_step there_and_back[]
+      = { { .term = 3, .share = 0.04, .at = 100 * S },
+          { .term = 3, .share = 0, .at = 110 * S } };
+  struct st_shift_decision d
+      = decide (there_and_back, 2, good_site (130 * S), 130 * S);
+
+  CU_ASSERT_EQUAL (d.reason, ST_SHIFT_CAP);
+  CU_ASSERT_EQUAL (d.at, 100 * S + ST_SHIFT_WINDOW + 1);
+}
+
+/* Guards against moved blocks that change place again when the share grows,
+   and against a share that moves another part of the blocks.  */
+static void
+test_blocks_stay_moved (void)
+{
+  unsigned moved = 0;
+
+  for (unsigned i = 0; i < 20000; i++)
+    {
+      uint64_t h = zp_str_hash (
+          (struct zp_str){ .ptr = (const char *) &i, .len = sizeof i }, 1);
+
+      moved += st_shift_moved (h, 0.25);
+      CU_ASSERT (!st_shift_moved (h, 0.2) || st_shift_moved (h, 0.25));
+      CU_ASSERT (!st_shift_moved (h, 0) && st_shift_moved (h, 1));
+    }
+  /* Five standard deviations of a binomial with 20,000 draws.  */
+  CU_ASSERT (moved > 5000 - 307 && moved < 5000 + 307);
+}
+
+/* Guards against a daemon that was cut off and then makes all steps at once.
+ */
+static void
+test_daemon_behind_keeps_the_cap (void)
+{
+  struct st_shift_follower f = { .step = NULL };
+
+  CU_ASSERT_EQUAL (st_shift_follow (&f, 0, 0.1, 0), 0);
+  CU_ASSERT (st_shift_follow (&f, 0.35, 0.1, 10 * S) <= 0.1);
+  CU_ASSERT (st_shift_follow (&f, 0.35, 0.1, 10 * S + WINDOW) <= 0.1);
+  CU_ASSERT (st_shift_follow (&f, 0.35, 0.1, 80 * S) > 0.19);
+  CU_ASSERT (st_shift_follow (&f, 0.05, 0.1, 90 * S) > 0.19);
+  st_shift_follower_free (&f);
+  st_shift_follow_first (&f, 0.35);
+  CU_ASSERT_EQUAL (st_shift_follow (&f, 0.35, 0.1, 90 * S), 0.35);
+  st_shift_follower_free (&f);
+}
+
+/* Property test: a log, leaders that change, and daemons that follow late.  */
+
+#define LEADERS 3
+#define DAEMONS 4
+#define STEPS 1024
+
+struct clocked
+{
+  double rate;
+  zp_time offset;
+};
+
+/* Changes of one place, in real time.  */
+struct history
+{
+  double change[4 * STEPS];
+  zp_time at[4 * STEPS];
+  size_t len;
+  double share;
+};
+
+struct world
+{
+  struct zp_rng rng;
+  zp_time now;
+  struct clocked clock[LEADERS];
+  struct st_leader leader;
+  unsigned leads;
+  struct st_step step[STEPS];
+  size_t steps;
+  bool pending;
+  double proposed;
+  zp_time commits;
+  double target, cap;
+  struct st_shift_follower f[DAEMONS];
+  struct clocked daemon[DAEMONS];
+  size_t seen[DAEMONS];
+  bool cut[DAEMONS];
+  struct history log, local[DAEMONS];
+};
+
+static unsigned long steps_made, done_seen;
+
+static zp_time
+local (const struct world *w, const struct clocked *c)
+{
+  return c->offset + (zp_time) ((double) w->now * c->rate);
+}
+
+/* Records a new share; false when the last window holds more than the cap.  */
+static bool
+record (struct history *h, double share, double cap, zp_time now)
+{
+  double sum = 0;
+
+  if (share == h->share || h->len == 4 * STEPS)
+    return true;
+  h->change[h->len] = fabs (share - h->share);
+  h->at[h->len++] = now;
+  h->share = share;
+  for (size_t i = h->len; i-- > 0 && now - h->at[i] <= WINDOW;)
+    sum += h->change[i];
+  return sum <= cap;
+}
+
+static bool
+commit (struct world *w, double share, uint64_t term)
+{
+  if (w->steps == STEPS)
+    return true;
+  w->step[w->steps++] = (struct st_step){
+    .term = term, .share = share, .at = local (w, &w->clock[w->leads])
+  };
+  steps_made++;
+  TRACE ("%.3f step to %.6f in term %lu\n", (double) w->now / 1e6, share,
+         (unsigned long) term);
+  return record (&w->log, share, w->cap, w->now);
+}
+
+/* A pending step of the old leader is lost, or committed by the new one before
+   that counts as the leader.  */
+static bool
+change_leader (struct world *w)
+{
+  bool ok = true;
+  uint64_t old = w->leader.term;
+
+  w->leads = zp_rng_below (&w->rng, LEADERS);
+  w->leader.term++;
+  if (w->pending && chance (&w->rng, 0.5))
+    ok = commit (w, w->proposed, old);
+  w->pending = false;
+  w->leader.since = local (w, &w->clock[w->leads]);
+  TRACE ("%.3f leader %u, term %lu\n", (double) w->now / 1e6, w->leads,
+         (unsigned long) w->leader.term);
+  return ok;
+}
+
+static bool
+lead (struct world *w)
+{
+  zp_time t = local (w, &w->clock[w->leads]);
+  struct st_site_state to = good_site (t - zp_rng_below (&w->rng, 4000000));
+  struct st_shift s = { .target = w->target,
+                        .cap = w->cap,
+                        .step = w->step,
+                        .steps = w->steps,
+                        .pending = w->pending };
+
+  if (w->pending && w->now >= w->commits)
+    {
+      w->pending = false;
+      return commit (w, w->proposed, w->leader.term);
+    }
+  to.failing = chance (&w->rng, 0.05);
+  to.warmth = zp_rng_unit (&w->rng);
+  w->leader.lease = chance (&w->rng, 0.95);
+  struct st_shift_decision d = st_shift_decide (&s, &w->leader, &to, t);
+  done_seen += d.action == ST_SHIFT_DONE;
+  if (d.action != ST_SHIFT_STEP)
+    return true;
+  w->pending = true;
+  w->proposed = d.share;
+  w->commits = w->now + zp_rng_below (&w->rng, 20000000);
+  return true;
+}
+
+static bool
+follow (struct world *w, unsigned i)
+{
+  if (!w->cut[i] && w->seen[i] < w->steps && chance (&w->rng, 0.5))
+    w->seen[i] = chance (&w->rng, 0.5) ? w->steps : w->seen[i] + 1;
+  double logged = w->seen[i] > 0 ? w->step[w->seen[i] - 1].share : 0;
+  if (chance (&w->rng, 0.001))
+    {
+      st_shift_follower_free (&w->f[i]);
+      st_shift_follow_first (&w->f[i], logged);
+      w->local[i] = (struct history){ .share = logged };
+    }
+  double e
+      = st_shift_follow (&w->f[i], logged, w->cap, local (w, &w->daemon[i]));
+  return record (&w->local[i], e, w->cap, w->now);
+}
+
+static bool
+shift_holds (uint32_t seed)
+{
+  struct world *w = zp_alloc (sizeof *w);
+  bool ok = true;
+
+  zp_rng_seed (&w->rng, seed);
+  for (unsigned i = 0; i < LEADERS + DAEMONS; i++)
+    *(i < LEADERS ? &w->clock[i] : &w->daemon[i - LEADERS])
+        = (struct clocked){ .rate = 0.995 + 0.0099 * zp_rng_unit (&w->rng),
+                            .offset = zp_rng_below (&w->rng, 1000000000) };
+  w->cap = 0.01 + 0.2 * zp_rng_unit (&w->rng);
+  w->target = zp_rng_unit (&w->rng);
+  ok = change_leader (w);
+  while (ok && w->now < 1800 * S)
+    {
+      w->now += zp_rng_below (&w->rng, 2000000);
+      if (chance (&w->rng, 0.003))
+        w->target = chance (&w->rng, 0.5) ? 0 : zp_rng_unit (&w->rng);
+      if (chance (&w->rng, 0.005))
+        ok = change_leader (w);
+      ok = ok && lead (w);
+      unsigned any = zp_rng_below (&w->rng, DAEMONS);
+      if (chance (&w->rng, 0.02))
+        w->cut[any] = !w->cut[any];
+      for (unsigned i = 0; i < DAEMONS; i++)
+        ok = follow (w, i) && ok;
+    }
+  for (unsigned i = 0; i < DAEMONS; i++)
+    st_shift_follower_free (&w->f[i]);
+  free (w);
+  return ok;
+}
+
+/* Guards against more than the cap in any 60 s and the look-up ttl: in the log
+   over changes of leader and ways back, and at each daemon however late.  */
+static void
+test_cap_holds_in_any_window (void)
+{
+  CU_ASSERT_EQUAL (seeds_run (shift_holds, 300), 0);
+  printf (" steps %lu, done %lu\n", steps_made, done_seen);
+  CU_ASSERT (steps_made > 0 && done_seen > 0);
+}
+
+static const struct zp_test tests[] = {
+  { "stops for the receiving site", test_stops_for_the_receiving_site },
+  { "late report does not count headroom twice",
+    test_late_report_does_not_count_headroom_twice },
+  { "cold site gets small steps", test_cold_site_gets_small_steps },
+  { "leader rules", test_leader_rules },
+  { "way back counts", test_way_back_counts },
+  { "blocks stay moved", test_blocks_stay_moved },
+  { "daemon behind keeps the cap", test_daemon_behind_keeps_the_cap },
+  { "cap holds in any window", test_cap_holds_in_any_window },
+};
+
+TEST_MAIN ("shift", tests)
