Bound look-ups when the ttl of an answer is too small

An answer without entries left the cached answer valid with nothing in it, and a ttl of 0 caused a look-up for every send. An answer without entries now does not count, and a ttl counts for at least 100 ms.

--- a/src/load/caller.c
+++ b/src/load/caller.c
@@ -6,6 +6,7 @@
 
 /* Keeps one failing entry VM from causing a look-up for each request.  */
 #define LOOKUP_MIN_AGE (200 * ZP_MS)
+#define TTL_MIN_MS 100 /* a smaller ttl would cause endless look-ups */
 
 static struct zp_str
 text_of (struct json_object *o, const char *key)
@@ -36,8 +37,10 @@
   json_object_object_get_ex (o, "ttl_ms", &ttl);
   zp_buf_clear (&c->once_home);
   zp_buf_put (&c->once_home, text_of (o, "once_home"));
+  int64_t ms = json_object_get_int64 (ttl);
   c->got = now;
-  c->valid_until = now + json_object_get_int64 (ttl) * ZP_MS;
+  c->valid_until
+      = c->entries > 0 ? now + (ms > TTL_MIN_MS ? ms : TTL_MIN_MS) * ZP_MS : 0;
   json_object_put (o);
   return c->entries > 0;
 }
--- a/src/load/run.c
+++ b/src/load/run.c
@@ -53,7 +53,6 @@
   struct lo_book *book;
   zp_time start;
   size_t next; /* request that arrives next */
-  bool stopping;
   ev_timer arrivals;
   struct open open; /* list head */
   size_t open_count;
