--- a/tests/fake-entry.h
+++ b/tests/fake-entry.h
@@ -16,6 +16,7 @@
 #include <libgen.h>
 #include <signal.h>
 #include <stdlib.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 
 #include "base/settings.h"
@@ -322,6 +323,8 @@
   pid_t pid = fork ();
   if (pid == 0)
     {
+      /* A test that ends early must leave no process behind.  */
+      prctl (PR_SET_PDEATHSIG, SIGKILL);
       if (!freopen (out, "w", stdout))
         _exit (126);
       execl (path, program, "--settings", settings, option, (char *) NULL);
