--- /dev/null
+++ b/src/ctl/client.c
@@ -0,0 +1,112 @@
+#include "ctl/client.h"
+
+#include <curl/curl.h>
+#include <string.h>
+#include <time.h>
+
+#include "base/limits.h"
+
+#define CONNECT_LIMIT_MS 2000L
+#define REQUEST_LIMIT_MS 10000L
+#define PAUSE (300 * ZP_MS) /* between two rounds over the servers */
+#define REDIRECTS_MAX 3L
+
+/* The largest answer is a page of objects; anything longer is not ours.  */
+#define ANSWER_MAX (4 * ZP_BODY_MAX)
+
+static size_t
+on_body (char *bytes, size_t size, size_t n, void *self)
+{
+  struct zp_buf *out = self;
+
+  if (out->len + size * n > ANSWER_MAX)
+    return 0;
+  zp_buf_put_bytes (out, bytes, size * n);
+  return size * n;
+}
+
+static bool
+perform (CURL *h, const struct zc_request *r, struct zc_answer *out,
+         struct curl_slist *headers, char *why)
+{
+  curl_easy_setopt (h, CURLOPT_ERRORBUFFER, why);
+  curl_easy_setopt (h, CURLOPT_CUSTOMREQUEST, r->method);
+  if (strcmp (r->method, "POST") == 0)
+    {
+      curl_easy_setopt (h, CURLOPT_POSTFIELDSIZE, (long) r->body.len);
+      curl_easy_setopt (h, CURLOPT_POSTFIELDS, r->body.ptr ? r->body.ptr : "");
+      curl_easy_setopt (h, CURLOPT_HTTPHEADER, headers);
+    }
+  curl_easy_setopt (h, CURLOPT_FOLLOWLOCATION, 1L);
+  curl_easy_setopt (h, CURLOPT_MAXREDIRS, REDIRECTS_MAX);
+  curl_easy_setopt (h, CURLOPT_NOPROXY, "*");
+  curl_easy_setopt (h, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (h, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_LIMIT_MS);
+  curl_easy_setopt (h, CURLOPT_TIMEOUT_MS, REQUEST_LIMIT_MS);
+  curl_easy_setopt (h, CURLOPT_WRITEFUNCTION, on_body);
+  curl_easy_setopt (h, CURLOPT_WRITEDATA, &out->body);
+  if (curl_easy_perform (h) != CURLE_OK)
+    return false;
+  curl_easy_getinfo (h, CURLINFO_RESPONSE_CODE, &out->status);
+  return true;
+}
+
+bool
+zc_send_to (struct zp_str server, const struct zc_request *r,
+            struct zc_answer *out, struct zp_err *err)
+{
+  char why[CURL_ERROR_SIZE] = "";
+  struct zp_buf url = { .ptr = NULL };
+  struct curl_slist *headers
+      = curl_slist_append (NULL, "Content-Type: application/json");
+  CURL *h = curl_easy_init ();
+  bool ok = false;
+
+  /* The body is sent at once, without waiting for "100 Continue".  */
+  headers = curl_slist_append (headers, "Expect:");
+  zp_buf_printf (&url, "http://%.*s%.*s", ZP_ARG (server), ZP_ARG (r->target));
+  zp_buf_clear (&out->body);
+  if (h)
+    {
+      curl_easy_setopt (h, CURLOPT_URL, url.ptr);
+      ok = perform (h, r, out, headers, why);
+    }
+  curl_easy_cleanup (h);
+  curl_slist_free_all (headers);
+  zp_buf_free (&url);
+  return ok
+         || zp_fail (err, ZP_EUNAVAIL, "%.*s: %s", ZP_ARG (server),
+                     why[0] ? why : "no answer");
+}
+
+static void
+pause_for (zp_time t)
+{
+  const struct timespec ts
+      = { .tv_sec = t / ZP_SEC, .tv_nsec = t % ZP_SEC * 1000 };
+
+  nanosleep (&ts, NULL);
+}
+
+bool
+zc_send (const struct zc_client *c, const struct zc_request *r,
+         struct zc_answer *out, struct zp_err *err)
+{
+  zp_time end = zp_clock_mono () + c->limit;
+
+  for (;;)
+    {
+      for (size_t i = 0; i < c->servers.len; i++)
+        {
+          if (!zc_send_to (c->servers.item[i], r, out, err))
+            continue;
+          if (out->status != 503)
+            return true;
+          zp_fail (err, ZP_EUNAVAIL, "%.*s: no leader can take requests now",
+                   ZP_ARG (c->servers.item[i]));
+        }
+      if (zp_clock_mono () + PAUSE >= end)
+        return false;
+      pause_for (PAUSE);
+    }
+}
--- /dev/null
+++ b/src/ctl/command.h
@@ -0,0 +1,89 @@
+/* NAME
+     command - the commands of zpctl
+
+   DESCRIPTION
+     Each command sends its requests, prints the answer and returns the exit
+     status.  With JSON set, standard output is one JSON value in every case;
+     otherwise results go to standard output and mistakes, with what to do
+     next, to standard error.  */
+
+#ifndef ZP_CTL_COMMAND_H
+#define ZP_CTL_COMMAND_H
+
+#include "ctl/client.h"
+
+enum zc_exit
+{
+  ZC_DONE = 0,
+  ZC_REFUSED = 1, /* refused, in conflict, or not found */
+  ZC_USAGE = 2,
+  ZC_UNREACHABLE = 3,
+};
+
+enum zc_command_kind
+{
+  ZC_SUBMIT,
+  ZC_REVIEW,
+  ZC_NUMBER,
+  ZC_STATUS,
+  ZC_CONFIG,
+  ZC_DIFF,
+};
+
+struct zc_submit
+{
+  const char *file;
+};
+
+struct zc_review
+{
+  struct zp_str digest;
+  struct zp_str operator;
+};
+
+struct zc_number
+{
+  struct zp_str digest;
+  uint64_t number; /* claimed; 0: none */
+};
+
+struct zc_diff
+{
+  uint64_t from, to;
+};
+
+struct zc_command
+{
+  enum zc_command_kind kind;
+  bool json;
+  union
+  {
+    struct zc_submit submit;
+    struct zc_review review;
+    struct zc_number number;
+    struct zc_diff diff;
+  } u;
+};
+
+enum zc_exit zc_run (const struct zc_client *c, const struct zc_command *cmd);
+
+/* Files of this program.  */
+enum zc_exit zc_run_ticket (const struct zc_client *c,
+                            const struct zc_command *cmd);
+enum zc_exit zc_run_status (const struct zc_client *c, bool json);
+enum zc_exit zc_run_pages (const struct zc_client *c,
+                           const struct zc_command *cmd);
+
+/* Reports that no server gave an answer.  */
+enum zc_exit zc_unreachable (const struct zc_client *c, bool json,
+                             const struct zp_err *err);
+
+struct json_object;
+
+/* Prints V on one line.  */
+void zc_print_json (struct json_object *v);
+
+/* Prints the mistakes of an answer, or its plain text.  */
+void zc_print_errors (const struct zc_answer *a);
+
+#endif
--- /dev/null
+++ b/src/ctl/main.c
@@ -0,0 +1,206 @@
+#include <argp.h>
+#include <curl/curl.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ctl/command.h"
+#include "ticket/ticket.h"
+
+#define SERVERS_MAX 16
+#define WORDS_MAX 3
+#define LIMIT_DEFAULT_S 15 /* covers an election, which takes up to 9 s */
+
+struct options
+{
+  struct zp_str server[SERVERS_MAX];
+  size_t servers;
+  const char *operator;
+  uint64_t number;
+  uint64_t limit_s;
+  bool json;
+  const char *word[WORDS_MAX];
+  size_t words;
+};
+
+static const struct argp_option options[] = {
+  { "server", 's', "IP:PORT[,IP:PORT...]", 0,
+    "control daemons to ask, in this order; may be given several times "
+    "(default: ZPCTL_SERVERS of the environment)",
+    0 },
+  { "operator", 'o', "NAME", 0,
+    "name under which a review is given (default: USER of the environment)",
+    0 },
+  { "number", 'n', "N", 0, "claim the number N and no other", 0 },
+  { "timeout", 't', "SECONDS", 0, "give up after this time (default: 15)", 0 },
+  { "json", 'j', NULL, 0, "print one JSON value", 0 },
+  { 0 },
+};
+
+static bool
+add_servers (struct options *o, struct zp_str list)
+{
+  struct zp_str one;
+
+  while (list.len > 0)
+    {
+      zp_str_split (list, ',', &one, &list);
+      if (one.len == 0 || o->servers == SERVERS_MAX)
+        return false;
+      o->server[o->servers++] = one;
+    }
+  return true;
+}
+
+static void
+parse_number (struct argp_state *state, const char *arg, uint64_t *out)
+{
+  if (!zp_str_u64 (zp_str_from (arg), out))
+    argp_error (state, "\"%s\" is not a number", arg);
+}
+
+static error_t
+parse_option (int key, char *arg, struct argp_state *state)
+{
+  struct options *o = state->input;
+
+  switch (key)
+    {
+    case 's':
+      if (!add_servers (o, zp_str_from (arg)))
+        argp_error (state, "--server takes 1 to %d addresses", SERVERS_MAX);
+      return 0;
+    case 'o':
+      o->operator= arg;
+      return 0;
+    case 'n':
+      parse_number (state, arg, &o->number);
+      if (o->number == 0)
+        argp_error (state, "--number takes a number above 0");
+      return 0;
+    case 't':
+      parse_number (state, arg, &o->limit_s);
+      return 0;
+    case 'j':
+      o->json = true;
+      return 0;
+    case ARGP_KEY_ARG:
+      if (o->words == WORDS_MAX)
+        argp_error (state, "too many arguments");
+      o->word[o->words++] = arg;
+      return 0;
+    case ARGP_KEY_END:
+      if (o->servers == 0)
+        add_servers (o, zp_str_from (getenv ("ZPCTL_SERVERS")));
+      if (o->servers == 0)
+        argp_error (state, "no server; give --server IP:PORT or set "
+                           "ZPCTL_SERVERS");
+      return 0;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static const struct argp argp = {
+  .options = options,
+  .parser = parse_option,
+  .args_doc = "submit FILE\nreview DIGEST\nnumber DIGEST\nstatus\nconfig\n"
+              "diff N M",
+  .doc = "Operator tool of zinniapost: changes the configuration by tickets."
+         "\vA ticket is submitted, reviewed by another operator than its "
+         "author, and then numbered.  Every command may be given again when "
+         "its answer was lost.\n\n"
+         "Exit status: 0 done, 1 refused or in conflict, 2 wrong usage, 3 no "
+         "server could be reached.",
+};
+
+static int
+usage (const char *text)
+{
+  fprintf (stderr, "zpctl: %s\nnext: zpctl --help\n", text);
+  return ZC_USAGE;
+}
+
+/* Returns NULL, or what is wrong with the words.  */
+static const char *
+read_command (const struct options *o, struct zc_command *out)
+{
+  static const struct
+  {
+    const char *name;
+    enum zc_command_kind kind;
+    size_t words;
+  } commands[] = {
+    { "submit", ZC_SUBMIT, 2 }, { "review", ZC_REVIEW, 2 },
+    { "number", ZC_NUMBER, 2 }, { "status", ZC_STATUS, 1 },
+    { "config", ZC_CONFIG, 1 }, { "diff", ZC_DIFF, 3 },
+  };
+  size_t i = 0, n = sizeof commands / sizeof commands[0];
+  struct ti_digest digest;
+  struct ti_text name;
+
+  if (o->words == 0)
+    return "no command";
+  while (i < n && strcmp (commands[i].name, o->word[0]) != 0)
+    i++;
+  if (i == n)
+    return "unknown command; allowed: submit, review, number, status, config, "
+           "diff";
+  if (o->words != commands[i].words)
+    return "wrong number of arguments for this command";
+  if (o->number > 0 && commands[i].kind != ZC_NUMBER)
+    return "--number belongs to the command \"number\"";
+  *out = (struct zc_command){ .kind = commands[i].kind, .json = o->json };
+  switch (out->kind)
+    {
+    case ZC_SUBMIT:
+      out->u.submit.file = o->word[1];
+      return NULL;
+    case ZC_REVIEW:
+      out->u.review = (struct zc_review){
+        .digest = zp_str_from (o->word[1]),
+        .operator= zp_str_from (o->operator? o->operator: getenv ("USER")),
+      };
+      if (!ti_digest_parse (out->u.review.digest, &digest))
+        return "a digest has 64 hexadecimal digits";
+      if (!ti_name_parse (out->u.review.operator, & name))
+        return "no valid name of an operator; give --operator NAME";
+      return NULL;
+    case ZC_NUMBER:
+      out->u.number = (struct zc_number){ .digest = zp_str_from (o->word[1]),
+                                          .number = o->number };
+      if (!ti_digest_parse (out->u.number.digest, &digest))
+        return "a digest has 64 hexadecimal digits";
+      return NULL;
+    case ZC_DIFF:
+      if (!zp_str_u64 (zp_str_from (o->word[1]), &out->u.diff.from)
+          || !zp_str_u64 (zp_str_from (o->word[2]), &out->u.diff.to))
+        return "diff takes two numbers of configurations";
+      return NULL;
+    case ZC_STATUS:
+    case ZC_CONFIG:
+      return NULL;
+    }
+  return NULL;
+}
+
+int
+main (int argc, char **argv)
+{
+  struct options o = { .limit_s = LIMIT_DEFAULT_S };
+  struct zc_command cmd;
+
+  argp_err_exit_status = ZC_USAGE;
+  argp_parse (&argp, argc, argv, 0, NULL, &o);
+  const char *wrong = read_command (&o, &cmd);
+  if (wrong)
+    return usage (wrong);
+  if (curl_global_init (CURL_GLOBAL_DEFAULT) != 0)
+    return ZC_UNREACHABLE;
+  const struct zc_client client
+      = { .servers = { .item = o.server, .len = o.servers },
+          .limit = (zp_time) o.limit_s * ZP_SEC };
+  enum zc_exit status = zc_run (&client, &cmd);
+  curl_global_cleanup ();
+  return status;
+}
--- /dev/null
+++ b/src/ctl/pages.c
@@ -0,0 +1,194 @@
+#include <inttypes.h>
+#include <json-c/json.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "ctl/command.h"
+
+#define PLAIN (JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE)
+
+/* A configuration that changes between two pages is read again.  */
+#define ATTEMPTS 5
+
+enum page_end
+{
+  PAGE_LAST,
+  PAGE_MORE,
+  PAGE_CHANGED,
+  PAGE_BAD,
+};
+
+/* Adds the objects of PAGE to WHOLE and sets AFTER.  The first page becomes
+   WHOLE.  */
+static enum page_end
+add_page (struct json_object **whole, struct json_object *page,
+          struct zp_buf *after)
+{
+  static const char *const same[] = { "number", "version", "from", "to" };
+  struct json_object *objects = NULL, *all = NULL, *next = NULL;
+
+  if (!json_object_object_get_ex (page, "objects", &objects)
+      || !json_object_is_type (objects, json_type_object))
+    return PAGE_BAD;
+  json_object_object_get_ex (page, "next", &next);
+  zp_buf_clear (after);
+  if (next)
+    zp_buf_put (after, zp_str_from (json_object_get_string (next)));
+  if (!*whole)
+    *whole = json_object_get (page);
+  for (size_t i = 0; i < sizeof same / sizeof same[0]; i++)
+    {
+      struct json_object *a = NULL, *b = NULL;
+      json_object_object_get_ex (*whole, same[i], &a);
+      json_object_object_get_ex (page, same[i], &b);
+      if (json_object_get_int64 (a) != json_object_get_int64 (b))
+        return PAGE_CHANGED;
+    }
+  json_object_object_get_ex (*whole, "objects", &all);
+  if (all != objects)
+    {
+      json_object_object_foreach (objects, key, value)
+      {
+        json_object_object_add (all, key, json_object_get (value));
+      }
+    }
+  return next ? PAGE_MORE : PAGE_LAST;
+}
+
+static bool
+fetch_page (const struct zc_client *c, const char *target,
+            const struct zp_buf *after, struct zc_answer *a,
+            struct zp_err *err)
+{
+  struct zp_buf t = zp_buf_from (zp_str_from (target));
+
+  if (after->len > 0)
+    zp_buf_printf (&t, "%safter=%.*s", strchr (target, '?') ? "&" : "?",
+                   ZP_ARG (zp_str_of (after)));
+  const struct zc_request r = { .method = "GET", .target = zp_str_of (&t) };
+  bool ok = zc_send (c, &r, a, err);
+  zp_buf_free (&t);
+  return ok;
+}
+
+/* Reads all pages once.  Returns PAGE_LAST with WHOLE set, PAGE_CHANGED, or
+   PAGE_BAD with the answer in A, or with ERR filled when A has no status.  */
+static enum page_end
+fetch_all (const struct zc_client *c, const char *target,
+           struct json_object **whole, struct zc_answer *a, struct zp_err *err)
+{
+  struct zp_buf after = { .ptr = NULL };
+  enum page_end end = PAGE_MORE;
+
+  while (end == PAGE_MORE)
+    {
+      a->status = 0;
+      end = PAGE_BAD;
+      if (!fetch_page (c, target, &after, a, err) || a->status != 200)
+        break;
+      struct json_object *page
+          = json_tokener_parse (a->body.ptr ? a->body.ptr : "");
+      end = add_page (whole, page, &after);
+      json_object_put (page);
+    }
+  zp_buf_free (&after);
+  if (end != PAGE_LAST)
+    {
+      json_object_put (*whole);
+      *whole = NULL;
+    }
+  return end;
+}
+
+/* Text.  */
+
+static void
+print_config (struct json_object *whole)
+{
+  struct json_object *objects, *number;
+
+  json_object_object_get_ex (whole, "objects", &objects);
+  json_object_object_get_ex (whole, "number", &number);
+  printf ("number %" PRId64 "\n", json_object_get_int64 (number));
+  json_object_object_foreach (objects, key, value)
+  {
+    struct json_object *changed = NULL, *object = NULL, *moved = NULL;
+    json_object_object_get_ex (value, "number", &changed);
+    json_object_object_get_ex (value, "object", &object);
+    printf ("%s %s (changed by %" PRId64, key,
+            json_object_to_json_string_ext (object, PLAIN),
+            json_object_get_int64 (changed));
+    if (json_object_object_get_ex (value, "moved", &moved))
+      printf (", moved %s", json_object_to_json_string_ext (moved, PLAIN));
+    puts (")");
+  }
+}
+
+static void
+print_diff (struct json_object *whole)
+{
+  struct json_object *objects;
+
+  json_object_object_get_ex (whole, "objects", &objects);
+  json_object_object_foreach (objects, key, value)
+  {
+    struct json_object *before = NULL, *after = NULL;
+    json_object_object_get_ex (value, "before", &before);
+    json_object_object_get_ex (value, "after", &after);
+    if (before)
+      printf ("- %s %s\n", key,
+              json_object_to_json_string_ext (before, PLAIN));
+    if (after)
+      printf ("+ %s %s\n", key, json_object_to_json_string_ext (after, PLAIN));
+  }
+}
+
+static enum zc_exit
+print_whole (const struct zc_command *cmd, struct json_object *whole)
+{
+  json_object_object_del (whole, "next");
+  if (cmd->json)
+    zc_print_json (whole);
+  else if (cmd->kind == ZC_DIFF)
+    print_diff (whole);
+  else
+    print_config (whole);
+  json_object_put (whole);
+  return ZC_DONE;
+}
+
+static enum zc_exit
+print_refused (bool json, const struct zc_answer *a)
+{
+  if (json && a->body.len > 0)
+    fputs (a->body.ptr, stdout);
+  else
+    zc_print_errors (a);
+  return ZC_REFUSED;
+}
+
+enum zc_exit
+zc_run_pages (const struct zc_client *c, const struct zc_command *cmd)
+{
+  char target[96] = "/v1/config";
+  struct json_object *whole = NULL;
+  struct zc_answer a = { .status = 0 };
+  struct zp_err err = { .text = "the configuration changed while it was read; "
+                                "give the command again" };
+  enum page_end end = PAGE_CHANGED;
+
+  if (cmd->kind == ZC_DIFF)
+    snprintf (target, sizeof target, "/v1/diff?from=%" PRIu64 "&to=%" PRIu64,
+              cmd->u.diff.from, cmd->u.diff.to);
+  for (unsigned i = 0; i < ATTEMPTS && end == PAGE_CHANGED; i++)
+    end = fetch_all (c, target, &whole, &a, &err);
+  enum zc_exit status;
+  if (end == PAGE_LAST)
+    status = print_whole (cmd, whole);
+  else if (end == PAGE_BAD && a.status != 0)
+    status = print_refused (cmd->json, &a);
+  else
+    status = zc_unreachable (c, cmd->json, &err);
+  zp_buf_free (&a.body);
+  return status;
+}
--- a/tests/test-ticket-config.c
+++ b/tests/test-ticket-config.c
@@ -72,7 +72,7 @@
 random_config (uint32_t seed, unsigned changes)
 {
   struct ti_config *c = ti_config_new ();
-  struct zp_rng rng;
+  _Alignas(16) struct zp_rng rng;
 
   zp_rng_seed (&rng, seed);
   for (unsigned i = 0; i < changes; i++)
--- a/tests/test-ticket-store.c
+++ b/tests/test-ticket-store.c
@@ -503,7 +503,7 @@
 {
   struct pair p = pair_new ();
   struct ti_digest known[32] = { { .hex = "" } };
-  struct zp_rng rng;
+  _Alignas(16) struct zp_rng rng;
 
   zp_rng_seed (&rng, 3);
   for (unsigned i = 0; i < 3000; i++)
--- a/tests/test-ticket-validate.c
+++ b/tests/test-ticket-validate.c
@@ -13,7 +13,7 @@
   struct zp_report r = { .count = 0 };
   struct zp_err err;
 
-  CU_ASSERT_FATAL (zp_file_read (path, &text, &err));
+  CU_ASSERT_FATAL (zp_file_read (path, &text, ZP_BODY_MAX, &err));
   struct ti_ticket *t = ti_ticket_parse (zp_str_of (&text), &r);
   if (!t)
     printf ("%s: %s\n", path, r.lines.ptr);
