--- a/src/ctl/client.c
+++ b/src/ctl/client.c
@@ -7,7 +7,10 @@
 #include "base/limits.h"
 
 #define CONNECT_LIMIT_MS 2000L
-#define REQUEST_LIMIT_MS 10000L
+
+/* A leader answers within some round trips between regions, so that a server
+   that stays silent this long is frozen or cut off.  */
+#define TRY_LIMIT (5 * ZP_SEC)
 #define PAUSE (300 * ZP_MS) /* between two rounds over the servers */
 #define REDIRECTS_MAX 3L
 
@@ -26,9 +29,12 @@
 }
 
 static bool
-perform (CURL *h, const struct zc_request *r, struct zc_answer *out,
-         struct curl_slist *headers, char *why)
+perform (CURL *h, const struct zc_request *r, zp_time limit,
+         struct zc_answer *out, struct curl_slist *headers, char *why)
 {
+  /* 0 would mean no limit.  */
+  long limit_ms = limit > ZP_MS ? (long) (limit / ZP_MS) : 1;
+
   curl_easy_setopt (h, CURLOPT_ERRORBUFFER, why);
   curl_easy_setopt (h, CURLOPT_CUSTOMREQUEST, r->method);
   if (strcmp (r->method, "POST") == 0)
@@ -42,7 +48,7 @@
   curl_easy_setopt (h, CURLOPT_NOPROXY, "*");
   curl_easy_setopt (h, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt (h, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_LIMIT_MS);
-  curl_easy_setopt (h, CURLOPT_TIMEOUT_MS, REQUEST_LIMIT_MS);
+  curl_easy_setopt (h, CURLOPT_TIMEOUT_MS, limit_ms);
   curl_easy_setopt (h, CURLOPT_WRITEFUNCTION, on_body);
   curl_easy_setopt (h, CURLOPT_WRITEDATA, &out->body);
   if (curl_easy_perform (h) != CURLE_OK)
@@ -52,7 +58,7 @@
 }
 
 bool
-zc_send_to (struct zp_str server, const struct zc_request *r,
+zc_send_to (struct zp_str server, const struct zc_request *r, zp_time limit,
             struct zc_answer *out, struct zp_err *err)
 {
   char why[CURL_ERROR_SIZE] = "";
@@ -69,7 +75,7 @@
   if (h)
     {
       curl_easy_setopt (h, CURLOPT_URL, url.ptr);
-      ok = perform (h, r, out, headers, why);
+      ok = perform (h, r, limit, out, headers, why);
     }
   curl_easy_cleanup (h);
   curl_slist_free_all (headers);
@@ -92,21 +98,24 @@
 zc_send (const struct zc_client *c, const struct zc_request *r,
          struct zc_answer *out, struct zp_err *err)
 {
-  zp_time end = zp_clock_mono () + c->limit;
+  zp_time now = zp_clock_mono (), end = now + c->limit;
 
   for (;;)
     {
-      for (size_t i = 0; i < c->servers.len; i++)
+      for (size_t i = 0; i < c->servers.len && now < end; i++)
         {
-          if (!zc_send_to (c->servers.item[i], r, out, err))
-            continue;
-          if (out->status != 503)
+          zp_time limit = end - now < TRY_LIMIT ? end - now : TRY_LIMIT;
+          bool answered = zc_send_to (c->servers.item[i], r, limit, out, err);
+          if (answered && out->status != 503)
             return true;
-          zp_fail (err, ZP_EUNAVAIL, "%.*s: no leader can take requests now",
-                   ZP_ARG (c->servers.item[i]));
+          if (answered)
+            zp_fail (err, ZP_EUNAVAIL, "%.*s: no leader can take requests now",
+                     ZP_ARG (c->servers.item[i]));
+          now = zp_clock_mono ();
         }
-      if (zp_clock_mono () + PAUSE >= end)
+      if (now + PAUSE >= end)
         return false;
       pause_for (PAUSE);
+      now = zp_clock_mono ();
     }
 }
--- a/src/ctl/client.h
+++ b/src/ctl/client.h
@@ -41,8 +41,8 @@
 bool zc_send (const struct zc_client *c, const struct zc_request *r,
               struct zc_answer *out, struct zp_err *err);
 
-/* One try at one server.  */
+/* One try at one server, which takes at most LIMIT.  */
 bool zc_send_to (struct zp_str server, const struct zc_request *r,
-                 struct zc_answer *out, struct zp_err *err);
+                 zp_time limit, struct zc_answer *out, struct zp_err *err);
 
 #endif
--- a/src/ctl/status.c
+++ b/src/ctl/status.c
@@ -61,14 +61,14 @@
 }
 
 static struct json_object *
-ask (struct zp_str server, struct zp_err *err)
+ask (struct zp_str server, zp_time limit, struct zp_err *err)
 {
   const struct zc_request r
       = { .method = "GET", .target = ZP_STR ("/v1/status") };
   struct zc_answer a = { .status = 0 };
   struct json_object *root = NULL;
 
-  if (zc_send_to (server, &r, &a, err))
+  if (zc_send_to (server, &r, limit, &a, err))
     {
       root = json_tokener_parse (a.body.ptr ? a.body.ptr : "");
       if (!root)
@@ -101,7 +101,7 @@
   for (size_t i = 0; i < c->servers.len; i++)
     {
       struct zp_err err = { .text = "" };
-      struct json_object *s = ask (c->servers.item[i], &err);
+      struct json_object *s = ask (c->servers.item[i], c->limit, &err);
       json_object_array_add (all, entry_of (c->servers.item[i], s, &err));
       if (!json && s)
         print_member (c->servers.item[i], s);
