--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,10 @@
 # Object files of one folder below src.
 objs = $(patsubst src/%.c,$(BUILD)/%.o,$(wildcard src/$(1)/*.c))
 
-LIB_OBJS = $(foreach p,$(PACKAGES),$(call objs,$(p)))
+# Parts of the daemons that tests link to: everything but their main programs.
+PARTS = entry control
+part_objs = $(filter-out %/main.o,$(call objs,$(1)))
+LIB_OBJS = $(foreach p,$(PACKAGES),$(call objs,$(p))) $(foreach p,$(PARTS),$(call part_objs,$(p)))
 LIB = $(BUILD)/libzinniapost.a
 BUILT_PROGRAMS = $(foreach p,$(PROGRAMS),$(if $(wildcard src/$(DIR_$(p))/*.c),$(BUILD)/$(p)))
 TESTS = $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/test-*.c))
@@ -50,9 +53,12 @@
 	@rm -f $@
 	ar rcs $@ $^
 
+# Objects that a program links besides the library.
+own_objs = $(if $(filter $(PARTS),$(1)),$(BUILD)/$(1)/main.o,$(call objs,$(1)))
+
 define program_rule
-$$(BUILD)/$(1): $$(call objs,$$(DIR_$(1))) $$(LIB)
-	$$(CC) $$(CFLAGS) -o $$@ $$(call objs,$$(DIR_$(1))) $$(LIB) $$(LDLIBS) $$(LIBS_$(1))
+$$(BUILD)/$(1): $$(call own_objs,$$(DIR_$(1))) $$(LIB)
+	$$(CC) $$(CFLAGS) -o $$@ $$(call own_objs,$$(DIR_$(1))) $$(LIB) $$(LDLIBS) $$(LIBS_$(1))
 endef
 $(foreach p,$(PROGRAMS),$(eval $(call program_rule,$(p))))
 
--- a/tests/test-disk.c
+++ b/tests/test-disk.c
@@ -90,7 +90,7 @@
   struct zp_buf path = { .ptr = NULL }, found = { .ptr = NULL };
 
   zp_buf_printf (&path, "%s/%s", f->folder, name);
-  bool ok = zp_file_read (path.ptr, &found, NULL)
+  bool ok = zp_file_read (path.ptr, &found, ZP_SETTINGS_MAX, NULL)
             && zp_str_eq (zp_str_of (&found), zp_str_from (want));
   zp_buf_free (&path);
   zp_buf_free (&found);
