Add the health of backend servers from the outcomes of their work

Cause: health and load endpoints lag or mislead, so that ejection has to follow from the work itself. Change: st_health and st_health_group: points for outcomes, ejection that doubles with jitter, one probe, slow start over 10 s. Lost connections and timeouts only put a server in doubt; a later attempt on a fresh connection is the test. At most a third of the servers of a service is ejected at once. Conclusion: test-health passes, also under the sanitizers.

--- /dev/null
+++ b/src/steer/health.c
@@ -0,0 +1,274 @@
+#include "steer/health.h"
+
+#include <assert.h>
+
+#include "base/limits.h"
+
+/* A share of failures above this ejects, once enough outcomes are known.  */
+#define FAILING_LIMIT 0.5
+#define FAILING_SEEN_MIN 20
+#define FAILING_WEIGHT (1.0 / 16)
+
+/* The ejection time starts over for a server that worked for this long.  */
+#define FORGIVE (300 * ZP_SEC)
+
+/* Share of slots at the start of a slow start.  */
+#define RAMP_MIN 0.1
+
+/* A probe whose outcome never arrives is replaced after this time.  */
+#define PROBE_WAIT (5 * ZP_SEC)
+
+#define JITTER 0.2
+
+void
+st_health_add (struct st_health *h, struct st_health_group *g, zp_time now)
+{
+  *h = (struct st_health){ .kind = ST_HEALTH_UP,
+                           .ramp_from = now,
+                           .returned = now };
+  g->servers++;
+}
+
+void
+st_health_cold (struct st_health *h, zp_time now)
+{
+  h->ramp_from = now;
+}
+
+void
+st_health_remove (struct st_health *h, struct st_health_group *g)
+{
+  assert (g->servers > 0);
+  g->servers--;
+  if (h->kind == ST_HEALTH_UP)
+    return;
+  assert (g->ejected > 0);
+  g->ejected--;
+}
+
+enum st_health_kind
+st_health_state (const struct st_health *h, zp_time now)
+{
+  switch (h->kind)
+    {
+    case ST_HEALTH_UP:
+      return ST_HEALTH_UP;
+    case ST_HEALTH_EJECTED:
+    case ST_HEALTH_PROBING:
+      return now >= h->until ? ST_HEALTH_PROBE : h->kind;
+    case ST_HEALTH_PROBE:
+      break;
+    }
+  assert (!"state is computed, never stored");
+  return ST_HEALTH_EJECTED;
+}
+
+bool
+st_health_wants_fresh (const struct st_health *h)
+{
+  return h->doubt || h->kind != ST_HEALTH_UP;
+}
+
+double
+st_health_ramp (const struct st_health *h, zp_time now)
+{
+  double share = (double) (now - h->ramp_from) / (double) ST_HEALTH_SLOW_START;
+
+  if (share < RAMP_MIN)
+    return RAMP_MIN;
+  return share < 1.0 ? share : 1.0;
+}
+
+void
+st_health_probe (struct st_health *h, zp_time now)
+{
+  assert (st_health_state (h, now) == ST_HEALTH_PROBE);
+  h->kind = ST_HEALTH_PROBING;
+  h->until = now + PROBE_WAIT;
+  h->probe_started = now;
+}
+
+/* Ejection and return.  */
+
+static zp_time
+eject_time (unsigned ejections, struct zp_rng *rng)
+{
+  zp_time t = ST_HEALTH_EJECT_FIRST;
+
+  for (unsigned i = 1; i < ejections && t < ST_HEALTH_EJECT_MAX; i++)
+    t *= 2;
+  if (t > ST_HEALTH_EJECT_MAX)
+    t = ST_HEALTH_EJECT_MAX;
+  return (zp_time) ((double) t
+                    * (1.0 - JITTER + 2.0 * JITTER * zp_rng_unit (rng)));
+}
+
+static struct st_health_event
+eject (struct st_health *h, struct st_health_group *g, zp_time now,
+       struct zp_rng *rng)
+{
+  if (h->kind == ST_HEALTH_UP)
+    {
+      unsigned allowed = g->servers / ST_HEALTH_SHARE;
+      /* Of two servers one may be ejected, of one server none.  */
+      if (allowed == 0 && g->servers > 1)
+        allowed = 1;
+      if (g->ejected >= allowed)
+        return (struct st_health_event){ .kind = ST_EVENT_SHARE };
+      g->ejected++;
+      if (now - h->returned > FORGIVE)
+        h->ejections = 0;
+    }
+  h->ejections++;
+  h->kind = ST_HEALTH_EJECTED;
+  h->until = now + eject_time (h->ejections, rng);
+  return (struct st_health_event){ .kind = ST_EVENT_EJECTED,
+                                   .until = h->until };
+}
+
+static struct st_health_event
+return_server (struct st_health *h, struct st_health_group *g, zp_time now)
+{
+  assert (g->ejected > 0);
+  g->ejected--;
+  h->kind = ST_HEALTH_UP;
+  h->points = 0;
+  h->failing = 0;
+  h->seen = 0;
+  h->doubt = false;
+  h->ramp_from = now;
+  h->returned = now;
+  return (struct st_health_event){ .kind = ST_EVENT_RETURNED };
+}
+
+/* Outcomes.  */
+
+/* Points of an outcome.  Two refused connections, two failed tests by a fresh
+   connection, or four failure statuses in a row eject.  */
+static unsigned
+points_of (const struct st_health *h, const struct st_outcome *o)
+{
+  bool test = o->fresh && h->doubt && o->started >= h->doubt_since;
+
+  switch (o->end)
+    {
+    case ST_END_ANSWER:
+    case ST_END_SHED:
+    case ST_END_CANCELLED:
+      return 0;
+    case ST_END_STATUS:
+      return 2;
+    case ST_END_REFUSED:
+      return 4;
+    case ST_END_LOST:
+      return test ? 4 : 0;
+    case ST_END_TIMEOUT:
+      return test ? 2 : 0;
+    case ST_END_LATE:
+      return 1;
+    }
+  return 0;
+}
+
+static bool
+whole_answer (enum st_end end)
+{
+  switch (end)
+    {
+    case ST_END_ANSWER:
+    case ST_END_STATUS:
+    case ST_END_SHED:
+    case ST_END_LATE:
+      return true;
+    case ST_END_REFUSED:
+    case ST_END_LOST:
+    case ST_END_TIMEOUT:
+    case ST_END_CANCELLED:
+      return false;
+    }
+  return false;
+}
+
+static struct st_health_event
+probe_outcome (struct st_health *h, struct st_health_group *g,
+               const struct st_outcome *o, zp_time now, struct zp_rng *rng)
+{
+  /* Attempts from before the ejection end late and are not the probe.  */
+  if (h->kind != ST_HEALTH_PROBING || o->started < h->probe_started)
+    return (struct st_health_event){ .kind = ST_EVENT_NONE };
+  switch (o->end)
+    {
+    case ST_END_ANSWER:
+    case ST_END_SHED:
+      return return_server (h, g, now);
+    case ST_END_CANCELLED:
+      h->until = now;
+      return (struct st_health_event){ .kind = ST_EVENT_NONE };
+    case ST_END_STATUS:
+    case ST_END_REFUSED:
+    case ST_END_LOST:
+    case ST_END_TIMEOUT:
+    case ST_END_LATE:
+      return eject (h, g, now, rng);
+    }
+  return (struct st_health_event){ .kind = ST_EVENT_NONE };
+}
+
+struct st_health_event
+st_health_outcome (struct st_health *h, struct st_health_group *g,
+                   const struct st_outcome *o, zp_time now, struct zp_rng *rng)
+{
+  struct st_health_event none = { .kind = ST_EVENT_NONE };
+
+  if (h->kind != ST_HEALTH_UP)
+    return probe_outcome (h, g, o, now, rng);
+  if (o->end == ST_END_CANCELLED)
+    return none;
+
+  unsigned points = points_of (h, o);
+  bool silent = o->end == ST_END_LOST || o->end == ST_END_TIMEOUT;
+  /* Silent connections that were no test say nothing about the server.  */
+  if (!silent || points > 0)
+    {
+      double failed = points > 0 ? 1.0 : 0.0;
+      h->failing += (failed - h->failing) * FAILING_WEIGHT;
+      h->seen++;
+    }
+  h->points = o->end == ST_END_ANSWER ? 0 : h->points + points;
+  /* An old connection that still works proves nothing about new ones.  */
+  if (whole_answer (o->end) && o->started >= h->doubt_since)
+    h->doubt = false;
+  if (h->points >= ST_HEALTH_LIMIT
+      || (h->seen >= FAILING_SEEN_MIN && h->failing > FAILING_LIMIT))
+    return eject (h, g, now, rng);
+  if (!silent || h->doubt)
+    return none;
+  h->doubt = true;
+  h->doubt_since = now;
+  return (struct st_health_event){ .kind = ST_EVENT_DOUBT };
+}
+
+const char *
+st_end_name (enum st_end end)
+{
+  switch (end)
+    {
+    case ST_END_ANSWER:
+      return "answer";
+    case ST_END_STATUS:
+      return "failure-status";
+    case ST_END_SHED:
+      return "shed";
+    case ST_END_REFUSED:
+      return "connection-refused";
+    case ST_END_LOST:
+      return "connection-lost";
+    case ST_END_TIMEOUT:
+      return "timeout";
+    case ST_END_LATE:
+      return "late";
+    case ST_END_CANCELLED:
+      return "cancelled";
+    }
+  return "unknown";
+}
--- /dev/null
+++ b/tests/test-health.c
@@ -0,0 +1,172 @@
+#include "harness.h"
+
+#include "steer/health.h"
+
+#define SERVERS 12
+
+struct pool
+{
+  struct st_health_group group;
+  struct st_health h[SERVERS];
+  _Alignas(16) struct zp_rng rng; /* dSFMT reads its state aligned */
+};
+
+static void
+setup (struct pool *p, int n)
+{
+  *p = (struct pool){ .group = { .servers = 0 } };
+  zp_rng_seed (&p->rng, 11);
+  for (int i = 0; i < n; i++)
+    st_health_add (&p->h[i], &p->group, 0);
+}
+
+static struct st_health_event
+end (struct pool *p, int i, enum st_end e, zp_time started, bool fresh,
+     zp_time now)
+{
+  struct st_outcome o = { .end = e, .started = started, .fresh = fresh };
+  return st_health_outcome (&p->h[i], &p->group, &o, now, &p->rng);
+}
+
+/* Ejects server I by refused connections and returns the end of it.  */
+static zp_time
+refuse (struct pool *p, int i, zp_time now)
+{
+  struct st_health_event e = end (p, i, ST_END_REFUSED, now, true, now);
+
+  if (e.kind == ST_EVENT_NONE)
+    e = end (p, i, ST_END_REFUSED, now, true, now);
+  CU_ASSERT_EQUAL (e.kind, ST_EVENT_EJECTED);
+  return e.until;
+}
+
+/* Guards against the ejection of a healthy server whose open connections all
+   broke or fell silent at once.  */
+static void
+test_lost_connections_need_a_fresh_test (void)
+{
+  struct pool p;
+
+  setup (&p, SERVERS);
+  CU_ASSERT_EQUAL (end (&p, 0, ST_END_LOST, 0, false, 100).kind,
+                   ST_EVENT_DOUBT);
+  for (int i = 0; i < 50; i++)
+    /* Sent before the doubt, on connections that were fresh then.  */
+    end (&p, 0, i % 2 ? ST_END_LOST : ST_END_TIMEOUT, 50, true, 200);
+  CU_ASSERT_EQUAL (st_health_state (&p.h[0], 200), ST_HEALTH_UP);
+  CU_ASSERT (st_health_wants_fresh (&p.h[0]));
+
+  /* An answer on an old connection does not end the test.  */
+  end (&p, 0, ST_END_ANSWER, 50, false, 300);
+  CU_ASSERT (st_health_wants_fresh (&p.h[0]));
+  end (&p, 0, ST_END_ANSWER, 300, true, 400);
+  CU_ASSERT (!st_health_wants_fresh (&p.h[0]));
+
+  end (&p, 0, ST_END_LOST, 400, false, 500);
+  end (&p, 0, ST_END_LOST, 500, true, 600);
+  CU_ASSERT_EQUAL (st_health_state (&p.h[0], 600), ST_HEALTH_UP);
+  CU_ASSERT_EQUAL (end (&p, 0, ST_END_LOST, 600, true, 700).kind,
+                   ST_EVENT_EJECTED);
+}
+
+/* Guards against ejections that do not grow, all end at once, or have no
+   single probe behind them.  */
+static void
+test_ejection_grows_and_ends_with_one_probe (void)
+{
+  struct pool p;
+  zp_time now = 0, length = 0;
+
+  setup (&p, SERVERS);
+  zp_time a = refuse (&p, 0, now), b = refuse (&p, 1, now);
+  CU_ASSERT (a != b);
+  CU_ASSERT_EQUAL (st_health_state (&p.h[0], a - 1), ST_HEALTH_EJECTED);
+  for (int i = 0; i < 4; i++)
+    {
+      zp_time t = p.h[0].until - now;
+      CU_ASSERT (t > length);
+      length = t;
+      now = p.h[0].until;
+      CU_ASSERT_EQUAL (st_health_state (&p.h[0], now), ST_HEALTH_PROBE);
+      st_health_probe (&p.h[0], now);
+      CU_ASSERT_EQUAL (st_health_state (&p.h[0], now + 1), ST_HEALTH_PROBING);
+      /* The end of an attempt from before is not the probe's.  */
+      end (&p, 0, ST_END_ANSWER, now - 1, false, now + 1);
+      CU_ASSERT_EQUAL (st_health_state (&p.h[0], now + 1), ST_HEALTH_PROBING);
+      end (&p, 0, ST_END_TIMEOUT, now, true, now);
+    }
+  now = p.h[0].until;
+  st_health_probe (&p.h[0], now);
+  CU_ASSERT_EQUAL (end (&p, 0, ST_END_ANSWER, now, true, now).kind,
+                   ST_EVENT_RETURNED);
+  CU_ASSERT (st_health_ramp (&p.h[0], now) < 0.2);
+  CU_ASSERT_DOUBLE_EQUAL (st_health_ramp (&p.h[0], now + 5 * ZP_SEC), 0.5,
+                          0.01);
+  CU_ASSERT_EQUAL (st_health_ramp (&p.h[0], now + 10 * ZP_SEC), 1.0);
+
+  /* A probe whose outcome is lost does not keep the server out for ever.  */
+  st_health_probe (&p.h[1], b);
+  CU_ASSERT_EQUAL (st_health_state (&p.h[1], b + 10 * ZP_SEC),
+                   ST_HEALTH_PROBE);
+  for (int i = 0; i < 20; i++)
+    refuse (&p, 2, p.h[2].until), st_health_probe (&p.h[2], p.h[2].until);
+  CU_ASSERT (p.h[2].until - p.h[2].probe_started <= ST_HEALTH_EJECT_MAX * 2);
+}
+
+/* Guards against a caller whose requests all fail emptying the service.  */
+static void
+test_share_of_ejected_servers (void)
+{
+  struct pool p;
+  unsigned up = 0;
+  bool capped = false;
+
+  setup (&p, SERVERS);
+  for (int round = 0; round < 20; round++)
+    for (int i = 0; i < SERVERS; i++)
+      capped |= end (&p, i, ST_END_STATUS, 0, false, round).kind
+                == ST_EVENT_SHARE;
+  for (int i = 0; i < SERVERS; i++)
+    up += st_health_state (&p.h[i], 20) == ST_HEALTH_UP;
+  CU_ASSERT (capped);
+  CU_ASSERT_EQUAL (up, SERVERS - SERVERS / ST_HEALTH_SHARE);
+  for (int i = 0; i < SERVERS; i++)
+    st_health_remove (&p.h[i], &p.group);
+  CU_ASSERT_EQUAL (p.group.ejected + p.group.servers, 0);
+
+  setup (&p, 1);
+  for (int i = 0; i < 50; i++)
+    end (&p, 0, ST_END_STATUS, 0, false, i);
+  CU_ASSERT_EQUAL (st_health_state (&p.h[0], 50), ST_HEALTH_UP);
+}
+
+/* Guards against a server that fails half of its work going unnoticed, and
+   against shed load or a rare failure counting as a broken server.  */
+static void
+test_share_of_failures (void)
+{
+  struct pool p;
+
+  setup (&p, SERVERS);
+  for (int i = 0; i < 1000; i++)
+    {
+      end (&p, 0, i % 10 == 0 ? ST_END_STATUS : ST_END_ANSWER, i, false, i);
+      end (&p, 1, ST_END_SHED, i, false, i);
+      end (&p, 2, i % 3 == 0 ? ST_END_ANSWER : ST_END_STATUS, i, false, i);
+      end (&p, 3, ST_END_CANCELLED, i, false, i);
+    }
+  CU_ASSERT_EQUAL (st_health_state (&p.h[0], 1000), ST_HEALTH_UP);
+  CU_ASSERT_EQUAL (st_health_state (&p.h[1], 1000), ST_HEALTH_UP);
+  CU_ASSERT_EQUAL (st_health_state (&p.h[2], 1000), ST_HEALTH_EJECTED);
+  CU_ASSERT_EQUAL (st_health_state (&p.h[3], 1000), ST_HEALTH_UP);
+}
+
+static const struct zp_test tests[]
+    = { { "lost connections need a fresh test",
+          test_lost_connections_need_a_fresh_test },
+        { "ejection grows and ends with one probe",
+          test_ejection_grows_and_ends_with_one_probe },
+        { "share of ejected servers", test_share_of_ejected_servers },
+        { "share of failures", test_share_of_failures } };
+
+TEST_MAIN ("health", tests)
