Add the retry budget and the decision after an outcome

Cause: retries must not multiply the load, and an at-most-once request must not run twice. Change: st_budget earns a tenth of a token for each first try. The two tokens that it starts with are an advance, and a retry that fails costs a second token, so that saved tokens do not pass 1.1x either. st_retry_decide gives retry, answer or refusal, with the verdict of all attempts. Conclusion: test-retry passes: with every server failing, 100,000 first tries stay within 1.1x from the 20th on for a new budget and from the 200th on for a full one.

--- /dev/null
+++ b/src/steer/retry.h
@@ -0,0 +1,105 @@
+/* NAME
+     retry - retry budget of a service, and what follows an outcome
+
+   SYNOPSIS
+     st_budget_init (&budget);
+     st_budget_first (&budget);
+     d = st_retry_decide (&request, &outcome, &budget);
+
+   DESCRIPTION
+     Every first try of a service earns a tenth of a token, and a retry spends
+     one.  The budget starts with ST_BUDGET_FLOOR tokens, so that a service
+     with few requests can retry; these are an advance that the first tries
+     pay back before they earn more.  So the retries of N first tries are at
+     most max (ST_BUDGET_FLOOR, N / 10), from the first request on.
+
+     A retry that fails spends a second token.  When every server fails, the
+     tokens saved before (at most ST_BUDGET_MAX) and those earned then pay for
+     half as many retries, and the amplification is at most 1.1 over any 200
+     or more first tries, and below 1.1 over longer times.
+
+     An idempotent request is retried on another server after every failure.
+     An at-most-once request is retried only when the outcome proves that it
+     did not run.  The verdict of a refusal covers all attempts: it is that of
+     the attempt that went furthest.
+
+   RETURN VALUE
+     st_retry_decide returns a tagged value; ST_RETRY_NOW has spent a token.
+     The caller reports the end of that retry by st_budget_retried.  */
+
+#ifndef ZP_STEER_RETRY_H
+#define ZP_STEER_RETRY_H
+
+#include "base/verdict.h"
+#include "steer/health.h"
+
+#define ST_BUDGET_FLOOR 2
+#define ST_BUDGET_MAX 20
+#define ST_RETRY_ATTEMPTS 3 /* first try included */
+
+/* Amounts are tenths of a token, so that sums are exact.  */
+struct st_budget
+{
+  int64_t tenths;
+  int64_t advance; /* not yet paid back */
+};
+
+/* What the decision knows about one request.  */
+struct st_retry_request
+{
+  bool idempotent;
+  bool poisoned;     /* st_poison_admit refuses it now */
+  bool other_server; /* a server that was not tried could take it */
+  unsigned attempts; /* ended so far, the last one included */
+  bool has_answer;   /* the last attempt ended with a whole answer */
+  zp_time now;
+  zp_time deadline;
+  zp_time expected;        /* usual time of one attempt */
+  enum zp_verdict earlier; /* the furthest of the attempts before this one */
+};
+
+enum st_retry_kind
+{
+  ST_RETRY_NOW,    /* on another server */
+  ST_RETRY_ANSWER, /* the caller gets the answer of the last attempt */
+  ST_RETRY_REFUSE,
+};
+
+enum st_refuse_reason
+{
+  ST_REFUSE_CANCELLED,
+  ST_REFUSE_MAY_HAVE_RUN, /* at most once, and not proved not run */
+  ST_REFUSE_POISON,
+  ST_REFUSE_ATTEMPTS,
+  ST_REFUSE_DEADLINE,
+  ST_REFUSE_NO_SERVER,
+  ST_REFUSE_BUDGET,
+};
+
+struct st_retry
+{
+  enum st_retry_kind kind;
+  enum zp_verdict verdict; /* of all attempts so far */
+  union
+  {
+    enum st_refuse_reason refuse;
+    /* Why an answer with a failure status was not tried again; valid when
+       the answer is one.  */
+    enum st_refuse_reason answer;
+  } u;
+};
+
+void st_budget_init (struct st_budget *b);
+void st_budget_first (struct st_budget *b);
+
+/* The end of a retry that st_retry_decide has started.  */
+void st_budget_retried (struct st_budget *b, enum st_end end);
+
+/* END and VERDICT are those of the last attempt.  */
+struct st_retry st_retry_decide (const struct st_retry_request *r,
+                                 enum st_end end, enum zp_verdict verdict,
+                                 struct st_budget *b);
+
+const char *st_refuse_name (enum st_refuse_reason reason);
+
+#endif
--- /dev/null
+++ b/tests/test-retry.c
@@ -0,0 +1,188 @@
+#include "harness.h"
+
+#include "steer/retry.h"
+
+static struct st_retry_request
+request (bool idempotent)
+{
+  return (struct st_retry_request){ .idempotent = idempotent,
+                                    .other_server = true,
+                                    .attempts = 1,
+                                    .now = 0,
+                                    .deadline = ZP_SEC,
+                                    .expected = 10 * ZP_MS,
+                                    .earlier = ZP_NOT_RUN };
+}
+
+/* One first try and its retries, all failing.  Returns the attempts.  */
+static unsigned
+fail_all (struct st_budget *b)
+{
+  struct st_retry_request r = request (true);
+
+  st_budget_first (b);
+  while (st_retry_decide (&r, ST_END_LOST, ZP_MAY_HAVE_RUN, b).kind
+         == ST_RETRY_NOW)
+    {
+      st_budget_retried (b, ST_END_LOST);
+      r.attempts++;
+      r.earlier = ZP_MAY_HAVE_RUN;
+    }
+  return r.attempts;
+}
+
+/* Guards against retries that multiply the load when every server fails: at
+   most 1.1 attempts a request, new or with a budget full of saved tokens.  */
+static void
+test_amplification_with_every_server_failing (void)
+{
+  struct st_budget fresh, saved;
+  unsigned long a = 0, s = 0;
+
+  st_budget_init (&fresh);
+  st_budget_init (&saved);
+  for (int i = 0; i < 100000; i++)
+    st_budget_first (&saved);
+  for (unsigned long n = 1; n <= 100000; n++)
+    {
+      a += fail_all (&fresh);
+      s += fail_all (&saved);
+      CU_ASSERT (a * 10 <= n * 11 || a <= n + ST_BUDGET_FLOOR);
+      CU_ASSERT (n < 200 || s * 10 <= n * 11);
+    }
+}
+
+/* Guards against a budget above 10% when retries work, and against one that
+   gives nothing to a service with few requests.  */
+static void
+test_budget_with_random_failures (void)
+{
+  struct zp_rng rng;
+
+  zp_rng_seed (&rng, 21);
+  for (int round = 0; round < 200; round++)
+    {
+      struct st_budget b;
+      struct st_retry_request r = request (true);
+      unsigned long first = 0, retries = 0, running = 0;
+      double failing = zp_rng_unit (&rng);
+      st_budget_init (&b);
+      for (int i = 0; i < 2000; i++)
+        {
+          st_budget_first (&b);
+          first++;
+          if (zp_rng_unit (&rng) < failing
+              && st_retry_decide (&r, ST_END_REFUSED, ZP_NOT_RUN, &b).kind
+                     == ST_RETRY_NOW)
+            {
+              retries++;
+              running++;
+            }
+          if (running > 0 && zp_rng_below (&rng, 3) == 0)
+            {
+              st_budget_retried (&b, zp_rng_below (&rng, 2) ? ST_END_ANSWER
+                                                            : ST_END_LOST);
+              running--;
+            }
+          CU_ASSERT (retries <= ST_BUDGET_FLOOR || retries * 10 <= first);
+        }
+      CU_ASSERT (retries > 0 || failing < 0.01);
+    }
+}
+
+/* Guards against a second run of an at-most-once request that may have run,
+   for every outcome and verdict.  */
+static void
+test_at_most_once_needs_a_proof (void)
+{
+  for (int end = ST_END_ANSWER; end <= ST_END_CANCELLED; end++)
+    for (int v = ZP_NOT_RUN; v <= ZP_RAN; v++)
+      {
+        struct st_budget b;
+        struct st_retry_request r = request (false);
+        st_budget_init (&b);
+        struct st_retry d
+            = st_retry_decide (&r, (enum st_end) end, (enum zp_verdict) v, &b);
+        if (v != ZP_NOT_RUN)
+          CU_ASSERT_NOT_EQUAL (d.kind, ST_RETRY_NOW);
+        CU_ASSERT_EQUAL (d.verdict, (enum zp_verdict) v);
+      }
+  struct st_budget b;
+  struct st_retry_request r = request (false);
+  st_budget_init (&b);
+  CU_ASSERT_EQUAL (st_retry_decide (&r, ST_END_REFUSED, ZP_NOT_RUN, &b).kind,
+                   ST_RETRY_NOW);
+}
+
+/* Guards against a refusal that says not-run although an earlier attempt may
+   have run.  */
+static void
+test_verdict_covers_all_attempts (void)
+{
+  struct st_budget b;
+  struct st_retry_request r = request (true);
+
+  st_budget_init (&b);
+  r.attempts = ST_RETRY_ATTEMPTS;
+  r.earlier = ZP_MAY_HAVE_RUN;
+  struct st_retry d = st_retry_decide (&r, ST_END_REFUSED, ZP_NOT_RUN, &b);
+  CU_ASSERT_EQUAL (d.kind, ST_RETRY_REFUSE);
+  CU_ASSERT_EQUAL (d.verdict, ZP_MAY_HAVE_RUN);
+  CU_ASSERT_EQUAL (d.u.refuse, ST_REFUSE_ATTEMPTS);
+
+  /* The server's own not-run answer would be just as wrong.  */
+  r.has_answer = true;
+  d = st_retry_decide (&r, ST_END_SHED, ZP_NOT_RUN, &b);
+  CU_ASSERT_EQUAL (d.kind, ST_RETRY_REFUSE);
+  CU_ASSERT_EQUAL (d.verdict, ZP_MAY_HAVE_RUN);
+  d = st_retry_decide (&r, ST_END_STATUS, ZP_RAN, &b);
+  CU_ASSERT_EQUAL (d.kind, ST_RETRY_ANSWER);
+  CU_ASSERT_EQUAL (d.verdict, ZP_RAN);
+}
+
+/* Guards against retries past the deadline, without a server, of poison, or
+   of a request whose caller left; none of them may spend a token.  */
+static void
+test_reasons_not_to_retry (void)
+{
+  struct st_budget b;
+  struct st_retry_request r;
+
+  st_budget_init (&b);
+  struct st_budget before = b;
+  r = request (true);
+  r.now = r.deadline - r.expected;
+  CU_ASSERT_EQUAL (
+      st_retry_decide (&r, ST_END_LOST, ZP_MAY_HAVE_RUN, &b).u.refuse,
+      ST_REFUSE_DEADLINE);
+  r = request (true);
+  r.other_server = false;
+  CU_ASSERT_EQUAL (
+      st_retry_decide (&r, ST_END_LOST, ZP_MAY_HAVE_RUN, &b).u.refuse,
+      ST_REFUSE_NO_SERVER);
+  r = request (true);
+  r.poisoned = true;
+  CU_ASSERT_EQUAL (
+      st_retry_decide (&r, ST_END_LOST, ZP_MAY_HAVE_RUN, &b).u.refuse,
+      ST_REFUSE_POISON);
+  r = request (true);
+  CU_ASSERT_EQUAL (
+      st_retry_decide (&r, ST_END_CANCELLED, ZP_MAY_HAVE_RUN, &b).u.refuse,
+      ST_REFUSE_CANCELLED);
+  CU_ASSERT_EQUAL (b.tenths, before.tenths);
+  for (int i = 0; i < ST_BUDGET_FLOOR; i++)
+    st_retry_decide (&r, ST_END_LOST, ZP_MAY_HAVE_RUN, &b);
+  CU_ASSERT_EQUAL (
+      st_retry_decide (&r, ST_END_LOST, ZP_MAY_HAVE_RUN, &b).u.refuse,
+      ST_REFUSE_BUDGET);
+}
+
+static const struct zp_test tests[]
+    = { { "amplification with every server failing",
+          test_amplification_with_every_server_failing },
+        { "budget with random failures", test_budget_with_random_failures },
+        { "at most once needs a proof", test_at_most_once_needs_a_proof },
+        { "verdict covers all attempts", test_verdict_covers_all_attempts },
+        { "reasons not to retry", test_reasons_not_to_retry } };
+
+TEST_MAIN ("retry", tests)
