--- /dev/null
+++ b/tests/test-poison.c
@@ -0,0 +1,529 @@
+#include "harness.h"
+
+#include <stdlib.h>
+
+#include "base/rng.h"
+#include "steer/poison.h"
+
+#define DAEMONS_MAX 5
+#define SERVERS 30
+#define STEP (40 * ZP_MS)
+#define WIRE 1024
+
+static const struct st_fp bad = { .hi = 1, .lo = 1 };
+
+/* A region in which one request crashes every server that runs it, with
+   daemons whose reports are delayed or lost.  */
+
+struct attempt
+{
+  struct st_run_ref run;
+  uint32_t server;
+  zp_time crash;  /* when its server goes down */
+  zp_time cancel; /* the caller leaves before */
+  bool active, open;
+};
+
+struct wire
+{
+  struct st_poison_report r[WIRE];
+  zp_time at[WIRE];
+  unsigned first, len;
+  zp_time last;
+  bool up;
+};
+
+struct region
+{
+  struct zp_rng rng;
+  struct st_poison *p[DAEMONS_MAX];
+  struct attempt a[DAEMONS_MAX][16];
+  struct wire w[DAEMONS_MAX][DAEMONS_MAX];
+  unsigned daemons;
+  zp_time delay_max;
+  zp_time now;
+  unsigned crashes;
+  zp_time down[SERVERS]; /* back at this time */
+  zp_time tell[SERVERS]; /* its announcements are missed at this time */
+};
+
+static void
+set_members (struct region *g, unsigned d)
+{
+  struct st_poison_member m[DAEMONS_MAX];
+
+  for (unsigned i = 0; i < g->daemons; i++)
+    m[i] = (struct st_poison_member){ .id = i + 1,
+                                      .live = i == d || g->w[i][d].up };
+  st_poison_members (g->p[d], m, g->daemons);
+}
+
+static void
+setup (struct region *g, uint32_t seed, unsigned daemons, zp_time delay_max)
+{
+  memset (g, 0, sizeof *g);
+  zp_rng_seed (&g->rng, seed);
+  g->daemons = daemons;
+  g->delay_max = delay_max;
+  for (unsigned i = 0; i < daemons; i++)
+    {
+      g->p[i] = st_poison_new (i + 1, 64);
+      for (unsigned k = 0; k < daemons; k++)
+        g->w[i][k].up = true;
+    }
+  for (unsigned i = 0; i < daemons; i++)
+    set_members (g, i);
+}
+
+static void
+teardown (struct region *g)
+{
+  for (unsigned i = 0; i < g->daemons; i++)
+    st_poison_free (g->p[i]);
+}
+
+static void
+put_on_wire (struct region *g, unsigned from, unsigned to,
+             const struct st_poison_report *r)
+{
+  struct wire *w = &g->w[from][to];
+
+  if (!w->up)
+    return;
+  CU_ASSERT_FATAL (w->len < WIRE);
+  zp_time at
+      = g->now + (zp_time) (zp_rng_unit (&g->rng) * (double) g->delay_max);
+  w->last = at > w->last ? at : w->last; /* a link keeps the order */
+  w->at[(w->first + w->len) % WIRE] = w->last;
+  w->r[(w->first + w->len++) % WIRE] = *r;
+}
+
+static void
+exchange (struct region *g)
+{
+  struct st_poison_send s;
+
+  for (unsigned i = 0; i < g->daemons; i++)
+    while (st_poison_take (g->p[i], &s))
+      for (unsigned k = 0; k < g->daemons; k++)
+        if (k != i && (s.to == 0 || s.to == k + 1))
+          put_on_wire (g, i, k, &s.report);
+  for (unsigned i = 0; i < g->daemons; i++)
+    for (unsigned k = 0; k < g->daemons; k++)
+      for (struct wire *w = &g->w[i][k];
+           w->len > 0 && w->at[w->first] <= g->now; w->len--)
+        {
+          st_poison_merge (g->p[k], &w->r[w->first], g->now);
+          w->first = (w->first + 1) % WIRE;
+        }
+}
+
+/* A link that breaks loses what is on it; a new one begins with an export. */
+static void
+flip_link (struct region *g)
+{
+  unsigned a = zp_rng_below (&g->rng, g->daemons);
+  unsigned b = zp_rng_below (&g->rng, g->daemons);
+
+  if (a == b)
+    return;
+  bool up = !g->w[a][b].up;
+  g->w[a][b].up = g->w[b][a].up = up;
+  g->w[a][b].len = g->w[b][a].len = 0;
+  g->w[a][b].last = g->w[b][a].last = 0;
+  set_members (g, a);
+  set_members (g, b);
+  if (!up)
+    return;
+  st_poison_export (g->p[a], b + 1, g->now);
+  st_poison_export (g->p[b], a + 1, g->now);
+}
+
+static void
+submit (struct region *g, unsigned d)
+{
+  struct st_admit may = st_poison_admit (g->p[d], bad, g->now);
+  uint32_t server = zp_rng_below (&g->rng, SERVERS);
+
+  if (may.kind == ST_ADMIT_WAIT || may.kind == ST_ADMIT_REFUSE)
+    return;
+  if (may.kind == ST_ADMIT_SAME)
+    server = (uint32_t) may.u.server - 1;
+  if (g->down[server] > g->now)
+    return;
+  for (int i = 0; i < 16; i++)
+    if (!g->a[d][i].active)
+      {
+        zp_time crash = g->now + zp_rng_below (&g->rng, 400) * ZP_MS;
+        g->a[d][i] = (struct attempt){
+          .run = st_poison_run (g->p[d], bad, server + 1, g->now),
+          .server = server,
+          .crash = crash,
+          .cancel = g->now + zp_rng_below (&g->rng, 800) * ZP_MS,
+          .active = true
+        };
+        return;
+      }
+}
+
+/* Every run on the server ends, in every daemon.  */
+static void
+crash_server (struct region *g, uint32_t server)
+{
+  g->crashes++;
+  g->down[server] = g->now + 3 * ZP_SEC;
+  g->tell[server] = g->now + 2 * ZP_SEC;
+  for (unsigned d = 0; d < g->daemons; d++)
+    for (int i = 0; i < 16; i++)
+      {
+        struct attempt *a = &g->a[d][i];
+        if (!a->active || a->server != server)
+          continue;
+        a->active = false;
+        if (!a->open)
+          st_poison_done (g->p[d], a->run, ST_RUN_LOST, g->now);
+      }
+}
+
+static void
+run_attempts (struct region *g)
+{
+  for (unsigned d = 0; d < g->daemons; d++)
+    {
+      st_poison_tick (g->p[d], g->now);
+      for (int i = 0; i < 16; i++)
+        {
+          struct attempt *a = &g->a[d][i];
+          if (a->active && a->crash <= g->now)
+            crash_server (g, a->server);
+          else if (a->active && !a->open && a->cancel <= g->now)
+            {
+              a->open = true;
+              st_poison_done (g->p[d], a->run, ST_RUN_OPEN, g->now);
+            }
+        }
+    }
+  for (uint32_t s = 0; s < SERVERS; s++)
+    if (g->tell[s] != 0 && g->tell[s] <= g->now)
+      {
+        g->tell[s] = 0;
+        for (unsigned d = 0; d < g->daemons; d++)
+          st_poison_server_lost (g->p[d], s + 1, g->now);
+      }
+}
+
+/* Resends through random daemons of the first CALLER_LIST for LENGTH, once in
+   PAUSE steps on average; a link breaks or returns once in FLIP steps.  */
+static void
+resend (struct region *g, unsigned caller_list, uint32_t pause, uint32_t flip,
+        zp_time length)
+{
+  for (; g->now < length; g->now += STEP)
+    {
+      if (zp_rng_below (&g->rng, pause) == 0)
+        submit (g, zp_rng_below (&g->rng, caller_list));
+      if (flip > 0 && zp_rng_below (&g->rng, flip) == 0)
+        flip_link (g);
+      run_attempts (g);
+      exchange (g);
+    }
+}
+
+/* Guards against a request that empties a region: at most 3 servers are lost
+   when it is resent through three daemons for 9 minutes, with reports that
+   take up to 2 minutes or are lost with their links.  */
+static void
+test_servers_lost_in_a_region (void)
+{
+  static const zp_time delays[]
+      = { 0, 2 * ZP_MS, ZP_SEC, 10 * ZP_SEC, 120 * ZP_SEC };
+  static const uint32_t pauses[] = { 4, 40, 400 }, flips[] = { 0, 20, 200 };
+  static struct region g;
+  unsigned most = 0, refusing = 0;
+
+  for (uint32_t seed = 0; seed < 150; seed++)
+    {
+      unsigned daemons = seed % 4 == 0 ? 2 : 3;
+      setup (&g, seed, daemons, delays[seed % 5]);
+      resend (&g, daemons, pauses[seed % 3], flips[seed / 3 % 3],
+              540 * ZP_SEC);
+      most = g.crashes > most ? g.crashes : most;
+      CU_ASSERT (g.crashes <= 3);
+      for (unsigned d = 0; d < daemons; d++)
+        refusing
+            += st_poison_admit (g.p[d], bad, g.now).kind == ST_ADMIT_REFUSE;
+      teardown (&g);
+    }
+  /* Otherwise the test would not have tried the limit.  */
+  CU_ASSERT_EQUAL (most, 3);
+  CU_ASSERT (refusing > 0);
+}
+
+/* Guards against the same in a larger region, where a caller is given three
+   of the daemons, all are live and reports are late.  */
+static void
+test_servers_lost_in_a_larger_region (void)
+{
+  static struct region g;
+
+  for (uint32_t seed = 0; seed < 40; seed++)
+    {
+      setup (&g, seed, 5, (seed % 4) * 10 * ZP_SEC);
+      resend (&g, 3, seed % 3 * 20 + 4, 0, 540 * ZP_SEC);
+      CU_ASSERT (g.crashes <= 3);
+      teardown (&g);
+    }
+}
+
+/* Guards against a region that never comes to a verdict: with all daemons
+   live, the request is refused everywhere soon after two losses.  */
+static void
+test_region_agrees_on_poison (void)
+{
+  static struct region g;
+
+  for (uint32_t seed = 0; seed < 50; seed++)
+    {
+      setup (&g, seed, 3, 3 * ZP_MS);
+      resend (&g, 3, 4, 0, 60 * ZP_SEC);
+      CU_ASSERT (g.crashes == 2 || g.crashes == 3);
+      for (unsigned d = 0; d < 3; d++)
+        CU_ASSERT_EQUAL (st_poison_admit (g.p[d], bad, g.now).kind,
+                         ST_ADMIT_REFUSE);
+      CU_ASSERT_EQUAL (
+          st_poison_admit (g.p[0], bad, g.now + ST_POISON_RELEASE).kind,
+          ST_ADMIT_RUN);
+      teardown (&g);
+    }
+}
+
+/* Loses one server to the request in daemon D and tells the others.  */
+static void
+lose_first (struct region *g, unsigned d)
+{
+  struct st_run_ref r = st_poison_run (g->p[d], bad, d + 1, g->now);
+
+  st_poison_done (g->p[d], r, ST_RUN_LOST, g->now);
+  exchange (g);
+}
+
+static enum st_admit_kind
+admit (struct region *g, unsigned d)
+{
+  return st_poison_admit (g->p[d], bad, g->now).kind;
+}
+
+/* Guards against a trial without the votes of all live daemons, without a
+   quorum of all daemons, or beside another trial.  */
+static void
+test_trial_needs_votes (void)
+{
+  static struct region g;
+  struct st_poison_member two[] = { { .id = 1 }, { .id = 2 } };
+
+  /* Two of five have voted and two live ones are silent.  */
+  setup (&g, 1, 5, 0);
+  lose_first (&g, 0);
+  CU_ASSERT_EQUAL (admit (&g, 0), ST_ADMIT_WAIT);
+  g.w[0][3].up = g.w[0][4].up = false;
+  exchange (&g);
+  exchange (&g);
+  CU_ASSERT_EQUAL (admit (&g, 0), ST_ADMIT_WAIT);
+  g.w[0][3].up = g.w[0][4].up = true;
+  g.now += ZP_SEC;
+  CU_ASSERT_EQUAL (admit (&g, 0), ST_ADMIT_WAIT);
+  exchange (&g);
+  exchange (&g);
+  CU_ASSERT_EQUAL (admit (&g, 0), ST_ADMIT_ALONE);
+
+  /* The votes are given: nobody else gets them before the end.  */
+  for (unsigned d = 1; d < 5; d++)
+    CU_ASSERT_EQUAL (admit (&g, d), ST_ADMIT_WAIT);
+  teardown (&g);
+
+  /* Three ask at once: the lowest id goes on, the others yield.  */
+  setup (&g, 1, 3, 0);
+  lose_first (&g, 2);
+  for (int i = 0; i < 5; i++, g.now += 200 * ZP_MS)
+    {
+      unsigned alone = 0;
+      for (int d = 2; d >= 0; d--)
+        alone += admit (&g, (unsigned) d) == ST_ADMIT_ALONE;
+      CU_ASSERT (alone <= 1);
+      exchange (&g);
+      exchange (&g);
+    }
+  CU_ASSERT_EQUAL (admit (&g, 0), ST_ADMIT_ALONE);
+  teardown (&g);
+
+  /* A daemon that has the request in flight does not vote.  */
+  setup (&g, 1, 3, 0);
+  struct st_run_ref r = st_poison_run (g.p[0], bad, 9, 0);
+  lose_first (&g, 1);
+  for (int i = 0; i < 5; i++, g.now += 200 * ZP_MS)
+    {
+      CU_ASSERT_EQUAL (admit (&g, 1), ST_ADMIT_WAIT);
+      exchange (&g);
+      exchange (&g);
+    }
+  st_poison_done (g.p[0], r, ST_RUN_ANSWERED, g.now);
+  exchange (&g);
+  CU_ASSERT_EQUAL (admit (&g, 1), ST_ADMIT_RUN);
+  teardown (&g);
+
+  /* Of two that are cut off from each other only one may try.  */
+  for (uint64_t self = 1; self <= 2; self++)
+    {
+      struct st_poison *p = st_poison_new (self, 4);
+      two[0].live = self == 1;
+      two[1].live = self == 2;
+      st_poison_members (p, two, 2);
+      st_poison_done (p, st_poison_run (p, bad, 9, 0), ST_RUN_LOST, 0);
+      CU_ASSERT_EQUAL (st_poison_admit (p, bad, 0).kind,
+                       self == 1 ? ST_ADMIT_ALONE : ST_ADMIT_WAIT);
+      st_poison_free (p);
+    }
+}
+
+/* Single daemon.  */
+
+static struct st_fp
+good (uint64_t i)
+{
+  return (struct st_fp){ .hi = 2, .lo = 1000 + i };
+}
+
+/* Guards against blaming requests that shared a server with a bad one: those
+   that finish well are cleared, run freely, and stay free after more losses
+   of servers that they happen to be on.  */
+static void
+test_innocent_requests_are_cleared (void)
+{
+  struct st_poison *p = st_poison_new (1, 64);
+  struct st_run_ref r[8], x;
+  zp_time now = 0;
+
+  for (uint64_t i = 0; i < 8; i++)
+    r[i] = st_poison_run (p, good (i), 1, now);
+  x = st_poison_run (p, bad, 1, now);
+  st_poison_done (p, x, ST_RUN_LOST, now);
+  /* This one had its answer on the way.  */
+  st_poison_done (p, r[0], ST_RUN_ANSWERED, now);
+  CU_ASSERT_EQUAL (st_poison_admit (p, good (0), now).kind, ST_ADMIT_RUN);
+  for (uint64_t i = 1; i < 8; i++)
+    st_poison_done (p, r[i], ST_RUN_LOST, now);
+  for (uint64_t i = 1; i < 8; i++)
+    {
+      CU_ASSERT_EQUAL (st_poison_admit (p, good (i), now).kind,
+                       ST_ADMIT_ALONE);
+      r[i] = st_poison_run (p, good (i), 10 + i, now);
+      CU_ASSERT_EQUAL (st_poison_admit (p, good (i), now).kind, ST_ADMIT_WAIT);
+    }
+  CU_ASSERT_EQUAL (st_poison_admit (p, bad, now).kind, ST_ADMIT_ALONE);
+  x = st_poison_run (p, bad, 2, now);
+  st_poison_done (p, x, ST_RUN_LOST, now);
+  CU_ASSERT_EQUAL (st_poison_admit (p, bad, now).kind, ST_ADMIT_REFUSE);
+  for (uint64_t i = 1; i < 8; i++)
+    {
+      st_poison_done (p, r[i], ST_RUN_ANSWERED, now);
+      CU_ASSERT_EQUAL (st_poison_admit (p, good (i), now).kind, ST_ADMIT_RUN);
+    }
+  /* A rack with two of its servers fails.  */
+  r[1] = st_poison_run (p, good (1), 21, now);
+  r[2] = st_poison_run (p, good (1), 22, now);
+  st_poison_done (p, r[1], ST_RUN_LOST, now);
+  st_poison_done (p, r[2], ST_RUN_LOST, now);
+  CU_ASSERT_EQUAL (st_poison_admit (p, good (1), now).kind, ST_ADMIT_ALONE);
+  st_poison_free (p);
+}
+
+/* Guards against copies of a new request on several servers, and against a
+   cancelled copy that crashes its server unseen.  */
+static void
+test_copies_of_a_new_request (void)
+{
+  struct st_poison *p = st_poison_new (1, 64);
+  struct st_run_ref r = st_poison_run (p, bad, 5, 0);
+  struct st_admit a = st_poison_admit (p, bad, 0);
+
+  CU_ASSERT_EQUAL (a.kind, ST_ADMIT_SAME);
+  CU_ASSERT_EQUAL (a.u.server, 5);
+  st_poison_done (p, r, ST_RUN_OPEN, 0);
+  st_poison_tick (p, ZP_SEC);
+  CU_ASSERT_EQUAL (st_poison_admit (p, bad, ZP_SEC).kind, ST_ADMIT_SAME);
+  st_poison_server_lost (p, 5, 2 * ZP_SEC);
+  CU_ASSERT_EQUAL (st_poison_admit (p, bad, 2 * ZP_SEC).kind, ST_ADMIT_WAIT);
+  st_poison_tick (p, ST_POISON_LINGER);
+  CU_ASSERT_EQUAL (st_poison_admit (p, bad, ST_POISON_LINGER).kind,
+                   ST_ADMIT_ALONE);
+  /* A refused connection teaches nothing.  */
+  r = st_poison_run (p, bad, 5, ST_POISON_LINGER);
+  st_poison_done (p, r, ST_RUN_NOT_RUN, ST_POISON_LINGER);
+  CU_ASSERT_EQUAL (st_poison_admit (p, bad, ST_POISON_LINGER).kind,
+                   ST_ADMIT_ALONE);
+  /* The same server twice is blame too, when the second was a trial.  */
+  r = st_poison_run (p, bad, 5, ST_POISON_LINGER);
+  st_poison_done (p, r, ST_RUN_LOST, ST_POISON_LINGER);
+  CU_ASSERT_EQUAL (st_poison_admit (p, bad, ST_POISON_LINGER).kind,
+                   ST_ADMIT_REFUSE);
+  st_poison_free (p);
+}
+
+/* Guards against a table that grows without bound or forgets poison first. */
+static void
+test_table_is_bounded (void)
+{
+  struct st_poison *p = st_poison_new (1, 8);
+  struct st_run_ref r;
+
+  for (uint64_t s = 1; s <= 2; s++)
+    {
+      r = st_poison_run (p, bad, s, 0);
+      st_poison_done (p, r, ST_RUN_LOST, 0);
+      if (s == 1)
+        CU_ASSERT_EQUAL (st_poison_admit (p, bad, 0).kind, ST_ADMIT_ALONE);
+    }
+  for (uint64_t i = 0; i < 10000; i++)
+    {
+      r = st_poison_run (p, good (i), 100 + i, (zp_time) i);
+      st_poison_done (p, r, i % 3 ? ST_RUN_ANSWERED : ST_RUN_LOST,
+                      (zp_time) i);
+      CU_ASSERT (st_poison_len (p) <= 8 * 4 + 64);
+    }
+  CU_ASSERT_EQUAL (st_poison_admit (p, bad, 10000).kind, ST_ADMIT_REFUSE);
+  /* All runs in use: nothing more is admitted.  */
+  for (uint64_t i = 0; i < 8; i++)
+    st_poison_run (p, good (20000 + i), 1, 10000);
+  CU_ASSERT_EQUAL (st_poison_admit (p, good (30000), 10000).kind,
+                   ST_ADMIT_WAIT);
+  st_poison_free (p);
+}
+
+/* Guards against two requests with one fingerprint because the bounds of
+   their parts moved.  */
+static void
+test_fingerprint_keeps_parts_apart (void)
+{
+  struct st_fp a = st_fingerprint (ZP_STR ("booking"), ZP_STR ("POST"),
+                                   ZP_STR ("/a"), ZP_STR ("b"));
+  struct st_fp b = st_fingerprint (ZP_STR ("booking"), ZP_STR ("POST"),
+                                   ZP_STR ("/ab"), ZP_STR (""));
+  struct st_fp c = st_fingerprint (ZP_STR ("booking"), ZP_STR ("POST"),
+                                   ZP_STR ("/a"), ZP_STR ("b"));
+
+  CU_ASSERT (a.hi != b.hi && a.lo != b.lo);
+  CU_ASSERT (a.hi == c.hi && a.lo == c.lo);
+}
+
+static const struct zp_test tests[] = {
+  { "servers lost in a region", test_servers_lost_in_a_region },
+  { "servers lost in a larger region", test_servers_lost_in_a_larger_region },
+  { "region agrees on poison", test_region_agrees_on_poison },
+  { "trial needs votes", test_trial_needs_votes },
+  { "innocent requests are cleared", test_innocent_requests_are_cleared },
+  { "copies of a new request", test_copies_of_a_new_request },
+  { "table is bounded", test_table_is_bounded },
+  { "fingerprint keeps parts apart", test_fingerprint_keeps_parts_apart }
+};
+
+TEST_MAIN ("poison", tests)
