--- /dev/null
+++ b/tests/test-lookup.c
@@ -0,0 +1,245 @@
+#include "harness.h"
+
+#include "base/rng.h"
+#include "steer/lookup.h"
+
+/* Six failure domains in three regions, and two sites in each domain.  */
+#define DOMAINS 6
+#define REGIONS 3
+#define SITES 12
+#define MEMBERS 18
+
+static const uint16_t site_domain[SITES]
+    = { 0, 0, 1, 1, 2, 2, 3, 3, 4, 4, 5, 5 };
+static const uint16_t domain_region[DOMAINS] = { 0, 1, 2, 0, 1, 2 };
+static const zp_time latency[REGIONS * REGIONS]
+    = { 0, 20, 55, 20, 0, 30, 55, 30, 0 };
+static const struct st_topology topology = { .site_domain = site_domain,
+                                             .sites = SITES,
+                                             .domain_region = domain_region,
+                                             .domains = DOMAINS,
+                                             .latency = latency,
+                                             .regions = REGIONS };
+
+struct world
+{
+  struct st_member m[MEMBERS];
+  struct st_blocks *blocks;
+};
+
+/* Block 10.S.B.0/24 belongs to site S.  */
+static uint32_t
+address (unsigned site, unsigned block)
+{
+  return 10u << 24 | site << 16 | block << 8 | 9;
+}
+
+static void
+setup (struct world *w)
+{
+  static struct st_prefix p[SITES * 256];
+
+  for (unsigned i = 0; i < SITES * 256; i++)
+    p[i] = (struct st_prefix){ .address = address (i / 256, i % 256) & ~255u,
+                               .bits = 24,
+                               .site = (uint16_t) (i / 256) };
+  w->blocks = st_blocks_build (p, SITES * 256, NULL);
+  for (unsigned i = 0; i < MEMBERS; i++)
+    w->m[i] = (struct st_member){ .id = 1000 + i,
+                                  .domain = (uint16_t) (i % DOMAINS),
+                                  .live = true };
+}
+
+static struct st_lookup_answer
+ask (const struct world *w, const struct st_lookup *l, unsigned site,
+     unsigned block)
+{
+  struct st_lookup_query q
+      = { .address = address (site, block), .service = 77 };
+  struct st_lookup_answer a;
+
+  st_lookup_find (l, w->blocks, &q, &a);
+  return a;
+}
+
+static unsigned
+distance (unsigned domain, const struct st_member *m)
+{
+  unsigned from = domain_region[domain], to = domain_region[m->domain];
+
+  if (m->domain == domain)
+    return 0;
+  return from == to ? 1 : 2 + (unsigned) latency[from * REGIONS + to];
+}
+
+/* Guards against entries that are dead, drained or listed twice, a wrong
+   order, and more entries of a region than poison.h allows, whichever members
+   are gone.  */
+static void
+test_lists_with_random_members (void)
+{
+  struct zp_rng rng;
+  struct world w;
+
+  zp_rng_seed (&rng, 61);
+  setup (&w);
+  for (int round = 0; round < 500; round++)
+    {
+      bool any = false;
+      for (int i = 0; i < MEMBERS; i++)
+        {
+          w.m[i].live = zp_rng_below (&rng, 10) < (unsigned) round % 10;
+          w.m[i].drained = zp_rng_below (&rng, 4) == 0;
+          any |= w.m[i].live && !w.m[i].drained;
+        }
+      struct st_lookup *l = st_lookup_build (&topology, w.m, MEMBERS, 3);
+      unsigned site = zp_rng_below (&rng, SITES);
+      struct st_lookup_answer a = ask (&w, l, site, 5);
+      unsigned in_region[REGIONS] = { 0 }, nearest = 1000;
+      CU_ASSERT_FATAL (a.n >= 1 && a.n <= ST_LOOKUP_MAX);
+      CU_ASSERT_EQUAL (any, a.scope <= ST_SCOPE_REMOTE);
+      for (int i = 0; i < MEMBERS; i++)
+        if (w.m[i].live && (!w.m[i].drained || !any)
+            && distance (site_domain[site], &w.m[i]) < nearest)
+          nearest = distance (site_domain[site], &w.m[i]);
+      for (size_t i = 0; i < a.n; i++)
+        {
+          const struct st_member *m = &w.m[a.entries[i]];
+          unsigned d = distance (site_domain[site], m);
+          in_region[domain_region[m->domain]]++;
+          CU_ASSERT (a.scope == ST_SCOPE_SELF ? a.entries[i] == 3 : m->live);
+          CU_ASSERT (!any || !m->drained);
+          CU_ASSERT (i > 0 || a.scope == ST_SCOPE_SELF || d == nearest);
+          for (size_t k = 0; k < i; k++)
+            {
+              CU_ASSERT (a.entries[k] != a.entries[i]);
+              CU_ASSERT (distance (site_domain[site], &w.m[a.entries[k]])
+                         <= d);
+            }
+        }
+      for (int r = 0; r < REGIONS; r++)
+        CU_ASSERT (in_region[r] <= ST_LOOKUP_REGION_MAX);
+      st_lookup_free (l);
+    }
+  st_blocks_free (w.blocks);
+}
+
+/* Guards against callers of one domain that all go to one entry, and against
+   a list that ends with the caller's own failure domain.  */
+static void
+test_spread_and_second_domain (void)
+{
+  struct world w;
+  unsigned got[MEMBERS] = { 0 };
+
+  setup (&w);
+  struct st_lookup *l = st_lookup_build (&topology, w.m, MEMBERS, 0);
+  for (unsigned b = 0; b < 256; b++)
+    {
+      struct st_lookup_answer a = ask (&w, l, 0, b);
+      got[a.entries[0]]++;
+      CU_ASSERT_EQUAL (a.scope, ST_SCOPE_NEAR);
+      CU_ASSERT_EQUAL (a.n, ST_LOOKUP_MAX);
+      CU_ASSERT_EQUAL (w.m[a.entries[2]].domain, 3);
+      CU_ASSERT_EQUAL (domain_region[w.m[a.entries[3]].domain], 1);
+    }
+  /* Three entries share 256 blocks.  */
+  CU_ASSERT (got[0] >= 60 && got[6] >= 60 && got[12] >= 60);
+
+  /* Only blocks of the lost entry change their first entry.  */
+  w.m[6].live = false;
+  struct st_lookup *after = st_lookup_build (&topology, w.m, MEMBERS, 0);
+  for (unsigned b = 0; b < 256; b++)
+    {
+      uint32_t old = ask (&w, l, 0, b).entries[0];
+      CU_ASSERT (old == 6 || ask (&w, after, 0, b).entries[0] == old);
+    }
+  st_lookup_free (after);
+  st_lookup_free (l);
+  st_blocks_free (w.blocks);
+}
+
+static uint16_t
+shift_share (const void *shifts, const struct st_prefix *block, uint16_t site)
+{
+  const double *share = shifts;
+  return site == 0 && st_block_hash (block) < *share ? 2 : site;
+}
+
+/* Guards against a shift that moves another share than it says, moves blocks
+   back while it grows, or touches other sites.  */
+static void
+test_shift_moves_its_share (void)
+{
+  struct world w;
+  unsigned moved = 0, before = 0;
+
+  setup (&w);
+  struct st_lookup *l = st_lookup_build (&topology, w.m, MEMBERS, 0);
+  for (unsigned step = 0; step <= 4; step++)
+    {
+      double share = step / 4.0;
+      moved = 0;
+      for (unsigned b = 0; b < 512; b++)
+        {
+          struct st_lookup_query q = { .address = address (b / 256, b % 256),
+                                       .shifted = shift_share,
+                                       .shifts = &share };
+          struct st_lookup_answer a;
+          st_lookup_find (l, w.blocks, &q, &a);
+          moved += a.moved;
+          CU_ASSERT (!a.moved || (b < 256 && a.site == 2));
+          CU_ASSERT_EQUAL (w.m[a.entries[0]].domain, a.moved ? 1 : 0);
+        }
+      CU_ASSERT (moved >= before);
+      CU_ASSERT (moved + 30 >= 64 * step && moved <= 64 * step + 30);
+      before = moved;
+    }
+  CU_ASSERT_EQUAL (moved, 256);
+  st_lookup_free (l);
+  st_blocks_free (w.blocks);
+}
+
+/* Guards against an empty answer for callers without a block, with a site
+   that is not known, or without any live entry.  */
+static void
+test_answers_when_nothing_near_is_known (void)
+{
+  struct world w;
+  struct st_lookup_answer a;
+  struct st_lookup_query q = { .address = 0 };
+  struct st_prefix p
+      = { .address = 0x0a000000, .bits = 8, .site = ST_NO_SITE - 1 };
+
+  setup (&w);
+  struct st_lookup *l = st_lookup_build (&topology, w.m, MEMBERS, 4);
+  st_lookup_find (l, w.blocks, &q, &a);
+  CU_ASSERT (!a.has_block);
+  CU_ASSERT_EQUAL (w.m[a.entries[0]].domain, 4);
+  st_lookup_find (l, NULL, &q, &a);
+  CU_ASSERT_EQUAL (w.m[a.entries[0]].domain, 4);
+  struct st_blocks *unknown = st_blocks_build (&p, 1, NULL);
+  q.address = address (1, 1);
+  st_lookup_find (l, unknown, &q, &a);
+  CU_ASSERT_EQUAL (w.m[a.entries[0]].domain, 4);
+  st_blocks_free (unknown);
+  st_lookup_free (l);
+
+  for (int i = 0; i < MEMBERS; i++)
+    w.m[i].live = false;
+  l = st_lookup_build (&topology, w.m, MEMBERS, 4);
+  st_lookup_find (l, w.blocks, &q, &a);
+  CU_ASSERT_EQUAL (a.scope, ST_SCOPE_SELF);
+  CU_ASSERT_EQUAL (a.entries[0], 4);
+  st_lookup_free (l);
+  st_blocks_free (w.blocks);
+}
+
+static const struct zp_test tests[]
+    = { { "lists with random members", test_lists_with_random_members },
+        { "spread and second domain", test_spread_and_second_domain },
+        { "shift moves its share", test_shift_moves_its_share },
+        { "answers when nothing near is known",
+          test_answers_when_nothing_near_is_known } };
+
+TEST_MAIN ("lookup", tests)
