--- a/bench/bench-decide.c
+++ b/bench/bench-decide.c
@@ -199,7 +199,7 @@
   uint16_t *site_domain = zp_alloc (s->sites * sizeof *site_domain);
   uint16_t *domain_region = zp_alloc (s->domains * sizeof *domain_region);
   zp_time *latency = zp_alloc (s->regions * s->regions * sizeof *latency);
-  struct st_member *members = zp_alloc (s->members * sizeof *members);
+  struct st_lookup_member *members = zp_alloc (s->members * sizeof *members);
 
   assert (s->domains > 0 && s->regions > 0);
   for (uint32_t i = 0; i < s->sites; i++)
@@ -209,9 +209,9 @@
   for (uint32_t i = 0; i < s->regions * s->regions; i++)
     latency[i] = zp_rng_below (&w->rng, 100) * ZP_MS;
   for (uint32_t i = 0; i < s->members; i++)
-    members[i] = (struct st_member){ .id = i + 1,
-                                     .domain = (uint16_t) (i % s->domains),
-                                     .live = true };
+    members[i] = (struct st_lookup_member){
+      .id = i + 1, .domain = (uint16_t) (i % s->domains), .live = true
+    };
   struct st_topology t = { .site_domain = site_domain,
                            .sites = s->sites,
                            .domain_region = domain_region,
--- a/src/base/rng.h
+++ b/src/base/rng.h
@@ -11,9 +11,11 @@
 #include <dSFMT.h>
 #include <stdint.h>
 
+/* The generator uses vector instructions on its state, which then has to be
+   aligned also inside another struct.  */
 struct zp_rng
 {
-  dsfmt_t state;
+  _Alignas(16) dsfmt_t state;
 };
 
 void zp_rng_seed (struct zp_rng *r, uint32_t seed);
--- /dev/null
+++ b/src/entry/capacity.c
@@ -0,0 +1,322 @@
+#include <stdlib.h>
+
+#include "base/log.h"
+#include "entry/router.h"
+#include "peer/lease_codec.h"
+#include "peer/report_codec.h"
+#include "wire/bytes.h"
+#include "wire/frame.h"
+
+#define PART "capacity"
+
+#define SUMMARY_PERIOD (500 * ZP_MS)
+
+/* Messages of both sides.  The lessor and the holder of one daemon talk to
+   each other like those of two, without a connection between them.  */
+
+static void
+send_ask (struct en_router *r, const struct st_out *o)
+{
+  struct zp_buf b = { .ptr = NULL };
+
+  pe_put_ask (&b, o);
+  en_send (r, o->to, WI_LEASE_ASK, b);
+}
+
+static void
+send_return (struct en_router *r, const struct st_out *o)
+{
+  struct zp_buf b = { .ptr = NULL };
+
+  pe_put_return (&b, &o->u.ret);
+  en_send (r, o->to, WI_LEASE_RETURN, b);
+}
+
+static void
+send_grant (struct en_router *r, const struct st_grant *g)
+{
+  struct zp_buf b = { .ptr = NULL };
+
+  pe_put_grant (&b, g);
+  en_send (r, g->to, WI_LEASE_GRANT, b);
+}
+
+static void
+handle_out (struct en_router *r, const struct st_out *o, zp_time now,
+            struct st_grants *grants)
+{
+  switch (o->kind)
+    {
+    case ST_OUT_ASK:
+      if (o->to != r->id)
+        {
+          send_ask (r, o);
+          return;
+        }
+      st_lessor_ask (
+          &r->lessor, &r->view,
+          &(struct st_ask){ .from = r->id,
+                            .number = o->u.ask.number,
+                            .service = zp_str_from (o->u.ask.service),
+                            .want = o->u.ask.want,
+                            .keep = o->u.ask.keep,
+                            .keeps = o->u.ask.keeps },
+          now, grants);
+      return;
+    case ST_OUT_RETURN:
+      if (o->to != r->id)
+        send_return (r, o);
+      else
+        st_lessor_return (&r->lessor, &r->view, r->id, &o->u.ret, now, grants);
+      return;
+    case ST_OUT_CANCEL:
+      en_dispatch_cancel (r, zp_str_from (o->u.cancel.server),
+                          o->u.cancel.count);
+      return;
+    }
+}
+
+/* Delivers what both sides put out until nothing is left, and frees it.  */
+static void
+deliver (struct en_router *r, struct st_grants *grants, struct st_outs *outs,
+         zp_time now)
+{
+  while (grants->len > 0 || outs->len > 0)
+    {
+      struct st_grants g = *grants;
+      struct st_outs o = *outs;
+      *grants = (struct st_grants){ .len = 0 };
+      *outs = (struct st_outs){ .len = 0 };
+      for (size_t i = 0; i < g.len; i++)
+        if (g.item[i].to == r->id)
+          st_holder_grant (&r->holder, r->id, &g.item[i], now, outs);
+        else
+          send_grant (r, &g.item[i]);
+      for (size_t i = 0; i < o.len; i++)
+        handle_out (r, &o.item[i], now, grants);
+      st_grants_free (&g);
+      st_outs_free (&o);
+    }
+  st_grants_free (grants);
+  st_outs_free (outs);
+}
+
+void
+en_capacity_grants (struct en_router *r, struct st_grants *g)
+{
+  struct st_outs o = { .len = 0 };
+
+  deliver (r, g, &o, zp_clock_mono ());
+}
+
+/* Demand and slots.  */
+
+void
+en_capacity_step (struct en_router *r)
+{
+  struct st_grants g = { .len = 0 };
+  struct st_outs o = { .len = 0 };
+  zp_time now = zp_clock_mono ();
+
+  for (size_t i = 0; i < r->services; i++)
+    {
+      struct en_service *s = r->service[i];
+      struct zp_str name = zp_str_from (s->name);
+      unsigned missing = (unsigned) (st_queue_len (s->queue) + s->parked_len);
+      unsigned slots;
+      unsigned free_slots
+          = st_lessor_free_slots (&r->lessor, name, now, &slots);
+      st_view_summary (&r->view, r->id, name, free_slots, slots, now);
+      st_holder_want (&r->holder, name, missing);
+    }
+  st_lessor_step (&r->lessor, &r->view, now, &g);
+  st_holder_step (&r->holder, &r->view, now, &o);
+  deliver (r, &g, &o, now);
+}
+
+bool
+en_capacity_take (struct en_router *r, struct zp_str server)
+{
+  struct st_grants g = { .len = 0 };
+  struct st_outs o = { .len = 0 };
+  zp_time now = zp_clock_mono ();
+  bool ok = st_holder_take (&r->holder, server, now, &o);
+
+  deliver (r, &g, &o, now);
+  return ok;
+}
+
+void
+en_capacity_give (struct en_router *r, struct zp_str server)
+{
+  struct st_grants g = { .len = 0 };
+  struct st_outs o = { .len = 0 };
+  zp_time now = zp_clock_mono ();
+
+  st_holder_give (&r->holder, server, now, &o);
+  deliver (r, &g, &o, now);
+}
+
+/* Frames.  */
+
+static void
+on_ask (struct en_router *r, const struct tk_peer_frame *f,
+        struct st_grants *g, zp_time now)
+{
+  struct st_ask ask;
+  struct st_keep *keep = NULL;
+  void *owner;
+
+  if (pe_get_ask (zp_str_of (&f->payload), f->peer, &ask, &keep, &owner))
+    {
+      st_lessor_ask (&r->lessor, &r->view, &ask, now, g);
+      free (keep);
+    }
+  wi_free (owner);
+}
+
+struct summary_reader
+{
+  struct en_router *router;
+  uint64_t member;
+  zp_time now;
+};
+
+static void
+take_service (void *self, const struct pe_service_free *s)
+{
+  struct summary_reader *x = self;
+
+  st_view_summary (&x->router->view, x->member, s->name, s->free, s->slots,
+                   x->now);
+}
+
+static void
+on_summary (struct en_router *r, const struct tk_peer_frame *f, zp_time now)
+{
+  struct summary_reader x = { .router = r, .member = f->peer, .now = now };
+  struct en_member *e = en_members_find (&r->members, f->peer);
+  struct pe_summary s;
+
+  if (!e || !pe_get_summary (zp_str_of (&f->payload), &s, take_service, &x))
+    return;
+  e->seat = (struct oc_seat){ .id = f->peer,
+                              .incarnation = s.incarnation,
+                              .generation = s.generation };
+  e->number = s.number;
+}
+
+void
+en_capacity_frame (struct en_router *r, const struct tk_peer_frame *f)
+{
+  struct st_grants g = { .len = 0 };
+  struct st_outs o = { .len = 0 };
+  zp_time now = zp_clock_mono ();
+  struct zp_str payload = zp_str_of (&f->payload);
+  struct st_grant grant;
+  struct st_keep keep;
+  struct st_handover handover;
+
+  switch (f->kind)
+    {
+    case WI_LEASE_ASK:
+      on_ask (r, f, &g, now);
+      break;
+    case WI_LEASE_GRANT:
+      if (pe_get_grant (payload, r->id, &grant))
+        st_holder_grant (&r->holder, f->peer, &grant, now, &o);
+      break;
+    case WI_LEASE_RETURN:
+      if (pe_get_return (payload, &keep))
+        st_lessor_return (&r->lessor, &r->view, f->peer, &keep, now, &g);
+      break;
+    case WI_HANDOVER:
+      if (pe_get_handover (payload, now, &handover))
+        {
+          st_lessor_take_over (&r->lessor, &handover, now, &g);
+          st_handover_free (&handover);
+        }
+      break;
+    case WI_SERVER_VIEW:
+      on_summary (r, f, now);
+      break;
+    default:
+      break;
+    }
+  deliver (r, &g, &o, now);
+}
+
+/* Summary to the other members.  */
+
+void
+en_capacity_summary (struct en_router *r, bool at_once)
+{
+  struct pe_service_free *all;
+  struct zp_buf b = { .ptr = NULL };
+  zp_time now = zp_clock_mono ();
+  size_t n = 0;
+
+  if (!at_once && now < r->summary_at)
+    return;
+  r->summary_at = now + SUMMARY_PERIOD;
+  all = zp_alloc (r->services * sizeof *all);
+  for (size_t i = 0; i < r->services; i++)
+    {
+      struct pe_service_free x = { .name = zp_str_from (r->service[i]->name) };
+      x.free = st_lessor_free_slots (&r->lessor, x.name, now, &x.slots);
+      st_view_summary (&r->view, r->id, x.name, x.free, x.slots, now);
+      if (x.slots > 0)
+        all[n++] = x;
+    }
+  r->members.item[0].seat = oc_member_seat (r->claims, now);
+  pe_put_summary (
+      &b,
+      &(struct pe_summary){ .incarnation = r->members.item[0].seat.incarnation,
+                            .generation = r->members.item[0].seat.generation,
+                            .number = r->config ? r->config->number : 0 },
+      all, n);
+  en_send (r, 0, WI_SERVER_VIEW, b);
+  free (all);
+}
+
+/* Planned stop.  */
+
+/* Passes each server on to the entry VM that it will announce to next.  */
+void
+en_capacity_hand_over (struct en_router *r)
+{
+  zp_time now = zp_clock_mono ();
+
+  for (size_t i = 0; i < r->lessor.owner.servers; i++)
+    {
+      char id[ZP_NAME_MAX];
+      zp_str_copy (id, sizeof id, zp_str_from (r->lessor.owner.server[i]->id));
+      const struct st_member *to = st_view_preferred (
+          &r->view, r->settings->failure_domain, zp_str_from (id));
+      struct st_handover h = { .leases = 0 };
+      struct zp_buf b = { .ptr = NULL };
+      if (!to || to->id == r->id
+          || !st_lessor_hand_over (&r->lessor, zp_str_from (id), now, &h))
+        continue;
+      pe_put_handover (&b, &h);
+      en_send (r, to->id, WI_HANDOVER, b);
+      st_handover_free (&h);
+      zp_log (ZP_LOG_NOTICE, PART, "handed server %s over to member %llu", id,
+              (unsigned long long) to->id);
+    }
+}
+
+/* Gives every lease of another owner back.  */
+void
+en_capacity_return_all (struct en_router *r)
+{
+  for (size_t i = 0; i < r->holder.helds; i++)
+    {
+      const struct st_held *h = &r->holder.held[i];
+      struct st_out o = { .kind = ST_OUT_RETURN, .to = h->owner };
+      if (h->owner == r->id)
+        continue;
+      o.u.ret = (struct st_keep){ .id = h->id, .slots = 0 };
+      send_return (r, &o);
+    }
+}
--- /dev/null
+++ b/src/entry/claims.c
@@ -0,0 +1,160 @@
+#include <assert.h>
+
+#include "base/log.h"
+#include "entry/answer.h"
+#include "entry/request.h"
+#include "once/codec.h"
+
+#define PART "claims"
+
+/* This daemon as a member of homes.  */
+
+static void
+send_msg (struct en_router *r, uint64_t member, const struct oc_msg *m)
+{
+  struct zp_buf b = { .ptr = NULL };
+  uint8_t kind = oc_encode (m, &b);
+
+  en_send (r, member, kind, b);
+}
+
+/* A message to itself needs no connection.  */
+static void
+ask_self (struct en_router *r, struct en_request *q, const struct oc_msg *m)
+{
+  struct oc_msg answer;
+  zp_time now = zp_clock_mono ();
+
+  oc_member_handle (r->claims, m, now, &answer);
+  oc_attempt_answer (q->attempt, r->id, &answer, now);
+  oc_msg_free (&answer);
+}
+
+/* Attempts of this daemon.  */
+
+static void
+answer_outcome (struct en_router *r, struct en_request *q,
+                struct oc_outcome *o)
+{
+  struct tk_forward_done d = { .status = o->status,
+                               .verdict = o->verdict,
+                               .content_type = o->content_type,
+                               .body = o->body };
+
+  o->content_type = o->body = (struct zp_buf){ .ptr = NULL };
+  en_request_answer (r, q, &d);
+  zp_buf_free (&d.content_type);
+  zp_buf_free (&d.body);
+}
+
+static void
+act (struct en_router *r, struct en_request *q, struct oc_out *o)
+{
+  switch (o->kind)
+    {
+    case OC_SEND:
+      if (o->u.send.member == r->id)
+        ask_self (r, q, &o->u.send.msg);
+      else
+        send_msg (r, o->u.send.member, &o->u.send.msg);
+      return;
+    case OC_FORWARD:
+      en_request_admit (r, q);
+      return;
+    case OC_ANSWERED:
+      answer_outcome (r, q, &o->u.answer);
+      return;
+    case OC_REFUSED:
+      en_request_refused (r, q, o->u.refusal.verdict == ZP_NOT_RUN ? 503 : 502,
+                          o->u.refusal.verdict, o->u.refusal.reason,
+                          o->u.refusal.verdict == ZP_NOT_RUN);
+      return;
+    }
+}
+
+/* An attempt that ended by itself leaves the queue.  */
+static void
+leave_queue (struct en_request *q)
+{
+  if (q->phase == EN_QUEUED)
+    st_queue_cancel (q->service->queue, q->ref);
+  else if (q->phase == EN_PARKED)
+    en_dispatch_unpark (q->service, q);
+  else
+    return;
+  q->phase = EN_ENDING;
+}
+
+void
+en_claims_pump (struct en_router *r, struct en_request *q)
+{
+  struct oc_out *o;
+
+  assert (q->once);
+  if (q->pumping)
+    return;
+  q->pumping = true;
+  while ((o = oc_attempt_take (q->attempt)))
+    {
+      if (o->kind == OC_ANSWERED || o->kind == OC_REFUSED)
+        leave_queue (q);
+      act (r, q, o);
+      oc_out_free (o);
+    }
+  q->pumping = false;
+  if (q->phase != EN_RUNNING && oc_attempt_finished (q->attempt))
+    {
+      leave_queue (q);
+      en_request_free (r, q);
+    }
+}
+
+void
+en_claims_frame (struct en_router *r, const struct tk_peer_frame *f)
+{
+  struct oc_msg m, answer;
+  struct zp_err err;
+  zp_time now = zp_clock_mono ();
+
+  if (!oc_decode (f->kind, zp_str_of (&f->payload), &m, &err))
+    {
+      zp_log (ZP_LOG_WARNING, PART, "dropped a message of member %llu: %s",
+              (unsigned long long) f->peer, err.text);
+      zp_count (zp_counter ("zp_claims_bad_total", ""), 1);
+      return;
+    }
+  if (m.kind == OC_ANSWER)
+    {
+      struct en_request *q = NULL;
+      if (m.attempt.daemon == r->id && m.attempt.incarnation == r->incarnation)
+        q = zp_slots_get (&r->requests, m.attempt.number);
+      if (q && q->once)
+        {
+          oc_attempt_answer (q->attempt, f->peer, &m, now);
+          en_claims_pump (r, q);
+        }
+    }
+  else
+    {
+      oc_member_handle (r->claims, &m, now, &answer);
+      send_msg (r, f->peer, &answer);
+      oc_msg_free (&answer);
+    }
+  oc_msg_free (&m);
+}
+
+void
+en_claims_tick (struct en_router *r)
+{
+  zp_time now = zp_clock_mono ();
+  struct en_request *q;
+  uint32_t at = 0;
+
+  oc_member_tick (r->claims, now);
+  while ((q = zp_slots_next (&r->requests, &at)))
+    if (q->once && oc_attempt_wake (q->attempt) <= now)
+      {
+        oc_attempt_tick (q->attempt, now);
+        en_claims_pump (r, q);
+      }
+}
--- /dev/null
+++ b/src/entry/config.c
@@ -0,0 +1,208 @@
+#include <stdlib.h>
+
+#include "base/log.h"
+#include "entry/router.h"
+
+#define PART "config"
+
+/* Services.  */
+
+static struct en_service *
+service_new (struct zp_str name, const struct ti_service *t)
+{
+  struct en_service *s = zp_alloc (sizeof *s);
+  char labels[ZP_NAME_MAX + 16];
+
+  zp_str_copy (s->name, sizeof s->name, name);
+  snprintf (labels, sizeof labels, "service=\"%s\"", s->name);
+  s->queue = st_queue_new (t->queue_max, 20 * ZP_MS);
+  st_budget_init (&s->budget);
+  s->requests = zp_counter ("zp_requests_total", labels);
+  s->answered = zp_counter ("zp_answered_total", labels);
+  s->refused = zp_counter ("zp_refused_not_run_total", labels);
+  s->maybe = zp_counter ("zp_refused_may_have_run_total", labels);
+  s->retries = zp_counter ("zp_retries_total", labels);
+  return s;
+}
+
+struct en_service *
+en_service_find (struct en_router *r, struct zp_str name)
+{
+  for (size_t i = 0; i < r->services; i++)
+    if (zp_str_eq (zp_str_from (r->service[i]->name), name))
+      return r->service[i];
+  return NULL;
+}
+
+/* Brings the service table in line with the plan.  A service that is gone
+   keeps its state, because requests of it may still be in progress.  */
+static void
+update_services (struct en_router *r)
+{
+  const struct ti_slot *slot;
+  size_t at = 0;
+
+  for (size_t i = 0; i < r->services; i++)
+    r->service[i]->settings = NULL;
+  while ((slot = ti_config_next (r->config, TI_SERVICE, &at)))
+    {
+      struct zp_str name = ti_text_str (&slot->key.name);
+      const struct ti_service *t = &slot->object->u.service;
+      struct en_service *s = en_service_find (r, name);
+      if (!s)
+        {
+          s = service_new (name, t);
+          r->service
+              = zp_realloc (r->service, (r->services + 1) * sizeof (void *));
+          r->service[r->services++] = s;
+        }
+      s->settings = t;
+    }
+}
+
+/* Members and drains.  */
+
+static void
+put_view_member (struct en_router *r, const struct en_member *e)
+{
+  struct st_member m = { .id = e->id, .live = e->live };
+
+  zp_str_copy (m.failure_domain, sizeof m.failure_domain,
+               zp_str_from (e->failure_domain));
+  zp_str_copy (m.region, sizeof m.region, zp_str_from (e->region));
+  zp_str_copy (m.address, sizeof m.address, zp_str_from (e->http));
+  m.stopping = e->leaving;
+  if (r->plan)
+    m.stopping = m.stopping
+                 || en_plan_entry_drained (r->plan, e->id,
+                                           zp_str_from (e->failure_domain),
+                                           zp_str_from (e->region));
+  st_view_put (&r->view, &m);
+}
+
+static void
+update_latencies (struct en_router *r)
+{
+  const struct st_topology *t = &r->plan->topology;
+
+  for (size_t i = 0; i < t->regions; i++)
+    for (size_t k = 0; k < t->regions; k++)
+      st_view_latency (&r->view, r->plan->region[i], r->plan->region[k],
+                       t->latency[i * t->regions + k]);
+}
+
+/* A server is drained by its own name or with the places of its owner.  */
+static void
+update_drains (struct en_router *r)
+{
+  for (size_t i = 0; i < r->lessor.owner.servers; i++)
+    {
+      struct st_server *s = r->lessor.owner.server[i];
+      s->draining = en_plan_server_drained (r->plan, zp_str_from (s->id),
+                                            r->settings->failure_domain,
+                                            r->settings->region);
+    }
+}
+
+void
+en_members_changed (struct en_router *r)
+{
+  for (size_t i = 0; i < r->members.len; i++)
+    put_view_member (r, &r->members.item[i]);
+  en_suspects_members (r);
+  if (!r->plan)
+    return;
+  st_lookup_free (r->lookup);
+  r->lookup = en_members_lookup (&r->members, r->plan);
+}
+
+/* Configurations.  */
+
+/* The configuration that C leads to, or NULL.  */
+static struct ti_config *
+next_config (struct en_router *r, const struct tk_config *c,
+             struct zp_err *err)
+{
+  if (c->whole)
+    return ti_config_decode (zp_str_of (&c->bytes), err);
+  struct ti_change *change = ti_change_decode (zp_str_of (&c->bytes), err);
+  if (!change)
+    return NULL;
+  struct ti_config *next
+      = r->config ? ti_config_copy (r->config) : ti_config_new ();
+  bool ok = ti_config_apply (next, change, err);
+  ti_change_free (change);
+  if (ok)
+    return next;
+  ti_config_free (next);
+  return NULL;
+}
+
+static void
+report_in_force (struct en_router *r, const struct tk_config *c)
+{
+  struct tk_msg *m = tk_msg_new (TK_IN_FORCE);
+
+  m->u.in_force = (struct tk_in_force){ .daemon = r->id,
+                                        .version = c->version,
+                                        .number = c->number };
+  tk_send (r->follower, m);
+}
+
+static void
+pass_on (struct en_router *r, const struct tk_config *c)
+{
+  if (!r->relay)
+    return;
+  struct tk_msg *m = tk_msg_new (TK_CONFIG);
+  m->u.config = *c;
+  m->u.config.bytes = zp_buf_from (zp_str_of (&c->bytes));
+  tk_send (r->relay, m);
+}
+
+void
+en_config_take (struct en_router *r, struct tk_config *c)
+{
+  struct zp_err err = { .code = ZP_OK };
+  struct ti_config *next = next_config (r, c, &err);
+  struct en_plan *plan = next ? en_plan_build (next, r->plan, &err) : NULL;
+
+  if (!plan)
+    {
+      /* A newer version of the control daemons may know objects that this
+         daemon does not: it goes on with what it has.  */
+      zp_log (ZP_LOG_ERR, PART, "cannot bring version %llu in force: %s",
+              (unsigned long long) c->version, err.text);
+      zp_count (zp_counter ("zp_config_failed_total", ""), 1);
+      ti_config_free (next);
+      return;
+    }
+  en_plan_free (r->plan);
+  ti_config_free (r->config);
+  r->config = next;
+  r->plan = plan;
+  r->term = c->term;
+  update_services (r);
+  update_latencies (r);
+  update_drains (r);
+  en_members_changed (r);
+  zp_gauge (zp_counter ("zp_config_number", ""), (int64_t) c->number);
+  zp_log (ZP_LOG_NOTICE, PART, "version %llu, number %llu is in force",
+          (unsigned long long) c->version, (unsigned long long) c->number);
+  report_in_force (r, c);
+  pass_on (r, c);
+}
+
+void
+en_config_send_whole (struct en_router *r, struct tk_task *to)
+{
+  if (!to || !r->config)
+    return;
+  struct tk_msg *m = tk_msg_new (TK_CONFIG);
+  m->u.config = (struct tk_config){ .version = r->config->index,
+                                    .number = r->config->number,
+                                    .term = r->term,
+                                    .whole = true };
+  ti_config_encode (r->config, &m->u.config.bytes);
+  tk_send (to, m);
+}
--- /dev/null
+++ b/src/entry/dispatch.c
@@ -0,0 +1,583 @@
+#include <assert.h>
+#include <stdlib.h>
+
+#include "base/log.h"
+#include "entry/request.h"
+#include "steer/place.h"
+
+#define PART "place"
+
+/* Servers.  */
+
+struct en_server *
+en_server_find (struct en_router *r, uint64_t hash)
+{
+  for (size_t i = 0; i < r->servers.len; i++)
+    if (r->servers.item[i]->hash == hash)
+      return r->servers.item[i];
+  return NULL;
+}
+
+struct en_server *
+en_server_get (struct en_router *r, struct en_service *s, struct zp_str id)
+{
+  struct en_servers *all = &r->servers;
+  uint64_t hash = zp_str_hash (id, 0);
+  struct en_server *x = en_server_find (r, hash);
+
+  if (!x)
+    {
+      all->item = st_room (all->item, &all->cap, all->len,
+                           sizeof (struct en_server *));
+      x = zp_alloc (sizeof *x);
+      x->hash = hash;
+      x->service = s;
+      st_health_add (&x->health, &s->group, zp_clock_mono ());
+      all->item[all->len++] = x;
+    }
+  x->seen = zp_clock_mono ();
+  return x;
+}
+
+/* Candidates.  */
+
+static bool
+was_tried (const struct en_request *q, uint64_t server)
+{
+  for (unsigned i = 0; i < q->attempts && i < EN_TRIED_MAX; i++)
+    if (q->tried[i] == server)
+      return true;
+  return false;
+}
+
+/* How far the servers of seat AT are: as far as the owner of a lease.  */
+static zp_time
+seat_distance (const struct en_router *r, size_t at)
+{
+  for (size_t i = 0; i < r->holder.helds; i++)
+    if (r->holder.held[i].seat == at)
+      return st_view_distance (&r->view, r->holder.held[i].owner);
+  return ZP_NEVER;
+}
+
+static void
+set_tier (struct st_candidate *c, zp_time distance)
+{
+  c->tier = distance <= 1   ? ST_TIER_DOMAIN
+            : distance == 2 ? ST_TIER_REGION
+                            : ST_TIER_REMOTE;
+  c->latency = c->tier == ST_TIER_REMOTE ? distance : 0;
+}
+
+/* What the server itself has announced, when it announces here.  */
+static void
+add_report (const struct en_router *r, struct st_candidate *c,
+            struct zp_str id, zp_time now)
+{
+  const struct st_server *s = st_owner_find (&r->lessor.owner, id);
+
+  if (!s)
+    return;
+  c->capacity = s->slots;
+  c->leaving = s->leaving || s->draining;
+  c->report.kind = ST_REPORT_INFLIGHT;
+  c->report.age = now - s->reported_at;
+  c->report.u.inflight = s->inflight;
+}
+
+size_t
+en_dispatch_candidates (struct en_router *r, const struct en_request *q,
+                        struct st_candidate *out, size_t *seats, zp_time now)
+{
+  size_t n = 0;
+
+  for (size_t i = 0; i < r->holder.seats && n < ST_CANDIDATES_MAX; i++)
+    {
+      const struct st_seat *seat = &r->holder.seat[i];
+      struct zp_str id = zp_str_from (seat->server);
+      if (!zp_str_eq (zp_str_from (seat->service),
+                      zp_str_from (q->service->name)))
+        continue;
+      struct en_server *s = en_server_get (r, q->service, id);
+      struct st_candidate *c = &out[n];
+      *c = (struct st_candidate){
+        .server = s->hash,
+        .capacity = seat->slots,
+        .slots = st_holder_slots (&r->holder, id, now),
+        .own = s->running,
+        .ramp = st_health_ramp (&s->health, now),
+        .health = st_health_state (&s->health, now),
+        .tried = was_tried (q, s->hash),
+        .reserved = s->reserved,
+        .blocked = st_holder_free_slots (&r->holder, id, now) == 0,
+      };
+      set_tier (c, seat_distance (r, i));
+      add_report (r, c, id, now);
+      seats[n++] = i;
+    }
+  return n;
+}
+
+/* Chooses a server for Q.  SEAT is set when one was placed.  */
+static struct st_placement
+choose (struct en_router *r, const struct en_request *q, size_t *seat,
+        zp_time now)
+{
+  struct st_candidate *c = zp_alloc (r->holder.seats * sizeof *c);
+  size_t *seats = zp_alloc (r->holder.seats * sizeof *seats);
+  size_t n = en_dispatch_candidates (r, q, c, seats, now);
+  struct st_place_request x
+      = { .alone = q->alone, .retry = q->retry, .only = q->only };
+  struct st_placement p = st_place (c, n, &x, &r->rng);
+
+  if (p.kind == ST_PLACED || p.kind == ST_PLACED_PROBE)
+    *seat = seats[p.u.chosen.index];
+  free (seats);
+  free (c);
+  return p;
+}
+
+static bool
+same_text (const char *a, const char *b)
+{
+  return zp_str_eq (zp_str_from (a), zp_str_from (b));
+}
+
+/* A slot there may be held, be owned here, or be asked of another member.  */
+bool
+en_dispatch_other (struct en_router *r, struct en_request *q)
+{
+  const struct st_owner *own = &r->lessor.owner;
+  zp_time now = zp_clock_mono ();
+
+  for (size_t i = 0; i < r->holder.seats; i++)
+    if (same_text (r->holder.seat[i].service, q->service->name)
+        && !was_tried (
+            q, zp_str_hash (zp_str_from (r->holder.seat[i].server), 0)))
+      return true;
+  for (size_t i = 0; i < own->servers; i++)
+    if (same_text (own->server[i]->service, q->service->name)
+        && st_server_grantable (own->server[i], now)
+        && !was_tried (q, zp_str_hash (zp_str_from (own->server[i]->id), 0)))
+      return true;
+  for (size_t i = 0; i < r->view.summaries; i++)
+    if (r->view.summary[i].member != r->id && r->view.summary[i].slots > 0
+        && now - r->view.summary[i].at <= ST_SUMMARY_TTL
+        && same_text (r->view.summary[i].service, q->service->name))
+      return true;
+  return false;
+}
+
+/* Forwarding.  */
+
+/* A first attempt of an idempotent request leaves half of the time for a
+   retry, so that a silent connection does not use it up.  */
+static zp_time
+attempt_deadline (const struct en_request *q, zp_time now)
+{
+  if (q->once || q->attempts > 1)
+    return q->deadline;
+  return now + (q->deadline - now) / 2;
+}
+
+static void
+send_forward (struct en_router *r, struct en_request *q, const char *address)
+{
+  struct tk_msg *m = tk_msg_new (TK_FORWARD);
+  struct tk_forward *f = &m->u.forward;
+  const struct tk_http_request *h = &q->msg->u.request;
+
+  f->id = q->id;
+  zp_str_copy (f->address, sizeof f->address, zp_str_from (address));
+  zp_buf_put (&f->method, zp_str_of (&h->method));
+  zp_buf_put (&f->target, zp_str_of (&h->path));
+  if (h->query.len > 0)
+    zp_buf_printf (&f->target, "?%.*s", ZP_ARG (zp_str_of (&h->query)));
+  zp_buf_put (&f->content_type, zp_str_of (&h->content_type));
+  zp_buf_put (&f->headers, zp_str_of (&h->headers));
+  if (q->once)
+    zp_buf_printf (&f->headers, "Idempotency-Key: %.*s\n",
+                   ZP_ARG (zp_str_of (&h->key)));
+  zp_buf_put (&f->body, zp_str_of (&h->body));
+  zp_buf_printf (&f->request_id, "%llu-%llx-%u", (unsigned long long) r->id,
+                 (unsigned long long) q->id, q->attempts);
+  f->deadline = attempt_deadline (q, q->started);
+  f->fresh_connection = q->fresh;
+  tk_send (r->forward, m);
+}
+
+static void
+log_placement (const struct en_request *q, const struct st_placement *p,
+               const char *server)
+{
+  struct zp_buf why = { .ptr = NULL };
+
+  if (!zp_log_enabled (ZP_LOG_INFO))
+    return;
+  st_placement_text (p, &why);
+  zp_log (ZP_LOG_INFO, PART, "request %llx of service %s -> server %s: %.*s",
+          (unsigned long long) q->id, q->service->name, server,
+          ZP_ARG (zp_str_of (&why)));
+  zp_buf_free (&why);
+}
+
+/* Hands Q to the server of SEAT.  Returns false when its slot or its claim is
+   gone.  */
+static bool
+run (struct en_router *r, struct en_request *q, const struct st_placement *p,
+     size_t seat, zp_time now)
+{
+  char address[ZP_ADDRESS_MAX];
+  struct zp_str id = zp_str_from (r->holder.seat[seat].server);
+  struct en_server *s = en_server_get (r, q->service, id);
+
+  zp_str_copy (q->server, sizeof q->server, id);
+  zp_str_copy (address, sizeof address,
+               zp_str_from (r->holder.seat[seat].address));
+  if (!en_capacity_take (r, zp_str_from (q->server)))
+    return false;
+  if (q->once && !oc_attempt_may_forward (q->attempt, now))
+    {
+      en_capacity_give (r, zp_str_from (q->server));
+      return false;
+    }
+  if (p->kind == ST_PLACED_PROBE)
+    st_health_probe (&s->health, now);
+  q->server_hash = s->hash;
+  q->started = now;
+  /* libcurl must not find out during an at-most-once request that an idle
+     connection is dead: the verdict would be may-have-run.  */
+  q->fresh = q->once || st_health_wants_fresh (&s->health);
+  q->run = st_poison_run (r->poison, q->fingerprint, s->hash, now);
+  if (q->attempts < EN_TRIED_MAX)
+    q->tried[q->attempts] = s->hash;
+  q->attempts++;
+  q->phase = EN_RUNNING;
+  s->running++;
+  s->reserved = q->alone;
+  q->service->running++;
+  log_placement (q, p, q->server);
+  send_forward (r, q, address);
+  return true;
+}
+
+static bool
+try_run (struct en_router *r, struct en_request *q, zp_time now)
+{
+  size_t seat = 0;
+  struct st_placement p = choose (r, q, &seat, now);
+
+  if (p.kind != ST_PLACED && p.kind != ST_PLACED_PROBE)
+    return false;
+  return run (r, q, &p, seat, now);
+}
+
+/* Parked requests: each waits for a condition of its own.  */
+
+void
+en_dispatch_park (struct en_service *s, struct en_request *q)
+{
+  struct en_request **at = &s->parked;
+
+  while (*at)
+    at = &(*at)->next_parked;
+  *at = q;
+  q->next_parked = NULL;
+  q->phase = EN_PARKED;
+  s->parked_len++;
+}
+
+void
+en_dispatch_unpark (struct en_service *s, struct en_request *q)
+{
+  struct en_request **at = &s->parked;
+
+  while (*at != q)
+    {
+      assert (*at);
+      at = &(*at)->next_parked;
+    }
+  *at = q->next_parked;
+  s->parked_len--;
+  q->phase = EN_ENDING;
+}
+
+/* Admission.  */
+
+static unsigned
+usable_slots (const struct en_router *r, const struct en_service *s,
+              zp_time now)
+{
+  unsigned n = 0;
+
+  for (size_t i = 0; i < r->holder.seats; i++)
+    {
+      struct zp_str id = zp_str_from (r->holder.seat[i].server);
+      if (zp_str_eq (zp_str_from (r->holder.seat[i].service),
+                     zp_str_from (s->name)))
+        n += st_holder_slots (&r->holder, id, now);
+    }
+  return n;
+}
+
+static void
+evict (struct en_router *r, uint64_t id)
+{
+  struct en_request *q = zp_slots_get (&r->requests, id);
+
+  assert (q && q->phase == EN_QUEUED);
+  q->phase = EN_ENDING;
+  en_request_refuse (r, q, 503, "queue-full", 1);
+}
+
+static void
+enqueue (struct en_router *r, struct en_request *q, zp_time now)
+{
+  struct en_service *s = q->service;
+  struct st_queue_entry e
+      = { .id = q->id,
+          .class = s->settings ? s->settings->priority : ST_QUEUE_CLASSES - 1,
+          .deadline = q->deadline };
+  struct st_push p
+      = st_queue_push (s->queue, &e, usable_slots (r, s, now), now);
+
+  switch (p.kind)
+    {
+    case ST_PUSH_ADDED:
+      q->ref = p.u.added;
+      q->phase = EN_QUEUED;
+      return;
+    case ST_PUSH_ADDED_EVICTED:
+      q->ref = p.u.evicted.added;
+      q->phase = EN_QUEUED;
+      evict (r, p.u.evicted.evicted.id);
+      return;
+    case ST_PUSH_FULL:
+      en_request_refuse (r, q, 503, "queue-full", 1);
+      return;
+    case ST_PUSH_WAIT:
+      en_request_refuse (r, q, 503, "no-capacity-in-time", 1);
+      return;
+    case ST_PUSH_EXPIRED:
+      en_request_refuse (r, q, 504, "deadline", 0);
+      return;
+    }
+}
+
+/* Applies what the poison table allows to Q.  Returns false when Q was parked
+   or refused.  */
+static bool
+admit_fingerprint (struct en_router *r, struct en_request *q, zp_time now)
+{
+  struct st_admit a = st_poison_admit (r->poison, q->fingerprint, now);
+
+  en_suspects_flush (r);
+  q->only = 0;
+  q->alone = false;
+  switch (a.kind)
+    {
+    case ST_ADMIT_RUN:
+      return true;
+    case ST_ADMIT_SAME:
+      q->only = a.u.server;
+      return true;
+    case ST_ADMIT_ALONE:
+      q->alone = true;
+      return true;
+    case ST_ADMIT_WAIT:
+      en_dispatch_park (q->service, q);
+      return false;
+    case ST_ADMIT_REFUSE:
+      /* Its earlier copies may have run before they crashed a server.  */
+      zp_count (zp_counter ("zp_poison_refused_total", ""), 1);
+      q->furthest = ZP_MAY_HAVE_RUN;
+      en_request_refuse (r, q, 503, "poison", 0);
+      return false;
+    }
+  return true;
+}
+
+void
+en_request_admit (struct en_router *r, struct en_request *q)
+{
+  struct en_service *s = q->service;
+  zp_time now = zp_clock_mono ();
+
+  if (now >= q->deadline)
+    {
+      en_request_refuse (r, q, 504, "deadline", 0);
+      return;
+    }
+  if (!admit_fingerprint (r, q, now))
+    return;
+  bool own_condition = q->alone || q->only != 0;
+  if ((own_condition || st_queue_len (s->queue) == 0) && try_run (r, q, now))
+    return;
+  if (own_condition)
+    en_dispatch_park (s, q);
+  else
+    enqueue (r, q, now);
+  /* Leases on servers of this daemon are granted within the call.  */
+  en_capacity_step (r);
+  en_dispatch (r, s);
+}
+
+void
+en_dispatch_retry (struct en_router *r, struct en_request *q)
+{
+  q->retry = true;
+  zp_count (q->service->retries, 1);
+  en_request_admit (r, q);
+}
+
+/* Dispatch.  */
+
+/* The request at the head of the queue, ready to run; requests that cannot
+   run any more are refused on the way.  */
+static struct en_request *
+head (struct en_router *r, struct en_service *s, zp_time now)
+{
+  struct st_queue_entry e;
+
+  while (st_queue_peek (s->queue, &e))
+    {
+      struct en_request *q = zp_slots_get (&r->requests, e.id);
+      assert (q && q->phase == EN_QUEUED);
+      if (now < q->deadline)
+        return q;
+      st_queue_cancel (s->queue, q->ref);
+      q->phase = EN_ENDING;
+      en_request_refuse (r, q, 504, "deadline", 0);
+    }
+  return NULL;
+}
+
+void
+en_dispatch (struct en_router *r, struct en_service *s)
+{
+  zp_time now = zp_clock_mono ();
+  struct en_request *q;
+  size_t seat;
+
+  while ((q = head (r, s, now)))
+    {
+      struct st_placement p = choose (r, q, &seat, now);
+      if (p.kind != ST_PLACED && p.kind != ST_PLACED_PROBE
+          && p.kind != ST_PLACE_TRIED)
+        return;
+      st_queue_cancel (s->queue, q->ref);
+      q->phase = EN_ENDING;
+      if (p.kind == ST_PLACE_TRIED)
+        {
+          /* It waits for a slot on a server that it has not tried.  */
+          en_dispatch_park (s, q);
+          continue;
+        }
+      /* What the poison table allows may have changed in the queue.  */
+      if (!admit_fingerprint (r, q, now))
+        continue;
+      if (q->alone || q->only != 0)
+        en_dispatch_park (s, q);
+      else if (!run (r, q, &p, seat, now))
+        {
+          if (q->once)
+            en_claims_pump (r, q);
+          else
+            enqueue (r, q, now);
+          return;
+        }
+    }
+}
+
+static void
+admit_parked (struct en_router *r, struct en_service *s)
+{
+  size_t n = s->parked_len;
+
+  while (n-- > 0 && s->parked)
+    {
+      struct en_request *q = s->parked;
+      en_dispatch_unpark (s, q);
+      en_request_admit (r, q);
+    }
+}
+
+static void
+refuse_expired (struct en_router *r, struct en_service *s, zp_time now)
+{
+  struct st_queue_entry e;
+
+  while (st_queue_expire (s->queue, now, &e))
+    {
+      struct en_request *q = zp_slots_get (&r->requests, e.id);
+      assert (q && q->phase == EN_QUEUED);
+      q->phase = EN_ENDING;
+      en_request_refuse (r, q, 503, "no-capacity-in-time", 1);
+    }
+}
+
+/* Servers whose announcements stopped end the runs on them.  */
+static void
+look_for_lost_servers (struct en_router *r, zp_time now)
+{
+  for (size_t i = 0; i < r->lessor.owner.servers; i++)
+    {
+      struct st_server *s = r->lessor.owner.server[i];
+      struct en_server *x
+          = en_server_find (r, zp_str_hash (zp_str_from (s->id), 0));
+      if (x)
+        x->announced = now;
+    }
+  for (size_t i = 0; i < r->servers.len; i++)
+    {
+      struct en_server *x = r->servers.item[i];
+      if (x->announced != 0 && x->announced != now)
+        {
+          st_poison_server_lost (r->poison, x->hash, now);
+          x->announced = 0;
+        }
+    }
+}
+
+void
+en_dispatch_tick (struct en_router *r)
+{
+  zp_time now = zp_clock_mono ();
+
+  look_for_lost_servers (r, now);
+  st_poison_tick (r->poison, now);
+  en_suspects_flush (r);
+  for (size_t i = 0; i < r->services; i++)
+    {
+      struct en_service *s = r->service[i];
+      refuse_expired (r, s, now);
+      admit_parked (r, s);
+      en_dispatch (r, s);
+    }
+}
+
+/* A lease has ended: the youngest of its requests have done the least work. */
+void
+en_dispatch_cancel (struct en_router *r, struct zp_str server, unsigned count)
+{
+  while (count-- > 0)
+    {
+      struct en_request *youngest = NULL, *q;
+      uint32_t at = 0;
+      while ((q = zp_slots_next (&r->requests, &at)))
+        if (q->phase == EN_RUNNING && !q->lease_lost
+            && zp_str_eq (zp_str_from (q->server), server)
+            && (!youngest || q->started > youngest->started))
+          youngest = q;
+      if (!youngest)
+        return;
+      youngest->lease_lost = true;
+      zp_log (ZP_LOG_NOTICE, PART,
+              "request %llx is cancelled: its lease on server %.*s has ended",
+              (unsigned long long) youngest->id, ZP_ARG (server));
+      zp_count (zp_counter ("zp_lease_cancelled_total", ""), 1);
+      struct tk_msg *m = tk_msg_new (TK_FORWARD_CANCEL);
+      m->u.cancel.id = youngest->id;
+      tk_send (r->forward, m);
+    }
+}
--- /dev/null
+++ b/src/entry/main.c
@@ -0,0 +1,259 @@
+#include <argp.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "base/log.h"
+#include "entry/router.h"
+#include "follow/follower.h"
+#include "follow/source.h"
+#include "forward/client.h"
+#include "front/server.h"
+#include "peer/mesh.h"
+#include "task/disk.h"
+
+#define PART "main"
+
+const char *argp_program_version = "zp-entry 0.1";
+
+static const struct argp_option options[]
+    = { { "settings", 's', "FILE", 0, "Settings, JSON with comments", 0 },
+        { "check-settings", 'c', NULL, 0, "Only check the settings", 0 },
+        { 0 } };
+
+struct arguments
+{
+  const char *path;
+  bool check_only;
+};
+
+/* All tasks of the daemon.  They share one loop, but for the disk.  */
+struct daemon
+{
+  struct en_settings settings;
+  struct tk_loop loop;
+  struct en_router *router;
+  struct fr_server *front;
+  struct fw_client *forward;
+  struct pe_mesh *mesh;
+  struct fo_follower *follower;
+  struct fo_source *relay;
+  struct tk_loop disk_loop; /* its thread waits for file syncs */
+  struct tk_disk disk;
+  bool has_disk;
+  ev_signal term, interrupt;
+};
+
+static error_t
+parse_option (int key, char *arg, struct argp_state *state)
+{
+  struct arguments *a = state->input;
+
+  switch (key)
+    {
+    case 's':
+      a->path = arg;
+      return 0;
+    case 'c':
+      a->check_only = true;
+      return 0;
+    case ARGP_KEY_END:
+      if (!a->path)
+        argp_error (state, "--settings FILE is required");
+      return 0;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static const struct argp argp
+    = { options,
+        parse_option,
+        NULL,
+        "Entry daemon of zinniapost: answers look-ups, takes requests of "
+        "callers and forwards them to backend servers.",
+        NULL,
+        NULL,
+        NULL };
+
+static void
+on_signal (struct ev_loop *ev, ev_signal *w, int events)
+{
+  struct daemon *d = w->data;
+
+  (void) ev;
+  (void) events;
+  tk_send (&d->router->task, tk_msg_new (TK_STOP));
+}
+
+static void
+on_stopped (void *self)
+{
+  struct daemon *d = self;
+
+  tk_loop_stop (&d->loop);
+}
+
+static bool
+open_peers (struct daemon *d, uint64_t incarnation, struct zp_err *err)
+{
+  const struct en_settings *s = &d->settings;
+  struct pe_hello self = { .id = (uint64_t) s->id,
+                           .incarnation = incarnation,
+                           .failure_domain = s->failure_domain,
+                           .region = s->region,
+                           .http = s->http,
+                           .wire = s->wire };
+
+  d->mesh = pe_mesh_open (&d->loop, &self, &s->seeds, &d->router->task, err);
+  if (!d->mesh)
+    return false;
+  d->router->peers = pe_mesh_task (d->mesh);
+  return true;
+}
+
+static bool
+open_follow (struct daemon *d, struct zp_err *err)
+{
+  const struct en_settings *s = &d->settings;
+  struct fo_follower_options o = { .id = (uint64_t) s->id,
+                                   .sources = &s->follow,
+                                   .data = s->data,
+                                   .decider = &d->router->task };
+
+  if (s->data.len > 0)
+    {
+      tk_loop_init (&d->disk_loop);
+      if (!tk_disk_init (&d->disk, &d->disk_loop, s->data, NULL, err))
+        {
+          tk_loop_free (&d->disk_loop);
+          return false;
+        }
+      o.disk = &d->disk.task;
+    }
+  if (s->relay.len > 0)
+    {
+      d->relay = fo_source_open (&d->loop, s->relay, &d->router->task, err);
+      if (!d->relay)
+        return false;
+      d->router->relay = fo_source_task (d->relay);
+    }
+  d->follower = fo_follower_open (&d->loop, &o);
+  d->router->follower = fo_follower_task (d->follower);
+  if (s->data.len > 0)
+    {
+      d->disk.reply_to = d->router->follower;
+      d->has_disk = true;
+      tk_loop_start (&d->disk_loop);
+    }
+  return true;
+}
+
+/* Callers are let in last, when everything behind stands.  */
+static bool
+open_tasks (struct daemon *d, struct zp_err *err)
+{
+  /* A later start has a higher incarnation, as long as the clock of this
+     machine does not go back by more than the time between the starts.  */
+  uint64_t incarnation = (uint64_t) zp_clock_wall ();
+
+  d->router = en_router_open (&d->loop, &d->settings, incarnation);
+  d->router->stopped = on_stopped;
+  d->router->stopped_self = d;
+  d->forward = fw_client_open (&d->loop, &d->router->task);
+  d->router->forward = fw_client_task (d->forward);
+  if (!open_peers (d, incarnation, err) || !open_follow (d, err))
+    return false;
+  d->front
+      = fr_server_open (&d->loop, d->settings.http, &d->router->task, err);
+  if (!d->front)
+    return false;
+  d->router->front = fr_server_task (d->front);
+  return true;
+}
+
+static void
+close_disk (struct daemon *d)
+{
+  if (!d->has_disk)
+    return;
+  tk_loop_stop (&d->disk_loop);
+  tk_loop_join (&d->disk_loop);
+  tk_disk_free (&d->disk);
+  tk_loop_free (&d->disk_loop);
+}
+
+static void
+close_tasks (struct daemon *d)
+{
+  close_disk (d);
+  fr_server_close (d->front);
+  fo_follower_close (d->follower);
+  fo_source_close (d->relay);
+  fw_client_close (d->forward);
+  pe_mesh_close (d->mesh);
+  en_router_close (d->router);
+}
+
+static void
+watch_signals (struct daemon *d)
+{
+  signal (SIGPIPE, SIG_IGN);
+  ev_signal_init (&d->term, on_signal, SIGTERM);
+  ev_signal_init (&d->interrupt, on_signal, SIGINT);
+  d->term.data = d;
+  d->interrupt.data = d;
+  ev_signal_start (d->loop.ev, &d->term);
+  ev_signal_start (d->loop.ev, &d->interrupt);
+}
+
+static int
+run (struct daemon *d)
+{
+  struct zp_err err = { .code = ZP_OK };
+  int status = EXIT_SUCCESS;
+
+  tk_loop_init (&d->loop);
+  if (open_tasks (d, &err))
+    {
+      watch_signals (d);
+      zp_log (ZP_LOG_NOTICE, PART, "entry daemon %lld serves on %.*s",
+              (long long) d->settings.id, ZP_ARG (d->settings.http));
+      tk_loop_run (&d->loop);
+    }
+  else
+    {
+      zp_log (ZP_LOG_ERR, PART, "cannot start: %s", err.text);
+      status = EXIT_FAILURE;
+    }
+  close_tasks (d);
+  tk_loop_free (&d->loop);
+  return status;
+}
+
+int
+main (int argc, char **argv)
+{
+  struct arguments a = { .path = NULL };
+  struct daemon d = { .router = NULL };
+  struct zp_report report = { .count = 0 };
+  int status = EXIT_SUCCESS;
+
+  argp_parse (&argp, argc, argv, 0, NULL, &a);
+  zp_log_open ("zp-entry", ZP_LOG_INFO);
+  if (!en_settings_load (&d.settings, a.path, &report))
+    {
+      fprintf (stderr, "%s", report.lines.ptr);
+      status = EXIT_FAILURE;
+    }
+  else if (a.check_only)
+    printf ("%s: settings are valid\n", a.path);
+  else
+    {
+      zp_log_open ("zp-entry", (enum zp_log_level) d.settings.log_level);
+      status = run (&d);
+    }
+  zp_report_free (&report);
+  en_settings_free (&d.settings);
+  return status;
+}
--- /dev/null
+++ b/src/entry/settings.h
@@ -0,0 +1,32 @@
+/* NAME
+     settings - settings of zp-entry
+
+   DESCRIPTION
+     docs/operators/settings.md describes each key.  */
+
+#ifndef ZP_ENTRY_SETTINGS_H
+#define ZP_ENTRY_SETTINGS_H
+
+#include "base/settings.h"
+
+struct en_settings
+{
+  struct zp_settings file;
+  int64_t id;
+  struct zp_str failure_domain;
+  struct zp_str region;
+  struct zp_str http;
+  struct zp_str wire;
+  struct zp_str relay; /* empty: this daemon is no relay */
+  struct zp_strs seeds;
+  struct zp_strs follow;
+  struct zp_str data; /* empty: no disk */
+  int64_t log_level;
+};
+
+/* Adds every mistake to REPORT; returns true when there is none.  */
+bool en_settings_load (struct en_settings *s, const char *path,
+                       struct zp_report *report);
+void en_settings_free (struct en_settings *s);
+
+#endif
--- a/src/front/server.c
+++ b/src/front/server.c
@@ -128,6 +128,8 @@
     }
   else if (fr_header_is (n, "Content-Type"))
     zp_buf_put (&r->content_type, v);
+  else if (fr_header_is (n, "Request-Id"))
+    zp_buf_put (&r->request_id, v);
   else
     fr_header_put (&r->headers, n, v);
   return MHD_YES;
@@ -430,10 +432,10 @@
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG, 0, NULL,
       NULL, on_request, s, MHD_OPTION_EXTERNAL_LOGGER, on_library_log, s,
       MHD_OPTION_SOCK_ADDR, (struct sockaddr *) &sa,
-      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_URI_LOG_CALLBACK,
-      on_target, s, MHD_OPTION_NOTIFY_COMPLETED, on_completed, s,
-      MHD_OPTION_CONNECTION_LIMIT, (unsigned) ZP_CALLER_CONNECTIONS,
-      MHD_OPTION_CONNECTION_TIMEOUT, (unsigned) (ZP_CALLER_IDLE_MAX / ZP_SEC),
+      MHD_OPTION_URI_LOG_CALLBACK, on_target, s, MHD_OPTION_NOTIFY_COMPLETED,
+      on_completed, s, MHD_OPTION_CONNECTION_LIMIT,
+      (unsigned) ZP_CALLER_CONNECTIONS, MHD_OPTION_CONNECTION_TIMEOUT,
+      (unsigned) (ZP_CALLER_IDLE_MAX / ZP_SEC),
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t) (2 * ZP_HEADERS_MAX),
       MHD_OPTION_LISTEN_BACKLOG_SIZE, 1024u, MHD_OPTION_END);
   const union MHD_DaemonInfo *i
--- a/src/steer/lookup.c
+++ b/src/steer/lookup.c
@@ -98,7 +98,7 @@
 
 static void
 fill_table (struct st_lookup *l, struct table *t,
-            const struct st_member *members, size_t n, bool drained)
+            const struct st_lookup_member *members, size_t n, bool drained)
 {
   t->member = zp_alloc (n * sizeof *t->member);
   t->hash = zp_alloc (n * sizeof *t->hash);
@@ -133,8 +133,8 @@
 }
 
 struct st_lookup *
-st_lookup_build (const struct st_topology *t, const struct st_member *members,
-                 size_t n, size_t self)
+st_lookup_build (const struct st_topology *t,
+                 const struct st_lookup_member *members, size_t n, size_t self)
 {
   struct st_lookup *l = zp_alloc (sizeof *l);
 
--- a/src/steer/lookup.h
+++ b/src/steer/lookup.h
@@ -64,7 +64,7 @@
   size_t regions;
 };
 
-struct st_member
+struct st_lookup_member
 {
   uint64_t id;
   uint16_t domain;
@@ -110,8 +110,8 @@
 /* Copies what it needs.  SELF is the place of the daemon that answers; a
    caller without a block is taken for one of its failure domain.  */
 struct st_lookup *st_lookup_build (const struct st_topology *t,
-                                   const struct st_member *members, size_t n,
-                                   size_t self);
+                                   const struct st_lookup_member *members,
+                                   size_t n, size_t self);
 void st_lookup_free (struct st_lookup *l);
 
 void st_lookup_find (const struct st_lookup *l, const struct st_blocks *b,
--- a/tests/test-health.c
+++ b/tests/test-health.c
@@ -8,7 +8,7 @@
 {
   struct st_health_group group;
   struct st_health h[SERVERS];
-  _Alignas(16) struct zp_rng rng; /* dSFMT reads its state aligned */
+  struct zp_rng rng;
 };
 
 static void
--- a/tests/test-lookup.c
+++ b/tests/test-lookup.c
@@ -23,7 +23,7 @@
 
 struct world
 {
-  struct st_member m[MEMBERS];
+  struct st_lookup_member m[MEMBERS];
   struct st_blocks *blocks;
 };
 
@@ -45,9 +45,9 @@
                                .site = (uint16_t) (i / 256) };
   w->blocks = st_blocks_build (p, SITES * 256, NULL);
   for (unsigned i = 0; i < MEMBERS; i++)
-    w->m[i] = (struct st_member){ .id = 1000 + i,
-                                  .domain = (uint16_t) (i % DOMAINS),
-                                  .live = true };
+    w->m[i] = (struct st_lookup_member){ .id = 1000 + i,
+                                         .domain = (uint16_t) (i % DOMAINS),
+                                         .live = true };
 }
 
 static struct st_lookup_answer
@@ -63,7 +63,7 @@
 }
 
 static unsigned
-distance (unsigned domain, const struct st_member *m)
+distance (unsigned domain, const struct st_lookup_member *m)
 {
   unsigned from = domain_region[domain], to = domain_region[m->domain];
 
@@ -104,7 +104,7 @@
           nearest = distance (site_domain[site], &w.m[i]);
       for (size_t i = 0; i < a.n; i++)
         {
-          const struct st_member *m = &w.m[a.entries[i]];
+          const struct st_lookup_member *m = &w.m[a.entries[i]];
           unsigned d = distance (site_domain[site], m);
           in_region[domain_region[m->domain]]++;
           CU_ASSERT (a.scope == ST_SCOPE_SELF ? a.entries[i] == 3 : m->live);
