--- a/src/backend/server.c
+++ b/src/backend/server.c
@@ -92,10 +92,11 @@
       &f->body,
       "{\"service\":\"%.*s\",\"id\":\"%s\",\"address\":\"%s\","
       "\"slots\":%" PRId64 ",\"connections\":%d,\"inflight\":%" PRId64
-      ",\"load\":%.3f,\"uptime_ms\":%" PRId64 ",\"leaving\":%s}",
+      ",\"load\":%.3f,\"uptime_ms\":%" PRId64 ",\"leaving\":%s,"
+      "\"failure_domain\":\"%.*s\"}",
       ZP_ARG (c->service), s->work.server, s->address, c->slots,
       ZP_SERVER_CONNECTIONS, inflight, load, (now - s->up_since) / ZP_MS,
-      s->leaving_since > 0 ? "true" : "false");
+      s->leaving_since > 0 ? "true" : "false", ZP_ARG (c->failure_domain));
   f->deadline = now + ZP_ANNOUNCE_PERIOD * 9 / 10;
   tk_send (fw_client_task (s->client), m);
 }
--- a/src/backend/settings.c
+++ b/src/backend/settings.c
@@ -13,6 +13,7 @@
   FIELD (service, ZP_SETTING_TEXT, true, 0, 0),
   FIELD (id_prefix, ZP_SETTING_TEXT, true, 0, 0),
   FIELD (records, ZP_SETTING_TEXT, true, 0, 0),
+  FIELD (failure_domain, ZP_SETTING_TEXT, true, 0, 0),
   FIELD (addresses, ZP_SETTING_LIST, true, 0, 0),
   FIELD (entries, ZP_SETTING_LIST, true, 0, 0),
   INT (slots, 1, 1000),
--- a/src/backend/settings.h
+++ b/src/backend/settings.h
@@ -17,7 +17,7 @@
 struct be_settings
 {
   struct zp_settings loaded;
-  struct zp_str service, id_prefix, records;
+  struct zp_str service, id_prefix, records, failure_domain;
   struct zp_strs addresses, entries;
   int64_t slots, answer_bytes, leave_ms, seed, log_level;
   int64_t service_us;     /* mean time of a warm server */
--- a/src/load/run.c
+++ b/src/load/run.c
@@ -4,7 +4,6 @@
 #include <inttypes.h>
 #include <json-c/json.h>
 #include <stdlib.h>
-#include <string.h>
 
 #include "base/log.h"
 #include "forward/client.h"
@@ -269,13 +268,14 @@
 
 /* Answers.  */
 
-/* Whether the answer is whole and belongs to the last send of X: a header
-   names its key, the first line of the body key, digest and length.  */
+/* Whether the answer is whole and belongs to the last send of X: the first
+   line of the body names key, digest and length.  A recorded answer comes
+   without the headers of the server.  */
 static bool
 is_own_answer (const struct open *x, const struct tk_forward_done *d)
 {
   struct zp_buf key = { .ptr = NULL }, want = { .ptr = NULL };
-  struct zp_str first, rest;
+  struct zp_str headers = zp_str_of (&d->headers), name, value, first, rest;
   const struct lo_book *b = x->run->book;
 
   zp_str_split (zp_str_of (&d->body), '\n', &first, &rest);
@@ -283,9 +283,9 @@
   zp_buf_printf (&want, "%s %016" PRIx64 " %zu", key.ptr,
                  lo_book_digest (b, x->index), rest.len);
   bool own = zp_str_eq (first, zp_str_of (&want));
-  zp_buf_clear (&want);
-  zp_buf_printf (&want, "X-Request-Key: %s\n", key.ptr);
-  own = own && d->headers.ptr && strstr (d->headers.ptr, want.ptr);
+  while (fr_header_next (&headers, &name, &value))
+    if (fr_header_is (name, "X-Request-Key"))
+      own = own && zp_str_eq (value, zp_str_of (&key));
   zp_buf_free (&key);
   zp_buf_free (&want);
   return own;
--- a/tests/test-backend.c
+++ b/tests/test-backend.c
@@ -37,7 +37,8 @@
   f->caller = fw_client_open (&f->loop, &f->task);
   snprintf (f->server, sizeof f->server, "%s", test_address (19312));
   zp_buf_printf (&text,
-                 "{%s \"service\": \"s\", \"id_prefix\": \"b\","
+                 "{%s \"service\": \"s\", \"id_prefix\": \"b\", "
+                 "\"failure_domain\": \"w1\","
                  " \"addresses\": [\"%s\"], \"records\": \"%s/b.record\","
                  " \"entries\": [\"%s\", \"%s\"], \"leave_ms\": 100}",
                  extra, f->server, test_folder (), first, f->entry.address);
