--- a/scenarios/pause-leader.sh
+++ b/scenarios/pause-leader.sh
@@ -1,12 +1,16 @@
-must="tickets go on while the control leader is paused, and each accepted one has a number of its own"
+must="tickets go on while the control leader is paused and after it came back, and each has a number of its own"
 seconds=10
 during() {
-  local n
+  local n leader
+  leader=$(deployment leader)
   sleep 1
-  deployment signal STOP control-1
+  deployment signal STOP "$leader"
   for n in 1 2 3; do
-    echo "{\"title\": \"priority $n\", \"author\": \"ada\", \"against\": $n, \"set\": {\"limits/l$n\": {\"service\": \"booking\", \"region\": \"west\", \"max_in_flight\": 5$n}}}" >"$dir/t$n.json"
+    echo "{\"title\": \"limit $n\", \"author\": \"ada\", \"against\": $n, \"set\": {\"limits/booking-west\": {\"service\": \"booking\", \"region\": \"west\", \"max_in_flight\": 5$n}}}" >"$dir/t$n.json"
     deployment ticket "$dir/t$n.json"
-    [ "$n" != 2 ] || deployment signal CONT control-1
+    [ "$n" != 2 ] || deployment signal CONT "$leader"
   done
 }
+check() {
+  [ "$(sort -u "$dir/numbers" | wc -l)" = 4 ] || echo "the four tickets got the numbers $(paste -sd' ' "$dir/numbers");"
+}
