Send the Request-Id of a request back with its answer

Cause: zp-backend uses the HTTP front end and did not return the Request-Id, so the check for crossed answers had nothing to compare. Change: the front end returns it with every answer.

--- a/src/front/server.c
+++ b/src/front/server.c
@@ -36,6 +36,7 @@
   bool too_large;
   ev_io watch; /* sees the caller leave while the exchange is suspended */
   struct zp_buf target;
+  char request_id[ZP_NAME_MAX];
   struct tk_msg *request; /* until it is sent */
   struct tk_msg *answer;
 };
@@ -128,13 +129,23 @@
     }
   else if (fr_header_is (n, "Content-Type"))
     zp_buf_put (&r->content_type, v);
-  else if (fr_header_is (n, "Request-Id"))
-    zp_buf_put (&r->request_id, v);
   else
     fr_header_put (&r->headers, n, v);
   return MHD_YES;
 }
 
+/* A Request-Id is sent back with the answer, so that the other side can tell
+   a crossed one.  */
+static void
+keep_request_id (struct exchange *x)
+{
+  const char *id
+      = MHD_lookup_connection_value (x->conn, MHD_HEADER_KIND, "Request-Id");
+
+  if (id && strlen (id) < sizeof x->request_id)
+    zp_str_copy (x->request_id, sizeof x->request_id, zp_str_from (id));
+}
+
 static uint32_t
 caller_ipv4 (struct MHD_Connection *conn)
 {
@@ -162,6 +173,7 @@
   zp_buf_put (&r->query, query);
   r->caller_ipv4 = caller_ipv4 (x->conn);
   MHD_get_connection_values (x->conn, MHD_HEADER_KIND, on_header, r);
+  keep_request_id (x);
 }
 
 /* Runs while an exchange is suspended: the library does not watch it then.  */
@@ -249,6 +261,8 @@
       snprintf (seconds, sizeof seconds, "%u", a->retry_after_s);
       add_header (r, "Retry-After", seconds);
     }
+  if (x->request_id[0] != '\0')
+    add_header (r, "Request-Id", x->request_id);
   if (a->location.len > 0)
     add_header (r, "Location", a->location.ptr);
   if (a->content_type.len > 0)
--- a/src/task/msg.c
+++ b/src/task/msg.c
@@ -22,7 +22,6 @@
       zp_buf_free (&m->u.request.query);
       zp_buf_free (&m->u.request.content_type);
       zp_buf_free (&m->u.request.key);
-      zp_buf_free (&m->u.request.request_id);
       zp_buf_free (&m->u.request.headers);
       zp_buf_free (&m->u.request.body);
       break;
--- a/src/task/msg.h
+++ b/src/task/msg.h
@@ -55,7 +55,6 @@
   struct zp_buf content_type;
   struct zp_buf headers; /* other end-to-end headers, "Name: value\n" each */
   struct zp_buf key;     /* Idempotency-Key */
-  struct zp_buf request_id; /* Request-Id */
   struct zp_buf body;
   zp_time deadline;     /* monotonic; 0: none was given */
   uint32_t caller_ipv4; /* host byte order; 0: not IPv4 */
--- a/tests/test-front.c
+++ b/tests/test-front.c
@@ -136,6 +136,7 @@
   open_fixture (&f);
   put (&f, "POST /booking/a%20b?x=1 HTTP/1.1\r\nHost: h\r\n"
            "Deadline-Ms: 500\r\nIdempotency-Key: k1\r\nX-Partner: mend\r\n"
+           "Request-Id: 1-7-1\r\n"
            "Content-Length: 4\r\n\r\nbody");
   ev_run (f.loop.ev, 0);
   CU_ASSERT_FATAL (f.request != NULL);
@@ -151,6 +152,7 @@
   CU_ASSERT (HAS_TEXT (f.answer, "200 OK"));
   CU_ASSERT (HAS_TEXT (f.answer, "Run-Verdict: ran"));
   CU_ASSERT (HAS_TEXT (f.answer, "X-Count: 3"));
+  CU_ASSERT (HAS_TEXT (f.answer, "Request-Id: 1-7-1"));
   CU_ASSERT (HAS_TEXT (f.answer, "\r\n\r\nanswer 1"));
   close_fixture (&f);
 }
