Add bench-capacity

Cause: the choice of leases (design chapter 8) needs figures against the alternatives.

Change: a seeded discrete-event model of 7 daemons in 3 regions and the booking service, for leases, static split, random and least reported load.

--- /dev/null
+++ b/bench/capacity-leases.h
@@ -0,0 +1,230 @@
+/* NAME
+     capacity-leases - the lease policy of bench-capacity, with src/steer  */
+
+#ifndef ZP_BENCH_CAPACITY_LEASES_H
+#define ZP_BENCH_CAPACITY_LEASES_H
+
+#include "capacity-model.h"
+
+static void
+send_grants (struct sim *s, unsigned from, struct st_grants *g)
+{
+  for (size_t i = 0; i < g->len; i++)
+    {
+      struct st_grant *copy = zp_alloc (sizeof *copy);
+
+      *copy = g->item[i];
+      push (s, s->now + between (from, (unsigned) copy->to),
+            (struct event){ .kind = GRANT_IN,
+                            .d = (unsigned) copy->to,
+                            .from = from,
+                            .grant = copy });
+    }
+  st_grants_free (g);
+}
+
+/* A cancelled request frees its slot; its service time is not cut short, which
+   may count as over capacity.  */
+static void
+cancel (struct sim *s, unsigned d, const struct st_out *o)
+{
+  unsigned left = o->u.cancel.count;
+  unsigned server = server_number (o->u.cancel.server);
+
+  for (size_t r = s->requests; r-- > 0 && left > 0;)
+    if (s->request[r].daemon == d && s->request[r].server == server
+        && !s->request[r].cancelled)
+      {
+        s->request[r].cancelled = true;
+        refuse (s, (uint32_t) r);
+        left--;
+      }
+}
+
+static void
+send_outs (struct sim *s, unsigned d, struct st_outs *outs)
+{
+  for (size_t i = 0; i < outs->len; i++)
+    {
+      struct st_out *o = &outs->item[i];
+      struct event e = { .d = (unsigned) o->to, .from = d, .out = *o };
+
+      switch (o->kind)
+        {
+        case ST_OUT_ASK:
+          e.kind = ASK_IN;
+          o->u.ask.keep = NULL; /* freed by the receiver */
+          break;
+        case ST_OUT_RETURN:
+          e.kind = RETURN_IN;
+          break;
+        case ST_OUT_CANCEL:
+          cancel (s, d, o);
+          continue;
+        }
+      push (s, s->now + between (d, e.d), e);
+    }
+  st_outs_free (outs);
+}
+
+/* Sends queued requests while slots are free, nearest servers first.  */
+static void
+serve_leases (struct sim *s, unsigned d, struct st_outs *outs)
+{
+  struct daemon *e = &s->daemon[d];
+
+  while (e->queue.len > 0)
+    {
+      unsigned best = SERVERS;
+
+      for (size_t i = 0; i < e->holder.seats; i++)
+        {
+          struct zp_str id = zp_str_from (e->holder.seat[i].server);
+          unsigned n = server_number (id.ptr);
+
+          if (st_holder_free_slots (&e->holder, id, s->now) > 0
+              && (best == SERVERS || to_server (d, n) < to_server (d, best)))
+            best = n;
+        }
+      if (best == SERVERS
+          || !st_holder_take (&e->holder, name ("b", best), s->now, outs))
+        return;
+      send (s, queue_take (&e->queue), best);
+    }
+}
+
+static void
+step_leases (struct sim *s, unsigned d)
+{
+  struct daemon *e = &s->daemon[d];
+  struct st_outs outs = { .item = NULL };
+  unsigned slots;
+
+  while (e->queue.len > 0 && is_late (s, e->queue.item[e->queue.head]))
+    refuse (s, queue_take (&e->queue));
+  serve_leases (s, d, &outs);
+  unsigned idle
+      = st_lessor_free_slots (&e->lessor, ZP_STR ("booking"), s->now, &slots);
+  st_view_summary (&e->view, d, ZP_STR ("booking"), idle, slots, s->now);
+  st_holder_want (&e->holder, ZP_STR ("booking"), (unsigned) e->queue.len);
+  st_holder_step (&e->holder, &e->view, s->now, &outs);
+  send_outs (s, d, &outs);
+}
+
+static void
+lease_message (struct sim *s, struct event *e)
+{
+  struct daemon *d = &s->daemon[e->d];
+  struct st_grants grants = { .item = NULL };
+  struct st_outs outs = { .item = NULL };
+  struct st_ask a = { .from = e->from };
+
+  switch (e->kind)
+    {
+    case ASK_IN:
+      a.number = e->out.u.ask.number;
+      a.service = zp_str_from (e->out.u.ask.service);
+      a.want = e->out.u.ask.want;
+      a.keep = e->out.u.ask.keep;
+      a.keeps = e->out.u.ask.keeps;
+      st_lessor_ask (&d->lessor, &d->view, &a, s->now, &grants);
+      free (e->out.u.ask.keep);
+      break;
+    case RETURN_IN:
+      st_lessor_return (&d->lessor, &d->view, e->from, &e->out.u.ret, s->now,
+                        &grants);
+      break;
+    case GRANT_IN:
+      st_holder_grant (&d->holder, e->from, e->grant, s->now, &outs);
+      free (e->grant);
+      send_outs (s, e->d, &outs);
+      step_leases (s, e->d);
+      break;
+    default:
+      break;
+    }
+  send_grants (s, e->d, &grants);
+}
+
+static void
+announce_all (struct sim *s)
+{
+  for (unsigned i = 0; i < SERVERS; i++)
+    {
+      unsigned owner = i == 1 ? 1 : i / 2 + (i > 1 ? 1 : 0);
+      struct daemon *d = &s->daemon[owner];
+      struct st_grants grants = { .item = NULL };
+      struct st_announce a = { .id = name ("b", i),
+                               .service = ZP_STR ("booking"),
+                               .address = ZP_STR ("127.0.0.1:1"),
+                               .slots = SLOTS,
+                               .connections = ZP_SERVER_CONNECTIONS,
+                               .inflight = s->server[i].running,
+                               .uptime = s->now };
+
+      st_lessor_announce (&d->lessor, &d->view, &a, s->now, &grants, NULL);
+      send_grants (s, owner, &grants);
+    }
+}
+
+static void
+tell_summary (struct sim *s, unsigned from)
+{
+  unsigned slots;
+  unsigned idle = st_lessor_free_slots (&s->daemon[from].lessor,
+                                        ZP_STR ("booking"), s->now, &slots);
+
+  for (unsigned d = 0; d < DAEMONS; d++)
+    if (d != from)
+      push (s, s->now + between (from, d),
+            (struct event){ .kind = SUMMARY_IN,
+                            .d = d,
+                            .from = from,
+                            .free_slots = idle,
+                            .slots = slots });
+}
+
+static void
+tick_all (struct sim *s)
+{
+  for (unsigned d = 0; d < DAEMONS; d++)
+    {
+      struct st_grants grants = { .item = NULL };
+
+      st_lessor_step (&s->daemon[d].lessor, &s->daemon[d].view, s->now,
+                      &grants);
+      send_grants (s, d, &grants);
+      step_leases (s, d);
+    }
+}
+
+static void
+set_up_leases (struct sim *s)
+{
+  for (unsigned d = 0; d < DAEMONS; d++)
+    {
+      struct daemon *e = &s->daemon[d];
+
+      e->view.self = d;
+      st_lessor_init (&e->lessor, d, 1, 0);
+      st_holder_init (&e->holder, d, 0);
+      for (unsigned k = 0; k < DAEMONS; k++)
+        {
+          struct st_member m = { .id = k, .live = true };
+
+          zp_str_copy (m.failure_domain, ZP_NAME_MAX,
+                       name ("f", daemon_domain[k]));
+          zp_str_copy (m.region, ZP_NAME_MAX,
+                       name ("r", daemon_domain[k] / 2));
+          st_view_put (&e->view, &m);
+        }
+      for (unsigned k = 0; k < REGIONS; k++)
+        st_view_latency (&e->view, name ("r", daemon_domain[d] / 2),
+                         name ("r", k), 55 * ZP_MS);
+      push (s, 0, (struct event){ .kind = SUMMARY, .d = d });
+    }
+  push (s, 0, (struct event){ .kind = ANNOUNCE });
+  push (s, 0, (struct event){ .kind = TICK_ALL });
+}
+
+#endif
