--- /dev/null
+++ b/src/ledger/replica-links.h
@@ -0,0 +1,41 @@
+/* NAME
+     replica-links - connections between the members of a replicated log
+
+   DESCRIPTION
+     Used by the replica only.  Every member opens one connection to each other
+     member for its requests; an answer goes back on the newest connection that
+     brought a request of that member.  A connection on which a request has no
+     answer for CT_SILENT is replaced, and one that ends is opened again with a
+     growing delay.  Messages that cannot be sent now are dropped: the core
+     sends them again.  */
+
+#ifndef ZP_LEDGER_REPLICA_LINKS_H
+#define ZP_LEDGER_REPLICA_LINKS_H
+
+#include <ev.h>
+
+#include "base/err.h"
+#include "ledger/core.h"
+
+/* Shorter than the lease, so that a leader whose connections became silent has
+   fresh ones before it loses its followers.  */
+#define CT_SILENT (1000 * ZP_MS)
+
+struct ct_links;
+
+typedef void ct_on_msg (void *self, const struct lg_msg *m);
+
+struct ct_links *ct_links_open (struct ev_loop *ev, struct zp_str address,
+                                uint64_t id, ct_on_msg *on_msg, void *self,
+                                struct zp_err *err);
+void ct_links_free (struct ct_links *l);
+
+/* Connects to these members from now on.  */
+void ct_links_members (struct ct_links *l, const struct lg_members *members);
+
+void ct_links_send (struct ct_links *l, zp_time now, const struct lg_msg *m);
+
+/* Opens and replaces connections; called several times a second.  */
+void ct_links_check (struct ct_links *l, zp_time now);
+
+#endif
--- /dev/null
+++ b/tests/test-replica.c
@@ -0,0 +1,417 @@
+#include "harness.h"
+
+#include <stdlib.h>
+
+#include "control/replica.h"
+#include "ledger/replica-links.h"
+#include "wire/conn.h"
+
+#define MEMBERS 3
+#define CHANGES 1000        /* numbers of member changes begin here */
+#define LIMIT (60 * ZP_SEC) /* bounds a run that waits for something */
+
+struct member
+{
+  struct ct_replica *replica;
+  char folder[80];
+  char address[ZP_ADDRESS_MAX];
+  struct zp_buf state; /* one line for each applied proposal */
+  uint64_t applied, committed, refused, lost;
+  int restores, out_of_order;
+};
+
+static struct
+{
+  struct tk_loop loop;
+  char folder[64];
+  struct member member[MEMBERS + 1];
+  uint64_t proposals;
+} group;
+
+static void
+apply (void *self, uint64_t index, uint64_t term, struct zp_str bytes)
+{
+  struct member *m = self;
+
+  (void) term;
+  m->out_of_order += index <= m->applied;
+  m->applied = index;
+  zp_buf_put (&m->state, bytes);
+  zp_buf_put (&m->state, ZP_STR ("\n"));
+}
+
+static void
+take_snapshot (void *self, struct zp_buf *out)
+{
+  struct member *m = self;
+
+  zp_buf_put (out, zp_str_of (&m->state));
+}
+
+static bool
+restore (void *self, uint64_t index, uint64_t term, struct zp_str state,
+         struct zp_err *err)
+{
+  struct member *m = self;
+
+  (void) term;
+  (void) err;
+  m->out_of_order += index < m->applied;
+  m->applied = index;
+  m->restores++;
+  zp_buf_clear (&m->state);
+  zp_buf_put (&m->state, state);
+  return true;
+}
+
+static void
+answered (void *self, const struct lg_reply *reply)
+{
+  struct member *m = self;
+
+  switch (reply->kind)
+    {
+    case LG_REPLY_COMMITTED:
+      m->committed += reply->proposal < CHANGES;
+      break;
+    case LG_REPLY_REFUSED:
+      m->refused++;
+      break;
+    case LG_REPLY_LOST:
+      m->lost++;
+      break;
+    case LG_REPLY_ACCEPTED:
+      break;
+    }
+}
+
+/* Opens member I; the last one joins and is no founder.  */
+static void
+open_member (int i)
+{
+  struct member *m = &group.member[i];
+  struct zp_err err = { .text = "" };
+  struct ct_replica_options o = { .loop = &group.loop,
+                                  .id = 100 + (uint64_t) i,
+                                  .folder = zp_str_from (m->folder),
+                                  .address = zp_str_from (m->address),
+                                  .self = m,
+                                  .snapshot_entries = 20,
+                                  .keep_entries = 5 };
+
+  o.callbacks = (struct ct_callbacks){ .apply = apply,
+                                       .take_snapshot = take_snapshot,
+                                       .restore = restore,
+                                       .answered = answered };
+  for (int k = 0; k < MEMBERS && i < MEMBERS; k++)
+    lg_members_put (&o.members, 100 + (uint64_t) k, true,
+                    zp_str_from (group.member[k].address));
+  zp_buf_clear (&m->state);
+  m->applied = 0;
+  m->replica = ct_replica_open (&o, &err);
+  if (!m->replica)
+    printf ("member %d: %s\n", i, err.text);
+  CU_ASSERT_FATAL (m->replica != NULL);
+}
+
+static void
+close_member (struct member *m)
+{
+  ct_replica_close (m->replica);
+  m->replica = NULL;
+}
+
+static void
+set_up (void)
+{
+  memset (&group, 0, sizeof group);
+  tk_loop_init (&group.loop);
+  snprintf (group.folder, sizeof group.folder, "/tmp/zp-test-replica-XXXXXX");
+  CU_ASSERT_FATAL (mkdtemp (group.folder) != NULL);
+  for (int i = 0; i <= MEMBERS; i++)
+    {
+      struct member *m = &group.member[i];
+      snprintf (m->folder, sizeof m->folder, "%s/%d", group.folder, i);
+      snprintf (m->address, sizeof m->address, "%s",
+                test_address (19301 + (unsigned) i));
+    }
+}
+
+static void
+tear_down (void)
+{
+  static const char *const files[]
+      = { "log", "log.new", "snapshot", "snapshot.new", "lock" };
+
+  for (int i = 0; i <= MEMBERS; i++)
+    {
+      struct member *m = &group.member[i];
+      CU_ASSERT_EQUAL (m->out_of_order, 0);
+      close_member (m);
+      zp_buf_free (&m->state);
+      for (size_t k = 0; k < sizeof files / sizeof *files; k++)
+        {
+          char path[128];
+          snprintf (path, sizeof path, "%s/%s", m->folder, files[k]);
+          unlink (path);
+        }
+      rmdir (m->folder);
+    }
+  CU_ASSERT_EQUAL (rmdir (group.folder), 0);
+  tk_loop_free (&group.loop);
+}
+
+/* The member that leads with a lease; NULL when there is none.  */
+static struct member *
+leader (void)
+{
+  for (int i = 0; i <= MEMBERS; i++)
+    if (group.member[i].replica && ct_replica_lease (group.member[i].replica))
+      return &group.member[i];
+  return NULL;
+}
+
+/* Whether all open members have the state of the leader, which has all N
+   proposals.  */
+static bool
+all_have (uint64_t n)
+{
+  struct member *first = leader ();
+  uint64_t lines = 0;
+
+  if (!first)
+    return false;
+  for (size_t i = 0; i < first->state.len; i++)
+    lines += first->state.ptr[i] == '\n';
+  for (int i = 0; i <= MEMBERS; i++)
+    if (group.member[i].replica
+        && !zp_str_eq (zp_str_of (&first->state),
+                       zp_str_of (&group.member[i].state)))
+      return false;
+  return lines == n;
+}
+
+static bool
+has_leader (uint64_t n)
+{
+  (void) n;
+  return leader () != NULL;
+}
+
+static void
+wait_for (bool (*condition) (uint64_t), uint64_t n)
+{
+  zp_time end = zp_clock_mono () + LIMIT;
+
+  while (!condition (n) && zp_clock_mono () < end)
+    ev_run (group.loop.ev, EVRUN_ONCE);
+  CU_ASSERT_FATAL (condition (n));
+}
+
+/* Proposes N entries to the leader and waits until all open members have
+   them.  */
+static void
+commit (int n)
+{
+  wait_for (has_leader, 0);
+  struct member *m = leader ();
+  uint64_t before = m->committed;
+
+  for (int i = 0; i < n; i++)
+    {
+      char text[32];
+      int len = snprintf (text, sizeof text, "proposal %d",
+                          (int) ++group.proposals);
+      ct_replica_propose (m->replica, group.proposals,
+                          (struct zp_str){ text, (size_t) len });
+    }
+  wait_for (all_have, group.proposals);
+  CU_ASSERT_EQUAL (m->committed - before, (uint64_t) n);
+}
+
+/* Guards the whole path on real sockets and files: elect, commit, lose the
+   leader, go on, recover by snapshot, and restart all.  */
+static void
+test_life_of_a_group (void)
+{
+  set_up ();
+  for (int i = 0; i < MEMBERS; i++)
+    open_member (i);
+  commit (10);
+
+  struct member *first = leader ();
+  int lost = (int) (first - group.member);
+  close_member (first);
+  commit (50);
+  open_member (lost);
+  wait_for (all_have, group.proposals);
+  CU_ASSERT (first->restores > 0);
+
+  for (int i = 0; i < MEMBERS; i++)
+    close_member (&group.member[i]);
+  for (int i = 0; i < MEMBERS; i++)
+    open_member (i);
+  commit (5);
+  tear_down ();
+}
+
+static bool
+member_is_voter (uint64_t id)
+{
+  struct member *m = leader ();
+
+  return m && lg_members_voter (ct_replica_members (m->replica), id);
+}
+
+static bool
+joined (uint64_t id)
+{
+  struct member *m = leader ();
+
+  return m && lg_members_find (ct_replica_members (m->replica), id)
+         && all_have (group.proposals);
+}
+
+/* Guards against a new member that cannot get in, and against a member that
+   answers for others with an empty disk under an id that the group knows.  */
+static void
+test_replace_a_member (void)
+{
+  struct lg_change change = { .kind = LG_ADD_LEARNER, .id = 103 };
+
+  set_up ();
+  for (int i = 0; i < MEMBERS; i++)
+    open_member (i);
+  commit (30);
+  struct member *wiped
+      = leader () == &group.member[0] ? &group.member[1] : &group.member[0];
+  close_member (wiped);
+  char path[128];
+  snprintf (path, sizeof path, "%s/log", wiped->folder);
+  unlink (path);
+  snprintf (path, sizeof path, "%s/snapshot", wiped->folder);
+  unlink (path);
+  open_member ((int) (wiped - group.member));
+  struct ct_replica *r = wiped->replica;
+  zp_time end = zp_clock_mono () + LIMIT;
+  while (ct_replica_status (r).stop == LG_RUNNING && zp_clock_mono () < end)
+    ev_run (group.loop.ev, EVRUN_ONCE);
+  CU_ASSERT_EQUAL (ct_replica_status (r).stop, LG_STOP_WIPED);
+  close_member (wiped);
+
+  commit (1);
+  open_member (MEMBERS);
+  change.address = zp_str_from (group.member[MEMBERS].address);
+  ct_replica_change (leader ()->replica, CHANGES, &change);
+  wait_for (joined, 103);
+  commit (2);
+  change.kind = LG_PROMOTE;
+  ct_replica_change (leader ()->replica, CHANGES + 1, &change);
+  wait_for (member_is_voter, 103);
+  commit (2);
+  tear_down ();
+}
+
+/* Guards against two processes that write one data folder.  */
+static void
+test_folder_is_locked (void)
+{
+  struct ct_replica_options o = { .loop = &group.loop, .id = 100 };
+  struct zp_err err;
+
+  set_up ();
+  open_member (0);
+  o.folder = zp_str_from (group.member[0].folder);
+  o.address = zp_str_from (group.member[1].address);
+  CU_ASSERT (ct_replica_open (&o, &err) == NULL);
+  CU_ASSERT (HAS_TEXT (err.text, "in use by another process"));
+  tear_down ();
+}
+
+/* Silent connections.  */
+
+#define ACCEPTED_MAX 16
+static struct wi_conn *accepted[ACCEPTED_MAX];
+static size_t accepts;
+
+static void
+ignore_frame (void *self, struct wi_conn *c, uint8_t kind,
+              struct zp_str payload)
+{
+  (void) self;
+  (void) c;
+  (void) kind;
+  (void) payload;
+}
+
+static void
+ignore_end (void *self, struct wi_conn *c, const struct zp_err *why)
+{
+  (void) self;
+  (void) c;
+  (void) why;
+}
+
+static void
+on_accept (void *self, struct wi_conn *c)
+{
+  static const struct wi_handlers h
+      = { .on_frame = ignore_frame, .on_end = ignore_end };
+
+  if (accepts < ACCEPTED_MAX)
+    accepted[accepts++] = c;
+  wi_conn_set (c, &h, self);
+}
+
+static void
+ignore_msg (void *self, const struct lg_msg *m)
+{
+  (void) self;
+  (void) m;
+}
+
+/* Guards against a member that is lost although a new connection to it would
+   work.  The clock of the links is an argument, so that nothing waits.  */
+static void
+test_silent_connection_is_replaced (void)
+{
+  struct lg_msg ask = { .kind = LG_VOTE_ASK, .from = 100, .to = 101 };
+  struct lg_members members = { .len = 0 };
+  struct zp_err err;
+
+  set_up ();
+  accepts = 0;
+  struct ev_loop *ev = group.loop.ev;
+  struct wi_listener *listener = wi_listen (
+      ev, zp_str_from (group.member[1].address), on_accept, NULL, &err);
+  CU_ASSERT_FATAL (listener != NULL);
+  struct ct_links *l = ct_links_open (
+      ev, zp_str_from (group.member[0].address), 100, ignore_msg, NULL, &err);
+  CU_ASSERT_FATAL (l != NULL);
+  lg_members_put (&members, 101, true, zp_str_from (group.member[1].address));
+  ct_links_members (l, &members);
+  zp_time now = zp_clock_mono ();
+  for (size_t i = 1; i <= 3; i++, now += 2 * CT_SILENT)
+    {
+      ct_links_check (l, now);
+      for (int k = 0; k < 1000 && accepts < i; k++)
+        ev_run (ev, EVRUN_ONCE);
+      CU_ASSERT_EQUAL (accepts, i);
+      ct_links_send (l, now, &ask);
+      ct_links_check (l, now + CT_SILENT);
+    }
+  ct_links_free (l);
+  while (accepts > 0)
+    wi_conn_free (accepted[--accepts]);
+  wi_listener_free (listener);
+  tear_down ();
+}
+
+static const struct zp_test tests[]
+    = { { "life of a group", test_life_of_a_group },
+        { "a member is replaced", test_replace_a_member },
+        { "the folder is locked", test_folder_is_locked },
+        { "a silent connection is replaced",
+          test_silent_connection_is_replaced } };
+
+TEST_MAIN ("replica", tests)
