--- /dev/null
+++ b/fuzz/fuzz-wal.c
@@ -0,0 +1,72 @@
+/* Feeds bytes to recovery as a log file and a snapshot file.  With an odd
+   first byte the bytes become bodies of records with correct checksums, so
+   that the readers behind the checksums are reached too.  Guards against a
+   damaged file that ends the process without a message.  */
+
+#include <stdlib.h>
+
+#include "ledger/recover.h"
+#include "ledger/wal.h"
+
+int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
+
+/* Each record is a kind, a length of two bytes and a body.  */
+static void
+put_records (struct zp_str in, struct zp_buf *out)
+{
+  while (in.len > 3)
+    {
+      size_t len = (uint8_t) in.ptr[1] + 256U * (uint8_t) in.ptr[2];
+      enum lg_record_kind kind = (enum lg_record_kind) (in.ptr[0] & 3);
+      in.ptr += 3;
+      in.len -= 3;
+      len = len < in.len ? len : in.len;
+      lg_record_put (out, kind, (struct zp_str){ .ptr = in.ptr, .len = len });
+      in.ptr += len;
+      in.len -= len;
+    }
+}
+
+static void
+run_core (const struct lg_start *start)
+{
+  struct zp_rng *rng = zp_alloc (sizeof *rng);
+
+  zp_rng_seed (rng, 1);
+  struct lg_core *c = lg_core_new (start, 0, rng);
+  lg_core_tick (c, LG_ELECTION_MAX);
+  for (struct lg_out *o; (o = lg_core_next (c)); lg_out_free (o))
+    if (o->kind == LG_OUT_WRITE)
+      lg_core_written (c, LG_ELECTION_MAX, o->u.write.number, 0);
+  lg_core_free (c);
+  free (rng);
+}
+
+int
+LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
+{
+  struct lg_members none = { .len = 0 };
+  struct zp_buf made = { .ptr = NULL };
+  struct lg_start start;
+  struct zp_err err;
+  size_t cut;
+
+  if (size < 3)
+    return 0;
+  size_t split = 3 + (data[1] + 256U * data[2]) % (size - 2);
+  struct zp_str log = { (const char *) data + 3, split - 3 };
+  struct lg_files files = { .log = log };
+  if (split < size)
+    files.snapshot
+        = (struct zp_str){ (const char *) data + split, size - split };
+  if (data[0] & 1)
+    {
+      put_records (log, &made);
+      files.log = zp_str_of (&made);
+    }
+  if (lg_recover (&files, 1, &none, &start, &cut, &err))
+    run_core (&start);
+  lg_start_free (&start);
+  zp_buf_free (&made);
+  return 0;
+}
--- /dev/null
+++ b/tests/test-ledger-core.c
@@ -0,0 +1,424 @@
+#include "harness.h"
+
+#include <errno.h>
+
+#include "ledger-world.h"
+
+static struct lg_msg
+vote_ask (uint64_t from, uint64_t term, uint64_t last_index,
+          uint64_t last_term)
+{
+  struct lg_msg m = { .kind = LG_VOTE_ASK, .from = from, .term = term };
+
+  m.u.vote_ask = (struct lg_vote_ask){ .voter = true,
+                                       .last_index = last_index,
+                                       .last_term = last_term,
+                                       .formed = 1 };
+  return m;
+}
+
+/* Elections.  */
+
+/* Guards against a vote that is given before it is durable: after a crash the
+   member would vote again in the same term.  */
+static void
+test_vote_waits_for_the_disk (void)
+{
+  set_up ();
+  world.instant_disk = false;
+  struct fake *f = &world.member[0];
+  struct lg_msg r = ask (0, vote_ask (2, 1, 0, 0), LG_VOTE_ANSWER);
+  CU_ASSERT_EQUAL (r.from, 0);
+  CU_ASSERT_EQUAL_FATAL (f->writes, 1);
+  lg_core_written (f->core, world.now, fake_disk_step (f, SIZE_MAX), 0);
+  drain (0);
+  CU_ASSERT_EQUAL_FATAL (world.flights, 1);
+  CU_ASSERT (world.flight[0]->u.msg.u.vote_answer.granted);
+
+  fake_crash (f, f->writes, 0);
+  start (0);
+  world.now += LG_VOTE_WAIT;
+  world.instant_disk = true;
+  r = ask (0, vote_ask (3, 1, 0, 0), LG_VOTE_ANSWER);
+  CU_ASSERT (r.from == 1 && !r.u.vote_answer.granted);
+  r = ask (0, vote_ask (2, 1, 0, 0), LG_VOTE_ANSWER);
+  CU_ASSERT (r.from == 1 && r.u.vote_answer.granted);
+  tear_down ();
+}
+
+/* Guards against a candidate that counts its own vote before it is durable.
+   The other two members are the test's.  */
+static void
+test_own_vote_waits_for_the_disk (void)
+{
+  struct lg_msg grant = { .kind = LG_VOTE_ANSWER, .term = 1 };
+
+  set_up ();
+  world.instant_disk = false;
+  struct fake *f = &world.member[0];
+  grant.u.vote_answer = (struct lg_vote_answer){ true, true };
+  world.now = lg_core_due (f->core);
+  lg_core_tick (f->core, world.now);
+  grant.from = 2;
+  ask (0, grant, LG_VOTE_ASK);
+  grant.from = 3;
+  ask (0, grant, LG_VOTE_ASK);
+  CU_ASSERT_EQUAL (status (0).role, LG_CANDIDATE);
+  CU_ASSERT_EQUAL_FATAL (f->writes, 1);
+  grant.u.vote_answer.pre = false;
+  ask (0, grant, LG_VOTE_ASK);
+  grant.from = 2;
+  ask (0, grant, LG_VOTE_ASK);
+  CU_ASSERT_EQUAL (status (0).role, LG_CANDIDATE);
+  lg_core_written (f->core, world.now, fake_disk_step (f, SIZE_MAX), 0);
+  CU_ASSERT_EQUAL (status (0).role, LG_LEADER);
+  tear_down ();
+}
+
+/* Guards against a second leader that accepts proposals while the lease of the
+   first one runs: neither a follower that heard from it nor one that has
+   restarted grants a vote.  */
+static void
+test_no_vote_during_a_lease (void)
+{
+  set_up ();
+  size_t l = elect (), f = (l + 1) % 3;
+  uint64_t from = (l + 2) % 3 + 1, term = status (l).term + 1;
+  struct lg_msg m = vote_ask (from, term, 100, term);
+  struct lg_msg r = ask (f, m, LG_VOTE_ANSWER);
+  CU_ASSERT (!r.u.vote_answer.granted);
+  CU_ASSERT_EQUAL (status (f).term, term - 1);
+  fake_crash (&world.member[f], 0, 0);
+  start (f);
+  r = ask (f, m, LG_VOTE_ANSWER);
+  CU_ASSERT (r.from != 0 && !r.u.vote_answer.granted);
+  world.now += LG_LEASE;
+  r = ask (f, m, LG_VOTE_ANSWER);
+  CU_ASSERT (r.from != 0 && !r.u.vote_answer.granted);
+  world.now += LG_VOTE_WAIT - LG_LEASE;
+  r = ask (f, m, LG_VOTE_ANSWER);
+  CU_ASSERT (r.u.vote_answer.granted);
+  tear_down ();
+}
+
+/* Guards against a leader that is cut off and goes on accepting, and against
+   a lease that counts from the answer in place of the request.  */
+static void
+test_lease_of_a_cut_off_leader_ends (void)
+{
+  set_up ();
+  size_t l = elect ();
+  pass (LG_HEARTBEAT);
+  world.reachable &= ~(1U << l);
+  pass (LG_LEASE);
+  CU_ASSERT (!lg_core_lease (world.member[l].core, world.now));
+  propose (l, 1);
+  CU_ASSERT_EQUAL (world.refused[l], 1);
+  CU_ASSERT_EQUAL (leader (), WORLD_SIZE);
+  size_t next = elect ();
+  CU_ASSERT (next != l);
+  propose (next, 1);
+  CU_ASSERT_EQUAL (world.committed[next], 1);
+  world.reachable = 7;
+  pass (1000 * ZP_MS);
+  CU_ASSERT_EQUAL (status (l).role, LG_FOLLOWER);
+  CU_ASSERT_EQUAL (world.applied[l], world.applied[next]);
+  tear_down ();
+}
+
+/* Guards against a member that disturbs the leader after it was cut off.  */
+static void
+test_pre_vote_keeps_the_term (void)
+{
+  set_up ();
+  size_t l = elect (), f = (l + 1) % 3;
+  uint64_t term = status (l).term;
+  world.reachable &= ~(1U << f);
+  pass (20 * ZP_SEC);
+  CU_ASSERT_EQUAL (status (f).term, term);
+  world.reachable = 7;
+  pass (5 * ZP_SEC);
+  CU_ASSERT_EQUAL (leader (), l);
+  CU_ASSERT_EQUAL (status (l).term, term);
+  tear_down ();
+}
+
+/* Guards against messages of a leader of an earlier term.  */
+static void
+test_older_terms_are_refused (void)
+{
+  struct lg_msg m = { .kind = LG_APPEND, .from = 1, .term = 1 };
+
+  set_up ();
+  size_t l = elect ();
+  fake_crash (&world.member[l], 0, 0);
+  size_t next = elect (), f = 3 - l - next;
+  m.from = l + 1;
+  m.u.append = (struct lg_append){ .voter = true, .formed = 1, .commit = 9 };
+  struct lg_msg r = ask (f, m, LG_APPEND_ANSWER);
+  CU_ASSERT (r.from != 0 && !r.u.append_answer.ok);
+  CU_ASSERT_EQUAL (r.term, status (next).term);
+  m.kind = LG_SNAPSHOT;
+  m.u.snapshot = (struct lg_snapshot_chunk){ .voter = true, .index = 50 };
+  r = ask (f, m, LG_SNAPSHOT_ANSWER);
+  CU_ASSERT (r.from != 0 && !r.u.snapshot_answer.done);
+  CU_ASSERT_EQUAL (status (f).leader, next + 1);
+  tear_down ();
+}
+
+/* Log.  */
+
+static struct lg_msg
+append (uint64_t term, uint64_t prev, uint64_t prev_term, uint64_t entry_term,
+        uint64_t commit)
+{
+  struct lg_msg m = { .kind = LG_APPEND, .from = 2, .term = term };
+  struct lg_entry e = { .index = prev + 1, .term = entry_term };
+
+  m.u.append = (struct lg_append){
+    .prev_index = prev, .prev_term = prev_term, .commit = commit, .formed = 1
+  };
+  lg_entries_add (&m.u.append.entries, &e);
+  return m;
+}
+
+/* Guards against an acknowledgement of entries that are not synced, and of
+   entries that replaced synced ones but are not synced themselves.  */
+static void
+test_acknowledgement_waits_for_the_disk (void)
+{
+  set_up ();
+  world.instant_disk = false;
+  struct fake *f = &world.member[3];
+  struct lg_msg first = append (1, 0, 0, 1, 0);
+  struct lg_msg second = append (2, 0, 0, 2, 1);
+  CU_ASSERT_EQUAL (ask (3, first, LG_APPEND_ANSWER).from, 0);
+  lg_core_written (f->core, world.now, fake_disk_step (f, SIZE_MAX), 0);
+  drain (3);
+  CU_ASSERT_EQUAL (world.flights, 1);
+  CU_ASSERT_EQUAL (ask (3, second, LG_APPEND_ANSWER).from, 4);
+  CU_ASSERT_EQUAL (status (3).commit, 1);
+  CU_ASSERT_EQUAL (world.applied[3], 0);
+  lg_core_written (f->core, world.now, fake_disk_step (f, SIZE_MAX), 0);
+  drain (3);
+  CU_ASSERT_EQUAL (world.applied[3], 1);
+  lg_msg_clear (&first);
+  lg_msg_clear (&second);
+  tear_down ();
+}
+
+/* Guards against the commit of an entry of an older term by counting copies: a
+   later leader without it could still replace it.  */
+static void
+test_only_the_own_term_commits_by_count (void)
+{
+  set_up ();
+  size_t l = elect ();
+  world.reachable = 1U << l;
+  propose (l, 3);
+  uint64_t old = status (l).last_index;
+  uint64_t from = lead_again (l);
+  acknowledge (l, from, old, world.now);
+  CU_ASSERT (status (l).commit < old);
+  acknowledge (l, from, old + 1, world.now);
+  CU_ASSERT_EQUAL (status (l).commit, old + 1);
+  tear_down ();
+}
+
+/* Guards against a lease that counts from the answer: the follower may have
+   sent it long before, and may have voted since.  */
+static void
+test_lease_counts_from_the_request (void)
+{
+  set_up ();
+  size_t l = elect ();
+  uint64_t old = status (l).last_index, from = lead_again (l);
+  zp_time sent = world.now;
+  CU_ASSERT_EQUAL (leader (), WORLD_SIZE);
+  world.now = sent + 1000 * ZP_MS;
+  acknowledge (l, from, old, sent);
+  CU_ASSERT (lg_core_lease (world.member[l].core, sent + LG_LEASE - 1));
+  CU_ASSERT (!lg_core_lease (world.member[l].core, sent + LG_LEASE));
+  tear_down ();
+}
+
+/* Guards against an author who waits for ever, or who is told "committed" for
+   an entry that was replaced.  */
+static void
+test_replies (void)
+{
+  set_up ();
+  size_t l = elect (), f = (l + 1) % 3;
+  propose (l, 2);
+  CU_ASSERT_EQUAL (world.committed[l], 2);
+  propose (f, 1);
+  CU_ASSERT_EQUAL (world.refused[f], 1);
+  world.reachable = 1U << l;
+  propose (l, 1);
+  pass (LG_LEASE + LG_ELECTION_MIN + LG_HEARTBEAT);
+  CU_ASSERT_EQUAL (world.lost[l], 1);
+  CU_ASSERT_EQUAL (world.committed[l], 2);
+  tear_down ();
+}
+
+/* Guards against one write and one message for every proposal of a burst.  */
+static void
+test_proposals_share_a_write (void)
+{
+  set_up ();
+  size_t l = elect ();
+  world.instant_disk = false;
+  for (int i = 0; i < 100; i++)
+    lg_core_propose (world.member[l].core, world.now, 1, ZP_STR ("entry"));
+  drain (l);
+  CU_ASSERT_EQUAL (world.member[l].writes, 1);
+  CU_ASSERT_EQUAL (world.flights, 2);
+  tear_down ();
+}
+
+/* Guards against a failed disk under a member that goes on answering.  */
+static void
+test_failed_write_stops_the_member (void)
+{
+  set_up ();
+  size_t l = elect ();
+  world.instant_disk = false;
+  lg_core_propose (world.member[l].core, world.now, 1, ZP_STR ("entry"));
+  drain (l);
+  CU_ASSERT_EQUAL_FATAL (world.member[l].writes, 1);
+  uint64_t number = world.member[l].disk[0]->u.write.number;
+  lg_core_written (world.member[l].core, world.now, number, ENOSPC);
+  world.instant_disk = true;
+  CU_ASSERT_EQUAL (status (l).role, LG_STOPPED);
+  CU_ASSERT_EQUAL (status (l).stop, LG_STOP_DISK);
+  drain (l);
+  CU_ASSERT_EQUAL (world.lost[l], 1);
+  CU_ASSERT (elect () != l);
+  pass (5 * ZP_SEC);
+  CU_ASSERT_EQUAL (status (l).role, LG_STOPPED);
+  tear_down ();
+}
+
+/* Members.  */
+
+/* Guards against a learner that counts before it holds the state, and against
+   two member changes at once.  */
+static void
+test_learner_becomes_voter (void)
+{
+  set_up ();
+  size_t l = elect ();
+  propose (l, 60);
+  CU_ASSERT (status (l).snapshot_index > 0);
+  change (l, LG_ADD_LEARNER, 4);
+  change (l, LG_REMOVE, (l + 1) % 3 + 1);
+  deliver ();
+  CU_ASSERT_EQUAL (world.refused[l], 1);
+  change (l, LG_PROMOTE, 4);
+  deliver ();
+  CU_ASSERT_EQUAL (world.refused[l], 2);
+  pass (5 * ZP_SEC);
+  CU_ASSERT_EQUAL (world.applied[3], 0);
+  world.reachable = 15;
+  pass (5 * ZP_SEC);
+  CU_ASSERT_EQUAL (world.applied[3], world.applied[l]);
+  struct lg_msg m = vote_ask (1, status (3).term + 1, 1000, 9);
+  m.u.vote_ask.voter = false;
+  world.now += LG_VOTE_WAIT;
+  CU_ASSERT (!ask (3, m, LG_VOTE_ANSWER).u.vote_answer.granted);
+  l = elect ();
+  change (l, LG_PROMOTE, 4);
+  pass (1000 * ZP_MS);
+  CU_ASSERT (status (3).voter);
+  change (l, LG_REMOVE, l + 1);
+  pass (1000 * ZP_MS);
+  CU_ASSERT (status (l).role != LG_LEADER);
+  CU_ASSERT (elect () != l);
+  tear_down ();
+}
+
+/* Guards against a new leader that changes the members before it knows which
+   change of its predecessor holds: two changes from different sets could give
+   two majorities without a common member.  */
+static void
+test_change_needs_an_entry_of_the_own_term (void)
+{
+  set_up ();
+  size_t l = elect ();
+  propose (l, 60);
+  CU_ASSERT (status (l).snapshot_index > 0);
+  uint64_t old = status (l).last_index, from = lead_again (l);
+  acknowledge (l, from, old, world.now);
+  CU_ASSERT_EQUAL (leader (), l);
+  change (l, LG_ADD_LEARNER, 4);
+  deliver ();
+  CU_ASSERT_EQUAL (world.refused[l], 1);
+  acknowledge (l, from, old + 1, world.now);
+  change (l, LG_ADD_LEARNER, 4);
+  deliver ();
+  CU_ASSERT_EQUAL (world.refused[l], 1);
+  CU_ASSERT (lg_members_find (lg_core_members (world.member[l].core), 4)
+             != NULL);
+  tear_down ();
+}
+
+/* Guards against votes and acknowledgements of a member that has lost what it
+   promised: a voter with an empty disk under a known id.  */
+static void
+test_wiped_voter_stays_silent (void)
+{
+  set_up ();
+  size_t l = elect (), w = (l + 1) % 3;
+  propose (l, 5);
+  fake_crash (&world.member[w], 0, 0);
+  fake_wipe (&world.member[w]);
+  start (w);
+  struct lg_msg r
+      = ask (w, vote_ask (l + 1, status (l).term, 100, 1), LG_VOTE_ANSWER);
+  CU_ASSERT (r.from != 0 && !r.u.vote_answer.granted);
+  pass (1000 * ZP_MS);
+  CU_ASSERT_EQUAL (status (w).stop, LG_STOP_WIPED);
+  propose (l, 1);
+  CU_ASSERT_EQUAL (world.committed[l], 6);
+  tear_down ();
+}
+
+/* Guards against a group that two of three founders form while the third may
+   be the rest of an older group.  */
+static void
+test_first_leader_needs_all_founders (void)
+{
+  set_up ();
+  world.reachable = 3;
+  pass (20 * ZP_SEC);
+  CU_ASSERT_EQUAL (leader (), WORLD_SIZE);
+  world.reachable = 7;
+  elect ();
+  tear_down ();
+}
+
+static const struct zp_test tests[] = {
+  { "a vote waits for the disk", test_vote_waits_for_the_disk },
+  { "the own vote waits for the disk", test_own_vote_waits_for_the_disk },
+  { "no vote during a lease", test_no_vote_during_a_lease },
+  { "the lease of a cut-off leader ends",
+    test_lease_of_a_cut_off_leader_ends },
+  { "a pre-vote keeps the term", test_pre_vote_keeps_the_term },
+  { "older terms are refused", test_older_terms_are_refused },
+  { "an acknowledgement waits for the disk",
+    test_acknowledgement_waits_for_the_disk },
+  { "only the own term commits by count",
+    test_only_the_own_term_commits_by_count },
+  { "a lease counts from the request", test_lease_counts_from_the_request },
+  { "replies", test_replies },
+  { "proposals share a write", test_proposals_share_a_write },
+  { "a failed write stops the member", test_failed_write_stops_the_member },
+  { "a learner becomes a voter", test_learner_becomes_voter },
+  { "a change needs an entry of the own term",
+    test_change_needs_an_entry_of_the_own_term },
+  { "a wiped voter stays silent", test_wiped_voter_stays_silent },
+  { "the first leader needs all founders",
+    test_first_leader_needs_all_founders }
+};
+
+TEST_MAIN ("ledger-core", tests)
