--- a/fuzz/fuzz-frame.c
+++ b/fuzz/fuzz-frame.c
@@ -1,6 +1,7 @@
 /* Feeds bytes of a connection to the frame parser and the payloads of its
-   frames to the codec and to a core.  Guards against input of the network that
-   ends the process.  */
+   frames to the codec and to a core.  With an odd first byte the input is a
+   list of payloads, which get correct headers.  Guards against input of the
+   network that ends the process.  */
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -30,10 +31,30 @@
       lg_core_written (c, now, o->u.write.number, 0);
 }
 
+/* Each frame is a kind of the ledger, a length of one byte and a payload.  */
+static void
+put_frames (struct zp_str in, struct zp_buf *out)
+{
+  while (in.len > 2)
+    {
+      uint8_t kind = (uint8_t) (WI_VOTE_ASK + (uint8_t) in.ptr[0] % 6);
+      size_t len = (uint8_t) in.ptr[1];
+      in.ptr += 2;
+      in.len -= 2;
+      len = len < in.len ? len : in.len;
+      wi_frame_put (out, kind, (struct zp_str){ .ptr = in.ptr, .len = len });
+      in.ptr += len;
+      in.len -= len;
+    }
+}
+
 int
 LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
 {
-  struct zp_str rest = { .ptr = (const char *) data, .len = size };
+  if (size == 0)
+    return 0;
+  struct zp_str rest = { .ptr = (const char *) data + 1, .len = size - 1 };
+  struct zp_buf made = { .ptr = NULL };
   struct zp_rng *rng = zp_alloc (sizeof *rng);
   struct lg_core *c = new_core (rng);
   struct zp_str payload;
@@ -41,6 +62,11 @@
   uint8_t kind;
   size_t used;
 
+  if (data[0] & 1)
+    {
+      put_frames (rest, &made);
+      rest = zp_str_of (&made);
+    }
   for (zp_time now = 0;
        wi_frame_parse (rest, &kind, &payload, &used, &err) == WI_PARSE_FRAME;
        now += 100 * ZP_MS)
@@ -59,5 +85,6 @@
     }
   lg_core_free (c);
   free (rng);
+  zp_buf_free (&made);
   return 0;
 }
--- a/src/ledger/core.c
+++ b/src/ledger/core.c
@@ -138,6 +138,14 @@
   lg_apply (c);
 }
 
+void
+lg_core_fail (struct lg_core *c, zp_time now, int error)
+{
+  c->now = now;
+  if (c->role != LG_STOPPED)
+    lg_stop (c, LG_STOP_DISK, error);
+}
+
 static void
 tick_leader (struct lg_core *c)
 {
--- a/src/ledger/core.h
+++ b/src/ledger/core.h
@@ -213,7 +213,7 @@
 enum lg_stop
 {
   LG_RUNNING,
-  LG_STOP_DISK,  /* a write failed */
+  LG_STOP_DISK,  /* a write failed, or lg_core_fail was called */
   LG_STOP_WIPED, /* empty storage under the id of a known voter */
 };
 
@@ -345,6 +345,10 @@
 void lg_core_written (struct lg_core *c, zp_time now, uint64_t number,
                       int error);
 
+/* The caller cannot go on, for example because it cannot read a snapshot; the
+   member stops as after a failed write.  */
+void lg_core_fail (struct lg_core *c, zp_time now, int error);
+
 /* The outcome follows as LG_OUT_REPLY with the caller's number PROPOSAL.  */
 void lg_core_propose (struct lg_core *c, zp_time now, uint64_t proposal,
                       struct zp_str bytes);
--- a/src/ledger/replica.c
+++ b/src/ledger/replica.c
@@ -35,7 +35,7 @@
   int lock; /* of the data folder */
   ev_timer tick;
   ev_prepare before_sleep;
-  bool broken; /* the state could not be restored */
+  bool broken; /* the state was not restored: nothing is applied to it */
 };
 
 /* Outputs of the core.  */
@@ -82,7 +82,7 @@
       break;
     case LG_STOP_DISK:
       zp_log (ZP_LOG_ERR, "replica",
-              "a write to the data folder failed (%s); member %" PRIu64
+              "the data folder cannot be used (%s); member %" PRIu64
               " stops voting and acknowledging",
               strerror (c->error), r->id);
       break;
@@ -101,8 +101,6 @@
 restore (struct ct_replica *r, const struct lg_snapshot *s)
 {
   struct zp_err err = { .text = "" };
-  struct lg_role_change stopped
-      = { .role = LG_STOPPED, .stop = LG_STOP_DISK, .error = EILSEQ };
 
   if (r->callbacks.restore (r->self, s->index, s->term, zp_str_of (&s->bytes),
                             &err))
@@ -110,7 +108,7 @@
   zp_log (ZP_LOG_ERR, "replica", "snapshot at entry %" PRIu64 ": %s", s->index,
           err.text);
   r->broken = true;
-  role_changed (r, &stopped);
+  lg_core_fail (r->core, zp_clock_mono (), EILSEQ);
 }
 
 static void
@@ -143,7 +141,7 @@
       write_out (r, &o->u.write);
       break;
     case LG_OUT_COMMITTED:
-      if (o->u.committed.kind == LG_ENTRY_DATA)
+      if (o->u.committed.kind == LG_ENTRY_DATA && !r->broken)
         r->callbacks.apply (r->self, o->u.committed.index, o->u.committed.term,
                             zp_str_of (&o->u.committed.bytes));
       break;
@@ -176,7 +174,7 @@
 
   (void) ev;
   (void) events;
-  while (!r->broken && (o = lg_core_next (r->core)))
+  while ((o = lg_core_next (r->core)))
     {
       output (r, o);
       lg_out_free (o);
@@ -190,8 +188,7 @@
 {
   struct ct_replica *r = self;
 
-  if (!r->broken)
-    lg_core_receive (r->core, zp_clock_mono (), m);
+  lg_core_receive (r->core, zp_clock_mono (), m);
 }
 
 static void
@@ -202,9 +199,8 @@
   switch (m->kind)
     {
     case TK_DISK_DONE:
-      if (!r->broken)
-        lg_core_written (r->core, zp_clock_mono (), m->u.disk.id,
-                         m->u.disk.error);
+      lg_core_written (r->core, zp_clock_mono (), m->u.disk.id,
+                       m->u.disk.error);
       break;
     default:
       break;
@@ -221,7 +217,7 @@
   (void) ev;
   (void) events;
   ct_links_check (r->links, now);
-  if (!r->broken && now >= lg_core_due (r->core))
+  if (now >= lg_core_due (r->core))
     lg_core_tick (r->core, now);
 }
 
@@ -254,7 +250,7 @@
 bool
 ct_replica_lease (const struct ct_replica *r)
 {
-  return !r->broken && lg_core_lease (r->core, zp_clock_mono ());
+  return lg_core_lease (r->core, zp_clock_mono ());
 }
 
 /* Life.  */
--- a/tests/test-replica.c
+++ b/tests/test-replica.c
@@ -17,6 +17,7 @@
   char address[ZP_ADDRESS_MAX];
   struct zp_buf state; /* one line for each applied proposal */
   uint64_t applied, committed, refused, lost;
+  bool refuse_restore;
   int restores, out_of_order;
 };
 
@@ -55,7 +56,8 @@
   struct member *m = self;
 
   (void) term;
-  (void) err;
+  if (m->refuse_restore)
+    return zp_fail (err, ZP_ECORRUPT, "not a state");
   m->out_of_order += index < m->applied;
   m->applied = index;
   m->restores++;
@@ -312,6 +314,33 @@
   tear_down ();
 }
 
+/* Guards against entries that are applied to a state that is not theirs, and
+   against a member that votes although it cannot serve.  */
+static void
+test_unreadable_snapshot_stops_the_member (void)
+{
+  set_up ();
+  for (int i = 0; i < MEMBERS; i++)
+    open_member (i);
+  commit (30);
+  struct member *m = leader ();
+  close_member (m);
+  m->refuse_restore = true;
+  open_member ((int) (m - group.member));
+  zp_time end = zp_clock_mono () + LIMIT;
+  while (ct_replica_status (m->replica).stop == LG_RUNNING
+         && zp_clock_mono () < end)
+    ev_run (group.loop.ev, EVRUN_ONCE);
+  CU_ASSERT_EQUAL (ct_replica_status (m->replica).role, LG_STOPPED);
+  CU_ASSERT_EQUAL (m->applied, 0);
+  ct_replica_propose (m->replica, 500, ZP_STR ("refused"));
+  ev_run (group.loop.ev, EVRUN_ONCE);
+  CU_ASSERT_EQUAL (m->refused, 1);
+  close_member (m);
+  commit (1);
+  tear_down ();
+}
+
 /* Guards against two processes that write one data folder.  */
 static void
 test_folder_is_locked (void)
@@ -410,6 +439,8 @@
 static const struct zp_test tests[]
     = { { "life of a group", test_life_of_a_group },
         { "a member is replaced", test_replace_a_member },
+        { "an unreadable snapshot stops the member",
+          test_unreadable_snapshot_stops_the_member },
         { "the folder is locked", test_folder_is_locked },
         { "a silent connection is replaced",
           test_silent_connection_is_replaced } };
