Follow drains and shifts in the entry daemon

Cause: drains and shifts of the configuration had decisions but no wiring. Change: zp-entry applies st_drains to look-ups, owners and servers, hands its servers over when it is drained itself, and limits its own part of a shift by the cap (st_shift_follow), also after a restart.

--- a/src/entry/announce.c
+++ b/src/entry/announce.c
@@ -96,8 +96,6 @@
 {
   struct st_grants g = { .len = 0 };
   struct zp_err err;
-  struct zp_str home = x->failure_domain.len > 0 ? x->failure_domain
-                                                 : r->settings->failure_domain;
   zp_time now = zp_clock_mono ();
   bool known = st_owner_find (&r->lessor.owner, x->a.id) != NULL;
   struct st_server *s
@@ -111,9 +109,7 @@
       st_grants_free (&g);
       return;
     }
-  s->draining = r->plan
-                && en_plan_server_drained (r->plan, x->a.id, home,
-                                           r->settings->region);
+  en_drains_apply (r);
   if (!known)
     zp_log (ZP_LOG_NOTICE, PART,
             "server %.*s of service %.*s with %u slots announces here",
--- a/src/entry/config.c
+++ b/src/entry/config.c
@@ -66,17 +66,14 @@
 put_view_member (struct en_router *r, const struct en_member *e)
 {
   struct st_member m = { .id = e->id, .live = e->live };
+  char name[24];
 
   zp_str_copy (m.failure_domain, sizeof m.failure_domain,
                zp_str_from (e->failure_domain));
   zp_str_copy (m.region, sizeof m.region, zp_str_from (e->region));
   zp_str_copy (m.address, sizeof m.address, zp_str_from (e->http));
-  m.stopping = e->leaving;
-  if (r->plan)
-    m.stopping = m.stopping
-                 || en_plan_entry_drained (r->plan, e->id,
-                                           zp_str_from (e->failure_domain),
-                                           zp_str_from (e->region));
+  m.stopping
+      = e->leaving || st_drains_owner (&r->drains, en_member_name (e, name));
   st_view_put (&r->view, &m);
 }
 
@@ -91,17 +88,37 @@
                        t->latency[i * t->regions + k]);
 }
 
-/* A server is drained by its own name or with the places of its owner.  */
+void
+en_drains_apply (struct en_router *r)
+{
+  char name[24];
+  struct st_drain_self self
+      = { .entry = en_member_name (&r->members.item[0], name),
+          .failure_domain = r->settings->failure_domain,
+          .region = r->settings->region };
+
+  st_drains_apply (&r->drains, &r->lessor, &self);
+}
+
+/* A drain that was in force before keeps the time since when.  */
 static void
 update_drains (struct en_router *r)
 {
-  for (size_t i = 0; i < r->lessor.owner.servers; i++)
+  struct st_drains next = { .len = 0 };
+
+  en_plan_drains (r->plan, &next);
+  for (size_t i = 0; i < next.len; i++)
     {
-      struct st_server *s = r->lessor.owner.server[i];
-      s->draining = en_plan_server_drained (r->plan, zp_str_from (s->id),
-                                            r->settings->failure_domain,
-                                            r->settings->region);
+      next.item[i].since = zp_clock_mono ();
+      for (size_t k = 0; k < r->drains.len; k++)
+        if (next.item[i].kind == r->drains.item[k].kind
+            && zp_str_eq (zp_str_from (next.item[i].name),
+                          zp_str_from (r->drains.item[k].name)))
+          next.item[i].since = r->drains.item[k].since;
     }
+  st_drains_free (&r->drains);
+  r->drains = next;
+  en_drains_apply (r);
 }
 
 void
@@ -113,7 +130,7 @@
   if (!r->plan)
     return;
   st_lookup_free (r->lookup);
-  r->lookup = en_members_lookup (&r->members, r->plan);
+  r->lookup = en_members_lookup (&r->members, r->plan, &r->drains);
 }
 
 /* Configurations.  */
@@ -160,6 +177,16 @@
   tk_send (r->relay, m);
 }
 
+/* An entry daemon that is drained hands its servers over.  */
+static void
+hand_over_if_drained (struct en_router *r)
+{
+  char name[24];
+
+  if (st_drains_owner (&r->drains, en_member_name (&r->members.item[0], name)))
+    en_capacity_hand_over (r);
+}
+
 void
 en_config_take (struct en_router *r, struct tk_config *c)
 {
@@ -177,6 +204,7 @@
       ti_config_free (next);
       return;
     }
+  bool first = !r->plan;
   en_plan_free (r->plan);
   ti_config_free (r->config);
   r->config = next;
@@ -185,7 +213,9 @@
   update_services (r);
   update_latencies (r);
   update_drains (r);
+  en_shifts_update (r, first);
   en_members_changed (r);
+  hand_over_if_drained (r);
   zp_gauge (zp_counter ("zp_config_number", ""), (int64_t) c->number);
   zp_log (ZP_LOG_NOTICE, PART, "version %llu, number %llu is in force",
           (unsigned long long) c->version, (unsigned long long) c->number);
--- a/src/entry/members.c
+++ b/src/entry/members.c
@@ -1,5 +1,6 @@
 #include "entry/members.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 
 #include "entry/plan.h"
@@ -46,8 +47,16 @@
   return e;
 }
 
+struct zp_str
+en_member_name (const struct en_member *e, char text[24])
+{
+  snprintf (text, 24, "%llu", (unsigned long long) e->id);
+  return zp_str_from (text);
+}
+
 struct st_lookup *
-en_members_lookup (const struct en_members *m, const struct en_plan *plan)
+en_members_lookup (const struct en_members *m, const struct en_plan *plan,
+                   const struct st_drains *drains)
 {
   struct st_lookup_member *all = zp_alloc (m->len * sizeof *all);
 
@@ -56,14 +65,15 @@
       const struct en_member *e = &m->item[i];
       struct zp_str domain = zp_str_from (e->failure_domain);
       uint16_t d = en_plan_domain (plan, domain);
+      char name[24];
       all[i] = (struct st_lookup_member){
         .id = e->id,
         .domain = d,
         .live = e->live && d != UINT16_MAX
                 && en_plan_entry_allowed (plan, domain, zp_str_from (e->http)),
         .drained = e->leaving
-                   || en_plan_entry_drained (plan, e->id, domain,
-                                             zp_str_from (e->region)),
+                   || st_drains_look_up (drains, en_member_name (e, name),
+                                         domain, zp_str_from (e->region)),
       };
     }
   struct st_lookup *l
--- a/src/entry/members.h
+++ b/src/entry/members.h
@@ -15,6 +15,7 @@
 #include "task/msg.h"
 
 struct en_plan;
+struct st_drains;
 
 struct en_member
 {
@@ -45,7 +46,11 @@
 
 /* The look-up arrangement over all members; PLAN is not NULL.  */
 struct st_lookup *en_members_lookup (const struct en_members *m,
-                                     const struct en_plan *plan);
+                                     const struct en_plan *plan,
+                                     const struct st_drains *drains);
+
+/* Its id as the name of a drain's target.  */
+struct zp_str en_member_name (const struct en_member *e, char text[24]);
 
 /* Chooses the home of new at-most-once keys; appends its token.  */
 void en_members_home (const struct en_members *m, struct zp_rng *rng,
--- a/src/entry/plan.c
+++ b/src/entry/plan.c
@@ -1,7 +1,6 @@
 #include "entry/plan.h"
 
 #include <arpa/inet.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -175,9 +174,11 @@
   all->item = zp_alloc (count_kind (p->config, TI_SHIFT) * sizeof *all->item);
   while ((s = ti_config_next (p->config, TI_SHIFT, &at)))
     all->item[all->len++] = (struct en_plan_shift){
+      .name = ti_text_str (&s->key.name),
       .from = site_number (p, &s->object->u.shift.from),
       .to = site_number (p, &s->object->u.shift.to),
-      .moved = (double) s->moved / TI_SHARE_ONE,
+      .logged = (double) s->moved / TI_SHARE_ONE,
+      .cap = (double) s->object->u.shift.cap_per_minute / TI_SHARE_ONE,
     };
 }
 
@@ -214,9 +215,25 @@
   return o ? &o->u.service : NULL;
 }
 
-static bool
-has_drain (const struct en_plan *p, enum ti_target_kind kind,
-           struct zp_str name)
+static enum st_drain_kind
+drain_kind (enum ti_target_kind kind)
+{
+  switch (kind)
+    {
+    case TI_TARGET_SERVER:
+      return ST_DRAIN_SERVER;
+    case TI_TARGET_ENTRY:
+      return ST_DRAIN_ENTRY;
+    case TI_TARGET_FAILURE_DOMAIN:
+      return ST_DRAIN_FAILURE_DOMAIN;
+    case TI_TARGET_REGION:
+      return ST_DRAIN_REGION;
+    }
+  return ST_DRAIN_SERVER;
+}
+
+void
+en_plan_drains (const struct en_plan *p, struct st_drains *out)
 {
   const struct ti_slot *s;
   size_t at = 0;
@@ -224,31 +241,10 @@
   while ((s = ti_config_next (p->config, TI_DRAIN, &at)))
     {
       const struct ti_target *t = &s->object->u.drain.target;
-      if (t->kind == kind && zp_str_eq (ti_text_str (&t->name), name))
-        return true;
+      struct st_drain d = { .kind = drain_kind (t->kind) };
+      zp_str_copy (d.name, sizeof d.name, ti_text_str (&t->name));
+      st_drains_add (out, &d);
     }
-  return false;
-}
-
-bool
-en_plan_entry_drained (const struct en_plan *p, uint64_t id,
-                       struct zp_str domain, struct zp_str region)
-{
-  char text[24];
-
-  snprintf (text, sizeof text, "%llu", (unsigned long long) id);
-  return has_drain (p, TI_TARGET_ENTRY, zp_str_from (text))
-         || has_drain (p, TI_TARGET_FAILURE_DOMAIN, domain)
-         || has_drain (p, TI_TARGET_REGION, region);
-}
-
-bool
-en_plan_server_drained (const struct en_plan *p, struct zp_str server,
-                        struct zp_str domain, struct zp_str region)
-{
-  return has_drain (p, TI_TARGET_SERVER, server)
-         || has_drain (p, TI_TARGET_FAILURE_DOMAIN, domain)
-         || has_drain (p, TI_TARGET_REGION, region);
 }
 
 bool
--- a/src/entry/plan.h
+++ b/src/entry/plan.h
@@ -9,13 +9,17 @@
 #ifndef ZP_ENTRY_PLAN_H
 #define ZP_ENTRY_PLAN_H
 
+#include "steer/drain.h"
 #include "steer/lookup.h"
 #include "ticket/config.h"
 
 struct en_plan_shift
 {
+  struct zp_str name;
   uint16_t from, to; /* sites */
-  double moved;      /* share of the blocks of FROM */
+  double logged;     /* share of the blocks of FROM, by the logged steps */
+  double cap;        /* largest change in a minute */
+  double moved;      /* share that this daemon moves; set by the router */
 };
 
 struct en_plan_shifts
@@ -54,12 +58,8 @@
 uint16_t en_plan_domain (const struct en_plan *p, struct zp_str name);
 uint16_t en_plan_region (const struct en_plan *p, struct zp_str name);
 
-/* Whether an entry daemon is drained, by itself, its failure domain or its
-   region.  */
-bool en_plan_entry_drained (const struct en_plan *p, uint64_t id,
-                            struct zp_str domain, struct zp_str region);
-bool en_plan_server_drained (const struct en_plan *p, struct zp_str server,
-                             struct zp_str domain, struct zp_str region);
+/* All drains; the caller frees OUT with st_drains_free.  */
+void en_plan_drains (const struct en_plan *p, struct st_drains *out);
 
 /* Whether the configuration lets this entry daemon take part.  Without any
    networks for a failure domain every address may join it.  */
--- a/src/entry/router.c
+++ b/src/entry/router.c
@@ -210,6 +210,7 @@
   en_capacity_step (r);
   en_dispatch_tick (r);
   en_claims_tick (r);
+  en_shifts_tick (r);
   en_capacity_summary (r, false);
   if (r->leaving && r->leaving_since != ZP_NEVER)
     leave_step (r, now);
@@ -297,6 +298,8 @@
   free (r->servers.item);
   free (r->service);
   free (r->by_http);
+  en_shifts_free (r);
+  st_drains_free (&r->drains);
   st_poison_free (r->poison);
   oc_member_free (r->claims);
   st_lessor_free (&r->lessor);
--- a/src/entry/router.h
+++ b/src/entry/router.h
@@ -9,6 +9,7 @@
 
      router.c     set-up, messages, timer, graceful shutdown
      config.c     configuration in force
+     shifts.c     shifts in progress
      capacity.c   leases: lessor, holder and their messages
      request.c    one request from its arrival to its answer
      dispatch.c   queue, placement, forwarding, retries
@@ -35,6 +36,7 @@
 #include "steer/poison.h"
 #include "steer/queue.h"
 #include "steer/retry.h"
+#include "steer/shift.h"
 #include "task/task.h"
 
 /* How often timers of the parts are looked at.  */
@@ -71,6 +73,13 @@
   zp_time announced; /* last found among the servers that announce here */
 };
 
+/* This daemon's part of one shift.  */
+struct en_shift
+{
+  char name[ZP_NAME_MAX];
+  struct st_shift_follower follower;
+};
+
 struct en_servers
 {
   struct en_server **item;
@@ -94,6 +103,11 @@
   uint64_t term;        /* of the last change */
   bool fresh;           /* the source is in contact with the leader */
 
+  struct st_drains drains;
+  struct en_shift *shift; /* this daemon's part of each shift */
+  size_t shifts;
+  zp_time shifts_at;
+
   /* Members.  */
   struct en_members members;
   struct st_view view;
@@ -129,6 +143,12 @@
 void en_config_take (struct en_router *r, struct tk_config *c);
 void en_config_send_whole (struct en_router *r, struct tk_task *to);
 void en_members_changed (struct en_router *r);
+void en_drains_apply (struct en_router *r);
+
+/* shifts.c */
+void en_shifts_update (struct en_router *r, bool first);
+void en_shifts_tick (struct en_router *r);
+void en_shifts_free (struct en_router *r);
 
 /* capacity.c */
 void en_capacity_frame (struct en_router *r, const struct tk_peer_frame *f);
