Limit the bytes between regions by shares of the links

Cause: leases limit slots; nothing limited the bytes that requests to another region put on its link. Change: each entry daemon has st_link parts of both directions of every link of its region; a request to another region takes its own bytes and the usual bytes of an answer, and is charged what was really sent. Conclusion: test-link (property tests) and test-peer-codec pass; 45 test programs in all, also under sanitizers.

--- a/src/entry/config.c
+++ b/src/entry/config.c
@@ -214,6 +214,7 @@
   update_latencies (r);
   update_drains (r);
   en_shifts_update (r, first);
+  en_links_update (r);
   en_members_changed (r);
   hand_over_if_drained (r);
   zp_gauge (zp_counter ("zp_config_number", ""), (int64_t) c->number);
--- a/src/entry/dispatch.c
+++ b/src/entry/dispatch.c
@@ -50,14 +50,15 @@
   return false;
 }
 
-/* How far the servers of seat AT are: as far as the owner of a lease.  */
-static zp_time
-seat_distance (const struct en_router *r, size_t at)
+/* The entry daemon that lends the slots of seat AT: the servers are where it
+   is.  NULL when no lease is left.  */
+static const struct st_member *
+seat_owner (const struct en_router *r, size_t at)
 {
   for (size_t i = 0; i < r->holder.helds; i++)
     if (r->holder.held[i].seat == at)
-      return st_view_distance (&r->view, r->holder.held[i].owner);
-  return ZP_NEVER;
+      return st_view_member (&r->view, r->holder.held[i].owner);
+  return NULL;
 }
 
 static void
@@ -111,7 +112,10 @@
         .reserved = s->reserved,
         .blocked = st_holder_free_slots (&r->holder, id, now) == 0,
       };
-      set_tier (c, seat_distance (r, i));
+      const struct st_member *owner = seat_owner (r, i);
+      set_tier (c, owner ? st_view_distance (&r->view, owner->id) : ZP_NEVER);
+      if (owner && en_links_blocked (r, zp_str_from (owner->region), now))
+        c->blocked = true;
       add_report (r, c, id, now);
       seats[n++] = i;
     }
@@ -206,6 +210,17 @@
   tk_send (r->forward, m);
 }
 
+/* Bytes of the request on a link, with the usual headers.  */
+static int64_t
+request_bytes (const struct en_request *q)
+{
+  const struct tk_http_request *h = &q->msg->u.request;
+
+  return EN_HEADER_BYTES
+         + (int64_t) (h->path.len + h->query.len + h->headers.len
+                      + h->body.len);
+}
+
 static void
 log_placement (const struct en_request *q, const struct st_placement *p,
                const char *server)
@@ -234,11 +249,21 @@
   zp_str_copy (q->server, sizeof q->server, id);
   zp_str_copy (address, sizeof address,
                zp_str_from (r->holder.seat[seat].address));
-  if (!en_capacity_take (r, zp_str_from (q->server)))
+  const struct st_member *owner = seat_owner (r, seat);
+  struct zp_str region
+      = owner ? zp_str_from (owner->region) : r->settings->region;
+  if (!en_links_take (r, region, request_bytes (q), q->service->answer_bytes,
+                      &q->link))
     return false;
+  if (!en_capacity_take (r, zp_str_from (q->server)))
+    {
+      en_links_correct (r, &q->link, 0, 0);
+      return false;
+    }
   if (q->once && !oc_attempt_may_forward (q->attempt, now))
     {
       en_capacity_give (r, zp_str_from (q->server));
+      en_links_correct (r, &q->link, 0, 0);
       return false;
     }
   if (p->kind == ST_PLACED_PROBE)
--- a/src/entry/request.c
+++ b/src/entry/request.c
@@ -309,6 +309,26 @@
     }
 }
 
+/* An attempt without a whole answer is charged what was expected, because
+   nobody knows how much was sent.  */
+static void
+correct_links (struct en_router *r, struct en_request *q,
+               const struct tk_forward_done *d)
+{
+  int64_t there = d->verdict == ZP_NOT_RUN && d->end != TK_END_ANSWER
+                      ? 0
+                      : q->link.there;
+  int64_t back = there == 0 ? 0 : q->link.back;
+
+  if (d->end == TK_END_ANSWER)
+    {
+      back = EN_HEADER_BYTES + (int64_t) (d->headers.len + d->body.len);
+      q->service->answer_bytes
+          = st_link_estimate (q->service->answer_bytes, back);
+    }
+  en_links_correct (r, &q->link, there, back);
+}
+
 /* Everything that ends with an attempt, whatever follows.  */
 static enum st_end
 close_attempt (struct en_router *r, struct en_request *q,
@@ -319,6 +339,7 @@
   if (!q->lease_lost)
     en_capacity_give (r, zp_str_from (q->server));
   q->lease_lost = false;
+  correct_links (r, q, d);
   q->service->running--;
   note_health (r, q, end, now);
   if (d->end == TK_END_ANSWER && d->verdict == ZP_RAN)
--- a/src/entry/request.h
+++ b/src/entry/request.h
@@ -55,6 +55,7 @@
   uint64_t server_hash;
   zp_time started;
   bool fresh;
+  struct en_link_use link;
   bool lease_lost; /* cancelled; its slot counts as given back */
   bool pumping;    /* inside en_claims_pump */
 };
--- a/src/entry/router.c
+++ b/src/entry/router.c
@@ -66,6 +66,11 @@
         for (size_t i = 0; i < r->services; i++)
           en_dispatch (r, r->service[i]);
       return;
+    case WI_LINK_REPORT:
+    case WI_LINK_ASK:
+    case WI_LINK_GRANT:
+      en_links_frame (r, f);
+      return;
     case WI_CLAIM:
     case WI_CLAIM_ANSWER:
     case WI_RECORD:
@@ -211,6 +216,7 @@
   en_dispatch_tick (r);
   en_claims_tick (r);
   en_shifts_tick (r);
+  en_links_tick (r);
   en_capacity_summary (r, false);
   if (r->leaving && r->leaving_since != ZP_NEVER)
     leave_step (r, now);
@@ -299,6 +305,7 @@
   free (r->service);
   free (r->by_http);
   en_shifts_free (r);
+  en_links_free (r);
   st_drains_free (&r->drains);
   st_poison_free (r->poison);
   oc_member_free (r->claims);
--- a/src/entry/router.h
+++ b/src/entry/router.h
@@ -11,6 +11,7 @@
      config.c     configuration in force
      shifts.c     shifts in progress
      capacity.c   leases: lessor, holder and their messages
+     links.c      shares of links between regions
      request.c    one request from its arrival to its answer
      dispatch.c   queue, placement, forwarding, retries
      claims.c     at-most-once claims of this daemon and of others
@@ -26,6 +27,7 @@
 #include "base/counter.h"
 #include "base/rng.h"
 #include "base/slots.h"
+#include "entry/links.h"
 #include "entry/members.h"
 #include "entry/plan.h"
 #include "entry/settings.h"
@@ -42,6 +44,10 @@
 /* How often timers of the parts are looked at.  */
 #define EN_TICK (20 * ZP_MS)
 
+/* Bytes of the headers that every message between an entry daemon and a
+   backend server has.  */
+#define EN_HEADER_BYTES 300
+
 /* Attempts of one request, and so the servers it may have tried.  */
 #define EN_TRIED_MAX ST_RETRY_ATTEMPTS
 
@@ -58,6 +64,7 @@
   struct en_request *parked; /* wait for a condition of their own */
   size_t parked_len;
   size_t running;
+  int64_t answer_bytes; /* usual size of an answer */
   struct zp_counter *requests, *answered, *refused, *maybe, *retries;
 };
 
@@ -118,6 +125,12 @@
   struct st_holder holder;
   zp_time summary_at;
 
+  /* Links between regions.  */
+  struct en_link *link;
+  size_t links;
+  zp_time links_at;      /* next reports */
+  zp_time links_blocked; /* other regions are passed over until then */
+
   /* Requests.  */
   struct zp_slots requests;
   uint64_t *by_http; /* request ids by the lower half of the front's id */
--- /dev/null
+++ b/src/peer/link_codec.h
@@ -0,0 +1,39 @@
+/* NAME
+     link_codec - messages about shares of links to and from their encoding
+
+   DESCRIPTION
+     Names are copied, so that nothing of the payload has to live on.  */
+
+#ifndef ZP_PEER_LINK_CODEC_H
+#define ZP_PEER_LINK_CODEC_H
+
+#include "steer/link.h"
+
+/* One direction of a link.  */
+struct pe_direction
+{
+  char from[ZP_NAME_MAX], to[ZP_NAME_MAX]; /* regions */
+};
+
+struct pe_link_ask
+{
+  uint64_t number;
+  int64_t want; /* bytes/s */
+};
+
+void pe_put_link_report (struct zp_buf *out, const struct pe_direction *d,
+                         const struct st_link_report *r);
+bool pe_get_link_report (struct zp_str payload, struct pe_direction *d,
+                         struct st_link_report *out);
+
+void pe_put_link_ask (struct zp_buf *out, const struct pe_direction *d,
+                      const struct pe_link_ask *a);
+bool pe_get_link_ask (struct zp_str payload, struct pe_direction *d,
+                      struct pe_link_ask *out);
+
+void pe_put_link_grant (struct zp_buf *out, const struct pe_direction *d,
+                        const struct st_link_grant *g);
+bool pe_get_link_grant (struct zp_str payload, struct pe_direction *d,
+                        struct st_link_grant *out);
+
+#endif
--- a/src/wire/frame.h
+++ b/src/wire/frame.h
@@ -33,6 +33,9 @@
   WI_LEASE_RETURN = 12,
   WI_HANDOVER = 13,
   WI_POISON = 14,
+  WI_LINK_REPORT = 15,
+  WI_LINK_ASK = 16,
+  WI_LINK_GRANT = 17,
 
   /* once.proto */
   WI_CLAIM = 20,
--- a/src/wire/peer.pb-c.c
+++ b/src/wire/peer.pb-c.c
@@ -520,6 +520,141 @@
   assert(message->base.descriptor == &wire__poison_report__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wire__link_report__init
+                     (Wire__LinkReport         *message)
+{
+  static const Wire__LinkReport init_value = WIRE__LINK_REPORT__INIT;
+  *message = init_value;
+}
+size_t wire__link_report__get_packed_size
+                     (const Wire__LinkReport *message)
+{
+  assert(message->base.descriptor == &wire__link_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__link_report__pack
+                     (const Wire__LinkReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__link_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__link_report__pack_to_buffer
+                     (const Wire__LinkReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__link_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__LinkReport *
+       wire__link_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__LinkReport *)
+     protobuf_c_message_unpack (&wire__link_report__descriptor,
+                                allocator, len, data);
+}
+void   wire__link_report__free_unpacked
+                     (Wire__LinkReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__link_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__link_ask__init
+                     (Wire__LinkAsk         *message)
+{
+  static const Wire__LinkAsk init_value = WIRE__LINK_ASK__INIT;
+  *message = init_value;
+}
+size_t wire__link_ask__get_packed_size
+                     (const Wire__LinkAsk *message)
+{
+  assert(message->base.descriptor == &wire__link_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__link_ask__pack
+                     (const Wire__LinkAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__link_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__link_ask__pack_to_buffer
+                     (const Wire__LinkAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__link_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__LinkAsk *
+       wire__link_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__LinkAsk *)
+     protobuf_c_message_unpack (&wire__link_ask__descriptor,
+                                allocator, len, data);
+}
+void   wire__link_ask__free_unpacked
+                     (Wire__LinkAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__link_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__link_grant__init
+                     (Wire__LinkGrant         *message)
+{
+  static const Wire__LinkGrant init_value = WIRE__LINK_GRANT__INIT;
+  *message = init_value;
+}
+size_t wire__link_grant__get_packed_size
+                     (const Wire__LinkGrant *message)
+{
+  assert(message->base.descriptor == &wire__link_grant__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__link_grant__pack
+                     (const Wire__LinkGrant *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__link_grant__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__link_grant__pack_to_buffer
+                     (const Wire__LinkGrant *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__link_grant__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__LinkGrant *
+       wire__link_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__LinkGrant *)
+     protobuf_c_message_unpack (&wire__link_grant__descriptor,
+                                allocator, len, data);
+}
+void   wire__link_grant__free_unpacked
+                     (Wire__LinkGrant *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__link_grant__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor wire__peer_address__field_descriptors[2] =
 {
   {
@@ -1637,3 +1772,260 @@
   (ProtobufCMessageInit) wire__poison_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor wire__link_report__field_descriptors[4] =
+{
+  {
+    "from",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LinkReport, from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "to",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LinkReport, to),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "number",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LinkReport, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "settled",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LinkReport, settled),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__link_report__field_indices_by_name[] = {
+  0,   /* field[0] = from */
+  2,   /* field[2] = number */
+  3,   /* field[3] = settled */
+  1,   /* field[1] = to */
+};
+static const ProtobufCIntRange wire__link_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor wire__link_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.LinkReport",
+  "LinkReport",
+  "Wire__LinkReport",
+  "wire",
+  sizeof(Wire__LinkReport),
+  4,
+  wire__link_report__field_descriptors,
+  wire__link_report__field_indices_by_name,
+  1,  wire__link_report__number_ranges,
+  (ProtobufCMessageInit) wire__link_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__link_ask__field_descriptors[4] =
+{
+  {
+    "from",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LinkAsk, from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "to",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LinkAsk, to),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "number",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LinkAsk, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "want",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LinkAsk, want),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__link_ask__field_indices_by_name[] = {
+  0,   /* field[0] = from */
+  2,   /* field[2] = number */
+  1,   /* field[1] = to */
+  3,   /* field[3] = want */
+};
+static const ProtobufCIntRange wire__link_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor wire__link_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.LinkAsk",
+  "LinkAsk",
+  "Wire__LinkAsk",
+  "wire",
+  sizeof(Wire__LinkAsk),
+  4,
+  wire__link_ask__field_descriptors,
+  wire__link_ask__field_indices_by_name,
+  1,  wire__link_ask__number_ranges,
+  (ProtobufCMessageInit) wire__link_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__link_grant__field_descriptors[6] =
+{
+  {
+    "from",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LinkGrant, from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "to",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LinkGrant, to),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "id",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LinkGrant, id),
+    &wire__lease_id__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ask",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LinkGrant, ask),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rate",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LinkGrant, rate),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ttl_us",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__LinkGrant, ttl_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__link_grant__field_indices_by_name[] = {
+  3,   /* field[3] = ask */
+  0,   /* field[0] = from */
+  2,   /* field[2] = id */
+  4,   /* field[4] = rate */
+  1,   /* field[1] = to */
+  5,   /* field[5] = ttl_us */
+};
+static const ProtobufCIntRange wire__link_grant__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor wire__link_grant__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.LinkGrant",
+  "LinkGrant",
+  "Wire__LinkGrant",
+  "wire",
+  sizeof(Wire__LinkGrant),
+  6,
+  wire__link_grant__field_descriptors,
+  wire__link_grant__field_indices_by_name,
+  1,  wire__link_grant__number_ranges,
+  (ProtobufCMessageInit) wire__link_grant__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/src/wire/peer.pb-c.h
+++ b/src/wire/peer.pb-c.h
@@ -29,6 +29,9 @@
 typedef struct Wire__Handover__Lease Wire__Handover__Lease;
 typedef struct Wire__PoisonReport Wire__PoisonReport;
 typedef struct Wire__PoisonReport__Loss Wire__PoisonReport__Loss;
+typedef struct Wire__LinkReport Wire__LinkReport;
+typedef struct Wire__LinkAsk Wire__LinkAsk;
+typedef struct Wire__LinkGrant Wire__LinkGrant;
 
 
 /* --- enums --- */
@@ -256,6 +259,56 @@
     , 0, 0, 0, 0, 0, 0,NULL }
 
 
+/*
+ * Shares of one direction of a link between two regions.
+ */
+struct  Wire__LinkReport
+{
+  ProtobufCMessage base;
+  ProtobufCBinaryData from;
+  ProtobufCBinaryData to;
+  uint64_t number;
+  protobuf_c_boolean settled;
+};
+#define WIRE__LINK_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__link_report__descriptor) \
+    , {0,NULL}, {0,NULL}, 0, 0 }
+
+
+struct  Wire__LinkAsk
+{
+  ProtobufCMessage base;
+  ProtobufCBinaryData from;
+  ProtobufCBinaryData to;
+  uint64_t number;
+  /*
+   * bytes/s
+   */
+  int64_t want;
+};
+#define WIRE__LINK_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__link_ask__descriptor) \
+    , {0,NULL}, {0,NULL}, 0, 0 }
+
+
+struct  Wire__LinkGrant
+{
+  ProtobufCMessage base;
+  ProtobufCBinaryData from;
+  ProtobufCBinaryData to;
+  Wire__LeaseId *id;
+  uint64_t ask;
+  /*
+   * bytes/s
+   */
+  int64_t rate;
+  uint64_t ttl_us;
+};
+#define WIRE__LINK_GRANT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__link_grant__descriptor) \
+    , {0,NULL}, {0,NULL}, NULL, 0, 0, 0 }
+
+
 /* Wire__PeerAddress methods */
 void   wire__peer_address__init
                      (Wire__PeerAddress         *message);
@@ -474,6 +527,63 @@
 void   wire__poison_report__free_unpacked
                      (Wire__PoisonReport *message,
                       ProtobufCAllocator *allocator);
+/* Wire__LinkReport methods */
+void   wire__link_report__init
+                     (Wire__LinkReport         *message);
+size_t wire__link_report__get_packed_size
+                     (const Wire__LinkReport   *message);
+size_t wire__link_report__pack
+                     (const Wire__LinkReport   *message,
+                      uint8_t             *out);
+size_t wire__link_report__pack_to_buffer
+                     (const Wire__LinkReport   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__LinkReport *
+       wire__link_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__link_report__free_unpacked
+                     (Wire__LinkReport *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__LinkAsk methods */
+void   wire__link_ask__init
+                     (Wire__LinkAsk         *message);
+size_t wire__link_ask__get_packed_size
+                     (const Wire__LinkAsk   *message);
+size_t wire__link_ask__pack
+                     (const Wire__LinkAsk   *message,
+                      uint8_t             *out);
+size_t wire__link_ask__pack_to_buffer
+                     (const Wire__LinkAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__LinkAsk *
+       wire__link_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__link_ask__free_unpacked
+                     (Wire__LinkAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__LinkGrant methods */
+void   wire__link_grant__init
+                     (Wire__LinkGrant         *message);
+size_t wire__link_grant__get_packed_size
+                     (const Wire__LinkGrant   *message);
+size_t wire__link_grant__pack
+                     (const Wire__LinkGrant   *message,
+                      uint8_t             *out);
+size_t wire__link_grant__pack_to_buffer
+                     (const Wire__LinkGrant   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__LinkGrant *
+       wire__link_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__link_grant__free_unpacked
+                     (Wire__LinkGrant *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Wire__PeerAddress_Closure)
@@ -518,6 +628,15 @@
 typedef void (*Wire__PoisonReport_Closure)
                  (const Wire__PoisonReport *message,
                   void *closure_data);
+typedef void (*Wire__LinkReport_Closure)
+                 (const Wire__LinkReport *message,
+                  void *closure_data);
+typedef void (*Wire__LinkAsk_Closure)
+                 (const Wire__LinkAsk *message,
+                  void *closure_data);
+typedef void (*Wire__LinkGrant_Closure)
+                 (const Wire__LinkGrant *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -538,6 +657,9 @@
 extern const ProtobufCMessageDescriptor wire__handover__lease__descriptor;
 extern const ProtobufCMessageDescriptor wire__poison_report__descriptor;
 extern const ProtobufCMessageDescriptor wire__poison_report__loss__descriptor;
+extern const ProtobufCMessageDescriptor wire__link_report__descriptor;
+extern const ProtobufCMessageDescriptor wire__link_ask__descriptor;
+extern const ProtobufCMessageDescriptor wire__link_grant__descriptor;
 
 PROTOBUF_C__END_DECLS
 
