--- /dev/null
+++ b/models/ledger-lease.pml
@@ -0,0 +1,142 @@
+/* The lease part.  Time goes in ticks; every clock counts them alike, and the
+   difference of lease and election time is the margin for the clock rate.  */
+
+#ifndef LEASE_TICKS
+#define LEASE_TICKS 2
+#endif
+#ifndef ELECTION_TICKS
+#define ELECTION_TICKS 3
+#endif
+
+byte quiet[SERVERS]; /* ticks for which the server helps no other candidate */
+byte lease[SERVERS]; /* ticks for which the leader accepts */
+byte age[SERVERS];   /* ticks since the last heartbeat was sent */
+byte heard[SERVERS]; /* who has answered it */
+#ifdef STEPS
+byte step[TERMS + 1]; /* the leader of the term has issued a step */
+byte acted;          /* term of the last step at the receiver */
+#endif
+
+#ifdef MUT_VOTE_EARLY
+#define QUIET(s) false
+#else
+#define QUIET(s) (quiet[s] > 0 || lease[s] > 0)
+#endif
+
+/* The lease counts from the time when the heartbeat was sent.  */
+#ifdef MUT_LEASE_FROM_ANSWER
+#define LEASE_LEFT(s) LEASE_TICKS
+#else
+#define LEASE_LEFT(s) (LEASE_TICKS - age[s])
+#endif
+
+#ifdef MUT_NO_FENCE
+#define MAY_ACT(t) true
+#else
+#define MAY_ACT(t) (t >= acted)
+#endif
+
+inline retire (s)
+{
+  lease[s] = 0;
+  age[s] = 0;
+  heard[s] = 0
+}
+
+active [SERVERS] proctype server ()
+{
+  byte o;
+
+  FIRST_CANDIDATE;
+  do
+  :: d_step { role[_pid] != LEADER && term[_pid] < TERMS && !QUIET (_pid) -> stand (_pid) }
+  :: atomic { select (o : 0 .. SERVERS - 1);
+       d_step {
+         if
+         :: o != _pid && role[o] == CANDIDATE && FREE_TO_VOTE (_pid, o) && !QUIET (_pid) ->
+            grant (_pid, o);
+            retire (_pid)
+         :: else
+         fi;
+         o = 0
+       }
+     }
+  :: d_step { role[_pid] == CANDIDATE && MAJORITY (votes[_pid], ALL) -> win (_pid) }
+
+  /* Heartbeat and its answers; an answer may take any time.  */
+  :: d_step { role[_pid] == LEADER -> age[_pid] = 0; heard[_pid] = 1 << _pid }
+  :: atomic { select (o : 0 .. SERVERS - 1);
+       d_step {
+         if
+         :: o != _pid && role[o] == LEADER && heard[o] != 0 && term[o] >= term[_pid] ->
+            follow (_pid, term[o]);
+            retire (_pid);
+            quiet[_pid] = ELECTION_TICKS;
+            heard[o] = heard[o] | (1 << _pid)
+         :: else
+         fi;
+         o = 0
+       }
+     }
+  :: d_step { role[_pid] == LEADER && MAJORITY (heard[_pid], ALL) && LEASE_LEFT (_pid) > 0 ->
+       lease[_pid] = (lease[_pid] > LEASE_LEFT (_pid) -> lease[_pid] : LEASE_LEFT (_pid));
+       /* Every server with a lease accepts.  */
+       for (o : 0 .. SERVERS - 1) {
+         assert (o == _pid || lease[o] == 0) /* OVERLAP */
+       }
+       o = 0
+     }
+
+#ifdef STEPS
+  /* A step needs the lease; it may arrive much later.  */
+  :: d_step { role[_pid] == LEADER && lease[_pid] > 0 -> step[term[_pid]] = 1 }
+#endif
+
+  :: d_step { role[_pid] != FOLLOWER || quiet[_pid] > 0 ->
+       resign (_pid);
+       retire (_pid);
+#ifdef MUT_RESTART_VOTES
+       quiet[_pid] = 0
+#else
+       /* The timer is not durable, so that it starts anew.  */
+       quiet[_pid] = ELECTION_TICKS
+#endif
+     }
+  od
+}
+
+active proctype clock ()
+{
+  byte i;
+
+  do
+  :: d_step {
+       for (i : 0 .. SERVERS - 1) {
+         quiet[i] = (quiet[i] > 0 -> quiet[i] - 1 : 0);
+         lease[i] = (lease[i] > 0 -> lease[i] - 1 : 0);
+         age[i] = (role[i] == LEADER && age[i] < LEASE_TICKS -> age[i] + 1 : age[i])
+       }
+       i = 0
+     }
+  od
+}
+
+#ifdef STEPS
+active proctype receiver ()
+{
+  byte t;
+
+  do
+  :: atomic { select (t : 1 .. TERMS);
+       if
+       :: step[t] == 1 && MAY_ACT (t) ->
+          assert (t >= acted); /* FENCED */
+          acted = t
+       :: else
+       fi;
+       t = 0
+     }
+  od
+}
+
+#endif
--- /dev/null
+++ b/models/ledger-log.pml
@@ -0,0 +1,345 @@
+/* The log part.  An entry is known by its index and term: the leader of the
+   term made it, and its value stands in made.  */
+
+/* To bound its states, membership is checked without restarts and snapshots,
+   with two candidates and with one empty entry of each leader.  */
+#ifdef MEMBERSHIP
+#define MAY_STAND(s) (s < 2)
+#define RESTARTS false
+#define SNAPSHOTS false
+#define MAY_BE_EMPTY(s) (LAST (s) != term[s])
+#else
+#define MAY_STAND(s) true
+#define RESTARTS true
+#define SNAPSHOTS true
+#define MAY_BE_EMPTY(s) true
+#endif
+
+#define EMPTY 0
+#define NOTHING 0 /* value of the entry that a leader begins with */
+#define TICKET 1  /* tickets 1 and 2; both claim number 1 */
+#define CONFIG 16 /* CONFIG + set of voters */
+
+byte length[SERVERS];
+byte commit[SERVERS]; /* volatile */
+byte log[SERVERS * LEN]; /* terms; durable */
+
+byte made[(TERMS + 1) * LEN];   /* values by term and index */
+byte sent[(TERMS + 1) * LEN];   /* the log of the leader of a term */
+byte sent_len[TERMS + 1];
+byte sent_commit[TERMS + 1];
+
+byte done[LEN];    /* terms of committed entries; for COMMITTED */
+byte done_in[LEN]; /* the term in which each was first committed */
+#ifdef TICKETS
+byte winner;    /* ticket that was told that it won number 1 */
+byte number[SERVERS]; /* in force at a server, as applied */
+byte follower;  /* number in force at a follower */
+#endif
+
+#define LOG(s, i) log[(s) * LEN + (i)]
+#define SENT(t, i) sent[(t) * LEN + (i)]
+#define MADE(t, i) made[(t) * LEN + (i)]
+#define LAST(s) (length[s] == 0 -> 0 : LOG (s, length[s] - 1))
+
+#ifndef FIRST_VOTERS
+#define FIRST_VOTERS ALL
+#endif
+
+/* Voters by the last configuration in the log of S, committed or not.  */
+inline voters_of (s, set)
+{
+  set = FIRST_VOTERS;
+#ifdef MEMBERSHIP
+  for (i : 0 .. length[s] - 1) {
+    if
+    :: MADE (LOG (s, i), i) >= CONFIG -> set = MADE (LOG (s, i), i) - CONFIG
+    :: else
+    fi
+  }
+  i = 0
+#endif
+}
+
+#define IS_TICKET(value) (value == TICKET || value == TICKET + 1)
+#ifdef MUT_NUMBER_AT_PROPOSAL
+#define WINS(s) true
+#else
+#define WINS(s) (number[s] == 0)
+#endif
+
+/* S applies its log up to TO.  A ticket that claims a number that is not the
+   next one is refused.  */
+inline apply (s, to)
+{
+#ifdef TICKETS
+  for (i : commit[s] .. to - 1) {
+    if
+    :: IS_TICKET (MADE (LOG (s, i), i)) && WINS (s) ->
+       assert (winner == 0 || winner == MADE (LOG (s, i), i)); /* WINNER */
+       winner = MADE (LOG (s, i), i);
+       number[s] = 1
+    :: else
+    fi
+  }
+  i = 0;
+#endif
+  commit[s] = to
+}
+
+/* S has just appended the entry at its end, as leader.  */
+inline append (s, value)
+{
+  LOG (s, length[s]) = term[s];
+  MADE (term[s], length[s]) = value;
+  SENT (term[s], length[s]) = term[s];
+  length[s]++;
+  sent_len[term[s]] = length[s];
+  MATCH (s, s) = length[s]
+}
+
+#define LEADS(t) (role[leader_of[t] - 1] == LEADER && term[leader_of[t] - 1] == t)
+
+/* The leader of term T, if it still leads, learns that this server has N of its
+   entries.  An answer that takes longer is the same as a later receipt.  */
+inline acknowledge (t, n)
+{
+  if
+  :: LEADS (t) && MATCH (leader_of[t] - 1, _pid) < n -> MATCH (leader_of[t] - 1, _pid) = n
+  :: else
+  fi
+}
+
+/* Whether the candidate's log is at least as good as that of S.  */
+#ifdef MUT_VOTE_ANY_LOG
+#define GOOD_LOG(c, s) true
+#else
+#define GOOD_LOG(c, s) (LAST (c) > LAST (s) || (LAST (c) == LAST (s) && length[c] >= length[s]))
+#endif
+
+#ifdef MUT_COMMIT_OLD_TERM
+#define OF_TERM(s, n) true
+#else
+#define OF_TERM(s, n) (LOG (s, n - 1) == term[s])
+#endif
+
+#ifdef MUT_CHANGE_WITHOUT_COMMIT
+#define MAY_CHANGE(s) true
+#else
+#define MAY_CHANGE(s) (commit[s] == length[s] && length[s] > 0 && LAST (s) == term[s])
+#endif
+
+/* The entry before index P agrees with the log of the leader of term T.  */
+#ifdef MUT_NO_PREVIOUS
+#define PREVIOUS(s, t, p) true
+#else
+#define PREVIOUS(s, t, p) (p == 0 || LOG (s, p - 1) == SENT (t, p - 1))
+#endif
+
+/* A log that already holds the entries of a snapshot keeps its tail.  */
+#ifdef MUT_OLD_SNAPSHOT
+#define TAKES_SNAPSHOT(s, t, n) true
+#else
+#define TAKES_SNAPSHOT(s, t, n) (n > commit[s] && (n > length[s] || LOG (s, n - 1) != SENT (t, n - 1)))
+#endif
+
+#ifdef MUT_FOLLOW_ANY
+#define TAKES_NUMBER(s) (number[s] != follower)
+#else
+#define TAKES_NUMBER(s) (number[s] > follower)
+#endif
+
+active [SERVERS] proctype server ()
+{
+  byte o, n, p, i, k, set; /* zero between steps */
+
+  FIRST_CANDIDATE;
+  do
+  /* Election.  */
+  :: d_step { role[_pid] != LEADER && term[_pid] < TERMS ->
+       voters_of (_pid, set);
+       if
+       :: (set >> _pid & 1) && MAY_STAND (_pid) -> stand (_pid)
+       :: else
+       fi;
+       set = 0
+     }
+  :: atomic { select (o : 0 .. SERVERS - 1);
+       d_step {
+         if
+         :: o != _pid && role[o] == CANDIDATE && FREE_TO_VOTE (_pid, o) && GOOD_LOG (o, _pid) ->
+            grant (_pid, o)
+         :: else
+         fi;
+         o = 0
+       }
+     }
+  :: d_step { role[_pid] == CANDIDATE ->
+       voters_of (_pid, set);
+       if
+       :: MAJORITY (votes[_pid], set) ->
+          win (_pid);
+          /* What an earlier term has committed is in the log of the leader.  */
+          for (i : 0 .. LEN - 1) {
+            assert (done[i] == EMPTY || done_in[i] >= term[_pid] || LOG (_pid, i) == done[i]) /* COMMITTED */
+          }
+          for (i : 0 .. length[_pid] - 1) { SENT (term[_pid], i) = LOG (_pid, i) }
+          i = 0;
+          sent_len[term[_pid]] = length[_pid];
+          MATCH (_pid, _pid) = length[_pid]
+       :: else
+       fi;
+       set = 0
+     }
+
+  /* Proposals of the leader.  */
+  :: d_step { role[_pid] == LEADER && length[_pid] < LEN && MAY_BE_EMPTY (_pid) -> append (_pid, NOTHING) }
+#ifdef TICKETS
+  /* The check at the proposal is advice: another ticket may come first.  */
+  :: d_step { role[_pid] == LEADER && length[_pid] < LEN && number[_pid] == 0 -> append (_pid, TICKET) }
+  :: d_step { role[_pid] == LEADER && length[_pid] < LEN && number[_pid] == 0 -> append (_pid, TICKET + 1) }
+#endif
+#ifdef MEMBERSHIP
+  /* One change at a time, after an entry of the leader's term is committed:
+     the first or the last server joins or leaves.  */
+  :: atomic { role[_pid] == LEADER && length[_pid] < LEN && MAY_CHANGE (_pid) ->
+       if
+       :: o = 0; p = 0
+       :: o = SERVERS - 1; p = SERVERS - 1
+#ifdef MUT_TWO_MEMBERS
+       :: o = 0; p = SERVERS - 1
+#endif
+       fi;
+       d_step {
+         voters_of (_pid, set);
+         set = set ^ ((1 << o) | (1 << p));
+         if
+         :: set >> _pid & 1 -> append (_pid, CONFIG + set)
+         :: else
+         fi;
+         o = 0; p = 0; set = 0
+       }
+     }
+#endif
+
+  /* Receives entries P to N of the leader of term O.  */
+  :: atomic { select (o : 1 .. TERMS);
+       if
+       :: o >= term[_pid] && leader_of[o] != 0 && leader_of[o] != _pid + 1 && sent_len[o] > 0 ->
+          select (n : 1 .. sent_len[o]);
+          select (p : 0 .. n - 1);
+          true;
+          d_step {
+            if
+            :: p <= length[_pid] && PREVIOUS (_pid, o, p) ->
+               follow (_pid, o);
+               for (i : p .. n - 1) {
+                 if
+                 :: i < length[_pid] && LOG (_pid, i) == SENT (o, i)
+                 :: else ->
+                    /* A conflict ends the log here.  */
+                    for (k : i .. LEN - 1) { LOG (_pid, k) = EMPTY }
+                    LOG (_pid, i) = SENT (o, i);
+                    length[_pid] = i + 1
+                 fi
+               }
+               i = 0; k = 0;
+               acknowledge (o, n)
+            :: else
+            fi
+          }
+       :: else
+       fi;
+       o = 0; n = 0; p = 0
+     }
+
+  /* Receives a snapshot of the first N entries from the leader of term O.  */
+  :: atomic { SNAPSHOTS -> select (o : 1 .. TERMS);
+       if
+       :: o >= term[_pid] && leader_of[o] != 0 && leader_of[o] != _pid + 1 && sent_commit[o] > 0 ->
+          select (n : 1 .. sent_commit[o]);
+          true;
+          d_step {
+            if
+            :: TAKES_SNAPSHOT (_pid, o, n) ->
+               follow (_pid, o);
+               for (i : 0 .. LEN - 1) { LOG (_pid, i) = (i < n -> SENT (o, i) : EMPTY) }
+               i = 0;
+               length[_pid] = n;
+               if
+               :: n > commit[_pid] -> apply (_pid, n)
+               :: else -> commit[_pid] = n
+               fi;
+               acknowledge (o, n)
+            :: else
+            fi
+          }
+       :: else
+       fi;
+       o = 0; n = 0
+     }
+
+  /* Commit.  */
+  :: atomic { role[_pid] == LEADER && commit[_pid] < length[_pid] ->
+       select (n : commit[_pid] + 1 .. length[_pid]);
+       true;
+       d_step {
+         voters_of (_pid, set);
+         for (i : 0 .. SERVERS - 1) { p = p | ((MATCH (_pid, i) >= n -> 1 : 0) << i) }
+         i = 0;
+         if
+         :: OF_TERM (_pid, n) && MAJORITY (p, set) ->
+            for (i : 0 .. n - 1) {
+              assert (done[i] == EMPTY || done[i] == LOG (_pid, i)); /* COMMITTED */
+              done[i] = LOG (_pid, i);
+              done_in[i] = (done_in[i] == 0 || done_in[i] > term[_pid] -> term[_pid] : done_in[i])
+            }
+            i = 0;
+            sent_commit[term[_pid]] = n;
+            apply (_pid, n)
+         :: else
+         fi;
+         n = 0; p = 0; set = 0
+       }
+     }
+  :: d_step { role[_pid] == FOLLOWER && leader_of[term[_pid]] != 0 ->
+       /* The commit index reaches only what this leader has sent here.  */
+       n = sent_commit[term[_pid]];
+       if
+       :: n > commit[_pid] && n <= length[_pid] && LOG (_pid, n - 1) == SENT (term[_pid], n - 1) ->
+          apply (_pid, n)
+       :: else
+       fi;
+       n = 0
+     }
+
+  /* A leader that has lost its lease, or has met a higher term.  */
+  :: d_step { role[_pid] == LEADER -> resign (_pid) }
+
+  /* Restart: what is not synced is gone.  */
+  :: d_step { RESTARTS && (role[_pid] != FOLLOWER || commit[_pid] > 0 || voted[_pid] != 0) ->
+       resign (_pid);
+       commit[_pid] = 0;
+#ifdef TICKETS
+       number[_pid] = 0;
+#endif
+#ifdef MUT_VOTE_NOT_SYNCED
+       voted[_pid] = 0;
+#endif
+#ifdef MUT_LOG_NOT_SYNCED
+       if
+       :: length[_pid] > 0 -> length[_pid]--; LOG (_pid, length[_pid]) = EMPTY
+       :: else
+       fi;
+#endif
+     }
+
+#ifdef TICKETS
+  /* The follower of the configuration hears from this server.  */
+  :: d_step { TAKES_NUMBER (_pid) ->
+       assert (number[_pid] >= follower); /* FORWARD */
+       follower = number[_pid]
+     }
+#endif
+  od
+}
