Add the control daemon

zp-control joins the HTTP server, the replicated log, the ticket store and the source of the configuration on one loop. Decisions on requests are pure and see no HTTP library. A result is kept from the apply of an entry to the reply of the log, so that a caller is told only the result of its own entry. The leader brings the members of the log to what the control objects say, one change at a time.

--- /dev/null
+++ b/src/control/answers.h
@@ -0,0 +1,57 @@
+/* NAME
+     answers - the JSON answers of a control daemon
+
+   DESCRIPTION
+     Each function fills status, content type and body of an answer.  Long
+     lists come in pages: "next" is the key to ask for by "after", or null.  */
+
+#ifndef ZP_CONTROL_ANSWERS_H
+#define ZP_CONTROL_ANSWERS_H
+
+#include "task/msg.h"
+#include "ticket/store.h"
+
+/* A page ends with the object that passes this size.  The largest object has
+   2,000 IPv6 prefixes in less than 100,000 bytes, so that a page stays below
+   ZP_BODY_MAX.  */
+#define CT_PAGE_BYTES (128 * 1024)
+
+struct ct_member
+{
+  uint64_t id;
+  bool voter;
+  struct zp_str address;
+};
+
+/* What this daemon knows of the log and of the daemons that follow it.  */
+struct ct_report
+{
+  uint64_t id;
+  const char *role;
+  const char *stopped; /* NULL: running */
+  uint64_t leader;     /* 0: not known */
+  uint64_t term, commit, applied;
+  const struct ct_member *member;
+  size_t members;
+  size_t followers; /* daemons that reported in the last minute */
+  size_t current;   /* of these, with the configuration in force */
+};
+
+void ct_answer_error (struct tk_http_answer *a, unsigned status,
+                      const char *fmt, ...)
+    __attribute__ ((format (printf, 3, 4)));
+void ct_answer_errors (struct tk_http_answer *a, unsigned status,
+                       const struct zp_report *errors);
+void ct_answer_redirect (struct tk_http_answer *a, struct zp_str address,
+                         struct zp_str path, struct zp_str query);
+void ct_answer_result (struct tk_http_answer *a, const struct ti_result *r);
+void ct_answer_status (struct tk_http_answer *a, const struct ti_store *s,
+                       const struct ct_report *report);
+
+/* Objects behind AFTER; NULL: from the first.  */
+void ct_answer_config (struct tk_http_answer *a, const struct ti_config *c,
+                       const struct ti_key *after);
+void ct_answer_diff (struct tk_http_answer *a, const struct ti_config *from,
+                     const struct ti_config *to, const struct ti_key *after);
+
+#endif
--- /dev/null
+++ b/src/control/control.c
@@ -0,0 +1,527 @@
+#include "control/control.h"
+
+#include <assert.h>
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/counter.h"
+#include "base/log.h"
+#include "control/operators.h"
+#include "control/reconcile.h"
+#include "control/replica.h"
+#include "control/reports.h"
+#include "control/waiting.h"
+#include "follow/source.h"
+#include "front/server.h"
+
+#define PART "control"
+
+#define TICK (250 * ZP_MS)
+#define RECONCILE_PERIOD (1 * ZP_SEC)
+
+struct ct_control
+{
+  const struct ct_settings *settings;
+  struct tk_loop *loop;
+  struct tk_task task;
+  struct ti_store *store;
+  struct ct_replica *replica;
+  struct fr_server *front;
+  struct fo_source *source; /* NULL: no "follow" in the settings */
+  struct ct_reports reports;
+  struct ct_waitings waiting;
+  uint64_t proposals; /* numbers given so far */
+  uint64_t change;    /* proposal of a change of members; 0: none */
+  uint64_t term;      /* of the last entry applied */
+  bool fresh;         /* as last told to the source */
+  ev_timer tick;
+  zp_time reconciled;
+  zp_time stop_at; /* 0: not stopping */
+};
+
+/* The log as the decisions see it.  */
+
+static struct zp_str
+http_of (const struct ct_control *c, uint64_t id)
+{
+  const struct ct_settings *s = c->settings;
+  struct ti_key key = { .kind = TI_CONTROL };
+  char text[24];
+
+  snprintf (text, sizeof text, "%" PRIu64, id);
+  ti_text_set (&key.name, zp_str_from (text));
+  const struct ti_object *o
+      = ti_config_find (ti_store_config (c->store), &key);
+  if (o)
+    return ti_text_str (&o->u.control.http);
+  for (size_t i = 0; i < s->voters.len; i++)
+    if (s->voters.item[i].id == id)
+      return s->voter_http[i];
+  return ZP_STR ("");
+}
+
+static struct ct_standing
+standing (const struct ct_control *c)
+{
+  struct lg_status s = ct_replica_status (c->replica);
+  struct ct_standing out = { .kind = CT_NO_LEADER };
+
+  if (ct_replica_lease (c->replica))
+    out.kind = CT_LEADER;
+  else if (s.leader != 0 && s.leader != (uint64_t) c->settings->id)
+    {
+      out.leader_http = http_of (c, s.leader);
+      if (out.leader_http.len > 0)
+        out.kind = CT_FOLLOWER;
+    }
+  return out;
+}
+
+static const char *
+role_name (enum lg_role role)
+{
+  switch (role)
+    {
+    case LG_FOLLOWER:
+      return "follower";
+    case LG_PRE_CANDIDATE:
+      return "pre-candidate";
+    case LG_CANDIDATE:
+      return "candidate";
+    case LG_LEADER:
+      return "leader";
+    case LG_STOPPED:
+      return "stopped";
+    }
+  return "";
+}
+
+static const char *
+stop_reason (enum lg_stop stop)
+{
+  switch (stop)
+    {
+    case LG_RUNNING:
+      return NULL;
+    case LG_STOP_DISK:
+      return "a write to the data folder failed; repair the disk and restart";
+    case LG_STOP_WIPED:
+      return "the storage of this member is lost; join with a new member id";
+    }
+  return NULL;
+}
+
+/* HTTP.  */
+
+static void
+send_answer (struct ct_control *c, uint64_t http, struct tk_http_answer *a)
+{
+  struct tk_msg *m = tk_msg_new (TK_HTTP_ANSWER);
+
+  m->u.answer = *a;
+  m->u.answer.id = http;
+  tk_send (fr_server_task (c->front), m);
+}
+
+static void
+propose (struct ct_control *c, const struct tk_http_request *r,
+         struct zp_buf *command)
+{
+  struct tk_http_answer a = { .status = 0 };
+
+  if (ct_waiting_add (&c->waiting, c->proposals + 1, r))
+    ct_replica_propose (c->replica, ++c->proposals, zp_str_of (command));
+  else
+    {
+      ct_answer_error (&a, 503,
+                       "too many requests wait; nothing was done; "
+                       "send the same request again");
+      a.retry_after_s = 1;
+      send_answer (c, r->id, &a);
+    }
+  zp_buf_free (command);
+}
+
+static void
+on_request (struct ct_control *c, const struct tk_http_request *r)
+{
+  const struct lg_members *m = ct_replica_members (c->replica);
+  struct lg_status s = ct_replica_status (c->replica);
+  const struct ct_standing now = standing (c);
+  struct ct_member member[LG_MEMBERS_MAX];
+  struct ct_report report = { .id = (uint64_t) c->settings->id,
+                              .role = role_name (s.role),
+                              .stopped = stop_reason (s.stop),
+                              .leader = s.leader,
+                              .term = s.term,
+                              .commit = s.commit,
+                              .applied = s.applied,
+                              .member = member,
+                              .members = m->len };
+  struct ct_decision d;
+
+  for (size_t i = 0; i < m->len; i++)
+    member[i]
+        = (struct ct_member){ .id = m->item[i].id,
+                              .voter = m->item[i].voter,
+                              .address = zp_str_from (m->item[i].address) };
+  ct_reports_count (&c->reports, zp_clock_mono (),
+                    ti_store_config (c->store)->index, &report.followers,
+                    &report.current);
+  ct_decide (c->store, &now, &report, zp_clock_wall (), r, &d);
+  switch (d.kind)
+    {
+    case CT_ANSWER:
+      send_answer (c, r->id, &d.u.answer);
+      break;
+    case CT_PROPOSE:
+      propose (c, r, &d.u.command);
+      break;
+    }
+}
+
+/* The configuration for entry daemons.  */
+
+static void
+send_whole (struct ct_control *c)
+{
+  const struct ti_config *config = ti_store_config (c->store);
+
+  if (!c->source)
+    return;
+  struct tk_msg *m = tk_msg_new (TK_CONFIG);
+  m->u.config = (struct tk_config){ .version = config->index,
+                                    .number = config->number,
+                                    .term = c->term,
+                                    .whole = true };
+  ti_config_encode (config, &m->u.config.bytes);
+  tk_send (fo_source_task (c->source), m);
+}
+
+static void
+send_change (struct ct_control *c, uint64_t from,
+             const struct ti_change *change)
+{
+  const struct ti_config *config = ti_store_config (c->store);
+
+  if (!c->source)
+    return;
+  struct tk_msg *m = tk_msg_new (TK_CONFIG);
+  m->u.config = (struct tk_config){ .from = from,
+                                    .version = config->index,
+                                    .number = config->number,
+                                    .term = c->term };
+  ti_change_encode (change, &m->u.config.bytes);
+  tk_send (fo_source_task (c->source), m);
+}
+
+/* Tells the source whether this member can call its configuration current: it
+   leads, or hears from the leader.  */
+static void
+update_fresh (struct ct_control *c)
+{
+  struct lg_status s = ct_replica_status (c->replica);
+  bool fresh = ct_replica_lease (c->replica)
+               || (s.role == LG_FOLLOWER && s.leader != 0);
+
+  if (!c->source || fresh == c->fresh)
+    return;
+  c->fresh = fresh;
+  struct tk_msg *m = tk_msg_new (TK_FRESH);
+  m->u.fresh.fresh = fresh;
+  tk_send (fo_source_task (c->source), m);
+}
+
+/* Callbacks of the log.  */
+
+static void
+log_result (uint64_t index, const struct ti_result *r)
+{
+  zp_log (ZP_LOG_NOTICE, PART,
+          "entry %" PRIu64 ": ticket %.12s is %s, number %" PRIu64 ", %zu "
+          "mistakes, %zu objects in conflict",
+          index, r->digest.hex[0] ? r->digest.hex : "-",
+          ti_state_name (r->state), r->number, r->errors.count,
+          r->conflict.objects.len);
+}
+
+static void
+on_apply (void *self, uint64_t index, uint64_t term, struct zp_str bytes)
+{
+  struct ct_control *c = self;
+  struct ct_waiting *w = ct_waiting_by_index (&c->waiting, index);
+  uint64_t from = ti_store_config (c->store)->index;
+  struct ti_result r;
+
+  c->term = term;
+  ti_store_apply (c->store, index, bytes, &r);
+  log_result (index, &r);
+  if (r.change)
+    send_change (c, from, r.change);
+  if (w)
+    {
+      assert (!w->answer);
+      w->answer = tk_msg_new (TK_HTTP_ANSWER);
+      w->answer->u.answer.id = w->http;
+      ct_answer_result (&w->answer->u.answer, &r);
+    }
+  ti_result_free (&r);
+}
+
+static void
+on_snapshot (void *self, struct zp_buf *out)
+{
+  struct ct_control *c = self;
+
+  ti_store_snapshot (c->store, out);
+}
+
+static bool
+on_restore (void *self, uint64_t index, uint64_t term, struct zp_str state,
+            struct zp_err *err)
+{
+  struct ct_control *c = self;
+  struct ti_store *s = ti_store_restore (state, TI_CONFLICT_BY_OBJECT, err);
+
+  if (!s)
+    return false;
+  ti_store_free (c->store);
+  c->store = s;
+  c->term = term;
+  zp_log (ZP_LOG_NOTICE, PART,
+          "restored the state of entry %" PRIu64 ", configuration %" PRIu64,
+          index, ti_store_config (s)->number);
+  send_whole (c);
+  return true;
+}
+
+static void
+on_role (void *self, const struct lg_role_change *change)
+{
+  struct ct_control *c = self;
+  const char *stopped = stop_reason (change->stop);
+
+  zp_log (ZP_LOG_NOTICE, PART, "%s in term %" PRIu64 ", leader %" PRIu64,
+          role_name (change->role), change->term, change->leader);
+  if (stopped)
+    zp_log (ZP_LOG_ERR, PART, "this member has stopped: %s%s%s", stopped,
+            change->error ? ": " : "",
+            change->error ? strerror (change->error) : "");
+  zp_gauge (zp_counter ("zp_control_leader", ""), change->role == LG_LEADER);
+  zp_gauge (zp_counter ("zp_control_stopped", ""), stopped != NULL);
+  update_fresh (c);
+}
+
+static void
+end_waiting (struct ct_control *c, struct ct_waiting *w,
+             const struct lg_reply *reply)
+{
+  struct ct_standing now = standing (c);
+  struct tk_http_answer a = { .status = 0 };
+
+  switch (reply->kind)
+    {
+    case LG_REPLY_ACCEPTED:
+      w->index = reply->index;
+      return;
+    case LG_REPLY_COMMITTED:
+      assert (w->answer);
+      tk_send (fr_server_task (c->front), w->answer);
+      w->answer = NULL;
+      break;
+    case LG_REPLY_REFUSED:
+      ct_answer_not_leader (&a, &now, zp_str_of (&w->path),
+                            zp_str_of (&w->query));
+      send_answer (c, w->http, &a);
+      break;
+    case LG_REPLY_LOST:
+      ct_answer_lost (&a);
+      send_answer (c, w->http, &a);
+      break;
+    }
+  ct_waiting_drop (&c->waiting, w);
+}
+
+static void
+on_answered (void *self, const struct lg_reply *reply)
+{
+  struct ct_control *c = self;
+  struct ct_waiting *w = ct_waiting_by_proposal (&c->waiting, reply->proposal);
+
+  if (w)
+    end_waiting (c, w, reply);
+  else if (reply->proposal == c->change && reply->kind != LG_REPLY_ACCEPTED)
+    {
+      c->change = 0;
+      if (reply->kind == LG_REPLY_REFUSED)
+        zp_log (ZP_LOG_INFO, PART, "change of members put off: %s",
+                reply->reason ? reply->reason : "");
+    }
+}
+
+static void
+on_members (void *self, const struct lg_members *members)
+{
+  (void) self;
+  zp_log (ZP_LOG_NOTICE, PART, "the log has %zu members, %zu of them voters",
+          members->len, lg_members_voters (members));
+}
+
+/* Timer.  */
+
+/* The leader changes the members of the log one at a time until they are what
+   the tickets say.  */
+static void
+reconcile (struct ct_control *c, zp_time now)
+{
+  struct lg_change change;
+
+  if (c->change != 0 || now - c->reconciled < RECONCILE_PERIOD
+      || !ct_replica_lease (c->replica))
+    return;
+  c->reconciled = now;
+  if (!ct_reconcile (ti_store_config (c->store),
+                     ct_replica_members (c->replica),
+                     (uint64_t) c->settings->id, &change))
+    return;
+  c->change = ++c->proposals;
+  ct_replica_change (c->replica, c->change, &change);
+}
+
+static void
+on_tick (struct ev_loop *ev, ev_timer *w, int events)
+{
+  struct ct_control *c = w->data;
+  zp_time now = zp_clock_mono ();
+
+  (void) ev;
+  (void) events;
+  update_fresh (c);
+  reconcile (c, now);
+  if (c->stop_at == 0)
+    return;
+  if (fr_server_pending (c->front) > 0 && now < c->stop_at)
+    return;
+  zp_log (ZP_LOG_NOTICE, PART, "stopped with %zu requests without an answer",
+          fr_server_pending (c->front));
+  tk_loop_stop (c->loop);
+}
+
+/* Messages.  */
+
+static void
+on_stop (struct ct_control *c)
+{
+  if (c->stop_at != 0)
+    return;
+  zp_log (ZP_LOG_NOTICE, PART, "stopping: answering %zu requests",
+          fr_server_pending (c->front));
+  c->stop_at = zp_clock_mono () + ZP_STOP_LIMIT;
+  fr_server_quiesce (c->front);
+}
+
+static void
+on_message (void *self, struct tk_msg *m)
+{
+  struct ct_control *c = self;
+
+  switch (m->kind)
+    {
+    case TK_STOP:
+      on_stop (c);
+      break;
+    case TK_HTTP_REQUEST:
+      on_request (c, &m->u.request);
+      break;
+    case TK_HTTP_GONE:
+      /* The entry is decided all the same; the server drops the answer.  */
+      break;
+    case TK_CONFIG_ASK:
+      send_whole (c);
+      break;
+    case TK_IN_FORCE:
+      ct_reports_add (&c->reports, zp_clock_mono (), &m->u.in_force);
+      break;
+    default:
+      assert (!"message that the control task does not take");
+    }
+  tk_msg_free (m);
+}
+
+/* Set-up.  */
+
+static bool
+open_parts (struct ct_control *c, struct zp_err *err)
+{
+  const struct ct_settings *s = c->settings;
+  struct ct_replica_options o = {
+    .loop = c->loop,
+    .id = (uint64_t) s->id,
+    .folder = s->data,
+    .address = s->address,
+    .callbacks = { .apply = on_apply,
+                   .take_snapshot = on_snapshot,
+                   .restore = on_restore,
+                   .role = on_role,
+                   .answered = on_answered,
+                   .members = on_members },
+    .self = c,
+  };
+
+  if (!s->join)
+    o.members = s->voters;
+  if (s->follow.len > 0)
+    {
+      c->source = fo_source_open (c->loop, s->follow, &c->task, err);
+      if (!c->source)
+        return false;
+    }
+  c->replica = ct_replica_open (&o, err);
+  if (!c->replica)
+    return false;
+  c->front = fr_server_open (c->loop, s->http, &c->task, err);
+  return c->front != NULL;
+}
+
+struct ct_control *
+ct_control_open (struct tk_loop *l, const struct ct_settings *settings,
+                 struct zp_err *err)
+{
+  struct ct_control *c = zp_alloc (sizeof *c);
+
+  c->settings = settings;
+  c->loop = l;
+  c->store = ti_store_new (TI_CONFLICT_BY_OBJECT);
+  tk_task_init (&c->task, l, on_message, c);
+  ev_timer_init (&c->tick, on_tick, 0.0, (double) TICK / ZP_SEC);
+  c->tick.data = c;
+  if (!open_parts (c, err))
+    {
+      ct_control_close (c);
+      return NULL;
+    }
+  ev_timer_start (l->ev, &c->tick);
+  return c;
+}
+
+struct tk_task *
+ct_control_task (struct ct_control *c)
+{
+  return &c->task;
+}
+
+void
+ct_control_close (struct ct_control *c)
+{
+  ev_timer_stop (c->loop->ev, &c->tick);
+  if (c->front)
+    fr_server_close (c->front);
+  if (c->replica)
+    ct_replica_close (c->replica);
+  fo_source_close (c->source);
+  ct_waiting_free (&c->waiting);
+  tk_task_free (&c->task);
+  ti_store_free (c->store);
+  free (c);
+}
--- /dev/null
+++ b/src/control/main.c
@@ -0,0 +1,132 @@
+#include <argp.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "base/log.h"
+#include "control/control.h"
+
+#define PART "main"
+
+struct options
+{
+  const char *settings;
+  bool check;
+  bool verbose;
+};
+
+enum
+{
+  OPTION_CHECK = 256,
+};
+
+static const struct argp_option options[] = {
+  { "settings", 's', "FILE", 0, "read the settings from FILE", 0 },
+  { "check-settings", OPTION_CHECK, NULL, 0,
+    "report every mistake in the settings and exit", 0 },
+  { "verbose", 'v', NULL, 0, "log debug messages too", 0 },
+  { 0 },
+};
+
+static error_t
+parse_option (int key, char *arg, struct argp_state *state)
+{
+  struct options *o = state->input;
+
+  switch (key)
+    {
+    case 's':
+      o->settings = arg;
+      return 0;
+    case OPTION_CHECK:
+      o->check = true;
+      return 0;
+    case 'v':
+      o->verbose = true;
+      return 0;
+    case ARGP_KEY_END:
+      if (!o->settings)
+        argp_error (state, "no settings; give --settings FILE");
+      return 0;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static const struct argp argp = {
+  .options = options,
+  .parser = parse_option,
+  .doc
+  = "Control daemon of zinniapost: keeps the replicated log of change "
+    "tickets and takes operators' requests.\v"
+    "Exit status: 0 after a graceful shutdown (SIGTERM or SIGINT) or when "
+    "the settings are valid, 1 after a failure, 64 for wrong usage.",
+};
+
+static void
+on_signal (struct ev_loop *ev, ev_signal *w, int events)
+{
+  (void) ev;
+  (void) events;
+  tk_send (w->data, tk_msg_new (TK_STOP));
+}
+
+static int
+run (const struct ct_settings *settings)
+{
+  struct tk_loop loop;
+  struct zp_err err = { .text = "" };
+  ev_signal term, interrupt;
+
+  /* A connection that the other side closed is an error of its write.  */
+  signal (SIGPIPE, SIG_IGN);
+  tk_loop_init (&loop);
+  struct ct_control *c = ct_control_open (&loop, settings, &err);
+  if (!c)
+    {
+      zp_log (ZP_LOG_ERR, PART, "cannot start: %s", err.text);
+      tk_loop_free (&loop);
+      return EXIT_FAILURE;
+    }
+  ev_signal_init (&term, on_signal, SIGTERM);
+  ev_signal_init (&interrupt, on_signal, SIGINT);
+  term.data = ct_control_task (c);
+  interrupt.data = ct_control_task (c);
+  ev_signal_start (loop.ev, &term);
+  ev_signal_start (loop.ev, &interrupt);
+  zp_log (ZP_LOG_NOTICE, PART,
+          "member %lld listens on %.*s, operators on %.*s",
+          (long long) settings->id, ZP_ARG (settings->address),
+          ZP_ARG (settings->http));
+  tk_loop_run (&loop);
+  ev_signal_stop (loop.ev, &term);
+  ev_signal_stop (loop.ev, &interrupt);
+  ct_control_close (c);
+  tk_loop_free (&loop);
+  return EXIT_SUCCESS;
+}
+
+int
+main (int argc, char **argv)
+{
+  struct options o = { .settings = NULL };
+  struct zp_report report = { .count = 0 };
+  struct ct_settings settings;
+  int status = EXIT_FAILURE;
+
+  argp_parse (&argp, argc, argv, 0, NULL, &o);
+  zp_log_open ("zp-control", o.verbose ? ZP_LOG_DEBUG : ZP_LOG_INFO);
+  bool ok = ct_settings_load (&settings, o.settings, &report);
+  if (!ok)
+    fputs (report.lines.ptr, stderr);
+  else if (o.check)
+    {
+      printf ("%s: valid\n", o.settings);
+      status = EXIT_SUCCESS;
+    }
+  else
+    status = run (&settings);
+  ct_settings_free (&settings);
+  zp_report_free (&report);
+  return status;
+}
--- /dev/null
+++ b/tests/test-operators.c
@@ -0,0 +1,295 @@
+#include "harness.h"
+
+#include <json-c/json.h>
+#include <stdlib.h>
+
+/* Programs are not part of the library that tests are linked with.  */
+#include "control/answers.c"   /* NOLINT(bugprone-suspicious-include) */
+#include "control/operators.c" /* NOLINT(bugprone-suspicious-include) */
+
+struct fixture
+{
+  struct ti_store *store;
+  struct ct_standing standing;
+  uint64_t index;
+};
+
+static struct fixture
+leader (void)
+{
+  return (struct fixture){ .store = ti_store_new (TI_CONFLICT_BY_OBJECT),
+                           .standing = { .kind = CT_LEADER } };
+}
+
+static void
+done (struct fixture *f)
+{
+  ti_store_free (f->store);
+}
+
+/* Decides one request and applies what it proposes, as a leader whose log
+   commits at once.  */
+static struct tk_http_answer
+ask (struct fixture *f, const char *method, const char *target,
+     const char *body)
+{
+  const struct ct_report report = { .id = 1, .role = "leader", .term = 3 };
+  struct tk_http_request r = { .id = 1 };
+  struct ct_decision d;
+  struct zp_str path, query;
+
+  zp_str_split (zp_str_from (target), '?', &path, &query);
+  r.method = zp_buf_from (zp_str_from (method));
+  r.path = zp_buf_from (path);
+  r.query = zp_buf_from (query);
+  r.body = zp_buf_from (zp_str_from (body));
+  ct_decide (f->store, &f->standing, &report, 1000, &r, &d);
+  zp_buf_free (&r.method);
+  zp_buf_free (&r.path);
+  zp_buf_free (&r.query);
+  zp_buf_free (&r.body);
+  if (d.kind == CT_ANSWER)
+    return d.u.answer;
+
+  struct tk_http_answer a = { .status = 0 };
+  struct ti_result result;
+  ti_store_apply (f->store, ++f->index, zp_str_of (&d.u.command), &result);
+  ct_answer_result (&a, &result);
+  ti_result_free (&result);
+  zp_buf_free (&d.u.command);
+  return a;
+}
+
+static void
+answer_free (struct tk_http_answer *a)
+{
+  zp_buf_free (&a->location);
+  zp_buf_free (&a->content_type);
+  zp_buf_free (&a->body);
+}
+
+/* Whether the answer has STATUS and TEXT in its body, which has to be JSON. */
+static bool
+gives (struct fixture *f, const char *method, const char *target,
+       const char *body, unsigned status, const char *text)
+{
+  struct tk_http_answer a = ask (f, method, target, body);
+  struct json_object *root = json_tokener_parse (a.body.ptr);
+  bool ok = a.status == status && root && HAS_TEXT (a.body.ptr, text);
+
+  if (!ok)
+    printf ("%s %s: %u %s\n", method, target, a.status, a.body.ptr);
+  json_object_put (root);
+  answer_free (&a);
+  return ok;
+}
+
+#define DRAIN(n, server, against)                                             \
+  "{\"title\":\"t\",\"author\":\"ana\",\"against\":" against                  \
+  ",\"set\":{\"drain/" n "\":{\"target\":\"server/" server "\"}}}"
+
+/* The target of ACTION on the ticket TEXT.  */
+static const char *
+target_of (const char *text, const char *action)
+{
+  static char target[128];
+  struct zp_report r = { .count = 0 };
+  struct ti_ticket *t = ti_ticket_parse (zp_str_from (text), &r);
+  struct ti_digest d;
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (t);
+  ti_ticket_digest (t, &d);
+  ti_ticket_free (t);
+  snprintf (target, sizeof target, "/v1/tickets/%.*s%s",
+            ZP_ARG (ti_digest_str (&d)), action);
+  return target;
+}
+
+static void
+bring_into_force (struct fixture *f, const char *ticket)
+{
+  CU_ASSERT (gives (f, "POST", "/v1/tickets", ticket, 200, "submitted"));
+  CU_ASSERT (gives (f, "POST", target_of (ticket, "/review"),
+                    "{\"reviewer\":\"ben\"}", 200, "reviewed"));
+  CU_ASSERT (gives (f, "POST", target_of (ticket, "/number"), "", 200,
+                    "\"state\":\"numbered\""));
+}
+
+static void
+test_ticket_to_configuration (void)
+{
+  struct fixture f = leader ();
+  const char *const t = DRAIN ("a", "s1", "0");
+
+  bring_into_force (&f, t);
+  CU_ASSERT (gives (&f, "GET", target_of (t, ""), "", 200, "\"number\":1,"));
+  CU_ASSERT (gives (&f, "POST", "/v1/tickets", t, 200, "\"number\":1,"));
+  CU_ASSERT (gives (&f, "GET", "/v1/config", "", 200,
+                    "\"drain/a\":{\"number\":1,\"object\":{\"target\":"
+                    "\"server/s1\"}}"));
+  CU_ASSERT (gives (&f, "GET", "/v1/config?after=drain%2Fa", "", 200,
+                    "\"objects\":{},\"next\":null"));
+  CU_ASSERT (gives (&f, "GET", "/v1/diff?from=0&to=1", "", 200,
+                    "\"drain/a\":{\"before\":null,\"after\":{"));
+  done (&f);
+}
+
+static void
+test_refusals (void)
+{
+  struct fixture f = leader ();
+  const char *const t = DRAIN ("a", "s1", "0");
+
+  CU_ASSERT (gives (&f, "POST", "/v1/tickets", "{\"title\":", 422, "line 1"));
+  CU_ASSERT (gives (&f, "POST", "/v1/tickets", "{\"title\":\"x\"}", 422,
+                    "\"\\\"author\\\": found null"));
+  CU_ASSERT (gives (&f, "POST", "/v1/tickets", DRAIN ("a", "s1", "7"), 422,
+                    "allowed: at most 0"));
+  CU_ASSERT (gives (&f, "POST", target_of (t, "/review"),
+                    "{\"reviewer\":\"ben\"}", 404, "submit it first"));
+  CU_ASSERT (gives (&f, "POST", "/v1/tickets", t, 200, "submitted"));
+  CU_ASSERT (gives (&f, "POST", target_of (t, "/review"),
+                    "{\"reviewer\":\"ana\"}", 422, "another operator"));
+  CU_ASSERT (gives (&f, "POST", target_of (t, "/review"), "{}", 422,
+                    "\\\"reviewer\\\": found null"));
+  CU_ASSERT (gives (&f, "POST", target_of (t, "/review"), "[1]", 422,
+                    "a JSON object"));
+  CU_ASSERT (gives (&f, "POST", target_of (t, "/number"), "{\"n\":1}", 422,
+                    "unknown field, allowed: number"));
+  CU_ASSERT (gives (&f, "POST", target_of (t, "/number"), "{\"number\":0}",
+                    422, "a whole number above 0"));
+  CU_ASSERT (gives (&f, "GET", "/v1/config?after=x", "", 422, "KIND/NAME"));
+  CU_ASSERT (gives (&f, "GET", "/v1/diff?from=0", "", 422, "\\\"to\\\""));
+  CU_ASSERT (gives (&f, "GET", "/v1/diff?from=0&to=9", "", 404, "0 is the"));
+  CU_ASSERT (gives (&f, "GET", "/v1/tickets/abc", "", 404, "no such path"));
+  CU_ASSERT (gives (&f, "GET", "/v2/status", "", 404, "no such path"));
+  CU_ASSERT (gives (&f, "DELETE", "/v1/config", "", 405, "allowed: GET"));
+  done (&f);
+}
+
+static void
+test_conflict_names_the_winner (void)
+{
+  struct fixture f = leader ();
+  const char *const winner = DRAIN ("a", "s1", "0");
+  const char *const loser = DRAIN ("a", "s2", "0");
+  char expect[200];
+
+  CU_ASSERT (gives (&f, "POST", "/v1/tickets", loser, 200, "submitted"));
+  CU_ASSERT (gives (&f, "POST", target_of (loser, "/review"),
+                    "{\"reviewer\":\"ben\"}", 200, "reviewed"));
+  bring_into_force (&f, winner);
+  snprintf (expect, sizeof expect,
+            "\"conflict\":{\"number\":1,\"digest\":\"%s\",\"objects\":"
+            "[\"drain/a\"]}",
+            target_of (winner, "") + strlen ("/v1/tickets/"));
+  for (unsigned again = 0; again < 2; again++)
+    CU_ASSERT (
+        gives (&f, "POST", target_of (loser, "/number"), "", 409, expect));
+  done (&f);
+}
+
+/* Guards against two members that accept tickets, and against an operator who
+   is sent nowhere.  */
+static void
+test_only_the_leader_accepts (void)
+{
+  struct fixture f = leader ();
+  struct tk_http_answer a;
+
+  f.standing = (struct ct_standing){ .kind = CT_FOLLOWER,
+                                     .leader_http = ZP_STR ("127.0.0.1:80") };
+  a = ask (&f, "POST", "/v1/tickets", DRAIN ("a", "s1", "0"));
+  CU_ASSERT_EQUAL (a.status, 307);
+  CU_ASSERT (zp_str_eq (zp_str_of (&a.location),
+                        ZP_STR ("http://127.0.0.1:80/v1/tickets")));
+  answer_free (&a);
+  a = ask (&f, "GET", "/v1/diff?from=1&to=2", "");
+  CU_ASSERT (zp_str_eq (zp_str_of (&a.location),
+                        ZP_STR ("http://127.0.0.1:80/v1/diff?from=1&to=2")));
+  answer_free (&a);
+  CU_ASSERT (gives (&f, "GET", "/v1/status", "", 200, "\"term\":3"));
+
+  f.standing = (struct ct_standing){ .kind = CT_NO_LEADER };
+  a = ask (&f, "GET", "/v1/config", "");
+  CU_ASSERT_EQUAL (a.status, 503);
+  CU_ASSERT (a.retry_after_s > 0);
+  answer_free (&a);
+  CU_ASSERT_EQUAL (ti_store_config (f.store)->number, 0);
+  done (&f);
+}
+
+/* Guards against answers above the body limit at the size to design for.  */
+static void
+test_configuration_in_pages (void)
+{
+  struct fixture f = leader ();
+  char target[200] = "/v1/config";
+  size_t objects = 0, pages = 0;
+
+  for (unsigned t = 0; t < 8; t++)
+    {
+      struct zp_buf text = { .ptr = NULL };
+      zp_buf_printf (
+          &text,
+          "{\"title\":\"t\",\"author\":\"ana\",\"against\":%u,"
+          "\"set\":{%s\"blocks/b%u\":{\"site\":\"s\",\"prefixes\":[",
+          t,
+          t == 0 ? "\"region/r\":{\"latency_ms\":{}},"
+                   "\"failure_domain/f\":{\"region\":\"r\","
+                   "\"entry_networks\":[]},"
+                   "\"site/s\":{\"failure_domain\":\"f\"},"
+                 : "",
+          t);
+      for (unsigned i = 0; i < TI_PREFIXES_MAX; i++)
+        zp_buf_printf (&text, "%s\"2001:db8:1111:2222:3333:4444:%x:%x/128\"",
+                       i > 0 ? "," : "", 0xf000 + t, 0xf000 + i);
+      zp_buf_put (&text, ZP_STR ("]}}}"));
+      bring_into_force (&f, text.ptr);
+      zp_buf_free (&text);
+    }
+  for (bool more = true; more && pages < 20; pages++)
+    {
+      struct json_object *next, *page;
+      struct tk_http_answer a = ask (&f, "GET", target, "");
+      CU_ASSERT (a.body.len <= ZP_BODY_MAX);
+      struct json_object *root = json_tokener_parse (a.body.ptr);
+      CU_ASSERT_PTR_NOT_NULL_FATAL (root);
+      json_object_object_get_ex (root, "objects", &page);
+      objects += (size_t) json_object_object_length (page);
+      json_object_object_get_ex (root, "next", &next);
+      more = next != NULL;
+      if (more)
+        snprintf (target, sizeof target, "/v1/config?after=%s",
+                  json_object_get_string (next));
+      json_object_put (root);
+      answer_free (&a);
+    }
+  CU_ASSERT (pages > 1 && pages < 20);
+  CU_ASSERT_EQUAL (objects, 8 + 3);
+  done (&f);
+}
+
+static void
+test_status (void)
+{
+  struct fixture f = leader ();
+
+  CU_ASSERT (gives (&f, "POST", "/v1/tickets", DRAIN ("a", "s1", "0"), 200,
+                    "submitted"));
+  CU_ASSERT (gives (&f, "GET", "/v1/status", "", 200,
+                    "\"title\":\"t\",\"author\":\"ana\",\"against\":0,"
+                    "\"state\":\"submitted\",\"reviewer\":null}]"));
+  done (&f);
+}
+
+static const struct zp_test tests[] = {
+  { "ticket to configuration", test_ticket_to_configuration },
+  { "refusals", test_refusals },
+  { "a conflict names the winner", test_conflict_names_the_winner },
+  { "only the leader accepts", test_only_the_leader_accepts },
+  { "configuration in pages", test_configuration_in_pages },
+  { "status", test_status },
+};
+
+TEST_MAIN ("operators", tests)
