Move the view of the log out of the control task

The names of roles, the reasons of a stop and the address of the leader are translations without state, so they get a module of their own.

--- a/src/control/control.c
+++ b/src/control/control.c
@@ -7,10 +7,10 @@
 
 #include "base/counter.h"
 #include "base/log.h"
-#include "control/operators.h"
 #include "control/reconcile.h"
 #include "control/replica.h"
 #include "control/reports.h"
+#include "control/standing.h"
 #include "control/waiting.h"
 #include "follow/source.h"
 #include "front/server.h"
@@ -40,76 +40,12 @@
   zp_time stop_at; /* 0: not stopping */
 };
 
-/* The log as the decisions see it.  */
-
-static struct zp_str
-http_of (const struct ct_control *c, uint64_t id)
-{
-  const struct ct_settings *s = c->settings;
-  struct ti_key key = { .kind = TI_CONTROL };
-  char text[24];
-
-  snprintf (text, sizeof text, "%" PRIu64, id);
-  ti_text_set (&key.name, zp_str_from (text));
-  const struct ti_object *o
-      = ti_config_find (ti_store_config (c->store), &key);
-  if (o)
-    return ti_text_str (&o->u.control.http);
-  for (size_t i = 0; i < s->voters.len; i++)
-    if (s->voters.item[i].id == id)
-      return s->voter_http[i];
-  return ZP_STR ("");
-}
-
 static struct ct_standing
 standing (const struct ct_control *c)
 {
   struct lg_status s = ct_replica_status (c->replica);
-  struct ct_standing out = { .kind = CT_NO_LEADER };
-
-  if (ct_replica_lease (c->replica))
-    out.kind = CT_LEADER;
-  else if (s.leader != 0 && s.leader != (uint64_t) c->settings->id)
-    {
-      out.leader_http = http_of (c, s.leader);
-      if (out.leader_http.len > 0)
-        out.kind = CT_FOLLOWER;
-    }
-  return out;
-}
 
-static const char *
-role_name (enum lg_role role)
-{
-  switch (role)
-    {
-    case LG_FOLLOWER:
-      return "follower";
-    case LG_PRE_CANDIDATE:
-      return "pre-candidate";
-    case LG_CANDIDATE:
-      return "candidate";
-    case LG_LEADER:
-      return "leader";
-    case LG_STOPPED:
-      return "stopped";
-    }
-  return "";
-}
-
-static const char *
-stop_reason (enum lg_stop stop)
-{
-  switch (stop)
-    {
-    case LG_RUNNING:
-      return NULL;
-    case LG_STOP_DISK:
-      return "a write to the data folder failed; repair the disk and restart";
-    case LG_STOP_WIPED:
-      return "the storage of this member is lost; join with a new member id";
-    }
-  return NULL;
+  return ct_standing_of (&s, c->settings, ti_store_config (c->store));
 }
 
 /* HTTP.  */
@@ -146,26 +82,13 @@
 static void
 on_request (struct ct_control *c, const struct tk_http_request *r)
 {
-  const struct lg_members *m = ct_replica_members (c->replica);
   struct lg_status s = ct_replica_status (c->replica);
   const struct ct_standing now = standing (c);
   struct ct_member member[LG_MEMBERS_MAX];
-  struct ct_report report = { .id = (uint64_t) c->settings->id,
-                              .role = role_name (s.role),
-                              .stopped = stop_reason (s.stop),
-                              .leader = s.leader,
-                              .term = s.term,
-                              .commit = s.commit,
-                              .applied = s.applied,
-                              .member = member,
-                              .members = m->len };
+  struct ct_report report = ct_report_of (
+      &s, c->settings, ct_replica_members (c->replica), member);
   struct ct_decision d;
 
-  for (size_t i = 0; i < m->len; i++)
-    member[i]
-        = (struct ct_member){ .id = m->item[i].id,
-                              .voter = m->item[i].voter,
-                              .address = zp_str_from (m->item[i].address) };
   ct_reports_count (&c->reports, zp_clock_mono (),
                     ti_store_config (c->store)->index, &report.followers,
                     &report.current);
@@ -300,10 +223,10 @@
 on_role (void *self, const struct lg_role_change *change)
 {
   struct ct_control *c = self;
-  const char *stopped = stop_reason (change->stop);
+  const char *stopped = ct_stop_reason (change->stop);
 
   zp_log (ZP_LOG_NOTICE, PART, "%s in term %" PRIu64 ", leader %" PRIu64,
-          role_name (change->role), change->term, change->leader);
+          ct_role_name (change->role), change->term, change->leader);
   if (stopped)
     zp_log (ZP_LOG_ERR, PART, "this member has stopped: %s%s%s", stopped,
             change->error ? ": " : "",
