--- a/src/entry/router.h
+++ b/src/entry/router.h
@@ -9,7 +9,9 @@
 
      router.c     set-up, messages, timer, graceful shutdown
      config.c     configuration in force
+     shifts.c     shifts in progress
      capacity.c   leases: lessor, holder and their messages
+     links.c      shares of links between regions
      request.c    one request from its arrival to its answer
      dispatch.c   queue, placement, forwarding, retries
      claims.c     at-most-once claims of this daemon and of others
@@ -25,6 +27,7 @@
 #include "base/counter.h"
 #include "base/rng.h"
 #include "base/slots.h"
+#include "entry/links.h"
 #include "entry/members.h"
 #include "entry/plan.h"
 #include "entry/settings.h"
@@ -35,11 +38,16 @@
 #include "steer/poison.h"
 #include "steer/queue.h"
 #include "steer/retry.h"
+#include "steer/shift.h"
 #include "task/task.h"
 
 /* How often timers of the parts are looked at.  */
 #define EN_TICK (20 * ZP_MS)
 
+/* Bytes of the headers that every message between an entry daemon and a
+   backend server has.  */
+#define EN_HEADER_BYTES 300
+
 /* Attempts of one request, and so the servers it may have tried.  */
 #define EN_TRIED_MAX ST_RETRY_ATTEMPTS
 
@@ -56,6 +64,7 @@
   struct en_request *parked; /* wait for a condition of their own */
   size_t parked_len;
   size_t running;
+  int64_t answer_bytes; /* usual size of an answer */
   struct zp_counter *requests, *answered, *refused, *maybe, *retries;
 };
 
@@ -71,6 +80,13 @@
   zp_time announced; /* last found among the servers that announce here */
 };
 
+/* This daemon's part of one shift.  */
+struct en_shift
+{
+  char name[ZP_NAME_MAX];
+  struct st_shift_follower follower;
+};
+
 struct en_servers
 {
   struct en_server **item;
@@ -94,6 +110,11 @@
   uint64_t term;        /* of the last change */
   bool fresh;           /* the source is in contact with the leader */
 
+  struct st_drains drains;
+  struct en_shift *shift; /* this daemon's part of each shift */
+  size_t shifts;
+  zp_time shifts_at;
+
   /* Members.  */
   struct en_members members;
   struct st_view view;
@@ -104,6 +125,12 @@
   struct st_holder holder;
   zp_time summary_at;
 
+  /* Links between regions.  */
+  struct en_link *link;
+  size_t links;
+  zp_time links_at;      /* next reports */
+  zp_time links_blocked; /* other regions are passed over until then */
+
   /* Requests.  */
   struct zp_slots requests;
   uint64_t *by_http; /* request ids by the lower half of the front's id */
@@ -129,6 +156,12 @@
 void en_config_take (struct en_router *r, struct tk_config *c);
 void en_config_send_whole (struct en_router *r, struct tk_task *to);
 void en_members_changed (struct en_router *r);
+void en_drains_apply (struct en_router *r);
+
+/* shifts.c */
+void en_shifts_update (struct en_router *r, bool first);
+void en_shifts_tick (struct en_router *r);
+void en_shifts_free (struct en_router *r);
 
 /* capacity.c */
 void en_capacity_frame (struct en_router *r, const struct tk_peer_frame *f);
