--- a/Makefile
+++ b/Makefile
@@ -106,6 +106,16 @@
 fuzz: deps
 	@scripts/fuzz
 
+# Man pages and bash completion, made from the programs' own --help.
+.PHONY: man completion
+man: deps
+	$(MAKE) --no-print-directory -j$$(nproc) all
+	@BUILD=$(BUILD) scripts/man
+
+completion: man
+	@BUILD=$(BUILD) scripts/completion
+	@BUILD=$(BUILD) scripts/check-help
+
 # Regenerates the committed protobuf-c sources; the build itself needs no generator.
 proto:
 	cd src/wire && protoc-c --c_out=. *.proto
