Reject text behind the first JSON value

json-c stops at the end of the first value, so that a settings file or a ticket with two objects was read by half. zp_json_parse now reports the line and column of the first byte behind the value; white space and comments stay allowed. The end of a text is now marked by a line end instead of a NUL byte, so that an unfinished block comment is an error too, and errors at the end of a text name the end instead of line 1, column 1.

--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -46,39 +46,58 @@
       ++*column;
 }
 
-struct json_object *
-zp_json_parse (struct zp_str text, struct zp_err *err)
+/* Parses the first value of TEXT and sets END to the offset behind it and the
+   white space and comments that follow, or to the offset of the error.  */
+static struct json_object *
+parse_value (struct zp_str text, size_t *end, enum json_tokener_error *e)
 {
   struct json_tokener *t = json_tokener_new_ex (16);
   struct json_object *root;
-  size_t line, column;
 
-  if (!text.ptr)
-    text = ZP_STR ("");
-  if (text.len > INT32_MAX)
-    {
-      json_tokener_free (t);
-      zp_fail (err, ZP_ELIMIT, "JSON text is too long");
-      return NULL;
-    }
   json_tokener_set_flags (t, JSON_TOKENER_VALIDATE_UTF8);
   root = json_tokener_parse_ex (t, text.ptr, (int) text.len);
+  *end = json_tokener_get_parse_end (t);
   if (!root && json_tokener_get_error (t) == json_tokener_continue)
-    /* A lone number or an unfinished value needs an end mark.  */
-    root = json_tokener_parse_ex (t, "", 1);
-  enum json_tokener_error e = json_tokener_get_error (t);
-  size_t end = json_tokener_get_parse_end (t);
+    {
+      /* All of TEXT has been read.  A line end completes a lone number and a
+         line comment, but no other value and no other comment.  */
+      *end = text.len;
+      root = json_tokener_parse_ex (t, "\n", 1);
+    }
+  *e = json_tokener_get_error (t);
+  if (*e == json_tokener_continue)
+    *e = json_tokener_error_parse_eof;
   json_tokener_free (t);
-  if (e != json_tokener_success || !root)
+  return root;
+}
+
+struct json_object *
+zp_json_parse (struct zp_str text, struct zp_err *err)
+{
+  const char *why = NULL;
+  enum json_tokener_error e;
+  size_t end, line, column;
+
+  if (!text.ptr)
+    text = ZP_STR ("");
+  if (text.len > INT32_MAX)
     {
-      position (text, end, &line, &column);
-      json_object_put (root);
-      zp_fail (err, ZP_EINVAL, "line %zu, column %zu: %s", line, column,
-               e == json_tokener_success ? "no JSON value"
-                                         : json_tokener_error_desc (e));
+      zp_fail (err, ZP_ELIMIT, "JSON text is too long");
       return NULL;
     }
-  return root;
+  struct json_object *root = parse_value (text, &end, &e);
+  if (e != json_tokener_success)
+    why = json_tokener_error_desc (e);
+  else if (!root)
+    why = "no JSON value";
+  else if (end < text.len)
+    why = "text behind the JSON value";
+  if (!why)
+    return root;
+  position (text, end, &line, &column);
+  json_object_put (root);
+  zp_fail (err, ZP_EINVAL, "line %zu, column %zu: %s", line, column, why);
+  return NULL;
 }
 
 /* Checks of one value.  */
--- a/tests/test-settings.c
+++ b/tests/test-settings.c
@@ -101,9 +101,65 @@
   zp_report_free (&r);
 }
 
+/* Guards against a file with two objects of which only the first counts.  */
+static void
+test_text_behind_the_value (void)
+{
+  static const struct
+  {
+    const char *text, *place;
+  } bad[] = {
+    { "{ \"address\": \"a\" }\n  { \"port\": 1 }", "line 2, column 3" },
+    { "{ \"address\": \"a\" } // one\n/* two\n */ x", "line 3, column 5" },
+    { "{ \"address\": \"a\" }}", "line 1, column 19" },
+    { "{ \"address\": \"a\" }\n/* no end", "line 2, column 10" },
+    { "{ \"address\": \"a\" }\n/", "line 2, column 2" },
+    { "{ \"address\": \"a\" }\n/*/", "line 2, column 4" },
+  };
+  static const char *const good[] = {
+    "{ \"address\": \"a\" } \t\r\n// the end",
+    "{ \"address\": \"a\" }/* one *//**/ // two\n\n",
+  };
+  struct sample v = { .port = 80 };
+  struct zp_settings s;
+  struct zp_report r;
+
+  for (size_t i = 0; i < sizeof bad / sizeof bad[0]; i++)
+    {
+      r = (struct zp_report){ .count = 0 };
+      CU_ASSERT (!load (bad[i].text, &v, &s, &r));
+      CU_ASSERT (r.lines.ptr && HAS_TEXT (r.lines.ptr, bad[i].place));
+      zp_settings_free (&s);
+      zp_report_free (&r);
+    }
+  for (size_t i = 0; i < sizeof good / sizeof good[0]; i++)
+    {
+      r = (struct zp_report){ .count = 0 };
+      CU_ASSERT (load (good[i], &v, &s, &r));
+      CU_ASSERT_EQUAL (r.count, 0);
+      zp_settings_free (&s);
+      zp_report_free (&r);
+    }
+}
+
+/* Bytes behind a value are found also when a NUL byte comes first, which ends
+   a terminated string.  */
+static void
+test_nul_behind_the_value (void)
+{
+  struct zp_err err = { .text = "" };
+
+  CU_ASSERT_PTR_NULL (
+      zp_json_parse ((struct zp_str){ .ptr = "{}\0{}", .len = 5 }, &err));
+  CU_ASSERT_EQUAL (err.code, ZP_EINVAL);
+  CU_ASSERT (HAS_TEXT (err.text, "line 1, column 3"));
+}
+
 static const struct zp_test tests[]
     = { { "comments and values", test_comments_and_values },
         { "all mistakes are reported", test_all_mistakes_are_reported },
-        { "a syntax error names its line", test_syntax_error_names_line } };
+        { "a syntax error names its line", test_syntax_error_names_line },
+        { "text behind the value", test_text_behind_the_value },
+        { "a NUL byte behind the value", test_nul_behind_the_value } };
 
 TEST_MAIN ("settings", tests)
