Link all programs' parts into tests instead of including .c files

Six tests included .c files of programs because the library held only the objects of zp-entry and zp-control. PARTS now names ctl, backend and load too; no exported symbol but main is defined twice. Tests link GSL, which load and backend use. The tests include headers, and the suppressions of bugprone-suspicious-include are gone; no assertion has changed.

A library built before this change has to be removed once (make clean): make does not see that the list of its objects is longer.

--- a/Makefile
+++ b/Makefile
@@ -27,8 +27,8 @@
 # Object files of one folder below src.
 objs = $(patsubst src/%.c,$(BUILD)/%.o,$(wildcard src/$(1)/*.c))
 
-# Parts of the daemons that tests link to: everything but their main programs.
-PARTS = entry control
+# Parts of the programs that tests link to: everything but their main files.
+PARTS = entry control ctl backend load
 part_objs = $(filter-out %/main.o,$(call objs,$(1)))
 LIB_OBJS = $(foreach p,$(PACKAGES),$(call objs,$(p))) $(foreach p,$(PARTS),$(call part_objs,$(p)))
 LIB = $(BUILD)/libzinniapost.a
@@ -64,7 +64,7 @@
 
 $(BUILD)/tests/%: tests/%.c $(LIB)
 	@mkdir -p $(@D)
-	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -o $@ $< $(LIB) $(LDLIBS) -lcunit
+	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -o $@ $< $(LIB) $(LDLIBS) -lgsl -lgslcblas -lcunit
 
 $(BUILD)/bench/%: bench/%.c $(LIB)
 	@mkdir -p $(@D)
--- a/tests/test-control-settings.c
+++ b/tests/test-control-settings.c
@@ -2,8 +2,7 @@
 
 #include <stdlib.h>
 
-/* Programs are not part of the library that tests are linked with.  */
-#include "control/settings.c" /* NOLINT(bugprone-suspicious-include) */
+#include "control/settings.h"
 
 static bool
 load (const char *text, struct ct_settings *s, struct zp_report *r)
--- a/tests/test-control.c
+++ b/tests/test-control.c
@@ -6,11 +6,9 @@
 #include <sys/stat.h>
 #include <sys/wait.h>
 
+#include "ctl/client.h"
 #include "ticket/ticket.h"
 
-/* Programs are not part of the library that tests are linked with.  */
-#include "ctl/client.c" /* NOLINT(bugprone-suspicious-include) */
-
 #define MEMBERS 4
 
 /* Only a failure takes this long.  */
--- a/tests/test-ctl.c
+++ b/tests/test-ctl.c
@@ -4,8 +4,7 @@
 
 #include "front/server.h"
 
-/* Programs are not part of the library that tests are linked with.  */
-#include "ctl/client.c" /* NOLINT(bugprone-suspicious-include) */
+#include "ctl/client.h"
 
 /* A stand-in for a control daemon: it gives the same answer to every request
    and then, after ANSWERS of them, 200.  */
--- a/tests/test-load-decide.c
+++ b/tests/test-load-decide.c
@@ -1,8 +1,6 @@
 #include "harness.h"
 
-/* The test programs are not linked with the code of zp-load.
-   NOLINTNEXTLINE(bugprone-suspicious-include) */
-#include "load/decide.c"
+#include "load/request.h"
 
 static const struct lo_service once
     = { .once = 1, .deadline_ms = 1000, .tries = 4 };
--- a/tests/test-operators.c
+++ b/tests/test-operators.c
@@ -3,9 +3,7 @@
 #include <json-c/json.h>
 #include <stdlib.h>
 
-/* Programs are not part of the library that tests are linked with.  */
-#include "control/answers.c"   /* NOLINT(bugprone-suspicious-include) */
-#include "control/operators.c" /* NOLINT(bugprone-suspicious-include) */
+#include "control/operators.h"
 
 struct fixture
 {
--- a/tests/test-reconcile.c
+++ b/tests/test-reconcile.c
@@ -2,8 +2,7 @@
 
 #include <stdlib.h>
 
-/* Programs are not part of the library that tests are linked with.  */
-#include "control/reconcile.c" /* NOLINT(bugprone-suspicious-include) */
+#include "control/reconcile.h"
 
 /* A configuration with the members of TEXT: "1v2v4l" has the voters 1 and 2
    and the learner 4.  */
