--- a/src/ctl/client.c
+++ b/src/ctl/client.c
@@ -85,8 +85,8 @@
                      why[0] ? why : "no answer");
 }
 
-static void
-pause_for (zp_time t)
+void
+zc_pause (zp_time t)
 {
   const struct timespec ts
       = { .tv_sec = t / ZP_SEC, .tv_nsec = t % ZP_SEC * 1000 };
@@ -115,7 +115,7 @@
         }
       if (now + PAUSE >= end)
         return false;
-      pause_for (PAUSE);
+      zc_pause (PAUSE);
       now = zp_clock_mono ();
     }
 }
--- a/src/ctl/client.h
+++ b/src/ctl/client.h
@@ -45,4 +45,6 @@
 bool zc_send_to (struct zp_str server, const struct zc_request *r,
                  zp_time limit, struct zc_answer *out, struct zp_err *err);
 
+void zc_pause (zp_time t);
+
 #endif
--- a/src/ctl/command.c
+++ b/src/ctl/command.c
@@ -63,10 +63,13 @@
     case ZC_NUMBER:
       return zc_run_ticket (c, cmd);
     case ZC_STATUS:
-      return zc_run_status (c, cmd->json);
+      return zc_run_status (c, cmd);
     case ZC_CONFIG:
     case ZC_DIFF:
       return zc_run_pages (c, cmd);
+    case ZC_EXPLAIN:
+    case ZC_ENTRIES:
+      return zc_run_entry (c, cmd);
     }
   return ZC_USAGE;
 }
--- a/src/ctl/command.h
+++ b/src/ctl/command.h
@@ -28,6 +28,8 @@
   ZC_STATUS,
   ZC_CONFIG,
   ZC_DIFF,
+  ZC_EXPLAIN,
+  ZC_ENTRIES,
 };
 
 struct zc_submit
@@ -52,16 +54,32 @@
   uint64_t from, to;
 };
 
+struct zc_explain
+{
+  struct zp_str service;
+  struct zp_str caller; /* IPv4 address; empty: this host */
+};
+
+struct zc_status
+{
+  bool watch;
+  uint64_t count; /* rounds of a watch at most; 0: no limit */
+  zp_time period; /* between two rounds */
+};
+
 struct zc_command
 {
   enum zc_command_kind kind;
   bool json;
+  struct zp_str entry; /* "IP:port" for ZC_EXPLAIN and ZC_ENTRIES */
   union
   {
     struct zc_submit submit;
     struct zc_review review;
     struct zc_number number;
     struct zc_diff diff;
+    struct zc_explain explain;
+    struct zc_status status;
   } u;
 };
 
@@ -70,7 +88,17 @@
 /* Files of this program.  */
 enum zc_exit zc_run_ticket (const struct zc_client *c,
                             const struct zc_command *cmd);
-enum zc_exit zc_run_status (const struct zc_client *c, bool json);
+enum zc_exit zc_run_status (const struct zc_client *c,
+                            const struct zc_command *cmd);
+enum zc_exit zc_run_entry (const struct zc_client *c,
+                           const struct zc_command *cmd);
+
+/* ZC_EXPLAIN and ZC_ENTRIES with the text for standard output in OUT and for
+   standard error in ERRORS.  */
+enum zc_exit zc_entry_text (const struct zc_client *c,
+                            const struct zc_command *cmd, struct zp_buf *out,
+                            struct zp_buf *errors);
+
 enum zc_exit zc_run_pages (const struct zc_client *c,
                            const struct zc_command *cmd);
 
--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -1,4 +1,5 @@
 #include <argp.h>
+#include <arpa/inet.h>
 #include <curl/curl.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -9,6 +10,8 @@
 
 #define SERVERS_MAX 16
 #define WORDS_MAX 3
+#define KEY_COUNT 256 /* an option without a short name */
+#define WATCH_PERIOD ZP_SEC
 #define LIMIT_DEFAULT_S 15 /* covers an election, which takes up to 9 s */
 
 struct options
@@ -18,7 +21,9 @@
   const char *operator;
   uint64_t number;
   uint64_t limit_s;
-  bool json;
+  uint64_t count;
+  const char *entry, *caller;
+  bool json, watch;
   const char *word[WORDS_MAX];
   size_t words;
 };
@@ -33,6 +38,12 @@
     0 },
   { "number", 'n', "N", 0, "claim the number N and no other", 0 },
   { "timeout", 't', "SECONDS", 0, "give up after this time (default: 15)", 0 },
+  { "entry", 'e', "IP:PORT", 0,
+    "entry daemon that explain and entries ask (its \"http\" address)", 0 },
+  { "caller", 'c', "IP", 0,
+    "IPv4 address of the caller for explain (default: this host)", 0 },
+  { "watch", 'w', NULL, 0, "repeat status every second until interrupted", 0 },
+  { "count", KEY_COUNT, "N", 0, "end a watch after N times", 0 },
   { "json", 'j', NULL, 0, "print one JSON value", 0 },
   { 0 },
 };
@@ -81,6 +92,20 @@
     case 't':
       parse_number (state, arg, &o->limit_s);
       return 0;
+    case 'e':
+      o->entry = arg;
+      return 0;
+    case 'c':
+      o->caller = arg;
+      return 0;
+    case 'w':
+      o->watch = true;
+      return 0;
+    case KEY_COUNT:
+      parse_number (state, arg, &o->count);
+      if (o->count == 0)
+        argp_error (state, "--count takes a number above 0");
+      return 0;
     case 'j':
       o->json = true;
       return 0;
@@ -92,9 +117,6 @@
     case ARGP_KEY_END:
       if (o->servers == 0)
         add_servers (o, zp_str_from (getenv ("ZPCTL_SERVERS")));
-      if (o->servers == 0)
-        argp_error (state, "no server; give --server IP:PORT or set "
-                           "ZPCTL_SERVERS");
       return 0;
     default:
       return ARGP_ERR_UNKNOWN;
@@ -105,13 +127,15 @@
   .options = options,
   .parser = parse_option,
   .args_doc = "submit FILE\nreview DIGEST\nnumber DIGEST\nstatus\nconfig\n"
-              "diff N M",
-  .doc = "Operator tool of zinniapost: changes the configuration by tickets."
-         "\vA ticket is submitted, reviewed by another operator than its "
-         "author, and then numbered.  Every command may be given again when "
-         "its answer was lost.\n\n"
-         "Exit status: 0 done, 1 refused or in conflict, 2 wrong usage, 3 no "
-         "server could be reached.",
+              "diff N M\nexplain SERVICE\nentries",
+  .doc
+  = "Operator tool of zinniapost: changes the configuration by tickets, and "
+    "shows what the daemons do."
+    "\vA ticket is submitted, reviewed by another operator than its "
+    "author, and then numbered.  Every command may be given again when "
+    "its answer was lost.\n\n"
+    "Exit status: 0 done, 1 refused or in conflict, 2 wrong usage, 3 no "
+    "server could be reached.",
 };
 
 static int
@@ -121,6 +145,30 @@
   return ZC_USAGE;
 }
 
+/* Returns NULL, or which option is missing or does not fit KIND.  */
+static const char *
+wrong_options (const struct options *o, enum zc_command_kind kind)
+{
+  bool asks_entry = kind == ZC_EXPLAIN || kind == ZC_ENTRIES;
+  struct in_addr address;
+
+  if (asks_entry && !o->entry)
+    return "no entry daemon; give --entry IP:PORT";
+  if (!asks_entry && o->entry)
+    return "--entry belongs to the commands \"explain\" and \"entries\"";
+  if (!asks_entry && o->servers == 0)
+    return "no server; give --server IP:PORT or set ZPCTL_SERVERS";
+  if (o->caller && kind != ZC_EXPLAIN)
+    return "--caller belongs to the command \"explain\"";
+  if (o->caller && inet_pton (AF_INET, o->caller, &address) != 1)
+    return "--caller takes an IPv4 address";
+  if (o->watch && kind != ZC_STATUS)
+    return "--watch belongs to the command \"status\"";
+  if (o->count > 0 && !o->watch)
+    return "--count belongs to --watch";
+  return NULL;
+}
+
 /* Returns NULL, or what is wrong with the words.  */
 static const char *
 read_command (const struct options *o, struct zc_command *out)
@@ -131,9 +179,10 @@
     enum zc_command_kind kind;
     size_t words;
   } commands[] = {
-    { "submit", ZC_SUBMIT, 2 }, { "review", ZC_REVIEW, 2 },
-    { "number", ZC_NUMBER, 2 }, { "status", ZC_STATUS, 1 },
-    { "config", ZC_CONFIG, 1 }, { "diff", ZC_DIFF, 3 },
+    { "submit", ZC_SUBMIT, 2 },   { "review", ZC_REVIEW, 2 },
+    { "number", ZC_NUMBER, 2 },   { "status", ZC_STATUS, 1 },
+    { "config", ZC_CONFIG, 1 },   { "diff", ZC_DIFF, 3 },
+    { "explain", ZC_EXPLAIN, 2 }, { "entries", ZC_ENTRIES, 1 },
   };
   size_t i = 0, n = sizeof commands / sizeof commands[0];
   struct ti_digest digest;
@@ -145,12 +194,17 @@
     i++;
   if (i == n)
     return "unknown command; allowed: submit, review, number, status, config, "
-           "diff";
+           "diff, explain, entries";
   if (o->words != commands[i].words)
     return "wrong number of arguments for this command";
   if (o->number > 0 && commands[i].kind != ZC_NUMBER)
     return "--number belongs to the command \"number\"";
-  *out = (struct zc_command){ .kind = commands[i].kind, .json = o->json };
+  const char *wrong = wrong_options (o, commands[i].kind);
+  if (wrong)
+    return wrong;
+  *out = (struct zc_command){ .kind = commands[i].kind,
+                              .json = o->json,
+                              .entry = zp_str_from (o->entry) };
   switch (out->kind)
     {
     case ZC_SUBMIT:
@@ -177,8 +231,20 @@
           || !zp_str_u64 (zp_str_from (o->word[2]), &out->u.diff.to))
         return "diff takes two numbers of configurations";
       return NULL;
+    case ZC_EXPLAIN:
+      out->u.explain
+          = (struct zc_explain){ .service = zp_str_from (o->word[1]),
+                                 .caller = zp_str_from (o->caller) };
+      if (!ti_name_parse (out->u.explain.service, &name))
+        return "no valid name of a service; zpctl config lists them";
+      return NULL;
     case ZC_STATUS:
+      out->u.status = (struct zc_status){ .watch = o->watch,
+                                          .count = o->count,
+                                          .period = WATCH_PERIOD };
+      return NULL;
     case ZC_CONFIG:
+    case ZC_ENTRIES:
       return NULL;
     }
   return NULL;
--- a/src/ctl/status.c
+++ b/src/ctl/status.c
@@ -93,8 +93,8 @@
   return e;
 }
 
-enum zc_exit
-zc_run_status (const struct zc_client *c, bool json)
+static enum zc_exit
+show_once (const struct zc_client *c, bool json)
 {
   struct json_object *all = json_object_new_array (), *best = NULL;
 
@@ -124,3 +124,20 @@
   json_object_put (all);
   return status;
 }
+
+enum zc_exit
+zc_run_status (const struct zc_client *c, const struct zc_command *cmd)
+{
+  const struct zc_status *x = &cmd->u.status;
+  enum zc_exit status = show_once (c, cmd->json);
+
+  for (uint64_t i = 1; x->watch && (x->count == 0 || i < x->count); i++)
+    {
+      if (!cmd->json)
+        putchar ('\n');
+      fflush (stdout); /* a reader of a pipe sees each round at once */
+      zc_pause (x->period);
+      status = show_once (c, cmd->json);
+    }
+  return status;
+}
--- a/src/ctl/ticket.c
+++ b/src/ctl/ticket.c
@@ -92,6 +92,8 @@
     case ZC_STATUS:
     case ZC_CONFIG:
     case ZC_DIFF:
+    case ZC_EXPLAIN:
+    case ZC_ENTRIES:
       break;
     }
 }
@@ -228,6 +230,8 @@
     case ZC_STATUS:
     case ZC_CONFIG:
     case ZC_DIFF:
+    case ZC_EXPLAIN:
+    case ZC_ENTRIES:
       break;
     }
   zp_buf_free (&body);
--- a/tests/test-ctl.c
+++ b/tests/test-ctl.c
@@ -4,12 +4,22 @@
 
 #include "front/server.h"
 
-#include "ctl/client.h"
+#include "ctl/command.h"
+
+/* The answer to the request of one path and query.  */
+struct canned
+{
+  const char *target;
+  unsigned status;
+  const char *body;
+};
 
 /* A stand-in for a control daemon: it gives the same answer to every request
-   and then, after ANSWERS of them, 200.  */
+   and then, after ANSWERS of them, 200.  With CANNED it stands in for an entry
+   daemon: it answers these requests, and every other one with 404.  */
 struct daemon
 {
+  const struct canned *canned; /* ends with a NULL target */
   struct tk_task task;
   struct fr_server *server;
   char address[ZP_ADDRESS_MAX];
@@ -20,6 +30,20 @@
   char last[200]; /* method, target and body of the last request */
 };
 
+static void
+answer_canned (const struct canned *c, const struct tk_http_request *r,
+               struct tk_http_answer *a)
+{
+  char target[200];
+
+  snprintf (target, sizeof target, "%.*s%s%.*s", ZP_ARG (zp_str_of (&r->path)),
+            r->query.len > 0 ? "?" : "", ZP_ARG (zp_str_of (&r->query)));
+  while (c->target && strcmp (c->target, target) != 0)
+    c++;
+  a->status = c->target ? c->status : 404;
+  zp_buf_put (&a->body, zp_str_from (c->body));
+}
+
 static void
 on_message (void *self, struct tk_msg *m)
 {
@@ -34,11 +58,14 @@
                 ZP_ARG (zp_str_of (&r->query)), ZP_ARG (zp_str_of (&r->body)));
       a->u.answer.id = r->id;
       a->u.answer.status = d->requests++ < d->answers ? d->status : 200;
-      if (a->u.answer.status == 307)
+      if (d->canned)
+        answer_canned (d->canned, r, &a->u.answer);
+      else if (a->u.answer.status == 307)
         zp_buf_printf (&a->u.answer.location, "http://%s%.*s?%.*s",
                        d->location, ZP_ARG (zp_str_of (&r->path)),
                        ZP_ARG (zp_str_of (&r->query)));
-      zp_buf_printf (&a->u.answer.body, "from %s", d->address);
+      if (!d->canned)
+        zp_buf_printf (&a->u.answer.body, "from %s", d->address);
       tk_send (fr_server_task (d->server), a);
     }
   tk_msg_free (m);
@@ -176,12 +203,220 @@
   check_answer (test_address (8398), test_address (8399), "");
 }
 
+/* Commands that ask an entry daemon.  */
+
+#define LOOKUP                                                                \
+  "{\"service\":\"booking\",\"entries\":[{\"id\":7,\"address\":"              \
+  "\"127.0.0.7:80\",\"failure_domain\":\"west-a\",\"region\":\"west\"}],"     \
+  "\"ttl_ms\":5000,\"number\":12,\"once_home\":\"\"}"
+#define EXPLAIN                                                               \
+  "{\"service\":\"booking\",\"queued\":2,\"decision\":\"server b-1\","        \
+  "\"candidates\":[{\"server\":\"b-1\",\"tier\":\"same region\",\"slots\":3," \
+  "\"in_flight\":1,\"score\":0.25,\"health\":\"up\",\"ramp\":1.0,"            \
+  "\"leaving\":true}]}"
+#define STATUS                                                                \
+  "{\"id\":7,\"number\":12,\"current\":true,\"leaving\":false,\"members\":"   \
+  "[{\"id\":7,\"failure_domain\":\"west-a\",\"region\":\"west\",\"address\":" \
+  "\"127.0.0.7:80\",\"state\":\"up\",\"number\":12}],\"services\":[{"         \
+  "\"service\":"                                                              \
+  "\"booking\",\"queued\":4,\"parked\":0,\"running\":5,\"owned_slots\":36,"   \
+  "\"owned_free_slots\":31,\"held_slots\":9,\"ejected_servers\":1}],"         \
+  "\"servers\":[]}"
+
+static bool
+has (const struct zp_buf *b, const char *text)
+{
+  return b->ptr && HAS_TEXT (b->ptr, text);
+}
+
+/* Runs CMD against a stand-in with CANNED answers; NULL: nobody listens.  */
+static enum zc_exit
+run_entry (const struct canned *canned, struct zc_command cmd,
+           struct zp_buf *out, struct zp_buf *errors)
+{
+  const struct zc_client c = { .limit = 20 * ZP_SEC };
+  struct world w;
+
+  world_open (&w);
+  w.a.canned = canned;
+  tk_loop_start (&w.loop);
+  cmd.entry = zp_str_from (canned ? w.a.address : test_address (8399));
+  enum zc_exit status = zc_entry_text (&c, &cmd, out, errors);
+  world_close (&w);
+  return status;
+}
+
+static const struct canned entry_daemon[] = {
+  { "/v1/lookup?service=booking&caller=10.0.0.1", 200, LOOKUP },
+  { "/v1/explain?service=booking", 200, EXPLAIN },
+  { "/v1/status", 200, STATUS },
+  { .target = NULL },
+};
+
+static const struct zc_command explain_booking
+    = { .kind = ZC_EXPLAIN,
+        .u.explain
+        = { .service = ZP_STR ("booking"), .caller = ZP_STR ("10.0.0.1") } };
+
+/* Guards against a look-up for another caller than the one asked for, and
+   against columns that do not line up.  */
+static void
+test_explain (void)
+{
+  struct zp_buf out = { .ptr = NULL }, errors = { .ptr = NULL };
+
+  CU_ASSERT_EQUAL (run_entry (entry_daemon, explain_booking, &out, &errors),
+                   ZC_DONE);
+  CU_ASSERT_EQUAL (errors.len, 0);
+  CU_ASSERT (has (&out, "configuration 12\n"));
+  CU_ASSERT (has (&out, "caller 10.0.0.1"));
+  CU_ASSERT (has (&out, "  ENTRY  ADDRESS       FAILURE DOMAIN  "
+                        "REGION\n"
+                        "  7      127.0.0.7:80  west-a          "
+                        "west\n"));
+  CU_ASSERT (has (&out, "server b-1 (queued: 2)\n"));
+  CU_ASSERT (has (&out, "  SERVER  TIER         SLOTS  IN FLIGHT  "
+                        "SCORE  HEALTH  RAMP   LEAVING\n"
+                        "  b-1     same region  3      1          "
+                        "0.250  up      1.000  yes\n"));
+  zp_buf_free (&out);
+  zp_buf_free (&errors);
+}
+
+static void
+test_entries (void)
+{
+  struct zp_buf out = { .ptr = NULL }, errors = { .ptr = NULL };
+  const struct zc_command cmd = { .kind = ZC_ENTRIES };
+
+  CU_ASSERT_EQUAL (run_entry (entry_daemon, cmd, &out, &errors), ZC_DONE);
+  CU_ASSERT_EQUAL (errors.len, 0);
+  CU_ASSERT (has (&out, "entry 7, configuration 12, current: yes, "
+                        "leaving: no\n"));
+  CU_ASSERT (has (&out, "  7      127.0.0.7:80  west-a          "
+                        "west    up     12\n"));
+  CU_ASSERT (has (&out, "  SERVICE  QUEUED  PARKED  RUNNING  OWNED  "
+                        "FREE  HELD  EJECTED\n"
+                        "  booking  4       0       5        36     "
+                        "31    9     1\n"));
+  CU_ASSERT (has (&out, "announce to this entry:\n  none\n"));
+  zp_buf_free (&out);
+  zp_buf_free (&errors);
+}
+
+/* With --json, standard output is one JSON value in every case.  */
+static void
+test_entry_json (void)
+{
+  static const struct canned none[] = { { .target = NULL } };
+  struct zp_buf out = { .ptr = NULL }, errors = { .ptr = NULL };
+  struct zc_command cmd = explain_booking;
+
+  cmd.json = true;
+  CU_ASSERT_EQUAL (run_entry (entry_daemon, cmd, &out, &errors), ZC_DONE);
+  CU_ASSERT (zp_str_eq (
+      zp_str_of (&out),
+      ZP_STR ("{\"lookup\":" LOOKUP ",\"explain\":" EXPLAIN "}\n")));
+  zp_buf_clear (&out);
+  cmd.kind = ZC_ENTRIES;
+  CU_ASSERT_EQUAL (run_entry (entry_daemon, cmd, &out, &errors), ZC_DONE);
+  CU_ASSERT (zp_str_eq (zp_str_of (&out), ZP_STR (STATUS "\n")));
+  zp_buf_clear (&out);
+  CU_ASSERT_EQUAL (run_entry (none, cmd, &out, &errors), ZC_REFUSED);
+  CU_ASSERT (has (&out, "{\"state\":\"refused\",\"err"));
+  CU_ASSERT (has (&out, "\"next\":\"check that --entry"));
+  CU_ASSERT_EQUAL (errors.len, 0);
+  zp_buf_free (&out);
+  zp_buf_free (&errors);
+}
+
+/* Guards against an error that leaves the operator without a next step.  */
+static void
+test_entry_errors (void)
+{
+  static const struct canned unknown[]
+      = { { "/v1/lookup?service=booking&caller=10.0.0.1", 404,
+            "{\"reason\":\"unknown-service\",\"verdict\":\"not-run\"}" },
+          { .target = NULL } };
+  static const struct canned no_configuration[]
+      = { { "/v1/lookup?service=booking&caller=10.0.0.1", 503,
+            "{\"reason\":\"no-configuration\",\"verdict\":\"not-run\"}" },
+          { .target = NULL } };
+  static const struct canned other[]
+      = { { "/v1/lookup?service=booking&caller=10.0.0.1", 200, "<html>" },
+          { .target = NULL } };
+  static const struct
+  {
+    const struct canned *canned;
+    enum zc_exit status;
+    const char *error, *next;
+  } cases[] = {
+    { unknown, ZC_REFUSED, "unknown-service", "next: zpctl config lists" },
+    { no_configuration, ZC_REFUSED, "no-configuration",
+      "check the control daemons (zpctl status)" },
+    { other, ZC_REFUSED, "not of an entry daemon",
+      "next: check that --entry" },
+    { NULL, ZC_UNREACHABLE, ":8399: ", "next: check --entry and that" },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct zp_buf out = { .ptr = NULL }, errors = { .ptr = NULL };
+      CU_ASSERT_EQUAL (
+          run_entry (cases[i].canned, explain_booking, &out, &errors),
+          cases[i].status);
+      CU_ASSERT_EQUAL (out.len, 0);
+      CU_ASSERT (has (&errors, cases[i].error));
+      CU_ASSERT (has (&errors, cases[i].next));
+      zp_buf_free (&out);
+      zp_buf_free (&errors);
+    }
+}
+
+/* Guards against a watch that ends early, goes on behind its count, or stops
+   at a round without an answer.  */
+static void
+test_watch_count (void)
+{
+  static const struct canned control[]
+      = { { "/v1/status", 200, "{\"id\":1,\"role\":\"leader\"}" },
+          { .target = NULL } };
+  struct zc_command cmd
+      = { .kind = ZC_STATUS,
+          .u.status = { .watch = true, .count = 3, .period = ZP_MS } };
+  struct world w;
+
+  world_open (&w);
+  struct zp_str servers[2] = { zp_str_from (w.a.address) };
+  struct zc_client c
+      = { .servers = { .item = servers, .len = 1 }, .limit = 20 * ZP_SEC };
+  w.a.canned = control;
+  tk_loop_start (&w.loop);
+  CU_ASSERT_EQUAL (zc_run (&c, &cmd), ZC_DONE);
+  CU_ASSERT_EQUAL (w.a.requests, 3);
+  cmd.u.status.watch = false;
+  CU_ASSERT_EQUAL (zc_run (&c, &cmd), ZC_DONE);
+  CU_ASSERT_EQUAL (w.a.requests, 4);
+  cmd.u.status.watch = true;
+  servers[1] = servers[0];
+  servers[0] = zp_str_from (test_address (8399));
+  c.servers.len = 2;
+  CU_ASSERT_EQUAL (zc_run (&c, &cmd), ZC_DONE);
+  world_close (&w);
+  CU_ASSERT_EQUAL (w.a.requests, 7);
+}
+
 static const struct zp_test tests[] = {
   { "the next server is tried", test_next_server },
   { "a redirect keeps method and body", test_redirect },
   { "a redirect to a dead leader", test_redirect_to_a_dead_leader },
   { "waits for a leader", test_waits_for_a_leader },
   { "nobody answers", test_nobody_answers },
+  { "explain", test_explain },
+  { "entries", test_entries },
+  { "JSON of an entry daemon", test_entry_json },
+  { "errors of an entry daemon name the next step", test_entry_errors },
+  { "a watch ends after its count", test_watch_count },
 };
 
 TEST_MAIN ("ctl", tests)
