--- a/src/backend/main.c
+++ b/src/backend/main.c
@@ -1,4 +1,3 @@
-#include <argp.h>
 #include <fcntl.h>
 #include <signal.h>
 #include <stdio.h>
@@ -6,6 +5,7 @@
 #include <unistd.h>
 
 #include "backend/server.h"
+#include "base/arguments.h"
 #include "base/log.h"
 
 #define PART "main"
@@ -16,30 +16,13 @@
   struct tk_loop loop;
   struct tk_task task; /* counts the servers that have stopped */
   struct be_settings settings;
-  const char *path;
-  bool check;
+  struct zp_arguments arguments;
   struct be_server *servers[BE_SERVERS_MAX];
   size_t open, running;
   ev_signal term;
   ev_timer repeat;
 };
 
-static error_t
-on_argument (int key, char *value, struct argp_state *state)
-{
-  struct program *p = state->input;
-
-  if (key == 's')
-    p->path = value;
-  else if (key == 'c')
-    p->check = true;
-  else if (key == ARGP_KEY_END && !p->path)
-    argp_error (state, "--settings is required");
-  else
-    return ARGP_ERR_UNKNOWN;
-  return 0;
-}
-
 static void
 on_message (void *self, struct tk_msg *m)
 {
@@ -117,24 +100,18 @@
 int
 main (int argc, char **argv)
 {
-  static const struct argp_option options[]
-      = { { "settings", 's', "FILE", 0, "Settings, JSON with comments", 0 },
-          { "check-settings", 'c', NULL, 0, "Check the settings and exit", 0 },
-          { .name = NULL } };
-  static const struct argp argp
-      = { .options = options,
-          .parser = on_argument,
-          .doc = "Stand-in for backend servers of one service" };
   struct program *p = zp_alloc (sizeof *p);
   struct zp_report report = { .count = 0 };
   struct zp_err err;
 
-  argp_parse (&argp, argc, argv, 0, NULL, p);
+  zp_arguments_parse (argc, argv,
+                      "Stand-in for backend servers of one service", false,
+                      &p->arguments);
   signal (SIGPIPE, SIG_IGN);
-  bool ok = be_settings_load (&p->settings, p->path, &report);
+  bool ok = be_settings_load (&p->settings, p->arguments.path, &report);
   fprintf (stderr, "%.*s", ZP_ARG (zp_str_of (&report.lines)));
   zp_log_open ("zp-backend", (enum zp_log_level) p->settings.log_level);
-  if (ok && !p->check && !(ok = run (p, &err)))
+  if (ok && !p->arguments.check && !(ok = run (p, &err)))
     zp_log (ZP_LOG_ERR, PART, "%s", err.text);
   zp_report_free (&report);
   zp_settings_free (&p->settings.loaded);
--- /dev/null
+++ b/src/base/arguments.c
@@ -0,0 +1,42 @@
+#include "base/arguments.h"
+
+#include <argp.h>
+
+static error_t
+on_argument (int key, char *value, struct argp_state *state)
+{
+  struct zp_arguments *a = state->input;
+
+  if (key == 's')
+    a->path = value;
+  else if (key == 'c')
+    a->check = true;
+  else if (key == 'j')
+    a->json = true;
+  else if (key == ARGP_KEY_END && !a->path)
+    argp_error (state, "--settings is required");
+  else
+    return ARGP_ERR_UNKNOWN;
+  return 0;
+}
+
+void
+zp_arguments_parse (int argc, char **argv, const char *doc, bool takes_json,
+                    struct zp_arguments *out)
+{
+  /* Without --json, its place ends the list.  */
+  struct argp_option options[]
+      = { { "settings", 's', "FILE", 0, "Settings, JSON with comments", 0 },
+          { "check-settings", 'c', NULL, 0, "Check the settings and exit", 0 },
+          { .name = NULL },
+          { .name = NULL } };
+  const struct argp argp
+      = { .options = options, .parser = on_argument, .doc = doc };
+
+  if (takes_json)
+    options[2] = (struct argp_option){
+      "json", 'j', NULL, 0, "Print JSON lines, not a table", 0
+    };
+  *out = (struct zp_arguments){ .path = NULL };
+  argp_parse (&argp, argc, argv, 0, NULL, out);
+}
--- a/src/ctl/entry.c
+++ b/src/ctl/entry.c
@@ -3,6 +3,7 @@
 
 #include "ctl/command.h"
 #include "ctl/table.h"
+#include "ticket/json.h"
 
 #define PLAIN (JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE)
 #define COLUMNS(c) (c), sizeof (c) / sizeof (c)[0]
@@ -15,15 +16,6 @@
   const char *next;
 };
 
-static struct json_object *
-list_of (struct json_object *root, const char *key)
-{
-  struct json_object *v = NULL;
-
-  json_object_object_get_ex (root, key, &v);
-  return v;
-}
-
 /* What the operator does after the refusal REASON.  */
 static const char *
 next_step (struct zp_str reason)
@@ -41,7 +33,7 @@
 static bool
 refused (struct failure *f, long status, struct json_object *answer)
 {
-  struct json_object *reason = list_of (answer, "reason");
+  struct json_object *reason = ti_json_get (answer, "reason");
   const char *text = json_object_is_type (reason, json_type_string)
                          ? json_object_get_string (reason)
                          : "the answer is not of an entry daemon";
@@ -104,13 +96,13 @@
   zp_buf_printf (out, "\nlook-up: caller %.*s uses these entries, best first:",
                  ZP_ARG (caller.len > 0 ? caller : ZP_STR ("at this host")));
   zp_buf_put (out, ZP_STR ("\n"));
-  zc_table_put (out, list_of (lookup, "entries"), COLUMNS (entries));
+  zc_table_put (out, ti_json_get (lookup, "entries"), COLUMNS (entries));
   zp_buf_put (out, ZP_STR ("a request to this entry daemon: "));
   zc_value_put (out, explain, "decision");
   zp_buf_put (out, ZP_STR (" (queued: "));
   zc_value_put (out, explain, "queued");
   zp_buf_put (out, ZP_STR (")\ncandidates:\n"));
-  zc_table_put (out, list_of (explain, "candidates"), COLUMNS (servers));
+  zc_table_put (out, ti_json_get (explain, "candidates"), COLUMNS (servers));
 }
 
 static void
@@ -142,12 +134,12 @@
   zp_buf_put (out, ZP_STR (", leaving: "));
   zc_value_put (out, s, "leaving");
   zp_buf_put (out, ZP_STR ("\nmembers:\n"));
-  zc_table_put (out, list_of (s, "members"), COLUMNS (members));
+  zc_table_put (out, ti_json_get (s, "members"), COLUMNS (members));
   zp_buf_put (out,
               ZP_STR ("services (slots of owned servers, slots held):\n"));
-  zc_table_put (out, list_of (s, "services"), COLUMNS (services));
+  zc_table_put (out, ti_json_get (s, "services"), COLUMNS (services));
   zp_buf_put (out, ZP_STR ("servers that announce to this entry:\n"));
-  zc_table_put (out, list_of (s, "servers"), COLUMNS (servers));
+  zc_table_put (out, ti_json_get (s, "servers"), COLUMNS (servers));
 }
 
 /* Commands.  */
--- a/src/ticket/command.c
+++ b/src/ticket/command.c
@@ -42,21 +42,12 @@
   zp_buf_put (out, ZP_STR ("}"));
 }
 
-static struct json_object *
-get (struct json_object *root, const char *key)
-{
-  struct json_object *v = NULL;
-
-  json_object_object_get_ex (root, key, &v);
-  return v;
-}
-
 static bool
 get_share (struct json_object *root, const char *key, uint32_t *out)
 {
   uint64_t n;
 
-  if (!ti_json_u64 (get (root, key), &n) || n > TI_SHARE_ONE)
+  if (!ti_json_u64 (ti_json_get (root, key), &n) || n > TI_SHARE_ONE)
     return false;
   *out = (uint32_t) n;
   return true;
@@ -68,7 +59,7 @@
 {
   struct zp_report report = { .count = 0 };
 
-  out->ticket = ti_ticket_read (get (root, "ticket"), &report);
+  out->ticket = ti_ticket_read (ti_json_get (root, "ticket"), &report);
   if (!out->ticket)
     zp_fail (err, ZP_ECORRUPT, "%.*s", ZP_ARG (zp_str_of (&report.lines)));
   zp_report_free (&report);
@@ -86,18 +77,19 @@
     case TI_SUBMIT:
       return decode_submit (root, &out->u.submit, err);
     case TI_REVIEW:
-      ok = ti_digest_parse (ti_json_str (get (root, "digest")),
+      ok = ti_digest_parse (ti_json_str (ti_json_get (root, "digest")),
                             &out->u.review.digest)
-           && ti_name_parse (ti_json_str (get (root, "reviewer")),
+           && ti_name_parse (ti_json_str (ti_json_get (root, "reviewer")),
                              &out->u.review.reviewer);
       break;
     case TI_NUMBER:
-      ok = ti_digest_parse (ti_json_str (get (root, "digest")),
+      ok = ti_digest_parse (ti_json_str (ti_json_get (root, "digest")),
                             &out->u.number.digest)
-           && ti_json_u64 (get (root, "number"), &out->u.number.number);
+           && ti_json_u64 (ti_json_get (root, "number"),
+                           &out->u.number.number);
       break;
     case TI_STEP:
-      ok = ti_name_parse (ti_json_str (get (root, "shift")),
+      ok = ti_name_parse (ti_json_str (ti_json_get (root, "shift")),
                           &out->u.step.shift)
            && get_share (root, "before", &out->u.step.before)
            && get_share (root, "after", &out->u.step.after);
@@ -119,14 +111,14 @@
   *out = (struct ti_command){ .kind = TI_SUBMIT };
   if (!root)
     return false;
-  struct zp_str name = ti_json_str (get (root, "command"));
+  struct zp_str name = ti_json_str (ti_json_get (root, "command"));
   for (enum ti_command_kind k = TI_SUBMIT; k <= TI_STEP; k++)
     if (zp_str_eq (name, zp_str_from (names[k])))
       {
         out->kind = k;
         ok = true;
       }
-  if (!ok || !ti_json_u64 (get (root, "now"), &now))
+  if (!ok || !ti_json_u64 (ti_json_get (root, "now"), &now))
     {
       ok = zp_fail (err, ZP_ECORRUPT, "not a command of the ticket state");
     }
--- a/src/ticket/json.c
+++ b/src/ticket/json.c
@@ -5,6 +5,15 @@
 
 #define FOUND_MAX 80
 
+struct json_object *
+ti_json_get (struct json_object *root, const char *key)
+{
+  struct json_object *v = NULL;
+
+  json_object_object_get_ex (root, key, &v);
+  return v;
+}
+
 struct zp_str
 ti_json_str (struct json_object *v)
 {
--- a/src/ticket/json.h
+++ b/src/ticket/json.h
@@ -11,6 +11,9 @@
 
 #include "base/err.h"
 
+/* The member KEY of ROOT; NULL when ROOT has none or is no object.  */
+struct json_object *ti_json_get (struct json_object *root, const char *key);
+
 /* The empty view when V is not a string.  */
 struct zp_str ti_json_str (struct json_object *v);
 
--- a/src/ticket/store_snapshot.c
+++ b/src/ticket/store_snapshot.c
@@ -70,19 +70,10 @@
 
 /* Reading.  */
 
-static struct json_object *
-get (struct json_object *root, const char *key)
-{
-  struct json_object *v = NULL;
-
-  json_object_object_get_ex (root, key, &v);
-  return v;
-}
-
 static bool
 get_u64 (struct json_object *root, const char *key, uint64_t *out)
 {
-  return ti_json_u64 (get (root, key), out);
+  return ti_json_u64 (ti_json_get (root, key), out);
 }
 
 static bool
@@ -97,7 +88,7 @@
   struct zp_report report = { .count = 0 };
   struct zp_buf text = { .ptr = NULL };
   struct ti_pending p = { .bytes = 0 };
-  struct json_object *reviewer = get (line, "reviewer");
+  struct json_object *reviewer = ti_json_get (line, "reviewer");
   uint64_t submitted;
 
   if (!get_u64 (line, "submitted", &submitted)
@@ -107,7 +98,7 @@
   p.reviewed = reviewer != NULL;
   if (p.reviewed && !ti_name_parse (ti_json_str (reviewer), &p.reviewer))
     return bad (err, "reviewer");
-  p.ticket = ti_ticket_read (get (line, "ticket"), &report);
+  p.ticket = ti_ticket_read (ti_json_get (line, "ticket"), &report);
   zp_report_free (&report);
   if (!p.ticket)
     return bad (err, "ticket");
@@ -122,7 +113,7 @@
 static bool
 read_state (struct json_object *line, enum ti_state *out)
 {
-  struct zp_str name = ti_json_str (get (line, "state"));
+  struct zp_str name = ti_json_str (ti_json_get (line, "state"));
 
   for (enum ti_state t = TI_STATE_NUMBERED; t <= TI_STATE_CONFLICT; t++)
     if (zp_str_eq (name, zp_str_from (ti_state_name (t))))
@@ -136,11 +127,11 @@
 static bool
 read_conflict (struct json_object *line, struct ti_conflict *out)
 {
-  struct json_object *objects = get (line, "objects");
-  struct json_object *winner = get (line, "winner");
+  struct json_object *objects = ti_json_get (line, "objects");
+  struct json_object *winner = ti_json_get (line, "winner");
   struct ti_key key;
 
-  if (!get (line, "by"))
+  if (!ti_json_get (line, "by"))
     return true;
   if (!get_u64 (line, "by", &out->number)
       || !json_object_is_type (objects, json_type_array))
@@ -161,13 +152,13 @@
   struct ti_record r = { .number = 0 };
   uint64_t at, mistakes = 0;
 
-  if (!ti_digest_parse (ti_json_str (get (line, "digest")), &r.digest)
+  if (!ti_digest_parse (ti_json_str (ti_json_get (line, "digest")), &r.digest)
       || !read_state (line, &r.state) || !get_u64 (line, "number", &r.number)
       || !get_u64 (line, "at", &at))
     return bad (err, "record");
   r.at = (zp_time) at;
   if (get_u64 (line, "mistakes", &mistakes))
-    zp_buf_put (&r.errors.lines, ti_json_str (get (line, "errors")));
+    zp_buf_put (&r.errors.lines, ti_json_str (ti_json_get (line, "errors")));
   r.errors.count = mistakes;
   bool ok = read_conflict (line, &r.conflict);
   ti_store_add_record (s, &r);
