Move shifts by the decisions of the leader

Cause: the decision on a shift and the command for its steps were there, but nothing took the one or proposed the other.

Change: entry daemons report, about once a second, their failure domain and the slots, free slots and ejected servers of the servers they own. A report carries its age and is passed on once, so that a relay does not make a daemon that has ended look alive. The leader keeps the logged steps, decides on every shift once a second and proposes TI_STEP. Status shows share, target and reason.

--- a/src/control/answers.c
+++ b/src/control/answers.c
@@ -172,6 +172,37 @@
   zp_buf_put (out, ZP_STR ("]"));
 }
 
+static void
+put_shifts (struct zp_buf *out, const struct ti_config *c,
+            const struct ct_shifts *shifts)
+{
+  const struct ti_slot *slot;
+  size_t at = 0;
+  bool first = true;
+
+  zp_buf_put (out, ZP_STR ("["));
+  while ((slot = ti_config_next (c, TI_SHIFT, &at)))
+    {
+      const struct ti_shift *o = &slot->object->u.shift;
+      zp_buf_printf (out,
+                     "%s{\"name\":\"%.*s\",\"from\":\"%.*s\","
+                     "\"to\":\"%.*s\",\"moved\":",
+                     first ? "" : ",", ZP_ARG (ti_text_str (&slot->key.name)),
+                     ZP_ARG (ti_text_str (&o->from)),
+                     ZP_ARG (ti_text_str (&o->to)));
+      ti_json_put_decimal (out, slot->moved, 6);
+      zp_buf_put (out, ZP_STR (",\"target\":"));
+      ti_json_put_decimal (out, o->share, 6);
+      zp_buf_put (out, ZP_STR (",\"reason\":"));
+      ti_json_put_string (
+          out, zp_str_from (shifts ? ct_shifts_reason (shifts, &slot->key.name)
+                                   : ""));
+      zp_buf_put (out, ZP_STR ("}"));
+      first = false;
+    }
+  zp_buf_put (out, ZP_STR ("]"));
+}
+
 void
 ct_answer_status (struct tk_http_answer *a, const struct ti_store *s,
                   const struct ct_report *report)
@@ -204,6 +235,8 @@
                  "\"waiting\":",
                  report->followers, report->current);
   put_waiting (out, s);
+  zp_buf_put (out, ZP_STR (",\"shifts\":"));
+  put_shifts (out, c, report->shifts);
   zp_buf_put (out, ZP_STR ("}\n"));
 }
 
--- a/src/control/answers.h
+++ b/src/control/answers.h
@@ -8,6 +8,7 @@
 #ifndef ZP_CONTROL_ANSWERS_H
 #define ZP_CONTROL_ANSWERS_H
 
+#include "control/shifts.h"
 #include "task/msg.h"
 #include "ticket/store.h"
 
@@ -35,6 +36,7 @@
   size_t members;
   size_t followers; /* daemons that reported in the last minute */
   size_t current;   /* of these, with the configuration in force */
+  const struct ct_shifts *shifts; /* NULL: nothing is known of decisions */
 };
 
 void ct_answer_error (struct tk_http_answer *a, unsigned status,
--- a/src/control/control.c
+++ b/src/control/control.c
@@ -10,6 +10,7 @@
 #include "control/reconcile.h"
 #include "control/replica.h"
 #include "control/reports.h"
+#include "control/shifts.h"
 #include "control/standing.h"
 #include "control/waiting.h"
 #include "follow/source.h"
@@ -19,6 +20,7 @@
 
 #define TICK (250 * ZP_MS)
 #define RECONCILE_PERIOD (1 * ZP_SEC)
+#define SHIFT_PERIOD (1 * ZP_SEC)
 
 struct ct_control
 {
@@ -30,6 +32,7 @@
   struct fr_server *front;
   struct fo_source *source; /* NULL: no "follow" in the settings */
   struct ct_reports reports;
+  struct ct_shifts shifts;
   struct ct_waitings waiting;
   uint64_t proposals; /* numbers given so far */
   uint64_t change;    /* proposal of a change of members; 0: none */
@@ -37,7 +40,8 @@
   bool fresh;         /* as last told to the source */
   ev_timer tick;
   zp_time reconciled;
-  zp_time stop_at; /* 0: not stopping */
+  zp_time shifts_at; /* next decisions on shifts */
+  zp_time stop_at;   /* 0: not stopping */
 };
 
 static struct ct_standing
@@ -92,6 +96,7 @@
   ct_reports_count (&c->reports, zp_clock_mono (),
                     ti_store_config (c->store)->index, &report.followers,
                     &report.current);
+  report.shifts = &c->shifts;
   ct_decide (c->store, &now, &report, zp_clock_wall (), r, &d);
   switch (d.kind)
     {
@@ -181,7 +186,10 @@
   ti_store_apply (c->store, index, bytes, &r);
   log_result (index, &r);
   if (r.change)
-    send_change (c, from, r.change);
+    {
+      ct_shifts_applied (&c->shifts, r.change, term, zp_clock_mono ());
+      send_change (c, from, r.change);
+    }
   if (w)
     {
       assert (!w->answer);
@@ -212,6 +220,7 @@
   ti_store_free (c->store);
   c->store = s;
   c->term = term;
+  ct_shifts_restored (&c->shifts, ti_store_config (s), term, zp_clock_mono ());
   zp_log (ZP_LOG_NOTICE, PART,
           "restored the state of entry %" PRIu64 ", configuration %" PRIu64,
           index, ti_store_config (s)->number);
@@ -274,6 +283,9 @@
 
   if (w)
     end_waiting (c, w, reply);
+  else if (reply->kind != LG_REPLY_ACCEPTED
+           && ct_shifts_answered (&c->shifts, reply->proposal))
+    return;
   else if (reply->proposal == c->change && reply->kind != LG_REPLY_ACCEPTED)
     {
       c->change = 0;
@@ -312,6 +324,40 @@
   ct_replica_change (c->replica, c->change, &change);
 }
 
+static void
+propose_step (struct ct_control *c, const struct ti_step_command *step)
+{
+  const struct ti_command command
+      = { .kind = TI_STEP, .now = zp_clock_wall (), .u.step = *step };
+  struct zp_buf bytes = { .ptr = NULL };
+
+  ti_command_encode (&command, &bytes);
+  ct_shifts_proposed (&c->shifts, &step->shift, ++c->proposals);
+  ct_replica_propose (c->replica, c->proposals, zp_str_of (&bytes));
+  zp_buf_free (&bytes);
+}
+
+/* Once a period, the leader decides on every shift.  */
+static void
+move_shifts (struct ct_control *c, zp_time now)
+{
+  const struct ti_config *config = ti_store_config (c->store);
+  struct lg_status status = ct_replica_status (c->replica);
+  const struct ti_slot *slot;
+  struct ti_step_command step;
+  size_t at = 0;
+
+  if (now < c->shifts_at)
+    return;
+  c->shifts_at = now + SHIFT_PERIOD;
+  ct_shifts_lead (&c->shifts, &status, now);
+  if (status.role != LG_LEADER)
+    return;
+  while ((slot = ti_config_next (config, TI_SHIFT, &at)))
+    if (ct_shifts_decide (&c->shifts, config, slot, &c->reports, now, &step))
+      propose_step (c, &step);
+}
+
 static void
 on_tick (struct ev_loop *ev, ev_timer *w, int events)
 {
@@ -322,6 +368,7 @@
   (void) events;
   update_fresh (c);
   reconcile (c, now);
+  move_shifts (c, now);
   if (c->stop_at == 0)
     return;
   if (fr_server_pending (c->front) > 0 && now < c->stop_at)
@@ -444,6 +491,7 @@
     ct_replica_close (c->replica);
   fo_source_close (c->source);
   ct_waiting_free (&c->waiting);
+  ct_shifts_free (&c->shifts);
   tk_task_free (&c->task);
   ti_store_free (c->store);
   free (c);
--- a/src/control/reports.c
+++ b/src/control/reports.c
@@ -6,7 +6,7 @@
 {
   size_t at = 0;
 
-  while (at < r->len && r->item[at].daemon != report->daemon)
+  while (at < r->len && r->item[at].report.daemon != report->daemon)
     at++;
   if (at == r->len)
     /* The place of one that went silent, or a new one.  */
@@ -17,9 +17,8 @@
     return;
   if (at == r->len)
     r->len++;
-  r->item[at] = (struct ct_in_force){ .daemon = report->daemon,
-                                      .version = report->version,
-                                      .at = now };
+  r->item[at]
+      = (struct ct_in_force){ .report = *report, .at = now - report->age };
 }
 
 void
@@ -32,6 +31,6 @@
     if (now - r->item[i].at <= CT_REPORT_PERIOD)
       {
         ++*reporting;
-        *current += r->item[i].version >= version;
+        *current += r->item[i].report.version >= version;
       }
 }
--- a/src/control/reports.h
+++ b/src/control/reports.h
@@ -18,9 +18,8 @@
 
 struct ct_in_force
 {
-  uint64_t daemon;
-  uint64_t version;
-  zp_time at;
+  struct tk_in_force report;
+  zp_time at; /* when the report was made */
 };
 
 struct ct_reports
--- a/src/ctl/status.c
+++ b/src/ctl/status.c
@@ -60,6 +60,40 @@
     }
 }
 
+static double
+share_of (struct json_object *root, const char *key)
+{
+  struct json_object *v = NULL;
+
+  json_object_object_get_ex (root, key, &v);
+  return json_object_get_double (v);
+}
+
+/* Shifts as S sees them; only the leader knows the reasons.  */
+static void
+print_shifts (struct json_object *s)
+{
+  struct json_object *list = NULL;
+
+  json_object_object_get_ex (s, "shifts", &list);
+  if (!json_object_is_type (list, json_type_array))
+    return;
+  for (size_t i = 0; i < json_object_array_length (list); i++)
+    {
+      struct json_object *t = json_object_array_get_idx (list, i);
+      printf ("shift %s from %s to %s: moved %.6f, target %.6f: %s\n",
+              text_of (t, "name"), text_of (t, "from"), text_of (t, "to"),
+              share_of (t, "moved"), share_of (t, "target"),
+              text_of (t, "reason"));
+    }
+}
+
+static bool
+is_leader (struct json_object *s)
+{
+  return number_of (s, "id") == number_of (s, "leader");
+}
+
 static struct json_object *
 ask (struct zp_str server, zp_time limit, struct zp_err *err)
 {
@@ -96,7 +130,8 @@
 enum zc_exit
 zc_run_status (const struct zc_client *c, bool json)
 {
-  struct json_object *all = json_object_new_array (), *best = NULL;
+  struct json_object *all = json_object_new_array (), *best = NULL,
+                     *leader = NULL;
 
   for (size_t i = 0; i < c->servers.len; i++)
     {
@@ -110,13 +145,18 @@
       if (s
           && (!best || number_of (s, "applied") > number_of (best, "applied")))
         best = s;
+      if (s && is_leader (s))
+        leader = s;
       json_object_put (s); /* ALL keeps it */
     }
   enum zc_exit status = best ? ZC_DONE : ZC_UNREACHABLE;
   if (json)
     zc_print_json (all);
   else if (best)
-    print_waiting (best);
+    {
+      print_waiting (best);
+      print_shifts (leader ? leader : best);
+    }
   else
     fputs ("next: check --server and that zp-control runs on the control "
            "VMs\n",
--- a/src/entry/config.c
+++ b/src/entry/config.c
@@ -2,9 +2,13 @@
 
 #include "base/log.h"
 #include "entry/router.h"
+#include "steer/table.h"
 
 #define PART "config"
 
+/* Shorter than a second, so that a late timer does not make it longer.  */
+#define REPORT_PERIOD (800 * ZP_MS)
+
 /* Services.  */
 
 static struct en_service *
@@ -155,15 +159,51 @@
   return NULL;
 }
 
+/* The servers that this daemon owns and may lend.  A server that it has not
+   used yet counts as cold.  */
 static void
-report_in_force (struct en_router *r, const struct tk_config *c)
+report_servers (struct en_router *r, struct tk_in_force *out, zp_time now)
 {
-  struct tk_msg *m = tk_msg_new (TK_IN_FORCE);
+  double warm = 0;
+
+  for (size_t i = 0; i < r->lessor.owner.servers; i++)
+    {
+      const struct st_server *s = r->lessor.owner.server[i];
+      if (!st_server_grantable (s, now))
+        continue;
+      const struct en_server *x
+          = en_server_find (r, zp_str_hash (zp_str_from (s->id), 0));
+      out->servers++;
+      out->slots += s->slots;
+      out->free += st_server_free (s);
+      if (!x)
+        continue;
+      if (st_health_state (&x->health, now) == ST_HEALTH_UP)
+        warm += s->slots * st_health_ramp (&x->health, now);
+      else
+        out->ejected++;
+    }
+  out->warm = (uint32_t) warm;
+}
 
+/* Tells control what is in force here, and the servers of this daemon.  */
+void
+en_config_report (struct en_router *r)
+{
+  zp_time now = zp_clock_mono ();
+
+  if (!r->config || !r->follower)
+    return;
+  struct tk_msg *m = tk_msg_new (TK_IN_FORCE);
   m->u.in_force = (struct tk_in_force){ .daemon = r->id,
-                                        .version = c->version,
-                                        .number = c->number };
+                                        .version = r->config->index,
+                                        .number = r->config->number };
+  zp_str_copy (m->u.in_force.failure_domain,
+               sizeof m->u.in_force.failure_domain,
+               r->settings->failure_domain);
+  report_servers (r, &m->u.in_force, now);
   tk_send (r->follower, m);
+  r->report_at = now + REPORT_PERIOD;
 }
 
 static void
@@ -220,7 +260,7 @@
   zp_gauge (zp_counter ("zp_config_number", ""), (int64_t) c->number);
   zp_log (ZP_LOG_NOTICE, PART, "version %llu, number %llu is in force",
           (unsigned long long) c->version, (unsigned long long) c->number);
-  report_in_force (r, c);
+  en_config_report (r);
   pass_on (r, c);
 }
 
--- a/src/entry/router.h
+++ b/src/entry/router.h
@@ -114,6 +114,7 @@
   struct en_shift *shift; /* this daemon's part of each shift */
   size_t shifts;
   zp_time shifts_at;
+  zp_time report_at; /* next report to control */
 
   /* Members.  */
   struct en_members members;
@@ -154,6 +155,7 @@
 
 /* config.c */
 void en_config_take (struct en_router *r, struct tk_config *c);
+void en_config_report (struct en_router *r);
 void en_config_send_whole (struct en_router *r, struct tk_task *to);
 void en_members_changed (struct en_router *r);
 void en_drains_apply (struct en_router *r);
--- a/src/entry/shifts.c
+++ b/src/entry/shifts.c
@@ -86,6 +86,8 @@
 {
   zp_time now = zp_clock_mono ();
 
+  if (now >= r->report_at)
+    en_config_report (r);
   if (!r->plan || now < r->shifts_at)
     return;
   r->shifts_at = now + PERIOD;
--- a/src/follow/codec.c
+++ b/src/follow/codec.c
@@ -124,6 +124,13 @@
       items[i].id = r[i].daemon;
       items[i].version = r[i].version;
       items[i].number = r[i].number;
+      items[i].age_us = (uint64_t) (r[i].age);
+      items[i].failure_domain = (char *) r[i].failure_domain;
+      items[i].servers = r[i].servers;
+      items[i].ejected = r[i].ejected;
+      items[i].slots = r[i].slots;
+      items[i].free = r[i].free;
+      items[i].warm = r[i].warm;
       list[i] = &items[i];
     }
   w.n_daemons = n;
@@ -133,6 +140,27 @@
   free (items);
 }
 
+/* Ages above this are cut, so that no time overflows.  */
+#define AGE_MAX (3600 * ZP_SEC)
+
+static void
+get_in_force (const Wire__FollowReport__InForce *w, struct tk_in_force *out)
+{
+  *out = (struct tk_in_force){ .daemon = w->id,
+                               .version = w->version,
+                               .number = w->number,
+                               .age = AGE_MAX,
+                               .servers = w->servers,
+                               .ejected = w->ejected,
+                               .slots = w->slots,
+                               .free = w->free,
+                               .warm = w->warm };
+  if (w->age_us < (uint64_t) AGE_MAX)
+    out->age = (zp_time) w->age_us;
+  zp_str_copy (out->failure_domain, sizeof out->failure_domain,
+               zp_str_from (w->failure_domain));
+}
+
 bool
 fo_get_report (struct zp_str payload, fo_in_force *each, void *self)
 {
@@ -142,9 +170,11 @@
   if (!w)
     return false;
   for (size_t i = 0; i < w->n_daemons; i++)
-    each (self, &(struct tk_in_force){ .daemon = w->daemons[i]->id,
-                                       .version = w->daemons[i]->version,
-                                       .number = w->daemons[i]->number });
+    {
+      struct tk_in_force r;
+      get_in_force (w->daemons[i], &r);
+      each (self, &r);
+    }
   wi_free (w);
   return true;
 }
--- a/src/follow/follower.c
+++ b/src/follow/follower.c
@@ -37,10 +37,12 @@
   size_t changes_kept; /* in the cache file */
   uint64_t writes;
 
-  /* In-force reports for the source, one a daemon.  */
+  /* Reports that the source has not got yet, one a daemon.  A report is sent
+     once: every daemon makes a new one each second, and a repeated one would
+     make a daemon that has ended look alive.  */
   struct tk_in_force *reports;
-  size_t report_count;
-  bool report_due;
+  zp_time *taken;
+  size_t report_count, report_cap;
 };
 
 /* Towards the deciding task.  */
@@ -140,11 +142,17 @@
 {
   struct zp_buf b = { .ptr = NULL };
 
-  if (!f->report_due || !f->conn || !wi_conn_ready (f->conn))
+  if (f->report_count == 0 || !f->conn || !wi_conn_ready (f->conn))
     return;
+  zp_time now = zp_clock_mono ();
+  for (size_t i = 0; i < f->report_count; i++)
+    {
+      f->reports[i].age += now - f->taken[i];
+      f->taken[i] = now;
+    }
   fo_put_report (&b, f->reports, f->report_count);
   if (wi_conn_send (f->conn, WI_FOLLOW_REPORT, zp_str_of (&b)))
-    f->report_due = false;
+    f->report_count = 0;
   zp_buf_free (&b);
 }
 
@@ -280,7 +288,6 @@
                  &(struct fo_follow){ .id = f->id, .have = f->state.version });
   wi_conn_send (f->conn, WI_FOLLOW, zp_str_of (&b));
   zp_buf_free (&b);
-  f->report_due = f->report_count > 0;
 }
 
 static void
@@ -306,6 +313,7 @@
 
 /* Messages.  */
 
+/* The report goes on with the next ping or tick, together with others.  */
 static void
 take_report (struct fo_follower *f, const struct tk_in_force *r)
 {
@@ -315,16 +323,16 @@
     i++;
   if (i == REPORTS_MAX)
     return;
-  if (i == f->report_count)
+  if (i == f->report_cap)
     {
-      f->reports
-          = zp_realloc (f->reports, ++f->report_count * sizeof *f->reports);
-      f->reports[i] = *r;
+      f->report_cap = i + 8;
+      f->reports = zp_realloc (f->reports, f->report_cap * sizeof *f->reports);
+      f->taken = zp_realloc (f->taken, f->report_cap * sizeof *f->taken);
     }
-  if (r->version >= f->reports[i].version)
-    f->reports[i] = *r;
-  f->report_due = true;
-  send_reports (f);
+  if (i == f->report_count)
+    f->report_count++;
+  f->reports[i] = *r;
+  f->taken[i] = zp_clock_mono ();
 }
 
 static void
@@ -458,5 +466,6 @@
     zp_buf_free (&f->sources[i]);
   free (f->sources);
   free (f->reports);
+  free (f->taken);
   free (f);
 }
--- a/src/task/msg.h
+++ b/src/task/msg.h
@@ -164,11 +164,17 @@
   struct zp_buf bytes;
 };
 
+/* The servers of a report are those that the daemon owns and may lend.  */
 struct tk_in_force
 {
   uint64_t daemon;
   uint64_t version;
   uint64_t number;
+  zp_time age; /* since the report was made */
+  char failure_domain[ZP_NAME_MAX];
+  uint32_t servers, ejected;
+  uint32_t slots, free;
+  uint32_t warm; /* of the slots: those that the slow start allows */
 };
 
 struct tk_fresh
--- a/src/wire/follow.pb-c.c
+++ b/src/wire/follow.pb-c.c
@@ -482,7 +482,7 @@
   (ProtobufCMessageInit) wire__follow_snapshot__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__follow_report__in_force__field_descriptors[3] =
+static const ProtobufCFieldDescriptor wire__follow_report__in_force__field_descriptors[10] =
 {
   {
     "id",
@@ -520,16 +520,107 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "age_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__FollowReport__InForce, age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failure_domain",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__FollowReport__InForce, failure_domain),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "servers",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__FollowReport__InForce, servers),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ejected",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__FollowReport__InForce, ejected),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slots",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__FollowReport__InForce, slots),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "free",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__FollowReport__InForce, free),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "warm",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__FollowReport__InForce, warm),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__follow_report__in_force__field_indices_by_name[] = {
+  3,   /* field[3] = age_us */
+  6,   /* field[6] = ejected */
+  4,   /* field[4] = failure_domain */
+  8,   /* field[8] = free */
   0,   /* field[0] = id */
   2,   /* field[2] = number */
+  5,   /* field[5] = servers */
+  7,   /* field[7] = slots */
   1,   /* field[1] = version */
+  9,   /* field[9] = warm */
 };
 static const ProtobufCIntRange wire__follow_report__in_force__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor wire__follow_report__in_force__descriptor =
 {
@@ -539,7 +630,7 @@
   "Wire__FollowReport__InForce",
   "wire",
   sizeof(Wire__FollowReport__InForce),
-  3,
+  10,
   wire__follow_report__in_force__field_descriptors,
   wire__follow_report__in_force__field_indices_by_name,
   1,  wire__follow_report__in_force__number_ranges,
--- a/src/wire/follow.pb-c.h
+++ b/src/wire/follow.pb-c.h
@@ -86,14 +86,33 @@
   uint64_t id;
   uint64_t version;
   uint64_t number;
+  /*
+   * time since the report was made
+   */
+  uint64_t age_us;
+  char *failure_domain;
+  uint32_t servers;
+  /*
+   * of the servers
+   */
+  uint32_t ejected;
+  uint32_t slots;
+  /*
+   * of the slots
+   */
+  uint32_t free;
+  /*
+   * of the slots: those that the slow start allows
+   */
+  uint32_t warm;
 };
 #define WIRE__FOLLOW_REPORT__IN_FORCE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__follow_report__in_force__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 /*
- * Which configuration is in force where.
+ * Which configuration is in force where, and the servers that each daemon owns.
  */
 struct  Wire__FollowReport
 {
--- /dev/null
+++ b/tests/test-control-shifts.c
@@ -0,0 +1,353 @@
+#include "harness.h"
+#include "seeds.h"
+
+#include <math.h>
+#include <stdlib.h>
+
+#include "base/rng.h"
+#include "control/shifts.h"
+
+#define S ZP_SEC
+
+/* Real time in which at most the cap may move.  */
+#define WINDOW (60 * S + ZP_LOOKUP_TTL)
+
+#define STEPS_MAX 1000
+
+/* One control daemon with a shift from site a to site b.  */
+struct world
+{
+  struct ti_config *config;
+  struct ct_shifts shifts;
+  struct ct_reports reports;
+  struct lg_status status;
+  uint64_t proposals;
+  zp_time at[STEPS_MAX]; /* of the steps made */
+  double change[STEPS_MAX];
+  size_t steps;
+};
+
+static const struct ti_slot *
+shift_slot (const struct world *w)
+{
+  size_t at = 0;
+
+  return ti_config_next (w->config, TI_SHIFT, &at);
+}
+
+/* Puts the next numbered ticket with the objects of SET in force.  */
+static void
+edit (struct world *w, const char *set)
+{
+  struct zp_buf text = { .ptr = NULL };
+  struct zp_err err;
+
+  zp_buf_printf (&text,
+                 "{\"index\":%llu,\"time\":0,\"number\":%llu,\"digest\":"
+                 "\"%064d\",\"set\":{%s}}",
+                 (unsigned long long) w->config->index + 1,
+                 (unsigned long long) w->config->number + 1, 0, set);
+  struct ti_change *change = ti_change_decode (zp_str_of (&text), &err);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (change);
+  CU_ASSERT_FATAL (ti_config_apply (w->config, change, &err));
+  ti_change_free (change);
+  zp_buf_free (&text);
+}
+
+static void
+set_shift (struct world *w, const char *share)
+{
+  char text[160];
+
+  snprintf (text, sizeof text,
+            "\"shift/s\":{\"from\":\"a\",\"to\":\"b\",\"share\":%s,"
+            "\"cap_per_minute\":0.08}",
+            share);
+  edit (w, text);
+}
+
+static void
+lead (struct world *w, uint64_t term, zp_time now)
+{
+  w->status = (struct lg_status){ .role = LG_LEADER,
+                                  .lease = true,
+                                  .term = term,
+                                  .last_index = 1,
+                                  .applied = 1 };
+  ct_shifts_lead (&w->shifts, &w->status, now);
+}
+
+static void
+open_world (struct world *w, const char *share)
+{
+  *w = (struct world){ .config = ti_config_new () };
+  edit (w, "\"region/r\":{\"latency_ms\":{}},"
+           "\"failure_domain/da\":{\"region\":\"r\",\"entry_networks\":"
+           "[\"10.1.0.0/16\"]},"
+           "\"failure_domain/db\":{\"region\":\"r\",\"entry_networks\":"
+           "[\"10.2.0.0/16\"]},"
+           "\"site/a\":{\"failure_domain\":\"da\"},"
+           "\"site/b\":{\"failure_domain\":\"db\"}");
+  set_shift (w, share);
+  lead (w, 1, 0);
+}
+
+static void
+close_world (struct world *w)
+{
+  ct_shifts_free (&w->shifts);
+  ti_config_free (w->config);
+}
+
+static struct tk_in_force
+report_of (uint64_t daemon, const char *domain)
+{
+  struct tk_in_force r = {
+    .daemon = daemon, .servers = 8, .slots = 800, .free = 700, .warm = 800
+  };
+
+  zp_str_copy (r.failure_domain, sizeof r.failure_domain,
+               zp_str_from (domain));
+  return r;
+}
+
+/* Both sites are well.  */
+static void
+report (struct world *w, zp_time now)
+{
+  struct tk_in_force a = report_of (1, "da"), b = report_of (2, "db");
+
+  ct_reports_add (&w->reports, now, &a);
+  ct_reports_add (&w->reports, now, &b);
+}
+
+static bool
+decide (struct world *w, zp_time now, struct ti_step_command *step)
+{
+  ct_shifts_lead (&w->shifts, &w->status, now);
+  return ct_shifts_decide (&w->shifts, w->config, shift_slot (w), &w->reports,
+                           now, step);
+}
+
+static const char *
+reason (const struct world *w)
+{
+  return ct_shifts_reason (&w->shifts, &shift_slot (w)->key.name);
+}
+
+/* The step is committed and applied at NOW.  */
+static void
+commit (struct world *w, const struct ti_step_command *step, zp_time now)
+{
+  struct ti_change change
+      = { .kind = TI_CHANGE_STEP,
+          .index = w->config->index + 1,
+          .u.step = { .shift = step->shift, .moved = step->after } };
+
+  ct_shifts_proposed (&w->shifts, &step->shift, ++w->proposals);
+  CU_ASSERT_FATAL (ti_config_apply (w->config, &change, NULL));
+  ct_shifts_applied (&w->shifts, &change, w->status.term, now);
+  CU_ASSERT (ct_shifts_answered (&w->shifts, w->proposals));
+  CU_ASSERT_FATAL (w->steps < STEPS_MAX);
+  w->at[w->steps] = now;
+  w->change[w->steps++]
+      = fabs ((double) step->after - step->before) / TI_SHARE_ONE;
+}
+
+/* Decides once a second with good reports.  */
+static void
+run (struct world *w, zp_time from, zp_time to)
+{
+  struct ti_step_command step;
+
+  for (zp_time now = from; now < to; now += S)
+    {
+      report (w, now);
+      if (decide (w, now, &step))
+        commit (w, &step, now);
+    }
+}
+
+static double
+moved (const struct world *w)
+{
+  return (double) shift_slot (w)->moved / TI_SHARE_ONE;
+}
+
+/* No window of all steps has more than the cap.  */
+static void
+check_windows (const struct world *w)
+{
+  for (size_t i = 0; i < w->steps; i++)
+    {
+      double sum = 0;
+      for (size_t k = i; k < w->steps && w->at[k] - w->at[i] <= WINDOW; k++)
+        sum += w->change[k];
+      CU_ASSERT (sum <= 0.08 + 1e-9);
+    }
+}
+
+/* Guards against a step by a member that may have been replaced, or that does
+   not know all earlier steps yet.  */
+static void
+test_no_step_without_lease (void)
+{
+  struct world w;
+  struct ti_step_command step;
+
+  open_world (&w, "0.5");
+  report (&w, 10 * S);
+  w.status.lease = false;
+  CU_ASSERT (!decide (&w, 10 * S, &step));
+  CU_ASSERT_STRING_EQUAL (reason (&w), "not the leader");
+  w.status = (struct lg_status){
+    .role = LG_LEADER, .lease = true, .term = 2, .last_index = 9, .applied = 8
+  };
+  CU_ASSERT (!decide (&w, 10 * S, &step));
+  w.status.applied = 9;
+  CU_ASSERT (decide (&w, 10 * S, &step));
+  w.status.role = LG_FOLLOWER;
+  CU_ASSERT (!decide (&w, 10 * S, &step));
+  close_world (&w);
+}
+
+/* Guards against a second step on top of one that may still be lost, and
+   against a lost one that stops the shift for good.  */
+static void
+test_proposed_step_blocks (void)
+{
+  struct world w;
+  struct ti_step_command step;
+
+  open_world (&w, "0.5");
+  report (&w, 10 * S);
+  CU_ASSERT (decide (&w, 10 * S, &step));
+  ct_shifts_proposed (&w.shifts, &step.shift, 7);
+  CU_ASSERT (!decide (&w, 11 * S, &step));
+  CU_ASSERT (!ct_shifts_answered (&w.shifts, 6));
+  CU_ASSERT (ct_shifts_answered (&w.shifts, 7));
+  CU_ASSERT (decide (&w, 12 * S, &step));
+  close_world (&w);
+}
+
+/* Guards P1 against changes of leader at any time, with and without a
+   snapshot, and against rounding.  */
+static void
+test_cap_holds_over_changes_of_leader (void)
+{
+  for (uint64_t seed = 1; seed <= 20; seed++)
+    {
+      struct world w;
+      struct zp_rng rng;
+      zp_time now = S;
+
+      zp_rng_seed (&rng, seed);
+      open_world (&w, "1");
+      for (uint64_t term = 2; term < 12; term++)
+        {
+          zp_time end = now + (zp_time) zp_rng_below (&rng, 200) * S;
+          run (&w, now, end);
+          now = end + 1;
+          if (zp_rng_below (&rng, 2) == 0)
+            ct_shifts_restored (&w.shifts, w.config, term - 1, now);
+          lead (&w, term, now);
+        }
+      run (&w, now, now + 200 * S);
+      CU_ASSERT (moved (&w) > 0);
+      check_windows (&w);
+      close_world (&w);
+    }
+}
+
+/* Guards against a new leader that knows only the share of a snapshot, and
+   not that it went there and back a moment ago.  */
+static void
+test_snapshot_counts_as_a_whole_cap (void)
+{
+  struct world w;
+  struct ti_step_command step;
+
+  open_world (&w, "0.5");
+  ct_shifts_restored (&w.shifts, w.config, 1, 10 * S);
+  lead (&w, 2, 11 * S);
+  report (&w, 11 * S + WINDOW);
+  CU_ASSERT (!decide (&w, 11 * S + WINDOW, &step));
+  CU_ASSERT_STRING_EQUAL (reason (&w), "cap of the shift");
+  report (&w, 11 * S + ST_SHIFT_WINDOW + 1);
+  CU_ASSERT (decide (&w, 11 * S + ST_SHIFT_WINDOW + 1, &step));
+  close_world (&w);
+}
+
+/* Guards P2: a site that is silent, failing or full gets no more, and a report
+   that was long on its way does not pass for a new one.  */
+static void
+test_receiving_site_stops_it (void)
+{
+  struct world w;
+  struct ti_step_command step;
+  struct tk_in_force b = report_of (2, "db");
+
+  open_world (&w, "0.5");
+  CU_ASSERT (!decide (&w, 10 * S, &step));
+  CU_ASSERT (HAS_TEXT (reason (&w), "does not report"));
+  report (&w, 10 * S);
+  CU_ASSERT (!decide (&w, 10 * S + ST_SHIFT_SILENT + 1, &step));
+  CU_ASSERT (HAS_TEXT (reason (&w), "does not report"));
+  b.age = ST_SHIFT_SILENT + 1;
+  ct_reports_add (&w.reports, 20 * S, &b);
+  CU_ASSERT (!decide (&w, 20 * S, &step));
+  CU_ASSERT (HAS_TEXT (reason (&w), "does not report"));
+  b.age = 0;
+  b.free = 0;
+  ct_reports_add (&w.reports, 20 * S, &b);
+  CU_ASSERT (!decide (&w, 20 * S, &step));
+  CU_ASSERT (HAS_TEXT (reason (&w), "no headroom"));
+  b.free = 700;
+  b.ejected = b.servers / CT_SHIFT_FAILING;
+  ct_reports_add (&w.reports, 20 * S, &b);
+  CU_ASSERT (!decide (&w, 20 * S, &step));
+  CU_ASSERT (HAS_TEXT (reason (&w), "fails"));
+  b.ejected = 0;
+  ct_reports_add (&w.reports, 20 * S, &b);
+  CU_ASSERT (decide (&w, 20 * S, &step));
+  close_world (&w);
+}
+
+/* Guards against a way back that is faster than the way there, that looks at
+   the wrong site, or that does not end at 0.  */
+static void
+test_goes_back (void)
+{
+  struct world w;
+  struct ti_step_command step;
+  struct tk_in_force a = report_of (1, "da");
+
+  open_world (&w, "0.1");
+  run (&w, S, 300 * S);
+  CU_ASSERT_EQUAL (shift_slot (&w)->moved, TI_SHARE_ONE / 10);
+  CU_ASSERT_STRING_EQUAL (reason (&w), "done");
+  set_shift (&w, "0");
+  CU_ASSERT_EQUAL (shift_slot (&w)->moved, TI_SHARE_ONE / 10);
+  report (&w, 300 * S);
+  a.free = 0;
+  ct_reports_add (&w.reports, 300 * S, &a);
+  CU_ASSERT (!decide (&w, 300 * S, &step));
+  CU_ASSERT (HAS_TEXT (reason (&w), "no headroom"));
+  run (&w, 301 * S, 600 * S);
+  CU_ASSERT_EQUAL (shift_slot (&w)->moved, 0);
+  CU_ASSERT_STRING_EQUAL (reason (&w), "done");
+  check_windows (&w);
+  close_world (&w);
+}
+
+static const struct zp_test tests[] = {
+  { "no step without lease", test_no_step_without_lease },
+  { "proposed step blocks", test_proposed_step_blocks },
+  { "cap holds over changes of leader",
+    test_cap_holds_over_changes_of_leader },
+  { "snapshot counts as a whole cap", test_snapshot_counts_as_a_whole_cap },
+  { "receiving site stops it", test_receiving_site_stops_it },
+  { "goes back", test_goes_back },
+};
+
+TEST_MAIN ("control-shifts", tests)
