--- a/src/control/replica-links.c
+++ b/src/control/replica-links.c
@@ -236,7 +236,8 @@
       /* A follower of the log may have no request for a long time: reports
          keep its connection open.  */
       in->opened = zp_clock_mono ();
-      l->on_report (l->self, payload);
+      if (l->on_report)
+        l->on_report (l->self, payload);
       return;
     }
   if (!lg_codec_take (kind, payload, &m, &err) || !is_request (&m)
@@ -323,16 +324,19 @@
       close_in (&l->in[i]);
 }
 
+void
+ct_links_on_report (struct ct_links *l, ct_on_report *on_report)
+{
+  l->on_report = on_report;
+}
+
 struct ct_links *
 ct_links_open (struct ev_loop *ev, struct zp_str address, uint64_t id,
-               ct_on_msg *on_msg, ct_on_report *on_report, void *self,
-               struct zp_err *err)
+               ct_on_msg *on_msg, void *self, struct zp_err *err)
 {
   struct ct_links *l = zp_alloc (sizeof *l);
 
-  *l = (struct ct_links){
-    .ev = ev, .id = id, .on_msg = on_msg, .on_report = on_report, .self = self
-  };
+  *l = (struct ct_links){ .ev = ev, .id = id, .on_msg = on_msg, .self = self };
   l->listener = wi_listen (ev, address, on_accept, l, err);
   if (l->listener)
     return l;
--- a/src/control/replica-links.h
+++ b/src/control/replica-links.h
@@ -29,9 +29,11 @@
 typedef void ct_on_report (void *self, struct zp_str payload);
 
 struct ct_links *ct_links_open (struct ev_loop *ev, struct zp_str address,
-                                uint64_t id, ct_on_msg *on_msg,
-                                ct_on_report *on_report, void *self,
+                                uint64_t id, ct_on_msg *on_msg, void *self,
                                 struct zp_err *err);
+
+/* Reports are dropped without ON_REPORT, which is called with SELF above.  */
+void ct_links_on_report (struct ct_links *l, ct_on_report *on_report);
 void ct_links_free (struct ct_links *l);
 
 /* Connects to these members from now on.  */
--- a/src/control/replica.c
+++ b/src/control/replica.c
@@ -341,13 +341,13 @@
   zp_rng_seed_os (&r->rng);
   r->lock = lock_folder (o->folder, err);
   if (r->lock >= 0 && open_core (r, o, err))
-    r->links = ct_links_open (o->loop->ev, o->address, o->id, on_msg,
-                              on_report, r, err);
+    r->links = ct_links_open (o->loop->ev, o->address, o->id, on_msg, r, err);
   tk_loop_init (&r->disk_loop);
   tk_task_init (&r->replies, o->loop, on_reply, r);
   if (r->links
       && tk_disk_init (&r->disk, &r->disk_loop, o->folder, &r->replies, err))
     {
+      ct_links_on_report (r->links, on_report);
       tk_loop_start (&r->disk_loop);
       start_watchers (r);
       return r;
