--- a/src/control/replica.c
+++ b/src/control/replica.c
@@ -183,6 +183,21 @@
 
 /* Inputs of the core.  */
 
+static void
+on_report (void *self, struct zp_str payload)
+{
+  struct ct_replica *r = self;
+
+  if (r->callbacks.report)
+    r->callbacks.report (r->self, payload);
+}
+
+bool
+ct_replica_report (struct ct_replica *r, uint64_t to, struct zp_str payload)
+{
+  return ct_links_report (r->links, to, payload);
+}
+
 static void
 on_msg (void *self, const struct lg_msg *m)
 {
@@ -332,6 +347,7 @@
   if (r->links
       && tk_disk_init (&r->disk, &r->disk_loop, o->folder, &r->replies, err))
     {
+      ct_links_on_report (r->links, on_report);
       tk_loop_start (&r->disk_loop);
       start_watchers (r);
       return r;
