Say in zpctl explain which servers are candidates

Run against a deployment of 7 entry daemons, explain printed "candidates: none" for a service without traffic, although servers announce themselves: an entry daemon holds slots only while requests need them. The heading says so now. test-ctl checks it.

--- a/src/ctl/entry.c
+++ b/src/ctl/entry.c
@@ -101,7 +101,9 @@
   zc_value_put (out, explain, "decision");
   zp_buf_put (out, ZP_STR (" (queued: "));
   zc_value_put (out, explain, "queued");
-  zp_buf_put (out, ZP_STR (")\ncandidates:\n"));
+  zp_buf_put (out, ZP_STR (")\ncandidates (servers with slots that this "
+                           "entry daemon holds; it asks for slots when a "
+                           "request needs them):\n"));
   zc_table_put (out, ti_json_get (explain, "candidates"), COLUMNS (servers));
 }
 
--- a/tests/test-ctl.c
+++ b/tests/test-ctl.c
@@ -275,6 +275,7 @@
                         "  7      127.0.0.7:80  west-a          "
                         "west\n"));
   CU_ASSERT (has (&out, "server b-1 (queued: 2)\n"));
+  CU_ASSERT (has (&out, "candidates (servers with slots that this entry "));
   CU_ASSERT (has (&out, "  SERVER  TIER         SLOTS  IN FLIGHT  "
                         "SCORE  HEALTH  RAMP   LEAVING\n"
                         "  b-1     same region  3      1          "
