Do not move an empty list of steps

Cause: memmove got a null pointer for a shift without steps, found by test-control-shifts with SANITIZE=1.

Change: return early when no step is dropped; the test logs errors only.

--- a/src/control/shifts.c
+++ b/src/control/shifts.c
@@ -45,6 +45,8 @@
 
   while (n + 1 < x->steps && now - x->step[n + 1].at > ST_SHIFT_WINDOW)
     n++;
+  if (n == 0)
+    return;
   x->steps -= n;
   memmove (x->step, x->step + n, x->steps * sizeof *x->step);
 }
--- a/tests/test-control-shifts.c
+++ b/tests/test-control-shifts.c
@@ -4,6 +4,7 @@
 #include <math.h>
 #include <stdlib.h>
 
+#include "base/log.h"
 #include "control/shifts.h"
 
 #define S ZP_SEC
@@ -79,6 +80,7 @@
 static void
 open_world (struct world *w, const char *share)
 {
+  zp_log_open ("test", ZP_LOG_ERR);
   *w = (struct world){ .config = ti_config_new () };
   edit (w, "\"region/r\":{\"latency_ms\":{}},"
            "\"failure_domain/da\":{\"region\":\"r\",\"entry_networks\":"
