Hand a server over when it is sent to another entry VM

Both booking servers had announced to entry 1, were sent to entry 7, and nobody could lend their slots until entry 7 had waited for leases to end. The same happens in a running system whenever an entry VM joins. Conclusion: the wait is left only where no owner can hand over.

--- a/src/entry/announce.c
+++ b/src/entry/announce.c
@@ -77,8 +77,9 @@
   return true;
 }
 
-/* The entry VM that the server should announce to from now on.  */
-static struct zp_str
+/* The entry VM that the server should announce to from now on.  NULL: this
+   one, because no other is known.  */
+static const struct st_member *
 preferred (struct en_router *r, const struct announcement *x)
 {
   struct zp_str domain = x->failure_domain.len > 0
@@ -88,7 +89,7 @@
 
   if (!m && domain.ptr != r->settings->failure_domain.ptr)
     m = st_view_preferred (&r->view, r->settings->failure_domain, x->a.id);
-  return m ? zp_str_from (m->address) : r->settings->http;
+  return m;
 }
 
 static void
@@ -134,12 +135,15 @@
       json_object_put (x.root);
       return;
     }
-  struct zp_str to = preferred (r, &x);
+  const struct st_member *to = preferred (r, &x);
+  struct zp_str address = to ? zp_str_from (to->address) : r->settings->http;
   /* A leaving entry VM sends servers elsewhere and takes no new ones.  */
   if (!r->leaving || st_owner_find (&r->lessor.owner, x.a.id))
     take (r, &x);
+  if (to)
+    en_capacity_pass_on (r, x.a.id, to->id);
   zp_buf_printf (&body, "{\"preferred\":\"%.*s\",\"ttl_ms\":%lld}\n",
-                 ZP_ARG (to), (long long) (ZP_ANNOUNCE_TTL / ZP_MS));
+                 ZP_ARG (address), (long long) (ZP_ANNOUNCE_TTL / ZP_MS));
   json_object_put (x.root);
   en_answer_json (r->front, q->id, body);
 }
--- a/src/entry/capacity.c
+++ b/src/entry/capacity.c
@@ -291,30 +291,37 @@
   en_send (r, 0, WI_SERVER_VIEW, b);
 }
 
-/* Planned stop.  */
+/* Hand-over.  */
 
-/* Passes each server on to the entry VM that it will announce to next.  */
+/* Passes one server on to the entry VM that it will announce to next, so that
+   its new owner need not wait until every lease has ended.  */
 void
-en_capacity_hand_over (struct en_router *r)
+en_capacity_pass_on (struct en_router *r, struct zp_str server, uint64_t to)
 {
-  zp_time now = zp_clock_mono ();
+  struct st_handover h = { .leases = 0 };
+  struct zp_buf b = { .ptr = NULL };
+
+  if (to == r->id
+      || !st_lessor_hand_over (&r->lessor, server, zp_clock_mono (), &h))
+    return;
+  pe_put_handover (&b, &h);
+  en_send (r, to, WI_HANDOVER, b);
+  zp_log (ZP_LOG_NOTICE, PART, "handed server %s over to member %llu",
+          h.server, (unsigned long long) to);
+  st_handover_free (&h);
+}
 
+void
+en_capacity_hand_over (struct en_router *r)
+{
   for (size_t i = 0; i < r->lessor.owner.servers; i++)
     {
       char id[ZP_NAME_MAX];
       zp_str_copy (id, sizeof id, zp_str_from (r->lessor.owner.server[i]->id));
       const struct st_member *to = st_view_preferred (
           &r->view, r->settings->failure_domain, zp_str_from (id));
-      struct st_handover h = { .leases = 0 };
-      struct zp_buf b = { .ptr = NULL };
-      if (!to || to->id == r->id
-          || !st_lessor_hand_over (&r->lessor, zp_str_from (id), now, &h))
-        continue;
-      pe_put_handover (&b, &h);
-      en_send (r, to->id, WI_HANDOVER, b);
-      st_handover_free (&h);
-      zp_log (ZP_LOG_NOTICE, PART, "handed server %s over to member %llu", id,
-              (unsigned long long) to->id);
+      if (to)
+        en_capacity_pass_on (r, zp_str_from (id), to->id);
     }
 }
 
--- a/src/entry/router.h
+++ b/src/entry/router.h
@@ -172,6 +172,8 @@
 void en_capacity_step (struct en_router *r);
 void en_capacity_summary (struct en_router *r, bool now);
 void en_capacity_hand_over (struct en_router *r);
+void en_capacity_pass_on (struct en_router *r, struct zp_str server,
+                          uint64_t to);
 void en_capacity_return_all (struct en_router *r);
 void en_capacity_give (struct en_router *r, struct zp_str server);
 bool en_capacity_take (struct en_router *r, struct zp_str server);
