--- a/src/backend/settings.c
+++ b/src/backend/settings.c
@@ -34,16 +34,11 @@
 check_addresses (const char *path, const char *key, const struct zp_strs *list,
                  size_t max, struct zp_report *report)
 {
-  struct sockaddr_storage sa;
-  socklen_t len;
-  struct zp_err err;
-
   if (list->len < 1 || list->len > max)
     zp_report_add (report, "%s: \"%s\": found %zu, allowed: 1 to %zu", path,
                    key, list->len, max);
   for (size_t i = 0; i < list->len; i++)
-    if (!wi_address_parse (list->item[i], &sa, &len, &err))
-      zp_report_add (report, "%s: \"%s\": %s", path, key, err.text);
+    wi_address_check (list->item[i], path, key, report);
 }
 
 bool
--- a/src/base/arguments.c
+++ b/src/base/arguments.c
@@ -2,6 +2,8 @@
 
 #include <argp.h>
 
+const char *argp_program_version = ZP_VERSION;
+
 static error_t
 on_argument (int key, char *value, struct argp_state *state)
 {
@@ -11,6 +13,8 @@
     a->path = value;
   else if (key == 'c')
     a->check = true;
+  else if (key == 'v')
+    a->verbose = true;
   else if (key == 'j')
     a->json = true;
   else if (key == ARGP_KEY_END && !a->path)
@@ -27,14 +31,16 @@
   /* Without --json, its place ends the list.  */
   struct argp_option options[]
       = { { "settings", 's', "FILE", 0, "Settings, JSON with comments", 0 },
-          { "check-settings", 'c', NULL, 0, "Check the settings and exit", 0 },
+          { "check-settings", 'c', NULL, 0,
+            "Report every mistake in the settings and exit", 0 },
+          { "verbose", 'v', NULL, 0, "Log debug messages too", 0 },
           { .name = NULL },
           { .name = NULL } };
   const struct argp argp
       = { .options = options, .parser = on_argument, .doc = doc };
 
   if (takes_json)
-    options[2] = (struct argp_option){
+    options[3] = (struct argp_option){
       "json", 'j', NULL, 0, "Print JSON lines, not a table", 0
     };
   *out = (struct zp_arguments){ .path = NULL };
--- a/src/base/arguments.h
+++ b/src/base/arguments.h
@@ -1,20 +1,23 @@
 /* NAME
-     arguments - command line of the stand-in programs
+     arguments - command line of the daemons and the stand-in programs
 
    DESCRIPTION
-     Both programs take --settings FILE, which is required, and
-     --check-settings; zp-load also takes --json.  Wrong usage ends the program
-     with a message.  */
+     All of them take --settings FILE, which is required, --check-settings,
+     --verbose and --version; zp-load also takes --json.  Wrong usage ends the
+     program with a message.  */
 
 #ifndef ZP_BASE_ARGUMENTS_H
 #define ZP_BASE_ARGUMENTS_H
 
 #include <stdbool.h>
 
+#define ZP_VERSION "zinniapost 0.1"
+
 struct zp_arguments
 {
   const char *path; /* of the settings */
   bool check;       /* check the settings and exit */
+  bool verbose;     /* log debug messages too */
   bool json;
 };
 
--- a/src/control/main.c
+++ b/src/control/main.c
@@ -1,67 +1,18 @@
-#include <argp.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "base/arguments.h"
 #include "base/log.h"
 #include "control/control.h"
 
 #define PART "main"
 
-struct options
-{
-  const char *settings;
-  bool check;
-  bool verbose;
-};
-
-enum
-{
-  OPTION_CHECK = 256,
-};
-
-static const struct argp_option options[] = {
-  { "settings", 's', "FILE", 0, "read the settings from FILE", 0 },
-  { "check-settings", OPTION_CHECK, NULL, 0,
-    "report every mistake in the settings and exit", 0 },
-  { "verbose", 'v', NULL, 0, "log debug messages too", 0 },
-  { 0 },
-};
-
-static error_t
-parse_option (int key, char *arg, struct argp_state *state)
-{
-  struct options *o = state->input;
-
-  switch (key)
-    {
-    case 's':
-      o->settings = arg;
-      return 0;
-    case OPTION_CHECK:
-      o->check = true;
-      return 0;
-    case 'v':
-      o->verbose = true;
-      return 0;
-    case ARGP_KEY_END:
-      if (!o->settings)
-        argp_error (state, "no settings; give --settings FILE");
-      return 0;
-    default:
-      return ARGP_ERR_UNKNOWN;
-    }
-}
-
-static const struct argp argp = {
-  .options = options,
-  .parser = parse_option,
-  .doc
-  = "Control daemon of zinniapost: keeps the replicated log of change "
-    "tickets and takes operators' requests.\v"
-    "Exit status: 0 after a graceful shutdown (SIGTERM or SIGINT) or when "
-    "the settings are valid, 1 after a failure, 64 for wrong usage.",
-};
+static const char doc[]
+    = "Control daemon of zinniapost: keeps the replicated log of change "
+      "tickets and takes operators' requests.\v"
+      "Exit status: 0 after a graceful shutdown (SIGTERM or SIGINT) or when "
+      "the settings are valid, 1 after a failure, 64 for wrong usage.";
 
 static void
 on_signal (struct ev_loop *ev, ev_signal *w, int events)
@@ -109,19 +60,19 @@
 int
 main (int argc, char **argv)
 {
-  struct options o = { .settings = NULL };
+  struct zp_arguments o;
   struct zp_report report = { .count = 0 };
   struct ct_settings settings;
   int status = EXIT_FAILURE;
 
-  argp_parse (&argp, argc, argv, 0, NULL, &o);
+  zp_arguments_parse (argc, argv, doc, false, &o);
   zp_log_open ("zp-control", o.verbose ? ZP_LOG_DEBUG : ZP_LOG_INFO);
-  bool ok = ct_settings_load (&settings, o.settings, &report);
+  bool ok = ct_settings_load (&settings, o.path, &report);
   if (!ok)
     fputs (report.lines.ptr, stderr);
   else if (o.check)
     {
-      printf ("%s: valid\n", o.settings);
+      printf ("%s: valid\n", o.path);
       status = EXIT_SUCCESS;
     }
   else
--- a/src/control/settings.c
+++ b/src/control/settings.c
@@ -34,19 +34,6 @@
   { .key = NULL },
 };
 
-static void
-check_address (const char *path, const char *key, struct zp_str value,
-               struct zp_report *report)
-{
-  struct sockaddr_storage address;
-  struct zp_err err;
-  socklen_t len;
-
-  if (!wi_address_parse (value, &address, &len, &err))
-    zp_report_add (report, "%s: \"%s\": %s, allowed: IP:port", path, key,
-                   err.text);
-}
-
 static void
 read_member (struct ct_settings *s, const char *path, struct zp_str text,
              struct zp_report *report)
@@ -64,8 +51,8 @@
                      path, ZP_ARG (text));
       return;
     }
-  check_address (path, "members", address, report);
-  check_address (path, "members", http, report);
+  wi_address_check (address, path, "members", report);
+  wi_address_check (http, path, "members", report);
   if (lg_members_find (&s->voters, n))
     {
       zp_report_add (report,
@@ -116,10 +103,10 @@
   if (s->data.len == 0)
     zp_report_add (report, "%s: \"data\": found \"\", allowed: a folder",
                    path);
-  check_address (path, "address", s->address, report);
-  check_address (path, "http", s->http, report);
+  wi_address_check (s->address, path, "address", report);
+  wi_address_check (s->http, path, "http", report);
   if (s->follow.len > 0)
-    check_address (path, "follow", s->follow, report);
+    wi_address_check (s->follow, path, "follow", report);
   for (size_t i = 0; i < s->members.len; i++)
     read_member (s, path, s->members.item[i], report);
   check_own (s, path, report);
--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/arguments.h"
 #include "ctl/command.h"
 #include "ticket/ticket.h"
 
@@ -257,6 +258,7 @@
   struct zc_command cmd;
 
   argp_err_exit_status = ZC_USAGE;
+  argp_program_version = ZP_VERSION;
   argp_parse (&argp, argc, argv, 0, NULL, &o);
   const char *wrong = read_command (&o, &cmd);
   if (wrong)
--- a/src/entry/links.c
+++ b/src/entry/links.c
@@ -2,12 +2,9 @@
 
 #include <stdlib.h>
 
-#include "base/log.h"
 #include "entry/router.h"
 #include "wire/frame.h"
 
-#define PART "link"
-
 #define REPORT_PERIOD (500 * ZP_MS)
 
 /* How long a region is passed over after a share was used up.  */
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -1,8 +1,8 @@
-#include <argp.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "base/arguments.h"
 #include "base/log.h"
 #include "entry/router.h"
 #include "follow/follower.h"
@@ -14,18 +14,11 @@
 
 #define PART "main"
 
-const char *argp_program_version = "zp-entry 0.1";
-
-static const struct argp_option options[]
-    = { { "settings", 's', "FILE", 0, "Settings, JSON with comments", 0 },
-        { "check-settings", 'c', NULL, 0, "Only check the settings", 0 },
-        { 0 } };
-
-struct arguments
-{
-  const char *path;
-  bool check_only;
-};
+static const char doc[]
+    = "Entry daemon of zinniapost: answers look-ups, takes requests of "
+      "callers and forwards them to backend servers.\v"
+      "Exit status: 0 after a graceful shutdown (SIGTERM or SIGINT) or when "
+      "the settings are valid, 1 after a failure, 64 for wrong usage.";
 
 /* All tasks of the daemon.  They share one loop, but for the disk.  */
 struct daemon
@@ -44,38 +37,6 @@
   ev_signal term, interrupt;
 };
 
-static error_t
-parse_option (int key, char *arg, struct argp_state *state)
-{
-  struct arguments *a = state->input;
-
-  switch (key)
-    {
-    case 's':
-      a->path = arg;
-      return 0;
-    case 'c':
-      a->check_only = true;
-      return 0;
-    case ARGP_KEY_END:
-      if (!a->path)
-        argp_error (state, "--settings FILE is required");
-      return 0;
-    default:
-      return ARGP_ERR_UNKNOWN;
-    }
-}
-
-static const struct argp argp
-    = { options,
-        parse_option,
-        NULL,
-        "Entry daemon of zinniapost: answers look-ups, takes requests of "
-        "callers and forwards them to backend servers.",
-        NULL,
-        NULL,
-        NULL };
-
 static void
 on_signal (struct ev_loop *ev, ev_signal *w, int events)
 {
@@ -234,23 +195,25 @@
 int
 main (int argc, char **argv)
 {
-  struct arguments a = { .path = NULL };
+  struct zp_arguments a;
   struct daemon d = { .router = NULL };
   struct zp_report report = { .count = 0 };
   int status = EXIT_SUCCESS;
 
-  argp_parse (&argp, argc, argv, 0, NULL, &a);
+  zp_arguments_parse (argc, argv, doc, false, &a);
   zp_log_open ("zp-entry", ZP_LOG_INFO);
   if (!en_settings_load (&d.settings, a.path, &report))
     {
       fprintf (stderr, "%s", report.lines.ptr);
       status = EXIT_FAILURE;
     }
-  else if (a.check_only)
+  else if (a.check)
     printf ("%s: settings are valid\n", a.path);
   else
     {
-      zp_log_open ("zp-entry", (enum zp_log_level) d.settings.log_level);
+      zp_log_open ("zp-entry", a.verbose
+                                   ? ZP_LOG_DEBUG
+                                   : (enum zp_log_level) d.settings.log_level);
       status = run (&d);
     }
   zp_report_free (&report);
--- a/src/entry/settings.c
+++ b/src/entry/settings.c
@@ -44,19 +44,6 @@
   { .key = NULL },
 };
 
-static void
-check_address (struct zp_report *r, const char *path, const char *key,
-               struct zp_str address)
-{
-  struct sockaddr_storage sa;
-  socklen_t len;
-  struct zp_err err;
-
-  if (address.len > 0 && !wi_address_parse (address, &sa, &len, &err))
-    zp_report_add (r, "%s: \"%s\": found \"%.*s\", allowed: IP:port", path,
-                   key, ZP_ARG (address));
-}
-
 static void
 check_name (struct zp_report *r, const char *path, const char *key,
             struct zp_str name)
@@ -75,13 +62,14 @@
     return false;
   check_name (report, path, "failure_domain", s->failure_domain);
   check_name (report, path, "region", s->region);
-  check_address (report, path, "http", s->http);
-  check_address (report, path, "wire", s->wire);
-  check_address (report, path, "relay", s->relay);
+  wi_address_check (s->http, path, "http", report);
+  wi_address_check (s->wire, path, "wire", report);
+  if (s->relay.len > 0)
+    wi_address_check (s->relay, path, "relay", report);
   for (size_t i = 0; i < s->seeds.len; i++)
-    check_address (report, path, "seeds", s->seeds.item[i]);
+    wi_address_check (s->seeds.item[i], path, "seeds", report);
   for (size_t i = 0; i < s->follow.len; i++)
-    check_address (report, path, "follow", s->follow.item[i]);
+    wi_address_check (s->follow.item[i], path, "follow", report);
   return report->count == 0;
 }
 
--- a/src/follow/state.c
+++ b/src/follow/state.c
@@ -1,6 +1,6 @@
 #include "follow/state.h"
 
-enum fo_verdict
+enum fo_result
 fo_state_delta (struct fo_state *s, const struct fo_delta *d)
 {
   if (d->version <= s->version)
@@ -15,7 +15,7 @@
   return FO_TAKE;
 }
 
-enum fo_verdict
+enum fo_result
 fo_state_part (struct fo_state *s, const struct fo_part *p)
 {
   if (p->version <= s->version)
--- a/src/follow/state.h
+++ b/src/follow/state.h
@@ -21,7 +21,7 @@
   uint64_t parts_version;
 };
 
-enum fo_verdict
+enum fo_result
 {
   FO_TAKE,   /* in force next; a whole configuration is in PARTS */
   FO_MORE,   /* a part was kept */
@@ -31,8 +31,8 @@
   FO_DAMAGE, /* parts that do not fit together */
 };
 
-enum fo_verdict fo_state_delta (struct fo_state *s, const struct fo_delta *d);
-enum fo_verdict fo_state_part (struct fo_state *s, const struct fo_part *p);
+enum fo_result fo_state_delta (struct fo_state *s, const struct fo_delta *d);
+enum fo_result fo_state_part (struct fo_state *s, const struct fo_part *p);
 
 /* Drops the parts of a connection that ended.  */
 void fo_state_restart (struct fo_state *s);
--- a/src/load/settings.c
+++ b/src/load/settings.c
@@ -82,16 +82,11 @@
 lo_settings_load (struct lo_settings *s, const char *path,
                   struct zp_report *report)
 {
-  struct sockaddr_storage sa;
-  socklen_t len;
-  struct zp_err err;
-
   *s = (struct lo_settings){ .duration_ms = 10000, .seed = 1, .log_level = 5 };
   if (!zp_settings_load (&s->loaded, path, table, s, report))
     return false;
   for (size_t i = 0; i < s->entries.len; i++)
-    if (!wi_address_parse (s->entries.item[i], &sa, &len, &err))
-      zp_report_add (report, "%s: \"entries\": %s", path, err.text);
+    wi_address_check (s->entries.item[i], path, "entries", report);
   if (s->entries.len == 0 || s->callers.len == 0
       || s->callers.len > LO_CALLERS_MAX || s->services.len == 0
       || s->services.len > LO_SERVICES_MAX)
--- a/src/wire/address.c
+++ b/src/wire/address.c
@@ -49,3 +49,16 @@
     }
   return zp_fail (err, ZP_EINVAL, "\"%s\" is not an IP address", ip);
 }
+
+void
+wi_address_check (struct zp_str text, const char *path, const char *key,
+                  struct zp_report *report)
+{
+  struct sockaddr_storage sa;
+  socklen_t len;
+  struct zp_err err;
+
+  if (!wi_address_parse (text, &sa, &len, &err))
+    zp_report_add (report, "%s: \"%s\": %s, allowed: IP:port", path, key,
+                   err.text);
+}
--- a/src/wire/address.h
+++ b/src/wire/address.h
@@ -15,4 +15,8 @@
 bool wi_address_parse (struct zp_str text, struct sockaddr_storage *out,
                        socklen_t *len, struct zp_err *err);
 
+/* Checks the address of a setting and reports a mistake with file and key.  */
+void wi_address_check (struct zp_str text, const char *path, const char *key,
+                       struct zp_report *report);
+
 #endif
