Close links between entry daemons that are not wanted

Change: a link is closed once the hello shows that it is not wanted. test-mesh has the case: it failed before the rule and passes with it.

--- a/src/peer/mesh.c
+++ b/src/peer/mesh.c
@@ -396,6 +396,13 @@
       l = NULL;
       m->dials[index].at = now;
     }
+  /* The region of a member is known only after its hello, so that a member
+     may have to be dialled to find out that no link to it is wanted.  */
+  if (l && l->incarnation != 0 && !pe_members_wants_link (&m->members, index))
+    {
+      link_free (l);
+      return;
+    }
   if (!l && now >= m->dials[index].at
       && pe_members_wants_link (&m->members, index))
     dial (m, index);
@@ -463,6 +470,16 @@
   return &m->task;
 }
 
+size_t
+pe_mesh_links (const struct pe_mesh *m)
+{
+  size_t n = 0;
+
+  for (const struct link *l = m->links; l; l = l->next)
+    n += l->opened_here;
+  return n;
+}
+
 void
 pe_mesh_close (struct pe_mesh *m)
 {
--- a/src/peer/mesh.h
+++ b/src/peer/mesh.h
@@ -28,6 +28,10 @@
                               const struct zp_strs *seeds,
                               struct tk_task *decider, struct zp_err *err);
 struct tk_task *pe_mesh_task (struct pe_mesh *m);
+
+/* Connections that this daemon has opened.  */
+size_t pe_mesh_links (const struct pe_mesh *m);
+
 void pe_mesh_close (struct pe_mesh *m);
 
 #endif
--- a/tests/test-mesh.c
+++ b/tests/test-mesh.c
@@ -9,6 +9,7 @@
 #include "wire/frame.h"
 
 #define DAEMONS 3
+#define FAR 7 /* daemons of another region */
 
 struct daemon
 {
@@ -168,6 +169,54 @@
   close_fixture (&f);
 }
 
+/* Guards against links that stay open only because a member had to be dialled
+   to learn its region: 420 daemons would keep a full mesh.  */
+static void
+test_links_that_are_not_wanted_are_closed (void)
+{
+  struct fixture f = { .timed_out = false };
+  struct daemon far[FAR], near = { .up = 0 };
+  struct zp_str seeds[FAR];
+  struct zp_strs all = { .item = seeds, .len = FAR }, none = { .len = 0 };
+
+  tk_loop_init (&f.loop);
+  ev_timer_init (&f.guard, on_guard, 20.0, 0.0);
+  f.guard.data = &f;
+  ev_timer_start (f.loop.ev, &f.guard);
+  for (int i = 0; i <= FAR; i++)
+    {
+      struct daemon *d = i < FAR ? &far[i] : &near;
+      *d = (struct daemon){ .up = 0 };
+      snprintf (d->wire, ZP_ADDRESS_MAX, "%s",
+                test_address (19490 + (unsigned) i));
+      if (i < FAR)
+        seeds[i] = zp_str_from (d->wire);
+      struct pe_hello h
+          = { .id = (uint64_t) i + 1,
+              .incarnation = 100,
+              .failure_domain = ZP_STR ("x"),
+              .region = i < FAR ? ZP_STR ("east") : ZP_STR ("west"),
+              .http = ZP_STR ("127.0.0.1:80"),
+              .wire = zp_str_from (d->wire) };
+      tk_task_init (&d->task, &f.loop, on_message, d);
+      d->mesh
+          = pe_mesh_open (&f.loop, &h, i < FAR ? &none : &all, &d->task, NULL);
+      CU_ASSERT_FATAL (d->mesh != NULL);
+    }
+  while (!f.timed_out
+         && (near.up < FAR || pe_mesh_links (near.mesh) != ZP_REMOTE_LINKS))
+    ev_run (f.loop.ev, EVRUN_ONCE);
+  CU_ASSERT (!f.timed_out);
+  for (int i = 0; i <= FAR; i++)
+    {
+      struct daemon *d = i < FAR ? &far[i] : &near;
+      pe_mesh_close (d->mesh);
+      tk_task_free (&d->task);
+    }
+  ev_timer_stop (f.loop.ev, &f.guard);
+  tk_loop_free (&f.loop);
+}
+
 /* Guards against a crash or a false member after bytes that are no hello.  */
 static void
 test_hostile_frames (void)
@@ -202,6 +251,8 @@
           test_daemons_find_each_other_by_one_seed },
         { "a lost and restarted daemon", test_lost_and_restarted_daemon },
         { "leaving is told", test_leaving_is_told },
+        { "links that are not wanted are closed",
+          test_links_that_are_not_wanted_are_closed },
         { "hostile frames", test_hostile_frames } };
 
 TEST_MAIN ("mesh", tests)
