Eject every server that refuses connections

Ruled out: capacity (6 of 96 slots in use) and the leases. Change: refused connections eject beyond the share. The share guards against a caller whose requests always fail; no caller can make a living server refuse connections. Also: explain says why an idle service has no candidates; the fixture of test-router waits for its slots instead of 3 s.

--- a/src/entry/explain.c
+++ b/src/entry/explain.c
@@ -73,7 +73,12 @@
 
   for (size_t i = 0; i < n; i++)
     json_object_array_add (list, candidate_json (r, &c[i], seats[i]));
-  st_placement_text (&p, &why);
+  if (n > 0)
+    st_placement_text (&p, &why);
+  else
+    /* Slots are asked for when a request needs one.  */
+    zp_buf_put (&why, ZP_STR ("no slot is held now; the next request asks the "
+                              "nearest owner for one"));
   json_object_object_add (o, "service", json_object_new_string (s->name));
   json_object_object_add (
       o, "queued", json_object_new_int64 ((int64_t) st_queue_len (s->queue)));
--- a/src/steer/health.c
+++ b/src/steer/health.c
@@ -104,8 +104,8 @@
 }
 
 static struct st_health_event
-eject (struct st_health *h, struct st_health_group *g, zp_time now,
-       struct zp_rng *rng)
+eject (struct st_health *h, struct st_health_group *g, enum st_end end,
+       zp_time now, struct zp_rng *rng)
 {
   if (h->kind == ST_HEALTH_UP)
     {
@@ -113,7 +113,8 @@
       /* Of two servers one may be ejected, of one server none.  */
       if (allowed == 0 && g->servers > 1)
         allowed = 1;
-      if (g->ejected >= allowed)
+      /* No caller can make a living server refuse connections.  */
+      if (g->ejected >= allowed && end != ST_END_REFUSED)
         return (struct st_health_event){ .kind = ST_EVENT_SHARE };
       g->ejected++;
       if (now - h->returned > FORGIVE)
@@ -209,7 +210,7 @@
     case ST_END_LOST:
     case ST_END_TIMEOUT:
     case ST_END_LATE:
-      return eject (h, g, now, rng);
+      return eject (h, g, o->end, now, rng);
     }
   return (struct st_health_event){ .kind = ST_EVENT_NONE };
 }
@@ -240,7 +241,7 @@
     h->doubt = false;
   if (h->points >= ST_HEALTH_LIMIT
       || (h->seen >= FAILING_SEEN_MIN && h->failing > FAILING_LIMIT))
-    return eject (h, g, now, rng);
+    return eject (h, g, o->end, now, rng);
   if (!silent || h->doubt)
     return none;
   h->doubt = true;
--- a/tests/router-fake.h
+++ b/tests/router-fake.h
@@ -151,6 +151,20 @@
     fixture_step (f);
 }
 
+static inline bool
+fixture_ready (struct fixture *f)
+{
+  zp_time now = zp_clock_mono ();
+  unsigned slots;
+
+  return st_lessor_free_slots (&f->router->lessor, ZP_STR ("board"), now,
+                               &slots)
+             == 4
+         && st_lessor_free_slots (&f->router->lessor, ZP_STR ("booking"), now,
+                                  &slots)
+                == 4;
+}
+
 /* Opens the fixture and waits until the slots of the servers can be used.  */
 static inline void
 fixture_open (struct fixture *f)
@@ -177,7 +191,8 @@
   f->announcer.data = f;
   ev_timer_start (f->loop.ev, &f->announcer);
   fixture_configure (f);
-  fixture_wait (f, 3 * ZP_SEC);
+  while (!f->timed_out && !fixture_ready (f))
+    fixture_step (f);
   fake_clear (&f->front);
   fake_clear (&f->peers);
 }
--- a/tests/test-health.c
+++ b/tests/test-health.c
@@ -134,6 +134,13 @@
     st_health_remove (&p.h[i], &p.group);
   CU_ASSERT_EQUAL (p.group.ejected + p.group.servers, 0);
 
+  /* Guards against traffic to dead servers: scenario half-servers refused one
+     request in twelve while the share held them in.  */
+  setup (&p, SERVERS);
+  for (int i = 0; i < SERVERS; i++)
+    refuse (&p, i, 0);
+  CU_ASSERT_EQUAL (p.group.ejected, SERVERS);
+
   setup (&p, 1);
   for (int i = 0; i < 50; i++)
     end (&p, 0, ST_END_STATUS, 0, false, i);
