Pack messages by one function in all codecs

Cause: the packing of a protobuf-c message stood in three places. Change: once/codec and ledger/codec use wi_pack.

--- a/src/ledger/codec.c
+++ b/src/ledger/codec.c
@@ -3,6 +3,7 @@
 #include <assert.h>
 #include <stdlib.h>
 
+#include "wire/bytes.h"
 #include "wire/frame.h"
 
 /* cppcheck does not read system headers, and the generated header refuses an
@@ -25,12 +26,7 @@
 static void
 pack (const ProtobufCMessage *message, struct zp_buf *out)
 {
-  size_t n = protobuf_c_message_get_packed_size (message);
-  uint8_t *bytes = zp_alloc (n);
-
-  protobuf_c_message_pack (message, bytes);
-  zp_buf_put_bytes (out, bytes, n);
-  free (bytes);
+  wi_pack (out, message);
   assert (out->len <= ZP_FRAME_MAX);
 }
 
--- a/src/once/codec.c
+++ b/src/once/codec.c
@@ -5,6 +5,7 @@
 
 #include <protobuf-c/protobuf-c.h>
 
+#include "wire/bytes.h"
 #include "wire/frame.h"
 #include "wire/once.pb-c.h"
 
@@ -114,17 +115,6 @@
   return WI__ONCE_ABSTAIN__ONCE_NOT_MEMBER;
 }
 
-static void
-pack (const ProtobufCMessage *p, struct zp_buf *out)
-{
-  size_t len = protobuf_c_message_get_packed_size (p);
-  uint8_t *bytes = zp_alloc (len);
-
-  protobuf_c_message_pack (p, bytes);
-  zp_buf_put_bytes (out, bytes, len);
-  free (bytes);
-}
-
 uint8_t
 oc_encode (const struct oc_msg *m, struct zp_buf *out)
 {
@@ -141,19 +131,19 @@
     case OC_CLAIM:
       claim.attempt = &attempt;
       claim.key = bytes_out (&m->key);
-      pack (&claim.base, out);
+      wi_pack (out, &claim.base);
       return WI_CLAIM;
     case OC_SEAL:
       seal.attempt = &attempt;
       seal.key = bytes_out (&m->key);
-      pack (&seal.base, out);
+      wi_pack (out, &seal.base);
       return WI_SEAL;
     case OC_RECORD:
       outcome = outcome_out (&m->u.record);
       record.attempt = &attempt;
       record.key = bytes_out (&m->key);
       record.outcome = &outcome;
-      pack (&record.base, out);
+      wi_pack (out, &record.base);
       return WI_RECORD;
     case OC_ANSWER:
       outcome = outcome_out (&m->u.answer.outcome);
@@ -167,7 +157,7 @@
         answer.holder = &holder;
       if (m->u.answer.reply == OC_FINISHED)
         answer.outcome = &outcome;
-      pack (&answer.base, out);
+      wi_pack (out, &answer.base);
       return WI_CLAIM_ANSWER;
     }
   assert (false);
