Say may-have-run when a request with a key is refused before its claim

Cause: an entry daemon without a configuration, or that does not know the service, answered not-run to a resend whose key may have run through another entry VM; the caller would then make a new key and book twice. The same held for a bad header and a body over the limit. Change: these refusals are may-have-run when an Idempotency-Key is given.

--- a/src/entry/request.c
+++ b/src/entry/request.c
@@ -197,10 +197,12 @@
       return;
     }
   zp_count (zp_counter ("zp_unknown_requests_total", ""), 1);
+  /* A resend with a key may have run through another entry VM.  */
+  enum zp_verdict v = h->key.len > 0 ? ZP_MAY_HAVE_RUN : ZP_NOT_RUN;
   if (r->plan)
-    en_refuse (r->front, h->id, 404, ZP_NOT_RUN, "unknown-service", 0);
+    en_refuse (r->front, h->id, 404, v, "unknown-service", 0);
   else
-    en_refuse (r->front, h->id, 503, ZP_NOT_RUN, "no-configuration", 1);
+    en_refuse (r->front, h->id, 503, v, "no-configuration", 1);
   tk_msg_free (m);
 }
 
--- a/src/front/server.c
+++ b/src/front/server.c
@@ -278,14 +278,18 @@
 static enum MHD_Result
 refuse_here (struct exchange *x, unsigned status, const char *reason)
 {
+  /* A resend with a key may have run through another entry VM.  */
+  enum zp_verdict verdict = x->request && x->request->u.request.key.len > 0
+                                ? ZP_MAY_HAVE_RUN
+                                : ZP_NOT_RUN;
   struct tk_http_answer a
       = { .status = status,
           .has_verdict = true,
-          .verdict = ZP_NOT_RUN,
+          .verdict = verdict,
           .content_type = zp_buf_from (ZP_STR ("application/json")) };
 
-  zp_buf_printf (&a.body, "{\"reason\":\"%s\",\"verdict\":\"not-run\"}\n",
-                 reason);
+  zp_buf_printf (&a.body, "{\"reason\":\"%s\",\"verdict\":\"%s\"}\n", reason,
+                 zp_verdict_name (verdict));
   zp_count (zp_counter ("zp_http_refused_total", ""), 1);
   zp_log (ZP_LOG_INFO, PART, "refused a request of %zu header bytes: %s",
           x->target.len, reason);
--- a/src/front/server.h
+++ b/src/front/server.h
@@ -10,7 +10,8 @@
      another caller.
 
      Requests over a limit are answered here: they never reach the deciding
-     task and their verdict is not-run.  */
+     task.  Their verdict is not-run, or may-have-run with an Idempotency-Key.
+ */
 
 #ifndef ZP_FRONT_SERVER_H
 #define ZP_FRONT_SERVER_H
--- a/tests/test-front.c
+++ b/tests/test-front.c
@@ -169,6 +169,11 @@
   CU_ASSERT (HAS_TEXT (f.answer, " 400 "));
   CU_ASSERT (HAS_TEXT (f.answer, "Run-Verdict: not-run"));
   CU_ASSERT (HAS_TEXT (f.answer, "bad-header"));
+  /* Guards P4: the key may have run through another entry VM.  */
+  put (&f, "GET /x HTTP/1.1\r\nHost: h\r\nIdempotency-Key: k\r\n"
+           "Deadline-Ms: soon\r\n\r\n");
+  ev_run (f.loop.ev, 0);
+  CU_ASSERT (HAS_TEXT (f.answer, "Run-Verdict: may-have-run"));
   CU_ASSERT_EQUAL (f.requests, 0);
   close_fixture (&f);
 }
--- a/tests/test-router.c
+++ b/tests/test-router.c
@@ -56,6 +56,11 @@
       = fixture_answer (&f, ask (&f, "GET", "/nothing/x", ""));
   CU_ASSERT (body_has (a, "unknown-service"));
   CU_ASSERT_EQUAL (a->verdict, ZP_NOT_RUN);
+  /* Guards P4: the key may have run where the service was known.  */
+  struct tk_msg *m = fixture_http (&f, "POST", "/nothing/x", "");
+  zp_buf_put (&m->u.request.key, ZP_STR ("1:100:0.u"));
+  a = fixture_answer (&f, fixture_send (&f, m));
+  CU_ASSERT_EQUAL (a->verdict, ZP_MAY_HAVE_RUN);
   a = fixture_answer (&f, ask (&f, "GET", "/v1/nothing", ""));
   CU_ASSERT (body_has (a, "unknown-path"));
   a = fixture_answer (&f, ask (&f, "POST", "/v1/announce", "{\"id\":1}"));
