--- a/Makefile
+++ b/Makefile
@@ -14,8 +14,9 @@
 LDLIBS = -lev -lprotobuf-c -lmicrohttpd -lcurl -ljson-c -lxxhash -lsodium -lz -lm -lpthread \
 	-l:libdSFMT-19937.a
 
-PACKAGES = base task wire steer once ticket ledger follow peer front forward
+PACKAGES = base task wire site steer once ticket ledger follow roster peer front forward gate
 PROGRAMS = zp-entry zp-control zpctl zp-backend zp-load
+PLATFORM_PROGRAMS = zp-edge zp-core
 DIR_zp-entry = entry
 DIR_zp-control = control
 DIR_zpctl = ctl
@@ -32,7 +33,9 @@
 part_objs = $(filter-out %/main.o,$(call objs,$(1)))
 LIB_OBJS = $(foreach p,$(PACKAGES),$(call objs,$(p))) $(foreach p,$(PARTS),$(call part_objs,$(p)))
 LIB = $(BUILD)/libzinniapost.a
-BUILT_PROGRAMS = $(foreach p,$(PROGRAMS),$(if $(wildcard src/$(DIR_$(p))/*.c),$(BUILD)/$(p)))
+PLATFORM_OBJS = $(patsubst platform/%.c,$(BUILD)/platform/%.o,$(wildcard platform/*.c))
+PLATFORM_LIB = $(BUILD)/libplatform.a
+BUILT_PROGRAMS = $(patsubst %,$(BUILD)/%,$(PLATFORM_PROGRAMS)) $(foreach p,$(PROGRAMS),$(if $(wildcard src/$(DIR_$(p))/*.c),$(BUILD)/$(p)))
 TESTS = $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/test-*.c))
 BENCHES = $(patsubst bench/%.c,$(BUILD)/bench/%,$(wildcard bench/bench-*.c))
 
@@ -53,6 +56,21 @@
 	@rm -f $@
 	ar rcs $@ $^
 
+$(BUILD)/platform/%.o: platform/%.c
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS) -Iplatform $(CFLAGS) -MMD -MP -c $< -o $@
+
+# The adapter to the users' platform; nothing below src depends on it.
+$(PLATFORM_LIB): $(filter-out %-main.o,$(PLATFORM_OBJS))
+	@rm -f $@
+	ar rcs $@ $^
+
+$(BUILD)/zp-edge: $(BUILD)/platform/edge-main.o $(PLATFORM_LIB) $(LIB)
+	$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+
+$(BUILD)/zp-core: $(BUILD)/platform/core-main.o $(PLATFORM_LIB) $(LIB)
+	$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+
 # Objects that a program links besides the library.
 own_objs = $(if $(filter $(PARTS),$(1)),$(BUILD)/$(1)/main.o,$(call objs,$(1)))
 
@@ -62,9 +80,9 @@
 endef
 $(foreach p,$(PROGRAMS),$(eval $(call program_rule,$(p))))
 
-$(BUILD)/tests/%: tests/%.c $(LIB)
+$(BUILD)/tests/%: tests/%.c $(PLATFORM_LIB) $(LIB)
 	@mkdir -p $(@D)
-	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -o $@ $< $(LIB) $(LDLIBS) -lgsl -lgslcblas -lcunit
+	$(CC) $(CPPFLAGS) -Iplatform $(CFLAGS) -MMD -MP -o $@ $< $(PLATFORM_LIB) $(LIB) $(LDLIBS) -lgsl -lgslcblas -lcunit
 
 $(BUILD)/bench/%: bench/%.c $(LIB)
 	@mkdir -p $(@D)
@@ -76,6 +94,12 @@
 check-built: all $(TESTS)
 	@scripts/run-tests $(BUILD)
 
+# What the users' platform builds (deploy/system.toml): its programs, under
+# target/.
+.PHONY: target
+target:
+	$(MAKE) --no-print-directory -j8 BUILD=target target/zp-edge target/zp-core
+
 lint: deps
 	@scripts/lint
 
@@ -121,7 +145,8 @@
 	cd src/wire && protoc-c --c_out=. *.proto
 
 clean:
-	rm -rf build build-asan
+	rm -rf build build-asan target
 
+-include $(PLATFORM_OBJS:.o=.d)
 -include $(LIB_OBJS:.o=.d) $(foreach p,$(PROGRAMS),$(patsubst %.o,%.d,$(call objs,$(DIR_$(p)))))
 -include $(TESTS:=.d) $(BENCHES:=.d)
--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -100,6 +100,25 @@
   return NULL;
 }
 
+#define DURATION_TEXT_MAX 32
+
+bool
+zp_duration_parse (struct zp_str text, zp_time *out)
+{
+  char copy[DURATION_TEXT_MAX], *end;
+
+  if (!zp_str_copy (copy, sizeof copy, text) || copy[0] < '0' || copy[0] > '9')
+    return false;
+  double n = strtod (copy, &end);
+  zp_time unit = strcmp (end, "ms") == 0  ? ZP_MS
+                 : strcmp (end, "s") == 0 ? ZP_SEC
+                                          : 0;
+  if (unit == 0 || n * (double) unit > (double) INT64_MAX / 4)
+    return false;
+  *out = (zp_time) (n * (double) unit + 0.5);
+  return true;
+}
+
 /* Checks of one value.  */
 
 static bool
@@ -132,6 +151,7 @@
             struct json_object *v, char *out)
 {
   int64_t n;
+  double real;
 
   switch (t->kind)
     {
@@ -159,10 +179,44 @@
       if (!json_object_is_type (v, json_type_array))
         return false;
       return read_list (s, v, (struct zp_strs *) (void *) out);
+    case ZP_SETTING_DURATION:
+      return json_object_is_type (v, json_type_string)
+             && zp_duration_parse (
+                 zp_str_from (json_object_get_string (v)),
+                 (zp_time *) (void *) out);
+    case ZP_SETTING_REAL:
+      if (!json_object_is_type (v, json_type_int)
+          && !json_object_is_type (v, json_type_double))
+        return false;
+      real = json_object_get_double (v);
+      if (real < (double) t->min || real > (double) t->max)
+        return false;
+      *(double *) (void *) out = real;
+      return true;
     }
   return false;
 }
 
+static const char *
+kind_text (enum zp_setting_kind kind)
+{
+  switch (kind)
+    {
+    case ZP_SETTING_TEXT:
+      return "a string";
+    case ZP_SETTING_BOOL:
+      return "true or false";
+    case ZP_SETTING_LIST:
+      return "a list of strings";
+    case ZP_SETTING_DURATION:
+      return "a duration such as \"250ms\" or \"2.5s\"";
+    case ZP_SETTING_INT:
+    case ZP_SETTING_REAL:
+      return "a number";
+    }
+  return "";
+}
+
 static void
 report_value (struct zp_report *r, const char *path,
               const struct zp_setting *t, struct json_object *v)
@@ -181,9 +235,7 @@
                    (long long) t->max);
   else
     zp_report_add (r, "%s: \"%s\": found %s, allowed: %s", path, t->key, found,
-                   t->kind == ZP_SETTING_TEXT   ? "a string"
-                   : t->kind == ZP_SETTING_BOOL ? "true or false"
-                                                : "a list of strings");
+                   kind_text (t->kind));
 }
 
 static const struct zp_setting *
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -14,6 +14,7 @@
 #ifndef ZP_BASE_SETTINGS_H
 #define ZP_BASE_SETTINGS_H
 
+#include "base/clock.h"
 #include "base/err.h"
 
 enum zp_setting_kind
@@ -22,6 +23,8 @@
   ZP_SETTING_INT,  /* int64_t, MIN to MAX */
   ZP_SETTING_BOOL, /* bool */
   ZP_SETTING_LIST, /* struct zp_strs, of text */
+  ZP_SETTING_DURATION, /* zp_time, from text such as "250ms" or "2.5s" */
+  ZP_SETTING_REAL,     /* double, MIN to MAX */
 };
 
 struct zp_strs
@@ -49,6 +52,9 @@
   size_t list_count;
 };
 
+/* Reads "250ms" or "2.5s".  Returns false for any other text.  */
+bool zp_duration_parse (struct zp_str text, zp_time *out);
+
 /* Reads a whole file of at most MAX bytes.  */
 bool zp_file_read (const char *path, struct zp_buf *out, size_t max,
                    struct zp_err *err);
--- /dev/null
+++ b/src/control/calls.c
@@ -0,0 +1,192 @@
+#include "control/calls.h"
+
+#include <stdlib.h>
+
+#include "ticket/blob.h"
+
+static struct ct_reply *
+reply (struct ct_step *out, enum ct_reply_kind kind)
+{
+  out->kind = CT_STEP_REPLY;
+  out->u.reply = (struct ct_reply){ .kind = kind };
+  return &out->u.reply;
+}
+
+struct ct_reply
+ct_calls_refused (const struct ct_standing *s)
+{
+  struct ct_reply r = { .kind = CT_REPLY_UNAVAILABLE };
+
+  switch (s->kind)
+    {
+    case CT_FOLLOWER:
+      r.kind = CT_REPLY_LEADER;
+      r.u.leader = s->leader_http;
+      break;
+    case CT_LEADER:
+    case CT_NO_LEADER:
+      break;
+    }
+  return r;
+}
+
+static const struct ti_document *
+held (const struct ti_store *s)
+{
+  struct ti_key key = { .kind = TI_DOCUMENT };
+
+  ti_text_set (&key.name, ZP_STR (TI_ROUTES));
+  const struct ti_object *o = ti_config_find (ti_store_config (s), &key);
+  return o ? &o->u.document : NULL;
+}
+
+static void
+propose (const struct ti_command *c, struct ct_step *out)
+{
+  out->kind = CT_STEP_PROPOSE;
+  out->u.command = (struct zp_buf){ .ptr = NULL };
+  ti_command_encode (c, &out->u.command);
+}
+
+static void
+put (const struct ct_put *p, const struct ct_calls_view *v,
+     struct ct_step *out)
+{
+  const struct ti_document *now = held (v->store);
+  struct ti_command c = { .kind = TI_PUT, .now = v->wall };
+
+  if (p->body.len > CT_DOCUMENT_MAX)
+    {
+      reply (out, CT_REPLY_BAD)->u.bad = "the document is too long";
+      return;
+    }
+  if (now && p->number <= now->number)
+    {
+      reply (out, CT_REPLY_DONE);
+      return;
+    }
+  c.u.put.number = p->number;
+  ti_blob_pack (p->body, &c.u.put.body);
+  propose (&c, out);
+  ti_command_clear (&c);
+}
+
+static void
+read_document (const struct ct_calls_view *v, struct ct_step *out)
+{
+  const struct ti_document *now = held (v->store);
+
+  /* Nothing is in force yet: the caller may ask again.  */
+  if (!now)
+    reply (out, CT_REPLY_UNAVAILABLE);
+  else if (!ti_blob_unpack (&now->body, &out->document, CT_DOCUMENT_MAX))
+    reply (out, CT_REPLY_UNAVAILABLE);
+  else
+    reply (out, CT_REPLY_DOCUMENT)->u.document = zp_str_of (&out->document);
+}
+
+static void
+evacuate (const struct ct_evacuate *e, const struct ct_calls_view *v,
+          struct ct_step *out)
+{
+  const struct ti_key key = { .kind = TI_DRAIN, .name = e->failure_domain };
+  bool now = ti_config_find (ti_store_config (v->store), &key) != NULL;
+  struct ti_command c = { .kind = TI_EVACUATE, .now = v->wall };
+
+  if (now == e->on)
+    {
+      reply (out, CT_REPLY_DONE);
+      return;
+    }
+  c.u.evacuate = (struct ti_evacuate_command){
+    .failure_domain = e->failure_domain, .on = e->on
+  };
+  propose (&c, out);
+}
+
+static void
+entries (const struct ct_entries *e, const struct ct_calls_view *v,
+         struct ct_step *out)
+{
+  size_t n = ct_daemons_entries (v->daemons, zp_str_from (e->region),
+                                 out->address, CT_ENTRIES_MAX);
+
+  if (n == 0)
+    {
+      reply (out, CT_REPLY_UNAVAILABLE);
+      return;
+    }
+  struct ct_reply *r = reply (out, CT_REPLY_ENTRIES);
+  r->u.entries.address = out->address;
+  r->u.entries.len = n;
+  r->u.entries.ttl = v->lookup_ttl;
+}
+
+void
+ct_calls_decide (const struct ct_call *call, const struct ct_calls_view *v,
+                 struct ct_step *out)
+{
+  bool leads = v->standing.kind == CT_LEADER;
+
+  *out = (struct ct_step){ .kind = CT_STEP_REPLY };
+  switch (call->kind)
+    {
+    case CT_CALL_BAD:
+      reply (out, CT_REPLY_BAD)->u.bad = call->u.bad.text;
+      return;
+    case CT_CALL_UNKNOWN:
+      reply (out, CT_REPLY_UNKNOWN);
+      return;
+    case CT_CALL_METRICS:
+      reply (out, CT_REPLY_METRICS);
+      return;
+    case CT_CALL_ENTRIES:
+      entries (&call->u.entries, v, out);
+      return;
+    case CT_CALL_SERVER:
+      out->kind = CT_STEP_SERVER;
+      out->u.server = call->u.server;
+      return;
+    case CT_CALL_PUT:
+    case CT_CALL_READ:
+    case CT_CALL_EVACUATE:
+      break;
+    }
+  if (!leads)
+    {
+      out->u.reply = ct_calls_refused (&v->standing);
+      return;
+    }
+  switch (call->kind)
+    {
+    case CT_CALL_PUT:
+      put (&call->u.put, v, out);
+      return;
+    case CT_CALL_READ:
+      read_document (v, out);
+      return;
+    case CT_CALL_EVACUATE:
+      evacuate (&call->u.evacuate, v, out);
+      return;
+    case CT_CALL_BAD:
+    case CT_CALL_UNKNOWN:
+    case CT_CALL_METRICS:
+    case CT_CALL_ENTRIES:
+    case CT_CALL_SERVER:
+      return;
+    }
+}
+
+bool
+ct_calls_binding (const struct tk_server *s)
+{
+  switch (s->state)
+    {
+    case TK_SERVER_READY:
+      return false;
+    case TK_SERVER_DRAINING:
+    case TK_SERVER_GONE:
+      break;
+    }
+  return true;
+}
--- a/src/control/control.c
+++ b/src/control/control.c
@@ -7,10 +7,12 @@
 
 #include "base/counter.h"
 #include "base/log.h"
+#include "control/calls.h"
 #include "control/publish.h"
 #include "control/reconcile.h"
 #include "control/replica.h"
 #include "control/reports.h"
+#include "control/roster.h"
 #include "control/shifts.h"
 #include "control/standing.h"
 #include "control/waiting.h"
@@ -19,7 +21,11 @@
 
 #define PART "control"
 
-#define TICK (250 * ZP_MS)
+#define TICK (100 * ZP_MS)
+
+/* Operators wait 1 s for an answer, and a platform kills what has not ended
+   6 s after its request to stop.  */
+#define CONTROL_STOP_LIMIT (4 * ZP_SEC)
 #define RECONCILE_PERIOD (1 * ZP_SEC)
 #define SHIFT_PERIOD (1 * ZP_SEC)
 
@@ -31,6 +37,9 @@
   struct ti_store *store;
   struct ct_replica *replica;
   struct fr_server *front;
+  struct fr_server *directory; /* NULL: none */
+  const struct ct_interface *interface; /* NULL: the product's own */
+  struct ct_roster roster;
   struct fo_source *source; /* NULL: no "follow" in the settings */
   struct ct_reports reports;
   struct ct_shifts shifts;
@@ -39,6 +48,7 @@
   uint64_t change;    /* proposal of a change of members; 0: none */
   uint64_t term;      /* of the last entry applied */
   bool fresh;         /* as last told to the source */
+  char leader_http[ZP_ADDRESS_MAX];
   ev_timer tick;
   zp_time reconciled;
   zp_time shifts_at; /* next decisions on shifts */
@@ -46,23 +56,37 @@
 };
 
 static struct ct_standing
-standing (const struct ct_control *c)
+standing (struct ct_control *c)
 {
   struct lg_status s = ct_replica_status (c->replica);
 
+  if (c->settings->seeds.len > 0)
+    return ct_standing_by_port (&s, c->settings,
+                                ct_replica_members (c->replica),
+                                c->leader_http, sizeof c->leader_http);
   return ct_standing_of (&s, c->settings, ti_store_config (c->store));
 }
 
 /* HTTP.  */
 
 static void
-send_answer (struct ct_control *c, uint64_t http, struct tk_http_answer *a)
+send_answer (struct tk_task *to, uint64_t http, const struct tk_http_answer *a)
 {
   struct tk_msg *m = tk_msg_new (TK_HTTP_ANSWER);
 
   m->u.answer = *a;
   m->u.answer.id = http;
-  tk_send (fr_server_task (c->front), m);
+  tk_send (to, m);
+}
+
+static void
+send_reply (struct ct_control *c, const struct tk_http_request *r,
+            const struct ct_reply *reply)
+{
+  struct tk_http_answer a = { .status = 0 };
+
+  c->interface->encode (r, reply, &a);
+  send_answer (r->from, r->id, &a);
 }
 
 static void
@@ -79,14 +103,74 @@
                        "too many requests wait; nothing was done; "
                        "send the same request again");
       a.retry_after_s = 1;
-      send_answer (c, r->id, &a);
+      send_answer (r->from, r->id, &a);
     }
   zp_buf_free (command);
 }
 
+/* A call of another interface than the product's own.  */
+static void
+on_call (struct ct_control *c, const struct tk_http_request *r)
+{
+  const struct ct_calls_view v = { .store = c->store,
+                                   .standing = standing (c),
+                                   .daemons = &c->roster.daemons,
+                                   .lookup_ttl = c->settings->lookup_ttl,
+                                   .wall = zp_clock_wall () };
+  const struct ct_reply done = { .kind = CT_REPLY_DONE };
+  struct ct_call call;
+  struct ct_step *step = zp_alloc (sizeof *step);
+
+  c->interface->decode (r, &call);
+  ct_calls_decide (&call, &v, step);
+  switch (step->kind)
+    {
+    case CT_STEP_REPLY:
+      send_reply (c, r, &step->u.reply);
+      break;
+    case CT_STEP_PROPOSE:
+      propose (c, r, &step->u.command);
+      break;
+    case CT_STEP_SERVER:
+      if (ct_roster_report (&c->roster, &step->u.server, r))
+        send_reply (c, r, &done);
+      break;
+    }
+  zp_buf_free (&step->document);
+  free (step);
+}
+
+/* Answers the reports of servers whose outcome is known.  */
+static void
+answer_reports (struct ct_control *c)
+{
+  const struct lg_status s = ct_replica_status (c->replica);
+  struct ct_report_wait w;
+  bool acknowledged;
+
+  while (ct_roster_take (&c->roster, s.contact, zp_clock_mono (), &w,
+                         &acknowledged))
+    {
+      const struct tk_http_request r = { .id = w.http, .from = w.from };
+      const struct ct_reply reply
+          = { .kind = acknowledged ? CT_REPLY_DONE : CT_REPLY_UNAVAILABLE };
+      if (!acknowledged)
+        zp_log (ZP_LOG_WARNING, PART,
+                "a server that leaves is not acknowledged: %s",
+                w.settled ? "no contact with a majority"
+                          : "entry daemons have not taken it");
+      send_reply (c, &r, &reply);
+    }
+}
+
 static void
 on_request (struct ct_control *c, const struct tk_http_request *r)
 {
+  if (c->interface)
+    {
+      on_call (c, r);
+      return;
+    }
   struct lg_status s = ct_replica_status (c->replica);
   const struct ct_standing now = standing (c);
   struct ct_member member[LG_MEMBERS_MAX];
@@ -102,7 +186,7 @@
   switch (d.kind)
     {
     case CT_ANSWER:
-      send_answer (c, r->id, &d.u.answer);
+      send_answer (r->from, r->id, &d.u.answer);
       break;
     case CT_PROPOSE:
       propose (c, r, &d.u.command);
@@ -163,8 +247,13 @@
     {
       assert (!w->answer);
       w->answer = tk_msg_new (TK_HTTP_ANSWER);
+      const struct tk_http_request q = { .id = w->http, .from = w->from };
+      const struct ct_reply done = { .kind = CT_REPLY_DONE };
+      if (c->interface)
+        c->interface->encode (&q, &done, &w->answer->u.answer);
+      else
+        ct_answer_result (&w->answer->u.answer, &r);
       w->answer->u.answer.id = w->http;
-      ct_answer_result (&w->answer->u.answer, &r);
     }
   ti_result_free (&r);
 }
@@ -220,6 +309,7 @@
 {
   struct ct_standing now = standing (c);
   struct tk_http_answer a = { .status = 0 };
+  struct tk_http_request q = { .id = w->http, .from = w->from };
 
   switch (reply->kind)
     {
@@ -228,17 +318,30 @@
       return;
     case LG_REPLY_COMMITTED:
       assert (w->answer);
-      tk_send (fr_server_task (c->front), w->answer);
+      tk_send (w->from, w->answer);
       w->answer = NULL;
       break;
     case LG_REPLY_REFUSED:
+      if (c->interface)
+        {
+          struct ct_reply refused = ct_calls_refused (&now);
+          q.path = w->path;
+          send_reply (c, &q, &refused);
+          break;
+        }
       ct_answer_not_leader (&a, &now, zp_str_of (&w->path),
                             zp_str_of (&w->query));
-      send_answer (c, w->http, &a);
+      send_answer (w->from, w->http, &a);
       break;
     case LG_REPLY_LOST:
+      if (c->interface)
+        {
+          struct ct_reply lost = { .kind = CT_REPLY_UNAVAILABLE };
+          send_reply (c, &q, &lost);
+          break;
+        }
       ct_answer_lost (&a);
-      send_answer (c, w->http, &a);
+      send_answer (w->from, w->http, &a);
       break;
     }
   ct_waiting_drop (&c->waiting, w);
@@ -280,7 +383,18 @@
 reconcile (struct ct_control *c, zp_time now)
 {
   struct lg_change change;
+  const struct lg_status s = ct_replica_status (c->replica);
 
+  if (c->settings->seeds.len > 0)
+    {
+      if (!ct_roster_step (&c->roster, c->settings, &s,
+                           ct_replica_members (c->replica), now, &change)
+          || c->change != 0)
+        return;
+      c->change = ++c->proposals;
+      ct_replica_change (c->replica, c->change, &change);
+      return;
+    }
   if (c->change != 0 || now - c->reconciled < RECONCILE_PERIOD
       || !ct_replica_lease (c->replica))
     return;
@@ -350,6 +464,13 @@
       propose_step (c, &step);
 }
 
+static size_t
+pending (const struct ct_control *c)
+{
+  return fr_server_pending (c->front)
+         + (c->directory ? fr_server_pending (c->directory) : 0);
+}
+
 static void
 on_tick (struct ev_loop *ev, ev_timer *w, int events)
 {
@@ -359,15 +480,16 @@
   (void) ev;
   (void) events;
   update_fresh (c);
+  answer_reports (c);
   reconcile (c, now);
   pass_reports (c, now);
   move_shifts (c, now);
   if (c->stop_at == 0)
     return;
-  if (fr_server_pending (c->front) > 0 && now < c->stop_at)
+  if (pending (c) > 0 && now < c->stop_at)
     return;
   zp_log (ZP_LOG_NOTICE, PART, "stopped with %zu requests without an answer",
-          fr_server_pending (c->front));
+          pending (c));
   tk_loop_stop (c->loop);
 }
 
@@ -379,9 +501,11 @@
   if (c->stop_at != 0)
     return;
   zp_log (ZP_LOG_NOTICE, PART, "stopping: answering %zu requests",
-          fr_server_pending (c->front));
-  c->stop_at = zp_clock_mono () + ZP_STOP_LIMIT;
+          pending (c));
+  c->stop_at = zp_clock_mono () + CONTROL_STOP_LIMIT;
   fr_server_quiesce (c->front);
+  if (c->directory)
+    fr_server_quiesce (c->directory);
 }
 
 static void
@@ -406,6 +530,18 @@
     case TK_IN_FORCE:
       ct_reports_add (&c->reports, zp_clock_mono (), &m->u.in_force, true);
       break;
+    case TK_DAEMON:
+      ct_roster_daemon (&c->roster, &m->u.daemon);
+      break;
+    case TK_SERVER_SETTLED:
+      ct_roster_settled (&c->roster, m->u.settled.ticket);
+      answer_reports (c);
+      break;
+    case TK_CENSUS:
+      break;
+    case TK_SEEDS:
+      tk_send (ro_client_task (c->roster.client), m);
+      return;
     default:
       assert (!"message that the control task does not take");
     }
@@ -414,6 +550,19 @@
 
 /* Set-up.  */
 
+static struct fr_server *
+open_front (struct ct_control *c, struct zp_str address, struct zp_err *err)
+{
+  const struct fr_options o
+      = { .address = address,
+          .decider = &c->task,
+          .names = c->interface ? c->interface->names : &fr_names_own,
+          .idle_max = ZP_CALLER_IDLE_MAX,
+          .body_max = c->interface ? CT_DOCUMENT_MAX : ZP_BODY_MAX };
+
+  return fr_server_open_with (c->loop, &o, err);
+}
+
 static bool
 open_parts (struct ct_control *c, struct zp_err *err)
 {
@@ -444,16 +593,23 @@
   c->replica = ct_replica_open (&o, err);
   if (!c->replica)
     return false;
-  c->front = fr_server_open (c->loop, s->http, &c->task, err);
-  return c->front != NULL;
+  if (s->seeds.len > 0
+      && !ct_roster_open (&c->roster, c->loop, s, &c->task, err))
+    return false;
+  c->front = open_front (c, s->http, err);
+  if (c->front && s->directory.len > 0)
+    c->directory = open_front (c, s->directory, err);
+  return c->front && (c->directory || s->directory.len == 0);
 }
 
 struct ct_control *
 ct_control_open (struct tk_loop *l, const struct ct_settings *settings,
-                 struct zp_err *err)
+                 const struct ct_interface *interface, struct zp_err *err)
 {
   struct ct_control *c = zp_alloc (sizeof *c);
 
+  c->interface = interface;
+
   c->settings = settings;
   c->loop = l;
   c->store = ti_store_new (TI_CONFLICT_BY_OBJECT);
@@ -481,6 +637,8 @@
   ev_timer_stop (c->loop->ev, &c->tick);
   if (c->front)
     fr_server_close (c->front);
+  fr_server_close (c->directory);
+  ct_roster_close (&c->roster);
   if (c->replica)
     ct_replica_close (c->replica);
   fo_source_close (c->source);
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -14,14 +14,17 @@
 #ifndef ZP_CONTROL_CONTROL_H
 #define ZP_CONTROL_CONTROL_H
 
+#include "control/call.h"
 #include "control/settings.h"
 #include "task/task.h"
 
 struct ct_control;
 
-/* SETTINGS has to live as long as the task.  */
+/* SETTINGS has to live as long as the task, and INTERFACE too; NULL is the
+   product's own interface.  */
 struct ct_control *ct_control_open (struct tk_loop *l,
                                     const struct ct_settings *settings,
+                                    const struct ct_interface *interface,
                                     struct zp_err *err);
 struct tk_task *ct_control_task (struct ct_control *c);
 
--- /dev/null
+++ b/src/control/join.c
@@ -0,0 +1,189 @@
+#include "control/join.h"
+
+#include <string.h>
+
+/* A new leader waits for this time before it takes a voter for lost: daemons
+   connect to it within a few hundred milliseconds.  */
+#define SETTLE (3 * ZP_SEC)
+
+struct view
+{
+  const struct lg_members *members;
+  const struct ct_daemons *daemons;
+  const struct ct_join_self *self;
+  zp_time now;
+};
+
+static const struct ct_daemon *
+daemon_of (const struct view *v, uint64_t id)
+{
+  for (size_t i = 0; i < v->daemons->len; i++)
+    if (v->daemons->item[i].said.id == id
+        && v->daemons->item[i].said.kind == TK_DAEMON_CONTROL)
+      return &v->daemons->item[i];
+  return NULL;
+}
+
+static bool
+connected (const struct view *v, uint64_t id)
+{
+  const struct ct_daemon *d = daemon_of (v, id);
+
+  return id == v->self->id || (d && !d->said.lost);
+}
+
+/* How long a member has been without a connection; 0: it has one.  */
+static zp_time
+lost_for (const struct view *v, uint64_t id)
+{
+  const struct ct_daemon *d = daemon_of (v, id);
+
+  if (connected (v, id))
+    return 0;
+  zp_time known = v->now - v->self->led_since;
+  if (known < SETTLE)
+    return 0;
+  if (d && v->now - d->since < known)
+    return v->now - d->since;
+  return known;
+}
+
+static struct zp_str
+region_of (const struct view *v, uint64_t id)
+{
+  const struct ct_daemon *d = daemon_of (v, id);
+
+  if (id == v->self->id)
+    return v->self->region;
+  return d ? zp_str_from (d->said.region) : ZP_STR ("");
+}
+
+static size_t
+voters_in (const struct view *v, struct zp_str region)
+{
+  size_t n = 0;
+
+  for (size_t i = 0; i < v->members->len; i++)
+    n += v->members->item[i].voter && region.len > 0
+         && zp_str_eq (region_of (v, v->members->item[i].id), region);
+  return n;
+}
+
+static bool
+wiped (const struct view *v, struct lg_change *out)
+{
+  for (size_t i = 0; i < v->members->len; i++)
+    for (size_t k = 0; k < v->daemons->len; k++)
+      {
+        const struct lg_member *m = &v->members->item[i];
+        const struct tk_daemon *d = &v->daemons->item[k].said;
+        if (d->kind == TK_DAEMON_CONTROL && !d->lost && d->id != m->id
+            && strcmp (d->log, m->address) == 0)
+          {
+            *out = (struct lg_change){ .kind = LG_REMOVE, .id = m->id };
+            return true;
+          }
+      }
+  return false;
+}
+
+static bool
+newcomer (const struct view *v, struct lg_change *out)
+{
+  for (size_t i = 0; i < v->daemons->len; i++)
+    {
+      const struct tk_daemon *d = &v->daemons->item[i].said;
+      if (d->kind != TK_DAEMON_CONTROL || d->lost || d->log[0] == '\0'
+          || lg_members_find (v->members, d->id)
+          || v->members->len == LG_MEMBERS_MAX)
+        continue;
+      *out = (struct lg_change){ .kind = LG_ADD_LEARNER,
+                                 .id = d->id,
+                                 .address = zp_str_from (d->log) };
+      return true;
+    }
+  return false;
+}
+
+/* A connected learner that may become a voter, or NULL.  LEAVING is a voter
+   that it would replace, or 0.  */
+static const struct lg_member *
+successor (const struct view *v, uint64_t leaving)
+{
+  for (size_t i = 0; i < v->members->len; i++)
+    {
+      const struct lg_member *m = &v->members->item[i];
+      if (m->voter || !connected (v, m->id))
+        continue;
+      struct zp_str region = region_of (v, m->id);
+      size_t there = voters_in (v, region);
+      if (leaving != 0 && there > 0
+          && zp_str_eq (region_of (v, leaving), region))
+        there--;
+      if (there < CT_VOTERS_IN_REGION)
+        return m;
+    }
+  return NULL;
+}
+
+static bool
+promotion (const struct view *v, struct lg_change *out)
+{
+  size_t voters = lg_members_voters (v->members);
+  const struct lg_member *m = successor (v, 0);
+
+  if (!m || voters >= CT_VOTERS)
+    return false;
+  *out = (struct lg_change){ .kind = LG_PROMOTE, .id = m->id };
+  return true;
+}
+
+static bool
+lost_voter (const struct view *v, struct lg_change *out)
+{
+  size_t voters = lg_members_voters (v->members), here = 0;
+  const struct lg_member *lost = NULL;
+
+  for (size_t i = 0; i < v->members->len; i++)
+    {
+      const struct lg_member *m = &v->members->item[i];
+      if (!m->voter)
+        continue;
+      here += connected (v, m->id);
+      if (!lost && lost_for (v, m->id) >= CT_LOST_VOTER)
+        lost = m;
+    }
+  if (!lost || voters < 2 || here <= (voters - 1) / 2
+      || !successor (v, lost->id))
+    return false;
+  *out = (struct lg_change){ .kind = LG_REMOVE, .id = lost->id };
+  return true;
+}
+
+static bool
+lost_learner (const struct view *v, struct lg_change *out)
+{
+  for (size_t i = 0; i < v->members->len; i++)
+    {
+      const struct lg_member *m = &v->members->item[i];
+      if (m->voter || lost_for (v, m->id) < CT_LOST_LEARNER)
+        continue;
+      *out = (struct lg_change){ .kind = LG_REMOVE, .id = m->id };
+      return true;
+    }
+  return false;
+}
+
+bool
+ct_join_decide (const struct lg_members *members,
+                const struct ct_daemons *daemons,
+                const struct ct_join_self *self, zp_time now,
+                struct lg_change *out)
+{
+  const struct view v = {
+    .members = members, .daemons = daemons, .self = self, .now = now
+  };
+
+  return wiped (&v, out) || newcomer (&v, out) || promotion (&v, out)
+         || lost_voter (&v, out) || lost_learner (&v, out);
+}
--- /dev/null
+++ b/src/control/roster.c
@@ -0,0 +1,190 @@
+#include "control/roster.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "control/calls.h"
+#include "control/join.h"
+
+#define PART "roster"
+
+/* Addresses.  */
+
+/* The port of "IP:port".  */
+static unsigned
+port_of (struct zp_str address)
+{
+  size_t n = address.len;
+  uint64_t port = 0;
+
+  while (n > 0 && address.ptr[n - 1] != ':')
+    n--;
+  zp_str_u64 ((struct zp_str){ .ptr = address.ptr + n, .len = address.len - n },
+              &port);
+  return (unsigned) port;
+}
+
+static struct tk_daemon
+self_of (const struct ct_settings *s)
+{
+  struct tk_daemon d = { .kind = TK_DAEMON_CONTROL,
+                         .id = (uint64_t) s->id,
+                         .ready = true };
+
+  zp_str_copy (d.name, sizeof d.name, s->name);
+  zp_str_copy (d.address, sizeof d.address, s->http);
+  zp_str_copy (d.failure_domain, sizeof d.failure_domain, s->failure_domain);
+  zp_str_copy (d.region, sizeof d.region, s->region);
+  zp_str_copy (d.log, sizeof d.log, s->address);
+  return d;
+}
+
+/* Tells the source which control daemons there are: this one, and those that
+   are connected.  */
+static void
+tell_controls (struct ct_roster *r, const struct ct_settings *s)
+{
+  struct zp_buf lines = { .ptr = NULL };
+
+  zp_buf_printf (&lines, "%.*s\n", ZP_ARG (s->http));
+  for (size_t i = 0; i < r->daemons.len; i++)
+    {
+      const struct tk_daemon *d = &r->daemons.item[i].said;
+      if (d->kind == TK_DAEMON_CONTROL && !d->lost)
+        zp_buf_printf (&lines, "%s\n", d->address);
+    }
+  if (zp_str_eq (zp_str_of (&lines), zp_str_of (&r->controls)))
+    {
+      zp_buf_free (&lines);
+      return;
+    }
+  zp_buf_clear (&r->controls);
+  zp_buf_put (&r->controls, zp_str_of (&lines));
+  struct tk_msg *m = tk_msg_new (TK_SOURCES);
+  m->u.addresses.lines = lines;
+  tk_send (ro_source_task (r->source), m);
+}
+
+/* Reports.  */
+
+void
+ct_roster_daemon (struct ct_roster *r, const struct tk_daemon *d)
+{
+  if (!ct_daemons_take (&r->daemons, d, zp_clock_mono ()))
+    zp_log (ZP_LOG_ERR, PART, "daemon %s is left out: too many are known",
+            d->name);
+}
+
+void
+ct_roster_settled (struct ct_roster *r, uint64_t ticket)
+{
+  for (size_t i = 0; i < r->waits; i++)
+    if (r->wait[i].ticket == ticket)
+      r->wait[i].settled = true;
+}
+
+static uint64_t
+add_wait (struct ct_roster *r, const struct tk_http_request *q)
+{
+  if (r->waits == r->wait_cap)
+    {
+      r->wait_cap = r->wait_cap > 0 ? 2 * r->wait_cap : 16;
+      r->wait = zp_realloc (r->wait, r->wait_cap * sizeof *r->wait);
+    }
+  r->wait[r->waits++]
+      = (struct ct_report_wait){ .ticket = ++r->tickets,
+                                 .http = q->id,
+                                 .from = q->from,
+                                 .arrived = zp_clock_mono () };
+  return r->tickets;
+}
+
+bool
+ct_roster_report (struct ct_roster *r, const struct tk_server *server,
+                  const struct tk_http_request *q)
+{
+  struct tk_msg *m = tk_msg_new (TK_SERVER);
+  bool binding = ct_calls_binding (server);
+
+  m->u.server = *server;
+  m->u.server.ticket = binding ? add_wait (r, q) : 0;
+  tk_send (ro_source_task (r->source), m);
+  return !binding;
+}
+
+bool
+ct_roster_take (struct ct_roster *r, zp_time contact, zp_time now,
+                struct ct_report_wait *out, bool *acknowledged)
+{
+  for (size_t i = 0; i < r->waits; i++)
+    {
+      const struct ct_report_wait *w = &r->wait[i];
+      *acknowledged = w->settled && contact >= w->arrived;
+      if (!*acknowledged && now - w->arrived < CT_REPORT_LIMIT)
+        continue;
+      *out = *w;
+      r->wait[i] = r->wait[--r->waits];
+      return true;
+    }
+  return false;
+}
+
+bool
+ct_roster_step (struct ct_roster *r, const struct ct_settings *settings,
+                const struct lg_status *status,
+                const struct lg_members *members, zp_time now,
+                struct lg_change *out)
+{
+  if (!r->source)
+    return false;
+  ct_daemons_expire (&r->daemons, now);
+  tell_controls (r, settings);
+  if (!status->lease)
+    {
+      r->led_since = 0;
+      return false;
+    }
+  if (r->led_since == 0)
+    r->led_since = now;
+  const struct ct_join_self self = { .id = (uint64_t) settings->id,
+                                     .region = settings->region,
+                                     .led_since = r->led_since };
+  return ct_join_decide (members, &r->daemons, &self, now, out);
+}
+
+/* Set-up.  */
+
+bool
+ct_roster_open (struct ct_roster *r, struct tk_loop *l,
+                const struct ct_settings *settings, struct tk_task *decider,
+                struct zp_err *err)
+{
+  const struct ro_source_options source
+      = { .address = settings->roster,
+          .report_period = settings->server_report,
+          .decider = decider };
+  const struct ro_client_options client
+      = { .self = self_of (settings),
+          .seeds = &settings->seeds,
+          .roster_port = port_of (settings->roster),
+          .follow_port = port_of (settings->follow),
+          .decider = decider };
+
+  r->source = ro_source_open (l, &source, err);
+  if (!r->source)
+    return false;
+  r->client = ro_client_open (l, &client);
+  return true;
+}
+
+void
+ct_roster_close (struct ct_roster *r)
+{
+  ro_client_close (r->client);
+  ro_source_close (r->source);
+  ct_daemons_free (&r->daemons);
+  zp_buf_free (&r->controls);
+  free (r->wait);
+}
--- a/src/control/settings.h
+++ b/src/control/settings.h
@@ -12,6 +12,19 @@
                 leader's operators' interface
        join     true for a member that joins an existing group
 
+     A deployment without an operator for the group gives these instead of "id",
+     "members" and "join":
+
+       seeds          operators' interfaces of some control daemons
+       found          true on the first start of the whole deployment
+       name, failure_domain, region  of this daemon
+       ip, inner_port  address of this machine, and the first port of the inner
+                      protocols (enum wi_port); they give "address", "follow" and
+                      the address of the roster
+       directory      "IP:port" for callers that ask for entry VMs
+       server_report  period of the reports of one backend server
+       lookup_ttl     how long callers may keep the answer
+
    RETURN VALUE
      ct_settings_load returns true when the report stayed empty.  */
 
@@ -29,12 +42,22 @@
   struct zp_strs members;
   bool join;
 
+  struct zp_strs seeds;
+  bool found;
+  struct zp_str name, failure_domain, region;
+  struct zp_str ip, roster, directory;
+  int64_t inner_port;
+  char inner[3][ZP_ADDRESS_MAX]; /* by enum wi_port */
+  zp_time server_report, lookup_ttl;
+
   struct lg_members voters;
   struct zp_str voter_http[LG_MEMBERS_MAX]; /* in the order of VOTERS */
 };
 
 bool ct_settings_load (struct ct_settings *s, const char *path,
                        struct zp_report *report);
+/* Sets id, voters and join of a daemon with seeds, from its data folder.  */
+bool ct_settings_identify (struct ct_settings *s, struct zp_err *err);
 void ct_settings_free (struct ct_settings *s);
 
 #endif
--- a/src/control/standing.c
+++ b/src/control/standing.c
@@ -74,6 +74,30 @@
   return out;
 }
 
+struct ct_standing
+ct_standing_by_port (const struct lg_status *s,
+                     const struct ct_settings *settings,
+                     const struct lg_members *members, char *text, size_t size)
+{
+  struct ct_standing out = { .kind = CT_NO_LEADER };
+  const struct lg_member *m = lg_members_find (members, s->leader);
+  struct zp_str host, port, rest;
+
+  if (s->lease)
+    {
+      out.kind = CT_LEADER;
+      return out;
+    }
+  if (!m || s->leader == (uint64_t) settings->id)
+    return out;
+  zp_str_split (zp_str_from (m->address), ':', &host, &rest);
+  zp_str_split (settings->http, ':', &rest, &port);
+  snprintf (text, size, "%.*s:%.*s", ZP_ARG (host), ZP_ARG (port));
+  out.kind = CT_FOLLOWER;
+  out.leader_http = zp_str_from (text);
+  return out;
+}
+
 struct ct_report
 ct_report_of (const struct lg_status *s, const struct ct_settings *settings,
               const struct lg_members *members, struct ct_member *member)
--- a/src/control/waiting.c
+++ b/src/control/waiting.c
@@ -10,6 +10,7 @@
   *x = (struct ct_waiting){
     .proposal = proposal,
     .http = r->id,
+    .from = r->from,
     .path = zp_buf_from (zp_str_of (&r->path)),
     .query = zp_buf_from (zp_str_of (&r->query)),
   };
--- a/src/follow/follower.c
+++ b/src/follow/follower.c
@@ -134,7 +134,8 @@
   wi_conn_free (f->conn);
   f->conn = NULL;
   fo_state_restart (&f->state);
-  f->source = (f->source + 1) % f->source_count;
+  if (f->source_count > 0)
+    f->source = (f->source + 1) % f->source_count;
   f->dial_at = zp_clock_mono () + ZP_FOLLOW_RETRY;
 }
 
@@ -314,6 +315,34 @@
 
 /* Messages.  */
 
+/* Takes the addresses of sources, one a line.  The one in use stays in use as
+   long as it is named.  */
+static void
+take_sources (struct fo_follower *f, struct zp_str lines)
+{
+  struct zp_buf used = { .ptr = NULL };
+  struct zp_str rest = lines, line;
+
+  if (f->source_count > 0)
+    zp_buf_put (&used, zp_str_of (&f->sources[f->source]));
+  for (size_t i = 0; i < f->source_count; i++)
+    zp_buf_free (&f->sources[i]);
+  f->source_count = 0;
+  f->source = 0;
+  while (rest.len > 0)
+    {
+      zp_str_split (rest, '\n', &line, &rest);
+      if (line.len == 0)
+        continue;
+      f->sources = zp_realloc (f->sources, (f->source_count + 1)
+                                               * sizeof *f->sources);
+      if (zp_str_eq (line, zp_str_of (&used)))
+        f->source = f->source_count;
+      f->sources[f->source_count++] = zp_buf_from (line);
+    }
+  zp_buf_free (&used);
+}
+
 /* The report goes on with the next ping or tick, together with others.  */
 static void
 take_report (struct fo_follower *f, const struct tk_in_force *r)
@@ -350,6 +379,9 @@
       if (m->u.config.whole)
         write_cache (f, &m->u.config);
       break;
+    case TK_SOURCES:
+      take_sources (f, zp_str_of (&m->u.addresses.lines));
+      break;
     case TK_DISK_DONE:
       if (m->u.disk.error != 0)
         {
--- a/src/forward/client.c
+++ b/src/forward/client.c
@@ -12,6 +12,10 @@
 
 #define PART "forward"
 
+/* Idle connections that are kept, to all backend servers together: one for each
+   slot of 270 servers with 6 slots, and below the usual limit of descriptors.  */
+#define IDLE_CONNECTIONS 1620L
+
 /* One socket of libcurl in the event loop.  */
 struct watch
 {
@@ -33,6 +37,7 @@
   bool wrong_id;
   bool has_verdict;
   enum zp_verdict verdict;
+  bool not_run; /* the answer has the header of that name */
 };
 
 struct fw_client
@@ -40,6 +45,7 @@
   struct tk_loop *loop;
   struct tk_task task;
   struct tk_task *reply_to;
+  const struct fr_names *names;
   CURLM *multi;
   ev_timer timer;
   struct transfer active; /* list head */
@@ -76,11 +82,31 @@
   return size * n;
 }
 
+/* Reads "running,waiting,slots".  */
+static void
+read_load (struct zp_str value, struct tk_server_load *out)
+{
+  struct zp_str part[3], rest = value;
+  uint64_t n[3];
+
+  for (int i = 0; i < 3; i++)
+    {
+      zp_str_split (rest, ',', &part[i], &rest);
+      if (!zp_str_u64 (part[i], &n[i]) || n[i] > ZP_SERVER_SLOTS_MAX)
+        return;
+    }
+  *out = (struct tk_server_load){ .known = true,
+                                  .running = (unsigned) n[0],
+                                  .waiting = (unsigned) n[1],
+                                  .slots = (unsigned) n[2] };
+}
+
 static size_t
 on_header (char *bytes, size_t size, size_t n, void *self)
 {
   struct transfer *t = self;
   struct tk_forward_done *d = &t->done->u.done;
+  const struct fr_names *names = t->client->names;
   struct zp_str line = { .ptr = bytes, .len = size * n };
   struct zp_str name, value;
 
@@ -90,19 +116,29 @@
       zp_buf_clear (&d->headers);
       zp_buf_clear (&d->content_type);
       t->has_verdict = false;
+      t->not_run = false;
+      d->stamped = false;
       return size * n;
     }
   if (!fr_header_next (&line, &name, &value) || name.len == 0)
     return size * n;
   if (fr_header_is (name, "Content-Type"))
     zp_buf_put (&d->content_type, value);
-  else if (fr_header_is (name, "Run-Verdict"))
+  else if (fr_header_is (name, names->verdict))
     t->has_verdict = zp_verdict_parse (value, &t->verdict);
-  else if (fr_header_is (name, "Request-Id"))
+  else if (fr_header_is (name, names->request_id))
     t->wrong_id
         = !zp_str_eq (value, zp_str_of (&t->request->u.forward.request_id));
   else
-    fr_header_put (&d->headers, name, value);
+    {
+      if (fr_header_is (name, names->not_run))
+        t->not_run = true;
+      else if (fr_header_is (name, names->stamp))
+        d->stamped = true;
+      else if (fr_header_is (name, names->load))
+        read_load (value, &d->load);
+      fr_header_put (names, &d->headers, name, value);
+    }
   return size * n;
 }
 
@@ -159,6 +195,8 @@
 {
   if (status == 503 && t->has_verdict && t->verdict == ZP_NOT_RUN)
     return ZP_NOT_RUN;
+  if (t->not_run || (status == 421 && t->request->u.forward.expect[0]))
+    return ZP_NOT_RUN;
   if (t->has_verdict && t->verdict == ZP_MAY_HAVE_RUN)
     return ZP_MAY_HAVE_RUN;
   return ZP_RAN;
@@ -167,12 +205,20 @@
 static void
 finish_by_result (struct transfer *t, CURLcode result)
 {
-  long status = 0;
+  long status = 0, connects = 0;
 
   if (result == CURLE_OK && !t->wrong_id)
     {
       curl_easy_getinfo (t->easy, CURLINFO_RESPONSE_CODE, &status);
       t->done->u.done.status = (unsigned) status;
+      curl_easy_getinfo (t->easy, CURLINFO_NUM_CONNECTS, &connects);
+      t->done->u.done.reused = connects == 0;
+      if (connects > 0)
+        {
+          curl_off_t us = 0;
+          curl_easy_getinfo (t->easy, CURLINFO_CONNECT_TIME_T, &us);
+          t->done->u.done.connect = (zp_time) us;
+        }
       finish (t, TK_END_ANSWER, answer_verdict (t, (unsigned) status));
       return;
     }
@@ -229,9 +275,15 @@
   struct zp_str rest = zp_str_of (&f->headers);
   struct zp_str name, value;
 
-  add_request_header (t, "Deadline-Ms: %ld", milliseconds (left));
-  add_request_header (t, "Request-Id: %.*s",
+  const struct fr_names *names = t->client->names;
+  add_request_header (t, "%s: %ld", names->deadline_ms, milliseconds (left));
+  add_request_header (t, "%s: %.*s", names->request_id,
                       ZP_ARG (zp_str_of (&f->request_id)));
+  if (names->expect && f->expect[0])
+    add_request_header (t, "%s: %s", names->expect, f->expect);
+  /* The backend server sees the host that the caller asked for.  */
+  if (f->host.len > 0)
+    add_request_header (t, "Host: %.*s", ZP_ARG (zp_str_of (&f->host)));
   /* Without this, libcurl waits up to 1 s for an interim answer.  */
   add_request_header (t, "Expect:");
   if (f->content_type.len > 0)
@@ -284,7 +336,8 @@
   curl_easy_setopt (e, CURLOPT_TIMEOUT_MS, milliseconds (left));
   curl_easy_setopt (e, CURLOPT_CONNECTTIMEOUT_MS, milliseconds (connect));
   curl_easy_setopt (e, CURLOPT_MAXAGE_CONN,
-                    (long) (ZP_CONN_IDLE_MAX / ZP_SEC));
+                    (long) ((f->idle_max > 0 ? f->idle_max : ZP_CONN_IDLE_MAX)
+                            / ZP_SEC));
   curl_easy_setopt (e, CURLOPT_MAXLIFETIME_CONN,
                     (long) (ZP_CONN_AGE_MAX / ZP_SEC));
   curl_easy_setopt (e, CURLOPT_FRESH_CONNECT, f->fresh_connection ? 1L : 0L);
@@ -456,6 +509,13 @@
 
 struct fw_client *
 fw_client_open (struct tk_loop *l, struct tk_task *reply_to)
+{
+  return fw_client_open_with (l, reply_to, &fr_names_own);
+}
+
+struct fw_client *
+fw_client_open_with (struct tk_loop *l, struct tk_task *reply_to,
+                     const struct fr_names *names)
 {
   struct fw_client *c = zp_alloc (sizeof *c);
 
@@ -463,6 +523,7 @@
     abort ();
   c->loop = l;
   c->reply_to = reply_to;
+  c->names = names;
   c->active.next = &c->active;
   c->active.prev = &c->active;
   c->multi = curl_multi_init ();
@@ -475,6 +536,7 @@
   curl_multi_setopt (c->multi, CURLMOPT_TIMERFUNCTION, on_timer_change);
   curl_multi_setopt (c->multi, CURLMOPT_TIMERDATA, c);
   curl_multi_setopt (c->multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+  curl_multi_setopt (c->multi, CURLMOPT_MAXCONNECTS, IDLE_CONNECTIONS);
   tk_task_init (&c->task, l, on_message, c);
   return c;
 }
--- a/src/front/header.c
+++ b/src/front/header.c
@@ -5,7 +5,7 @@
 
 #include "base/limits.h"
 
-/* Headers of one connection, or set anew by zinniapost on each side.  */
+/* Headers of one connection, or set anew on each side.  */
 static const char *const own_headers[] = {
   "Connection",
   "Keep-Alive",
@@ -20,24 +20,32 @@
   "Host",
   "Date",
   "Expect",
-  "Run-Verdict",
-  "Request-Id",
-  "Deadline-Ms",
-  "Idempotency-Key",
   "Accept-Encoding",
   "Retry-After",
 };
 
+const struct fr_names fr_names_own = {
+  .deadline_ms = "Deadline-Ms",
+  .request_id = "Request-Id",
+  .verdict = "Run-Verdict",
+  .key = "Idempotency-Key",
+};
+
 bool
 fr_header_is (struct zp_str name, const char *want)
 {
-  return name.len == strlen (want)
+  return want && name.len == strlen (want)
          && strncasecmp (name.ptr, want, name.len) == 0;
 }
 
 bool
-fr_header_passes (struct zp_str name)
+fr_header_passes (const struct fr_names *names, struct zp_str name)
 {
+  if (fr_header_is (name, names->deadline_ms)
+      || fr_header_is (name, names->request_id)
+      || fr_header_is (name, names->verdict)
+      || fr_header_is (name, names->key) || fr_header_is (name, names->expect))
+    return false;
   for (size_t i = 0; i < sizeof own_headers / sizeof own_headers[0]; i++)
     if (fr_header_is (name, own_headers[i]))
       return false;
@@ -45,9 +53,10 @@
 }
 
 void
-fr_header_put (struct zp_buf *block, struct zp_str name, struct zp_str value)
+fr_header_put (const struct fr_names *names, struct zp_buf *block,
+               struct zp_str name, struct zp_str value)
 {
-  if (!fr_header_passes (name)
+  if (!fr_header_passes (names, name)
       || block->len + name.len + value.len + 3 > ZP_HEADERS_MAX)
     return;
   zp_buf_printf (block, "%.*s: %.*s\n", ZP_ARG (name), ZP_ARG (value));
--- a/src/front/server.c
+++ b/src/front/server.c
@@ -46,10 +46,13 @@
   struct tk_loop *loop;
   struct tk_task task;
   struct tk_task *decider;
+  const struct fr_names *names;
+  size_t body_max;
   struct MHD_Daemon *daemon;
   ev_io io;
   ev_timer timer;
   bool quiescent;
+  bool draining;
   struct zp_slots exchanges;
 };
 
@@ -106,13 +109,15 @@
 on_header (void *self, enum MHD_ValueKind kind, const char *name,
            const char *value)
 {
-  struct tk_http_request *r = self;
+  struct exchange *x = self;
+  struct tk_http_request *r = &x->request->u.request;
+  const struct fr_names *names = x->server->names;
   struct zp_str n = zp_str_from (name);
   struct zp_str v = zp_str_from (value);
   uint64_t ms;
 
   (void) kind;
-  if (fr_header_is (n, "Deadline-Ms"))
+  if (fr_header_is (n, names->deadline_ms))
     {
       if (!zp_str_u64 (v, &ms) || ms == 0
           || ms > (uint64_t) (ZP_DEADLINE_MAX / ZP_MS))
@@ -120,7 +125,7 @@
       else
         r->deadline = zp_clock_mono () + (zp_time) ms * ZP_MS;
     }
-  else if (fr_header_is (n, "Idempotency-Key"))
+  else if (fr_header_is (n, names->key))
     {
       if (v.len == 0 || v.len > ZP_KEY_MAX)
         r->bad_header = true;
@@ -129,21 +134,26 @@
     }
   else if (fr_header_is (n, "Content-Type"))
     zp_buf_put (&r->content_type, v);
+  else if (fr_header_is (n, names->request_id))
+    zp_buf_put (&r->request_id, v);
+  else if (fr_header_is (n, "Host"))
+    zp_buf_put (&r->host, v);
   else
-    fr_header_put (&r->headers, n, v);
+    {
+      if (fr_header_is (n, names->affinity))
+        zp_buf_put (&r->affinity, v);
+      fr_header_put (names, &r->headers, n, v);
+    }
   return MHD_YES;
 }
 
-/* A Request-Id is sent back with the answer, so that the other side can tell
+/* The request id is sent back with the answer, so that the other side can tell
    a crossed one.  */
 static void
 keep_request_id (struct exchange *x)
 {
-  const char *id
-      = MHD_lookup_connection_value (x->conn, MHD_HEADER_KIND, "Request-Id");
-
-  if (id && strlen (id) < sizeof x->request_id)
-    zp_str_copy (x->request_id, sizeof x->request_id, zp_str_from (id));
+  zp_str_copy (x->request_id, sizeof x->request_id,
+               zp_str_of (&x->request->u.request.request_id));
 }
 
 static uint32_t
@@ -172,7 +182,8 @@
   zp_buf_put (&r->path, path);
   zp_buf_put (&r->query, query);
   r->caller_ipv4 = caller_ipv4 (x->conn);
-  MHD_get_connection_values (x->conn, MHD_HEADER_KIND, on_header, r);
+  r->from = &x->server->task;
+  MHD_get_connection_values (x->conn, MHD_HEADER_KIND, on_header, x);
   keep_request_id (x);
 }
 
@@ -249,26 +260,31 @@
   /* The response takes the body over.  */
   struct MHD_Response *r = MHD_create_response_from_buffer_with_free_callback (
       a->body.len, a->body.ptr ? a->body.ptr : zp_alloc (1), release_body);
-  char seconds[16];
+  char seconds[24];
 
   a->body = (struct zp_buf){ .ptr = NULL };
   if (!r)
     return MHD_NO;
-  if (a->has_verdict)
-    add_header (r, "Run-Verdict", zp_verdict_name (a->verdict));
-  if (a->retry_after_s > 0)
+  const struct fr_names *names = x->server->names;
+  if (a->has_verdict && names->verdict)
+    add_header (r, names->verdict, zp_verdict_name (a->verdict));
+  if (a->retry_after_ms > 0 || a->retry_after_s > 0)
     {
-      snprintf (seconds, sizeof seconds, "%u", a->retry_after_s);
+      if (a->retry_after_ms > 0)
+        snprintf (seconds, sizeof seconds, "%u.%03u", a->retry_after_ms / 1000,
+                  a->retry_after_ms % 1000);
+      else
+        snprintf (seconds, sizeof seconds, "%u", a->retry_after_s);
       add_header (r, "Retry-After", seconds);
     }
   if (x->request_id[0] != '\0')
-    add_header (r, "Request-Id", x->request_id);
+    add_header (r, names->request_id, x->request_id);
   if (a->location.len > 0)
     add_header (r, "Location", a->location.ptr);
   if (a->content_type.len > 0)
     add_header (r, "Content-Type", a->content_type.ptr);
   add_header_block (r, zp_str_of (&a->headers));
-  if (x->server->quiescent)
+  if (x->server->quiescent || x->server->draining)
     add_header (r, "Connection", "close");
   enum MHD_Result ok = MHD_queue_response (x->conn, a->status, r);
   MHD_destroy_response (r);
@@ -323,7 +339,7 @@
       if (!x->request)
         return MHD_NO;
       struct zp_buf *body = &x->request->u.request.body;
-      if (body->len + *len > ZP_BODY_MAX)
+      if (body->len + *len > x->server->body_max)
         x->too_large = true;
       else
         zp_buf_put_bytes (body, bytes, *len);
@@ -437,15 +453,30 @@
 struct fr_server *
 fr_server_open (struct tk_loop *l, struct zp_str address,
                 struct tk_task *decider, struct zp_err *err)
+{
+  const struct fr_options o = { .address = address,
+                                .decider = decider,
+                                .names = &fr_names_own,
+                                .idle_max = ZP_CALLER_IDLE_MAX,
+                                .body_max = ZP_BODY_MAX };
+
+  return fr_server_open_with (l, &o, err);
+}
+
+struct fr_server *
+fr_server_open_with (struct tk_loop *l, const struct fr_options *o,
+                     struct zp_err *err)
 {
   struct sockaddr_storage sa;
   socklen_t len;
 
-  if (!wi_address_parse (address, &sa, &len, err))
+  if (!wi_address_parse (o->address, &sa, &len, err))
     return NULL;
   struct fr_server *s = zp_alloc (sizeof *s);
   s->loop = l;
-  s->decider = decider;
+  s->decider = o->decider;
+  s->names = o->names;
+  s->body_max = o->body_max;
   s->daemon = MHD_start_daemon (
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG, 0, NULL,
       NULL, on_request, s, MHD_OPTION_EXTERNAL_LOGGER, on_library_log, s,
@@ -453,7 +484,7 @@
       MHD_OPTION_URI_LOG_CALLBACK, on_target, s, MHD_OPTION_NOTIFY_COMPLETED,
       on_completed, s, MHD_OPTION_CONNECTION_LIMIT,
       (unsigned) ZP_CALLER_CONNECTIONS, MHD_OPTION_CONNECTION_TIMEOUT,
-      (unsigned) (ZP_CALLER_IDLE_MAX / ZP_SEC),
+      (unsigned) (o->idle_max / ZP_SEC),
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t) (2 * ZP_HEADERS_MAX),
       MHD_OPTION_LISTEN_BACKLOG_SIZE, 1024u, MHD_OPTION_END);
   const union MHD_DaemonInfo *i
@@ -464,7 +495,7 @@
       if (s->daemon)
         MHD_stop_daemon (s->daemon);
       free (s);
-      zp_fail (err, ZP_EIO, "cannot serve HTTP on %.*s", ZP_ARG (address));
+      zp_fail (err, ZP_EIO, "cannot serve HTTP on %.*s", ZP_ARG (o->address));
       return NULL;
     }
   tk_task_init (&s->task, l, on_message, s);
@@ -482,6 +513,12 @@
   return &s->task;
 }
 
+void
+fr_server_drain (struct fr_server *s)
+{
+  s->draining = true;
+}
+
 void
 fr_server_quiesce (struct fr_server *s)
 {
--- /dev/null
+++ b/src/gate/config.c
@@ -0,0 +1,198 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "gate/gate.h"
+#include "ticket/blob.h"
+
+#define PART "config"
+
+/* A document is at most this long; control daemons take no longer one.  */
+#define DOCUMENT_MAX ((size_t) 4 * 1024 * 1024)
+
+/* Service time until the first one is measured, and the most requests of one
+   service that wait.  */
+#define SERVICE_TIME_FIRST (300 * ZP_MS)
+#define QUEUE_MAX 512
+
+/* Services.  */
+
+static struct gt_service *
+service_new (struct zp_str name)
+{
+  struct gt_service *s = zp_alloc (sizeof *s);
+  char labels[ZP_NAME_MAX + 16];
+
+  zp_str_copy (s->name, sizeof s->name, name);
+  snprintf (labels, sizeof labels, "service=\"%s\"", s->name);
+  s->queue = st_queue_new (QUEUE_MAX, SERVICE_TIME_FIRST);
+  st_budget_init (&s->budget);
+  s->requests = zp_counter ("zp_requests_total", labels);
+  s->answered = zp_counter ("zp_answered_total", labels);
+  s->refused = zp_counter ("zp_refused_not_run_total", labels);
+  s->maybe = zp_counter ("zp_refused_may_have_run_total", labels);
+  s->retries = zp_counter ("zp_retries_total", labels);
+  return s;
+}
+
+struct gt_service *
+gt_service_get (struct gt_gate *g, struct zp_str name)
+{
+  for (size_t i = 0; i < g->services; i++)
+    if (zp_str_eq (zp_str_from (g->service[i]->name), name))
+      return g->service[i];
+  g->service
+      = zp_realloc (g->service, (g->services + 1) * sizeof (void *));
+  return g->service[g->services++] = service_new (name);
+}
+
+/* The site in force.  */
+
+static void
+drop_site (struct gt_gate *g)
+{
+  for (size_t i = 0; g->site && i < g->site->routes; i++)
+    free (g->credit[i]);
+  free (g->credit);
+  g->credit = NULL;
+  si_site_free (g->site);
+  g->site = NULL;
+}
+
+static void
+use_site (struct gt_gate *g, struct si_site *site)
+{
+  drop_site (g);
+  g->site = site;
+  g->credit = zp_alloc (site->routes * sizeof (int64_t *));
+  for (size_t i = 0; i < site->routes; i++)
+    g->credit[i] = zp_alloc (site->route[i].parts * sizeof (int64_t));
+  for (size_t i = 0; i < g->services; i++)
+    g->service[i]->settings
+        = si_site_service (site, zp_str_from (g->service[i]->name));
+  for (size_t i = 0; i < site->services; i++)
+    {
+      struct zp_str name = zp_str_of (&site->service[i].name);
+      gt_service_get (g, name)->settings = &site->service[i];
+    }
+  zp_log (ZP_LOG_NOTICE, PART,
+          "configuration %llu is in force: %zu routes, %zu services",
+          (unsigned long long) site->number, site->routes, site->services);
+}
+
+static const struct ti_document *
+document_of (const struct ti_config *c)
+{
+  struct ti_key key = { .kind = TI_DOCUMENT };
+
+  ti_text_set (&key.name, ZP_STR (TI_ROUTES));
+  const struct ti_object *o = ti_config_find (c, &key);
+  return o ? &o->u.document : NULL;
+}
+
+static void
+read_document (struct gt_gate *g, const struct ti_document *d)
+{
+  struct zp_buf text = { .ptr = NULL };
+  struct zp_err err = { .text = "damaged" };
+  struct si_site *site = NULL;
+
+  if (ti_blob_unpack (&d->body, &text, DOCUMENT_MAX))
+    site = g->interface->decode (zp_str_of (&text), &err);
+  zp_buf_free (&text);
+  if (site)
+    use_site (g, site);
+  else
+    zp_log (ZP_LOG_ERR, PART, "configuration %llu cannot be used: %s",
+            (unsigned long long) d->number, err.text);
+}
+
+/* Evacuations.  */
+
+static bool
+drained (const struct ti_config *c, const char *failure_domain)
+{
+  struct ti_key key = { .kind = TI_DRAIN };
+
+  if (!c || !ti_text_set (&key.name, zp_str_from (failure_domain)))
+    return false;
+  const struct ti_object *o = ti_config_find (c, &key);
+  return o && o->u.drain.target.kind == TI_TARGET_FAILURE_DOMAIN;
+}
+
+bool
+gt_config_evacuated (const struct gt_gate *g, const char *failure_domain)
+{
+  return drained (g->config, failure_domain);
+}
+
+/* Servers of a failure domain that is taken back may have become cold shortly
+   before; their own reports of it come up to a period later.  */
+static void
+find_taken_back (struct gt_gate *g, const struct ti_config *old)
+{
+  const struct ti_slot *slot;
+
+  for (size_t at = 0; old && (slot = ti_config_next (old, TI_DRAIN, &at));)
+    {
+      char name[ZP_NAME_MAX];
+      zp_str_copy (name, sizeof name, ti_text_str (&slot->key.name));
+      if (!drained (g->config, name))
+        gt_server_cold (g, name, zp_clock_mono ());
+    }
+}
+
+/* Configurations.  */
+
+static struct ti_config *
+next_config (struct gt_gate *g, const struct tk_config *c, struct zp_err *err)
+{
+  if (c->whole)
+    return ti_config_decode (zp_str_of (&c->bytes), err);
+  struct ti_change *change = ti_change_decode (zp_str_of (&c->bytes), err);
+  if (!change)
+    return NULL;
+  struct ti_config *next
+      = g->config ? ti_config_copy (g->config) : ti_config_new ();
+  bool ok = ti_config_apply (next, change, err);
+  ti_change_free (change);
+  if (ok)
+    return next;
+  ti_config_free (next);
+  return NULL;
+}
+
+void
+gt_config_take (struct gt_gate *g, const struct tk_config *c)
+{
+  struct zp_err err;
+  struct ti_config *next = next_config (g, c, &err);
+
+  if (!next)
+    {
+      zp_log (ZP_LOG_ERR, PART, "version %llu cannot be used: %s",
+              (unsigned long long) c->version, err.text);
+      return;
+    }
+  struct ti_config *old = g->config;
+  g->config = next;
+  const struct ti_document *d = document_of (next);
+  if (d && (!g->site || d->number > g->site->number))
+    read_document (g, d);
+  find_taken_back (g, old);
+  ti_config_free (old);
+}
+
+void
+gt_config_free (struct gt_gate *g)
+{
+  drop_site (g);
+  ti_config_free (g->config);
+  for (size_t i = 0; i < g->services; i++)
+    {
+      st_queue_free (g->service[i]->queue);
+      free (g->service[i]);
+    }
+  free (g->service);
+}
--- /dev/null
+++ b/src/gate/dispatch.c
@@ -0,0 +1,407 @@
+#include <assert.h>
+#include <stdlib.h>
+
+#include "base/log.h"
+#include "gate/gate.h"
+#include "steer/patience.h"
+
+#define PART "dispatch"
+
+/* Share of the time left that the first attempt of an idempotent request gets,
+   so that a silent connection leaves time for another server.  */
+#define FIRST_ATTEMPT 0.6
+
+/* Oldest idle connection that a request that may run once is sent on.  The
+   server may close an idle connection at the moment when the request is sent,
+   and then it may have run.  */
+#define ONCE_IDLE_MAX (3 * ZP_SEC)
+#define IDLE_MAX (8 * ZP_SEC)
+
+/* Choice.  */
+
+static uint64_t
+rank_of (const struct gt_request *q, const struct gt_server *s)
+{
+  uint64_t object = q->object != 0 ? q->object : q->id;
+
+  return zp_str_hash (zp_str_from (s->report.id), object);
+}
+
+/* Chooses a server for Q.  OUT is set when one has room.  */
+static struct st_pool_choice
+choose (struct gt_gate *g, const struct gt_request *q, zp_time now,
+        struct gt_server **out)
+{
+  struct st_pool_candidate *c = zp_alloc (g->servers * sizeof *c);
+  struct gt_server **of = zp_alloc (g->servers * sizeof (void *));
+  size_t n = 0;
+
+  for (size_t i = 0; i < g->servers; i++)
+    {
+      struct gt_server *s = g->server[i];
+      if (!gt_server_usable (g, s, q, now))
+        continue;
+      c[n] = (struct st_pool_candidate){ .load = &s->load,
+                                         .way = s->domain_way,
+                                         .service = gt_server_usual (s),
+                                         .rank = rank_of (q, s),
+                                         .usable = true };
+      of[n++] = s;
+    }
+  struct st_pool_choice choice = st_pool_choose (c, n, now);
+  if (choice.kind == ST_POOL_SEND)
+    *out = of[choice.at];
+  free (of);
+  free (c);
+  return choice;
+}
+
+/* Forwarding.  */
+
+static zp_time
+attempt_deadline (const struct gt_request *q, zp_time now)
+{
+  zp_time left = q->deadline - now;
+
+  if (!q->idempotent || q->attempts_max < 2 || q->attempts > 1)
+    return q->deadline;
+  return now + (zp_time) ((double) left * FIRST_ATTEMPT);
+}
+
+static void
+send_forward (struct gt_gate *g, const struct gt_request *q,
+              const struct gt_server *s)
+{
+  struct tk_msg *m = tk_msg_new (TK_FORWARD);
+  struct tk_forward *f = &m->u.forward;
+  const struct tk_http_request *h = &q->msg->u.request;
+
+  f->id = q->id;
+  zp_str_copy (f->address, sizeof f->address, zp_str_from (s->report.address));
+  zp_str_copy (f->expect, sizeof f->expect, zp_str_from (s->report.id));
+  zp_buf_put (&f->host, zp_str_of (&h->host));
+  zp_buf_put (&f->method, zp_str_of (&h->method));
+  zp_buf_put (&f->target, zp_str_of (&h->path));
+  if (h->query.len > 0)
+    zp_buf_printf (&f->target, "?%.*s", ZP_ARG (zp_str_of (&h->query)));
+  zp_buf_put (&f->content_type, zp_str_of (&h->content_type));
+  zp_buf_put (&f->headers, zp_str_of (&h->headers));
+  zp_buf_put (&f->body, zp_str_of (&h->body));
+  zp_buf_put (&f->request_id, zp_str_of (&h->request_id));
+  f->deadline = attempt_deadline (q, q->started);
+  f->fresh_connection = q->fresh;
+  f->idle_max = q->idempotent ? IDLE_MAX : ONCE_IDLE_MAX;
+  tk_send (g->forward, m);
+}
+
+static void
+run (struct gt_gate *g, struct gt_request *q, struct gt_server *s, zp_time now)
+{
+  if (st_health_state (&s->health, now) == ST_HEALTH_PROBE)
+    st_health_probe (&s->health, now);
+  if (gt_server_is_cold (s, now))
+    st_pace_take (&s->pace, gt_server_cold_rate (s), g->daemons, now);
+  q->server = s->hash;
+  q->started = now;
+  q->fresh = st_health_wants_fresh (&s->health);
+  if (q->attempts < GT_TRIED_MAX)
+    q->tried[q->attempts] = s->hash;
+  q->attempts++;
+  q->phase = GT_RUNNING;
+  s->load.own++;
+  s->service->running++;
+  zp_log (ZP_LOG_DEBUG, PART,
+          "request %.*s of %s -> server %s, work %.1f of %u slots, way %lld ms",
+          ZP_ARG (zp_str_of (&q->msg->u.request.request_id)),
+          q->service->name, s->report.id, st_pool_work (&s->load, now),
+          s->load.slots, (long long) (s->domain_way / ZP_MS));
+  send_forward (g, q, s);
+}
+
+/* Admission.  */
+
+static zp_time
+patience_end (const struct gt_request *q)
+{
+  const struct st_patience p
+      = { .arrived = q->arrived,
+          .deadline = q->deadline,
+          .objective = q->objective,
+          .service = st_queue_service_time (q->service->queue) };
+
+  return st_patience_end (&p);
+}
+
+static void
+refuse_id (struct gt_gate *g, uint64_t id, const char *reason)
+{
+  struct gt_request *q = zp_slots_get (&g->requests, id);
+
+  assert (q && q->phase == GT_QUEUED);
+  gt_request_refuse (g, q, reason, true);
+}
+
+/* The slots that this daemon can expect to use are those that it uses now.  */
+static void
+enqueue (struct gt_gate *g, struct gt_request *q, zp_time now)
+{
+  struct gt_service *s = q->service;
+  const struct st_queue_entry e = { .id = q->id,
+                                    .class = q->priority,
+                                    .deadline = patience_end (q) };
+  struct st_push p = st_queue_push (s->queue, &e, s->running, now);
+
+  switch (p.kind)
+    {
+    case ST_PUSH_ADDED:
+      q->ref = p.u.added;
+      q->phase = GT_QUEUED;
+      break;
+    case ST_PUSH_ADDED_EVICTED:
+      q->ref = p.u.evicted.added;
+      q->phase = GT_QUEUED;
+      refuse_id (g, p.u.evicted.evicted.id, "queue-full");
+      break;
+    case ST_PUSH_FULL:
+      gt_request_refuse (g, q, "queue-full", true);
+      return;
+    case ST_PUSH_WAIT:
+    case ST_PUSH_EXPIRED:
+      gt_request_refuse (g, q, "no-capacity-in-time", true);
+      return;
+    }
+  gt_wake (g);
+}
+
+void
+gt_dispatch_admit (struct gt_gate *g, struct gt_request *q)
+{
+  zp_time now = zp_clock_mono ();
+  struct gt_server *s = NULL;
+
+  q->phase = GT_ENDING;
+  if (now >= q->deadline)
+    {
+      gt_request_refuse (g, q, "deadline", false);
+      return;
+    }
+  if (st_queue_len (q->service->queue) == 0)
+    {
+      struct st_pool_choice c = choose (g, q, now, &s);
+      if (c.kind == ST_POOL_SEND)
+        {
+          run (g, q, s, now);
+          return;
+        }
+    }
+  enqueue (g, q, now);
+}
+
+/* Queue.  */
+
+void
+gt_dispatch_service (struct gt_gate *g, struct gt_service *s)
+{
+  zp_time now = zp_clock_mono ();
+  struct st_queue_entry e;
+  struct gt_server *x = NULL;
+
+  while (st_queue_peek (s->queue, &e))
+    {
+      struct gt_request *q = zp_slots_get (&g->requests, e.id);
+      assert (q && q->phase == GT_QUEUED);
+      if (choose (g, q, now, &x).kind != ST_POOL_SEND)
+        return;
+      st_queue_cancel (s->queue, q->ref);
+      run (g, q, x, now);
+    }
+}
+
+void
+gt_dispatch_tick (struct gt_gate *g)
+{
+  zp_time now = zp_clock_mono ();
+  struct st_queue_entry e;
+
+  for (size_t i = 0; i < g->services; i++)
+    {
+      struct gt_service *s = g->service[i];
+      gt_dispatch_service (g, s);
+      while (st_queue_expire (s->queue, now, &e))
+        refuse_id (g, e.id, "no-capacity-in-time");
+      if (st_queue_len (s->queue) > 0)
+        gt_wake (g);
+    }
+}
+
+/* Outcome of an attempt.  */
+
+/* A success that does not bear the server's mark is not the server's answer,
+   and a failure that promises "not run" without the server's word for it may
+   not be passed on.  */
+static bool
+trustworthy (const struct tk_forward_done *d)
+{
+  if (d->end != TK_END_ANSWER || !d->stamped)
+    return false;
+  switch (d->status)
+    {
+    case 408:
+    case 421:
+    case 429:
+    case 503:
+      return d->verdict == ZP_NOT_RUN;
+    default:
+      return true;
+    }
+}
+
+static enum st_end
+end_of (const struct tk_forward_done *d, bool trusted)
+{
+  switch (d->end)
+    {
+    case TK_END_ANSWER:
+      if (d->verdict == ZP_NOT_RUN)
+        return ST_END_SHED;
+      if (!trusted || d->status >= 500)
+        return ST_END_STATUS;
+      return ST_END_ANSWER;
+    case TK_END_NO_CONNECT:
+      return ST_END_REFUSED;
+    case TK_END_LOST:
+      return ST_END_LOST;
+    case TK_END_TIMEOUT:
+      return ST_END_TIMEOUT;
+    case TK_END_CANCELLED:
+      return ST_END_CANCELLED;
+    }
+  return ST_END_LOST;
+}
+
+/* Weight of a new measurement in the smoothed service time of a server.  */
+#define USUAL_WEIGHT 0.2
+
+static void
+note_time (struct gt_server *s, const struct tk_forward_done *d)
+{
+  zp_time t = d->elapsed - s->domain_way;
+
+  if (t < ZP_MS)
+    t = ZP_MS;
+  s->usual = s->answers == 0 ? t
+                             : (zp_time) ((double) s->usual * (1 - USUAL_WEIGHT)
+                                          + (double) t * USUAL_WEIGHT);
+  s->answers++;
+  st_queue_served (s->service->queue, t);
+}
+
+/* Takes Q off its server and notes what the outcome says of it.  */
+static void
+close_attempt (struct gt_gate *g, struct gt_request *q,
+               const struct tk_forward_done *d, enum st_end end, zp_time now)
+{
+  struct gt_server *s = gt_server_find (g, q->server);
+  const struct st_outcome o
+      = { .end = end, .started = q->started, .fresh = q->fresh };
+
+  q->phase = GT_ENDING;
+  q->service->running--;
+  if (!s)
+    return;
+  assert (s->load.own > 0);
+  s->load.own--;
+  if (d->connect > 0)
+    gt_server_connected (g, s, d->connect);
+  if (d->load.known)
+    st_pool_sample (&s->load, d->load.running, d->load.waiting, s->load.own,
+                    now);
+  if (d->end == TK_END_ANSWER && d->status == 421
+      && d->verdict == ZP_NOT_RUN)
+    {
+      gt_server_wrong (g, s);
+      return;
+    }
+  if (end == ST_END_ANSWER && d->status < 300)
+    note_time (s, d);
+  struct st_health_event e
+      = st_health_outcome (&s->health, &s->service->group, &o, now, &g->rng);
+  if (e.kind == ST_EVENT_EJECTED)
+    zp_log (ZP_LOG_NOTICE, PART, "server %s of %s is ejected for %lld ms: %s",
+            s->report.id, s->service->name,
+            (long long) ((e.until - now) / ZP_MS), st_end_name (end));
+}
+
+static struct st_retry
+decide (struct gt_gate *g, struct gt_request *q,
+        const struct tk_forward_done *d, enum st_end end, bool trusted,
+        zp_time now)
+{
+  struct gt_server *other = NULL;
+  const struct st_retry_request r
+      = { .idempotent = q->idempotent,
+          .other_server = choose (g, q, now, &other).kind != ST_POOL_NONE,
+          .attempts = q->attempts,
+          .attempts_max = q->attempts_max,
+          .has_answer = trusted && d->end == TK_END_ANSWER,
+          .now = now,
+          .deadline = q->deadline,
+          .expected = st_queue_service_time (q->service->queue) / 2,
+          .earlier = q->furthest };
+
+  if (q->attempts > 1)
+    st_budget_retried (&q->service->budget, end);
+  return st_retry_decide (&r, end, d->verdict, &q->service->budget);
+}
+
+void
+gt_dispatch_done (struct gt_gate *g, struct tk_msg *m)
+{
+  struct tk_forward_done *d = &m->u.done;
+  struct gt_request *q = zp_slots_get (&g->requests, d->id);
+  zp_time now = zp_clock_mono ();
+
+  if (!q || q->phase != GT_RUNNING)
+    {
+      assert (!q);
+      return;
+    }
+  struct gt_service *s = q->service;
+  bool trusted = trustworthy (d);
+  enum st_end end = end_of (d, trusted);
+  close_attempt (g, q, d, end, now);
+  if (end != ST_END_ANSWER)
+    zp_log (ZP_LOG_INFO, PART,
+            "request %.*s of %s: attempt %u ended with %s, status %u, %s, "
+            "after %lld ms",
+            ZP_ARG (zp_str_of (&q->msg->u.request.request_id)), s->name,
+            q->attempts, st_end_name (end), d->status,
+            zp_verdict_name (d->verdict), (long long) (d->elapsed / ZP_MS));
+  if (q->answered)
+    {
+      gt_request_refuse (g, q, "caller-left", false);
+      gt_dispatch_service (g, s);
+      return;
+    }
+  struct st_retry x = decide (g, q, d, end, trusted, now);
+  q->furthest = x.verdict;
+  switch (x.kind)
+    {
+    case ST_RETRY_NOW:
+      zp_count (s->retries, 1);
+      gt_dispatch_admit (g, q);
+      break;
+    case ST_RETRY_ANSWER:
+      /* A refusal by the server goes to the caller as one of this daemon,
+         which says when to return.  */
+      if (end == ST_END_SHED)
+        gt_request_refuse (g, q, "server-full", true);
+      else
+        gt_request_answer (g, q, d);
+      break;
+    case ST_RETRY_REFUSE:
+      gt_request_refuse (g, q, st_refuse_name (x.u.refuse), true);
+      break;
+    }
+  gt_dispatch_service (g, s);
+}
--- /dev/null
+++ b/src/gate/gate.c
@@ -0,0 +1,281 @@
+#include "gate/gate.h"
+
+#include <assert.h>
+#include <stdlib.h>
+
+#include "base/log.h"
+#include "forward/client.h"
+#include "front/server.h"
+
+#define PART "gate"
+
+/* Callers that asked before the stop may come until their answer is too old;
+   the front is closed then.  */
+#define STOP_TICK (50 * ZP_MS)
+
+/* Time kept between the last answer and the kill.  */
+#define STOP_RESERVE (700 * ZP_MS)
+
+/* The memory of an entry VM is 260 MB at least; few bodies are long.  */
+#define BODY_MAX ((size_t) 16 * 1024 * 1024)
+
+/* Callers use kept connections for up to four fifths of their limit; closing
+   later than the limit never meets one of their requests.  */
+#define IDLE_DEFAULT (60 * ZP_SEC)
+
+/* Timer.  */
+
+void
+gt_wake (struct gt_gate *g)
+{
+  if (ev_is_active (&g->timer))
+    return;
+  ev_timer_set (&g->timer, (double) GT_TICK / ZP_SEC, 0.0);
+  ev_timer_start (g->loop->ev, &g->timer);
+}
+
+static size_t
+unanswered (const struct gt_gate *g)
+{
+  return g->requests.len + fr_server_pending (g->front);
+}
+
+static void
+leave_step (struct gt_gate *g, zp_time now)
+{
+  zp_time since = now - g->leaving_since;
+
+  if (since >= g->settings->lookup_ttl)
+    fr_server_quiesce (g->front);
+  bool late = since >= g->settings->grace - STOP_RESERVE;
+  if (since < g->settings->lookup_ttl || (unanswered (g) > 0 && !late))
+    return;
+  zp_log (ZP_LOG_NOTICE, PART, "stopped, %zu requests in progress",
+          unanswered (g));
+  g->leaving_since = ZP_NEVER;
+  g->stopped (g->stopped_self);
+}
+
+static void
+on_timer (struct ev_loop *ev, ev_timer *w, int events)
+{
+  struct gt_gate *g = w->data;
+
+  (void) ev;
+  (void) events;
+  gt_dispatch_tick (g);
+  if (!g->leaving || g->leaving_since == ZP_NEVER)
+    return;
+  leave_step (g, zp_clock_mono ());
+  if (!ev_is_active (&g->timer))
+    {
+      ev_timer_set (&g->timer, (double) STOP_TICK / ZP_SEC, 0.0);
+      ev_timer_start (g->loop->ev, &g->timer);
+    }
+}
+
+/* What this daemon says of itself.  */
+
+static bool
+is_ready (const struct gt_gate *g)
+{
+  return g->site && !g->leaving;
+}
+
+struct tk_daemon
+gt_gate_self (const struct gt_gate *g)
+{
+  const struct gt_settings *s = g->settings;
+  struct tk_daemon d = { .kind = TK_DAEMON_ENTRY,
+                         .id = s->id,
+                         .ready = is_ready (g),
+                         .leaving = g->leaving };
+
+  zp_str_copy (d.name, sizeof d.name, s->name);
+  zp_str_copy (d.address, sizeof d.address, s->front);
+  zp_str_copy (d.failure_domain, sizeof d.failure_domain, s->failure_domain);
+  zp_str_copy (d.region, sizeof d.region, s->region);
+  return d;
+}
+
+static void
+tell_self (struct gt_gate *g)
+{
+  struct tk_msg *m = tk_msg_new (TK_DAEMON);
+
+  m->u.daemon = gt_gate_self (g);
+  tk_send (g->roster, m);
+}
+
+static void
+begin_to_leave (struct gt_gate *g)
+{
+  if (g->leaving)
+    return;
+  zp_log (ZP_LOG_NOTICE, PART, "leaving: look-ups stop naming this daemon");
+  g->leaving = true;
+  g->leaving_since = zp_clock_mono ();
+  tell_self (g);
+  fr_server_drain (g->front);
+  gt_wake (g);
+}
+
+/* Messages.  */
+
+static void
+answer_ready (struct gt_gate *g, const struct tk_http_request *q)
+{
+  struct tk_msg *m = tk_msg_new (TK_HTTP_ANSWER);
+
+  m->u.answer.id = q->id;
+  m->u.answer.status = is_ready (g) ? 200 : 503;
+  zp_buf_put (&m->u.answer.content_type, ZP_STR ("application/json"));
+  zp_buf_printf (&m->u.answer.body, "{\"ready\":%s}\n",
+                 is_ready (g) ? "true" : "false");
+  tk_send (q->from, m);
+}
+
+static void
+on_request (struct gt_gate *g, struct tk_msg *m)
+{
+  if (m->u.request.from != fr_server_task (g->ready))
+    {
+      gt_request_start (g, m);
+      return;
+    }
+  answer_ready (g, &m->u.request);
+  tk_msg_free (m);
+}
+
+static void
+take_census (struct gt_gate *g, unsigned entries)
+{
+  zp_time now = zp_clock_mono ();
+
+  if (entries < g->daemons && now - g->daemons_at < GT_CENSUS_KEPT)
+    return;
+  g->daemons = entries;
+  g->daemons_at = now;
+}
+
+static void
+take_config (struct gt_gate *g, const struct tk_config *c)
+{
+  bool before = is_ready (g);
+
+  gt_config_take (g, c);
+  if (is_ready (g) != before)
+    tell_self (g);
+}
+
+static void
+on_message (void *self, struct tk_msg *m)
+{
+  struct gt_gate *g = self;
+
+  switch (m->kind)
+    {
+    case TK_HTTP_REQUEST:
+      on_request (g, m);
+      return;
+    case TK_HTTP_GONE:
+      gt_request_gone (g, m->u.gone.id);
+      break;
+    case TK_FORWARD_DONE:
+      gt_dispatch_done (g, m);
+      break;
+    case TK_CONFIG:
+      take_config (g, &m->u.config);
+      break;
+    case TK_SERVER:
+      gt_server_take (g, &m->u.server);
+      break;
+    case TK_CENSUS:
+      take_census (g, m->u.census.entries);
+      break;
+    case TK_SEEDS:
+      tk_send (g->roster, m);
+      return;
+    case TK_STOP:
+      begin_to_leave (g);
+      break;
+    case TK_CONFIG_ASK:
+    case TK_FRESH:
+      break;
+    default:
+      assert (!"message that the gate does not take");
+    }
+  tk_msg_free (m);
+}
+
+/* Set-up.  */
+
+static struct fr_server *
+open_front (struct gt_gate *g, struct zp_str address, struct zp_err *err)
+{
+  const struct fr_options o = { .address = address,
+                                .decider = &g->task,
+                                .names = g->interface->names,
+                                .idle_max = IDLE_DEFAULT,
+                                .body_max = BODY_MAX };
+
+  return fr_server_open_with (g->loop, &o, err);
+}
+
+struct gt_gate *
+gt_gate_open (struct tk_loop *l, const struct gt_settings *s,
+              const struct gt_interface *i, struct zp_err *err)
+{
+  struct gt_gate *g = zp_alloc (sizeof *g);
+
+  g->loop = l;
+  g->settings = s;
+  g->interface = i;
+  g->daemons = 1;
+  zp_rng_seed_os (&g->rng);
+  tk_task_init (&g->task, l, on_message, g);
+  ev_timer_init (&g->timer, on_timer, 0.0, 0.0);
+  g->timer.data = g;
+  g->front = open_front (g, s->front, err);
+  g->ready = g->front ? open_front (g, s->ready, err) : NULL;
+  if (g->ready)
+    return g;
+  gt_gate_close (g);
+  return NULL;
+}
+
+/* Requests that are still in progress are dropped without an answer; the front
+   task closes their connections.  */
+static void
+drop_requests (struct gt_gate *g)
+{
+  struct gt_request *q;
+  uint32_t at = 0;
+
+  while ((q = zp_slots_next (&g->requests, &at)))
+    {
+      tk_msg_free (q->msg);
+      free (q);
+    }
+  zp_slots_free (&g->requests);
+}
+
+void
+gt_gate_close (struct gt_gate *g)
+{
+  if (!g)
+    return;
+  ev_timer_stop (g->loop->ev, &g->timer);
+  fr_server_close (g->front);
+  fr_server_close (g->ready);
+  tk_task_free (&g->task);
+  drop_requests (g);
+  for (size_t i = 0; i < g->servers; i++)
+    free (g->server[i]);
+  free (g->server);
+  free (g->way);
+  free (g->by_http);
+  ro_table_free (&g->table);
+  gt_config_free (g);
+  free (g);
+}
--- /dev/null
+++ b/src/gate/gate.h
@@ -0,0 +1,206 @@
+/* NAME
+     gate - the task of an entry daemon that steers routed requests
+
+   DESCRIPTION
+     Takes requests of callers from the front task, selects their route and a
+     backend server, forwards them and answers.  It owns the site in force, the
+     servers that the roster names, the queues and the requests; it has no
+     sockets.  The files of this folder that take a struct gt_gate are parts of
+     this one task.
+
+     gate.c     set-up, messages, timer, graceful shutdown
+     config.c   the site in force and the failure domains that are evacuated
+     servers.c  backend servers and what is known of each
+     request.c  one request from its arrival to its answer
+     dispatch.c queue, choice of a server, forwarding, retries
+
+     A request runs at most once for each request id of its caller, unless its
+     route is idempotent: it is sent again only when it is proved not to have
+     run, or may run twice.  Nothing has to be shared between daemons for that,
+     because every attempt of a caller has an id of its own and reaches one
+     daemon.  */
+
+#ifndef ZP_GATE_GATE_H
+#define ZP_GATE_GATE_H
+
+#include "base/counter.h"
+#include "base/rng.h"
+#include "base/slots.h"
+#include "gate/settings.h"
+#include "roster/table.h"
+#include "site/site.h"
+#include "steer/health.h"
+#include "steer/pace.h"
+#include "steer/pool.h"
+#include "steer/queue.h"
+#include "steer/retry.h"
+#include "task/task.h"
+#include "ticket/config.h"
+
+/* How often queues are looked at while they hold requests.  */
+#define GT_TICK (10 * ZP_MS)
+
+/* Entry daemons that were connected in this time may still send: one that is
+   cut off does so without anyone knowing.  */
+#define GT_CENSUS_KEPT (30 * ZP_SEC)
+
+#define GT_TRIED_MAX 8
+
+/* What is read from a document by the interface that it came by.  */
+struct gt_interface
+{
+  const struct fr_names *names;
+
+  /* Returns NULL with ERR filled.  */
+  struct si_site *(*decode) (struct zp_str document, struct zp_err *err);
+};
+
+struct gt_service
+{
+  char name[ZP_NAME_MAX];
+  const struct si_service *settings; /* of the site in force; NULL: not in it */
+  struct st_queue *queue;
+  struct st_budget budget;
+  struct st_health_group group;
+  unsigned running; /* requests of this daemon */
+  struct zp_counter *requests, *answered, *refused, *maybe, *retries;
+};
+
+struct gt_server
+{
+  uint64_t hash; /* of its id */
+  struct gt_service *service;
+  struct tk_server report;
+  zp_time cold_until;
+  zp_time domain_way; /* there and back to its failure domain */
+  struct st_pool_load load;
+  struct st_health health;
+  struct st_pace pace;
+  zp_time usual; /* service time, smoothed; 0: none yet */
+  unsigned answers;
+};
+
+/* Way there and back to a failure domain.  */
+struct gt_way
+{
+  char failure_domain[ZP_NAME_MAX];
+  zp_time way;
+};
+
+enum gt_phase
+{
+  GT_QUEUED,
+  GT_RUNNING, /* at a backend server */
+  GT_ENDING,  /* neither */
+};
+
+struct gt_request
+{
+  uint64_t id;
+  uint64_t http;
+  struct tk_msg *msg; /* TK_HTTP_REQUEST */
+  struct gt_service *service;
+  enum gt_phase phase;
+  bool answered; /* the caller has its answer or has left */
+
+  /* Of its route.  */
+  bool idempotent;
+  unsigned priority, attempts_max;
+  zp_time objective;
+  uint64_t object; /* hash of what it concerns; 0: not known */
+
+  zp_time arrived, deadline;
+  struct st_queue_ref ref;
+  unsigned attempts;
+  enum zp_verdict furthest;
+  uint64_t tried[GT_TRIED_MAX];
+  uint64_t server; /* hash; of the attempt in flight */
+  zp_time started;
+  bool fresh;
+};
+
+struct gt_gate
+{
+  struct tk_loop *loop;
+  struct tk_task task;
+  struct tk_task *forward, *roster, *follower;
+  const struct gt_settings *settings;
+  const struct gt_interface *interface;
+  struct zp_rng rng;
+  ev_timer timer;
+
+  struct ti_config *config;
+  struct si_site *site; /* NULL before the first configuration */
+  int64_t **credit;     /* of the parts of each route */
+
+  struct ro_table table;
+  struct gt_server **server;
+  size_t servers;
+  struct gt_way *way;
+  size_t ways;
+  unsigned daemons; /* entry daemons that may send */
+  zp_time daemons_at;
+
+  struct gt_service **service;
+  size_t services;
+  struct zp_slots requests;
+  uint64_t *by_http;
+  size_t by_http_cap;
+
+  struct fr_server *front, *ready;
+  bool leaving;
+  zp_time leaving_since;
+  void (*stopped) (void *self);
+  void *stopped_self;
+};
+
+/* config.c */
+void gt_config_take (struct gt_gate *g, const struct tk_config *c);
+bool gt_config_evacuated (const struct gt_gate *g, const char *failure_domain);
+void gt_config_free (struct gt_gate *g);
+struct gt_service *gt_service_get (struct gt_gate *g, struct zp_str name);
+
+/* servers.c */
+void gt_server_take (struct gt_gate *g, const struct tk_server *s);
+void gt_server_wrong (struct gt_gate *g, struct gt_server *s);
+void gt_server_cold (struct gt_gate *g, const char *failure_domain,
+                     zp_time now);
+struct gt_server *gt_server_find (struct gt_gate *g, uint64_t hash);
+void gt_server_connected (struct gt_gate *g, struct gt_server *s, zp_time way);
+bool gt_server_usable (const struct gt_gate *g, const struct gt_server *s,
+                       const struct gt_request *q, zp_time now);
+double gt_server_cold_rate (const struct gt_server *s);
+bool gt_server_is_cold (const struct gt_server *s, zp_time now);
+
+/* The usual time of a request at S, without the way.  */
+zp_time gt_server_usual (const struct gt_server *s);
+
+/* request.c */
+void gt_request_start (struct gt_gate *g, struct tk_msg *m);
+void gt_request_gone (struct gt_gate *g, uint64_t http);
+void gt_request_answer (struct gt_gate *g, struct gt_request *q,
+                        struct tk_forward_done *d);
+
+/* Refuses and releases Q, which is at no server.  */
+void gt_request_refuse (struct gt_gate *g, struct gt_request *q,
+                        const char *reason, bool again);
+void gt_request_free (struct gt_gate *g, struct gt_request *q);
+
+/* dispatch.c */
+void gt_dispatch_admit (struct gt_gate *g, struct gt_request *q);
+void gt_dispatch_service (struct gt_gate *g, struct gt_service *s);
+void gt_dispatch_done (struct gt_gate *g, struct tk_msg *m);
+void gt_dispatch_tick (struct gt_gate *g);
+
+/* gate.c */
+void gt_wake (struct gt_gate *g);
+
+/* What this daemon says of itself.  */
+struct tk_daemon gt_gate_self (const struct gt_gate *g);
+
+struct gt_gate *gt_gate_open (struct tk_loop *l, const struct gt_settings *s,
+                              const struct gt_interface *i,
+                              struct zp_err *err);
+void gt_gate_close (struct gt_gate *g);
+
+#endif
--- /dev/null
+++ b/src/gate/request.c
@@ -0,0 +1,241 @@
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "gate/gate.h"
+#include "site/split.h"
+#include "steer/patience.h"
+
+#define PART "request"
+
+/* Table.  */
+
+static void
+index_http (struct gt_gate *g, uint64_t http, uint64_t id)
+{
+  uint32_t at = (uint32_t) http;
+
+  if (at >= g->by_http_cap)
+    {
+      size_t cap = g->by_http_cap > 0 ? g->by_http_cap : 64;
+      while (at >= cap)
+        cap *= 2;
+      g->by_http = zp_realloc (g->by_http, cap * sizeof *g->by_http);
+      memset (g->by_http + g->by_http_cap, 0,
+              (cap - g->by_http_cap) * sizeof *g->by_http);
+      g->by_http_cap = cap;
+    }
+  g->by_http[at] = id;
+}
+
+static struct gt_request *
+find_http (struct gt_gate *g, uint64_t http)
+{
+  uint32_t at = (uint32_t) http;
+
+  if (at >= g->by_http_cap)
+    return NULL;
+  struct gt_request *q = zp_slots_get (&g->requests, g->by_http[at]);
+  return q && q->http == http ? q : NULL;
+}
+
+void
+gt_request_free (struct gt_gate *g, struct gt_request *q)
+{
+  assert (q->phase == GT_ENDING);
+  tk_msg_free (q->msg);
+  zp_slots_remove (&g->requests, q->id);
+  free (q);
+}
+
+/* Answers.  */
+
+/* The statuses of a refusal: 503 promises that the request has not run and
+   will not; 502 and 504 promise nothing.  */
+static unsigned
+refusal_status (enum zp_verdict v, bool late)
+{
+  switch (v)
+    {
+    case ZP_NOT_RUN:
+      return 503;
+    case ZP_MAY_HAVE_RUN:
+    case ZP_RAN:
+      break;
+    }
+  return late ? 504 : 502;
+}
+
+static void
+send_refusal (struct tk_task *to, uint64_t http, unsigned status,
+              enum zp_verdict v, const char *reason, zp_time again)
+{
+  struct tk_msg *m = tk_msg_new (TK_HTTP_ANSWER);
+  struct tk_http_answer *a = &m->u.answer;
+
+  a->id = http;
+  a->status = status;
+  a->has_verdict = true;
+  a->verdict = v;
+  a->retry_after_ms = (unsigned) (again / ZP_MS);
+  zp_buf_put (&a->content_type, ZP_STR ("application/json"));
+  zp_buf_printf (&a->body, "{\"reason\":\"%s\",\"verdict\":\"%s\"}\n", reason,
+                 zp_verdict_name (v));
+  tk_send (to, m);
+}
+
+void
+gt_request_refuse (struct gt_gate *g, struct gt_request *q, const char *reason,
+                   bool again)
+{
+  const struct tk_http_request *h = &q->msg->u.request;
+  zp_time now = zp_clock_mono (), after = 0;
+
+  q->phase = GT_ENDING;
+  if (!q->answered)
+    {
+      bool not_run = q->furthest == ZP_NOT_RUN;
+      if (not_run && again)
+        after = st_return_after (st_queue_service_time (q->service->queue),
+                                 q->deadline - now, &g->rng);
+      zp_count (not_run ? q->service->refused : q->service->maybe, 1);
+      zp_log (ZP_LOG_INFO, PART,
+              "request %.*s of %s refused: %s, %s, after %lld ms and %u "
+              "attempts, %zu wait",
+              ZP_ARG (zp_str_of (&h->request_id)), q->service->name, reason,
+              zp_verdict_name (q->furthest),
+              (long long) ((now - q->arrived) / ZP_MS), q->attempts,
+              st_queue_len (q->service->queue));
+      send_refusal (h->from, q->http,
+                    refusal_status (q->furthest, now >= q->deadline),
+                    q->furthest, reason, after);
+    }
+  gt_request_free (g, q);
+}
+
+void
+gt_request_answer (struct gt_gate *g, struct gt_request *q,
+                   struct tk_forward_done *d)
+{
+  q->phase = GT_ENDING;
+  if (!q->answered)
+    {
+      zp_count (q->service->answered, 1);
+      struct tk_msg *m = tk_msg_new (TK_HTTP_ANSWER);
+      struct tk_http_answer *a = &m->u.answer;
+      a->id = q->http;
+      a->status = d->status;
+      a->has_verdict = true;
+      a->verdict = d->verdict;
+      a->content_type = d->content_type;
+      a->headers = d->headers;
+      a->body = d->body;
+      d->content_type = d->headers = d->body = (struct zp_buf){ .ptr = NULL };
+      tk_send (q->msg->u.request.from, m);
+    }
+  gt_request_free (g, q);
+}
+
+/* Arrival.  */
+
+static const struct si_route *
+find_route (const struct gt_gate *g, const struct tk_http_request *h)
+{
+  return si_site_route (g->site, zp_str_of (&h->host), zp_str_of (&h->path));
+}
+
+static struct gt_service *
+choose_service (struct gt_gate *g, const struct si_route *r)
+{
+  size_t at = si_split_choose (r, g->credit[r - g->site->route]);
+
+  return gt_service_get (g, zp_str_of (&r->part[at].service));
+}
+
+static void
+read_route (struct gt_request *q, const struct si_route *r)
+{
+  const struct tk_http_request *h = &q->msg->u.request;
+  struct zp_str object = zp_str_of (&h->affinity);
+
+  q->idempotent = r->class == SI_IDEMPOTENT;
+  q->priority = r->priority < ST_QUEUE_CLASSES ? r->priority
+                                               : ST_QUEUE_CLASSES - 1;
+  q->attempts_max = r->attempts > 0 ? r->attempts : 1;
+  q->objective = r->objective;
+  if (r->sticky && object.len > 0)
+    q->object = zp_str_hash (object, 1);
+  q->deadline
+      = h->deadline > 0 ? h->deadline : q->arrived + ZP_DEADLINE_DEFAULT;
+  if (r->timeout > 0 && q->arrived + r->timeout < q->deadline)
+    q->deadline = q->arrived + r->timeout;
+}
+
+void
+gt_request_start (struct gt_gate *g, struct tk_msg *m)
+{
+  struct tk_http_request *h = &m->u.request;
+  const struct si_route *r;
+
+  if (!g->site)
+    {
+      send_refusal (h->from, h->id, 503, ZP_NOT_RUN, "no-configuration",
+                    ST_RETURN_MAX);
+      tk_msg_free (m);
+      return;
+    }
+  if (!(r = find_route (g, h)))
+    {
+      zp_count (zp_counter ("zp_unknown_requests_total", ""), 1);
+      zp_log (ZP_LOG_INFO, PART, "request %.*s has no route in configuration "
+              "%llu: %.*s%.*s",
+              ZP_ARG (zp_str_of (&h->request_id)),
+              (unsigned long long) g->site->number,
+              ZP_ARG (zp_str_of (&h->host)), ZP_ARG (zp_str_of (&h->path)));
+      send_refusal (h->from, h->id, 404, ZP_NOT_RUN, "no-route", 0);
+      tk_msg_free (m);
+      return;
+    }
+  struct gt_request *q = zp_alloc (sizeof *q);
+  q->msg = m;
+  q->http = h->id;
+  q->arrived = zp_clock_mono ();
+  q->phase = GT_ENDING;
+  q->furthest = ZP_NOT_RUN;
+  q->service = choose_service (g, r);
+  read_route (q, r);
+  q->id = zp_slots_put (&g->requests, q);
+  index_http (g, q->http, q->id);
+  zp_count (q->service->requests, 1);
+  st_budget_first (&q->service->budget);
+  gt_dispatch_admit (g, q);
+}
+
+/* The caller has left: nobody wants the answer, and the server should not spend
+   a slot on it.  */
+void
+gt_request_gone (struct gt_gate *g, uint64_t http)
+{
+  struct gt_request *q = find_http (g, http);
+
+  if (!q || q->answered)
+    return;
+  q->answered = true;
+  switch (q->phase)
+    {
+    case GT_QUEUED:
+      st_queue_cancel (q->service->queue, q->ref);
+      gt_request_refuse (g, q, "caller-left", false);
+      return;
+    case GT_RUNNING:
+      {
+        struct tk_msg *m = tk_msg_new (TK_FORWARD_CANCEL);
+        m->u.cancel.id = q->id;
+        tk_send (g->forward, m);
+        return;
+      }
+    case GT_ENDING:
+      return;
+    }
+}
--- /dev/null
+++ b/src/gate/servers.c
@@ -0,0 +1,224 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "gate/gate.h"
+
+#define PART "server"
+
+/* Way there and back until a connection has been measured.  */
+#define WAY_DOMAIN (1 * ZP_MS)
+#define WAY_REGION (4 * ZP_MS)
+#define WAY_FAR (100 * ZP_MS)
+
+/* Answers from which the smoothed service time of a server is used.  */
+#define USUAL_ANSWERS 3
+
+/* Ways.  */
+
+static struct gt_way *
+way_of (struct gt_gate *g, const char *domain)
+{
+  for (size_t i = 0; i < g->ways; i++)
+    if (strcmp (g->way[i].failure_domain, domain) == 0)
+      return &g->way[i];
+  g->way = zp_realloc (g->way, (g->ways + 1) * sizeof *g->way);
+  struct gt_way *w = &g->way[g->ways++];
+  *w = (struct gt_way){ .way = WAY_FAR };
+  zp_str_copy (w->failure_domain, sizeof w->failure_domain,
+               zp_str_from (domain));
+  if (zp_str_eq (zp_str_from (domain), g->settings->failure_domain))
+    w->way = WAY_DOMAIN;
+  else if (zp_str_eq (gt_settings_region (g->settings, zp_str_from (domain)),
+                      g->settings->region))
+    w->way = WAY_REGION;
+  return w;
+}
+
+void
+gt_server_connected (struct gt_gate *g, struct gt_server *s, zp_time way)
+{
+  struct gt_way *w = way_of (g, s->report.failure_domain);
+
+  /* Half old, half new: the first measurement counts soon, and one that waited
+     for the server does not count for long.  */
+  w->way = (w->way + way) / 2;
+  for (size_t i = 0; i < g->servers; i++)
+    if (strcmp (g->server[i]->report.failure_domain, w->failure_domain) == 0)
+      g->server[i]->domain_way = w->way;
+}
+
+/* Servers.  */
+
+struct gt_server *
+gt_server_find (struct gt_gate *g, uint64_t hash)
+{
+  for (size_t i = 0; i < g->servers; i++)
+    if (g->server[i]->hash == hash)
+      return g->server[i];
+  return NULL;
+}
+
+static struct gt_server *
+server_new (struct gt_gate *g, const struct tk_server *report, uint64_t hash)
+{
+  struct gt_server *s = zp_alloc (sizeof *s);
+  zp_time now = zp_clock_mono ();
+
+  s->hash = hash;
+  s->service = gt_service_get (g, zp_str_from (report->service));
+  st_health_add (&s->health, &s->service->group, now);
+  g->server = zp_realloc (g->server, (g->servers + 1) * sizeof (void *));
+  return g->server[g->servers++] = s;
+}
+
+/* Begins a new start of S: nothing of an earlier one counts.  */
+static void
+restart (struct gt_gate *g, struct gt_server *s, const char *service)
+{
+  unsigned own = s->load.own;
+
+  st_health_remove (&s->health, &s->service->group);
+  s->service = gt_service_get (g, zp_str_from (service));
+  st_health_add (&s->health, &s->service->group, zp_clock_mono ());
+  s->load = (struct st_pool_load){ .own = own };
+  s->usual = 0;
+  s->answers = 0;
+}
+
+static void
+put_server (struct gt_gate *g, const struct ro_server *x, bool started)
+{
+  uint64_t hash = zp_str_hash (zp_str_from (x->report.id), 0);
+  struct gt_server *s = gt_server_find (g, hash);
+
+  if (!s)
+    s = server_new (g, &x->report, hash);
+  else if (started)
+    restart (g, s, x->report.service);
+  s->report = x->report;
+  s->load.slots = x->report.slots;
+  if (x->cold_until > s->cold_until)
+    s->cold_until = x->cold_until;
+  s->domain_way = way_of (g, x->report.failure_domain)->way;
+  if (s->load.slots == 0 || s->report.state != TK_SERVER_GONE)
+    return;
+  zp_log (ZP_LOG_NOTICE, PART, "server %s of %s is gone", s->report.id,
+          s->service->name);
+}
+
+void
+gt_server_take (struct gt_gate *g, const struct tk_server *report)
+{
+  struct ro_server *x, *followed;
+  enum ro_taken taken = ro_table_take (&g->table, report, zp_clock_mono (), &x,
+                                       &followed);
+
+  switch (taken)
+    {
+    case RO_OLD:
+      return;
+    case RO_FULL:
+      zp_log (ZP_LOG_ERR, PART, "server %s is left out: %d are known",
+              report->id, RO_SERVERS_MAX);
+      return;
+    case RO_SAME:
+    case RO_CHANGED:
+    case RO_STARTED:
+      break;
+    }
+  if (followed)
+    put_server (g, followed, false);
+  put_server (g, x, taken == RO_STARTED);
+  struct gt_service *s
+      = gt_service_get (g, zp_str_from (report->service));
+  gt_dispatch_service (g, s);
+}
+
+/* Another start is at the address of S.  */
+void
+gt_server_wrong (struct gt_gate *g, struct gt_server *s)
+{
+  struct ro_server *x
+      = ro_table_find (&g->table, zp_str_from (s->report.id));
+
+  zp_log (ZP_LOG_NOTICE, PART, "server %s of %s is no longer at %s",
+          s->report.id, s->service->name, s->report.address);
+  s->report.state = TK_SERVER_GONE;
+  if (!x)
+    return;
+  x->report.state = TK_SERVER_GONE;
+  x->report.expired = false;
+}
+
+/* Cold servers.  */
+
+bool
+gt_server_is_cold (const struct gt_server *s, zp_time now)
+{
+  return now < s->cold_until;
+}
+
+double
+gt_server_cold_rate (const struct gt_server *s)
+{
+  return s->service->settings ? s->service->settings->warmup_per_s : 0.0;
+}
+
+void
+gt_server_cold (struct gt_gate *g, const char *failure_domain, zp_time now)
+{
+  for (size_t i = 0; i < g->servers; i++)
+    {
+      struct gt_server *s = g->server[i];
+      if (strcmp (s->report.failure_domain, failure_domain) != 0
+          || !s->service->settings)
+        continue;
+      if (now + s->service->settings->warmup > s->cold_until)
+        s->cold_until = now + s->service->settings->warmup;
+    }
+}
+
+/* Choice.  */
+
+zp_time
+gt_server_usual (const struct gt_server *s)
+{
+  zp_time usual = st_queue_service_time (s->service->queue);
+
+  return s->answers >= USUAL_ANSWERS ? s->usual : usual;
+}
+
+static bool
+tried (const struct gt_request *q, uint64_t hash)
+{
+  for (unsigned i = 0; i < q->attempts && i < GT_TRIED_MAX; i++)
+    if (q->tried[i] == hash)
+      return true;
+  return false;
+}
+
+bool
+gt_server_usable (const struct gt_gate *g, const struct gt_server *s,
+                  const struct gt_request *q, zp_time now)
+{
+  if (s->service != q->service || s->report.state != TK_SERVER_READY
+      || s->report.slots == 0 || tried (q, s->hash)
+      || gt_config_evacuated (g, s->report.failure_domain))
+    return false;
+  if (gt_server_is_cold (s, now)
+      && !st_pace_open (&s->pace, gt_server_cold_rate (s), g->daemons, now))
+    return false;
+  switch (st_health_state (&s->health, now))
+    {
+    case ST_HEALTH_UP:
+      return true;
+    case ST_HEALTH_PROBE:
+      /* A request that may run once is no probe.  */
+      return q->idempotent;
+    case ST_HEALTH_EJECTED:
+    case ST_HEALTH_PROBING:
+      break;
+    }
+  return false;
+}
--- a/src/ledger/core.c
+++ b/src/ledger/core.c
@@ -307,6 +307,15 @@
   return c->role == LG_LEADER && now < lg_lease_until (c);
 }
 
+static zp_time
+contact_of (const struct lg_core *c, zp_time now)
+{
+  if (c->role != LG_LEADER)
+    return c->leader != 0 ? c->heard : LG_PAST;
+  zp_time t = lg_lease_until (c) - LG_LEASE;
+  return t < now ? t : now;
+}
+
 struct lg_status
 lg_core_status (const struct lg_core *c, zp_time now)
 {
@@ -314,6 +323,7 @@
                              .stop = c->stop,
                              .voter = lg_members_voter (&c->members, c->id),
                              .lease = lg_core_lease (c, now),
+                             .contact = contact_of (c, now),
                              .term = c->term,
                              .leader = c->leader,
                              .commit = c->commit,
--- a/src/ledger/core.h
+++ b/src/ledger/core.h
@@ -384,6 +384,10 @@
   enum lg_stop stop;
   bool voter;
   bool lease; /* leader with a valid lease */
+
+  /* When this member was last known to be in contact with a majority: as
+     leader by the answers of the voters, as follower by its leader.  */
+  zp_time contact;
   uint64_t term;
   uint64_t leader;
   uint64_t commit;
--- /dev/null
+++ b/src/roster/codec.c
@@ -0,0 +1,170 @@
+#include "roster/codec.h"
+
+#include <stdlib.h>
+
+#include "wire/bytes.h"
+#include "wire/roster.pb-c.h"
+
+static ProtobufCBinaryData
+text (const char *s)
+{
+  return wi_bytes (zp_str_from (s));
+}
+
+void
+ro_put_hello (struct zp_buf *out, const struct tk_daemon *d, uint64_t acked)
+{
+  Wire__RosterHello w = WIRE__ROSTER_HELLO__INIT;
+
+  w.kind = (uint32_t) d->kind;
+  w.id = d->id;
+  w.name = text (d->name);
+  w.address = text (d->address);
+  w.failure_domain = text (d->failure_domain);
+  w.region = text (d->region);
+  w.log = text (d->log);
+  w.ready = d->ready;
+  w.leaving = d->leaving;
+  w.acked = acked;
+  wi_pack (out, &w.base);
+}
+
+bool
+ro_get_hello (struct zp_str payload, struct tk_daemon *out, uint64_t *acked)
+{
+  Wire__RosterHello *w = wi_unpack (&wire__roster_hello__descriptor, payload);
+
+  if (!w)
+    return false;
+  *out = (struct tk_daemon){ .kind = (enum tk_daemon_kind) w->kind,
+                             .id = w->id,
+                             .ready = w->ready,
+                             .leaving = w->leaving };
+  *acked = w->acked;
+  bool ok = w->kind <= TK_DAEMON_CONTROL
+            && zp_str_copy (out->name, sizeof out->name, wi_view (w->name))
+            && zp_str_copy (out->address, sizeof out->address,
+                            wi_view (w->address))
+            && zp_str_copy (out->failure_domain, sizeof out->failure_domain,
+                            wi_view (w->failure_domain))
+            && zp_str_copy (out->region, sizeof out->region,
+                            wi_view (w->region))
+            && zp_str_copy (out->log, sizeof out->log, wi_view (w->log));
+  wi_free (w);
+  return ok;
+}
+
+static void
+put_server (Wire__RosterServer *w, const struct tk_server *s)
+{
+  wire__roster_server__init (w);
+  w->id = text (s->id);
+  w->service = text (s->service);
+  w->address = text (s->address);
+  w->failure_domain = text (s->failure_domain);
+  w->slots = s->slots;
+  w->state = (uint32_t) s->state;
+  w->cold_us = s->cold > 0 ? (uint64_t) s->cold : 0;
+  w->born_ms = s->born_ms;
+  w->seq = s->seq;
+  w->expired = s->expired;
+}
+
+void
+ro_put_update (struct zp_buf *out, const struct ro_update *u)
+{
+  Wire__RosterUpdate w = WIRE__ROSTER_UPDATE__INIT;
+  Wire__RosterServer *item = zp_alloc ((u->servers + 1) * sizeof *item);
+  Wire__RosterServer **list
+      = zp_alloc ((u->servers + 1) * sizeof (Wire__RosterServer *));
+  ProtobufCBinaryData *control
+      = zp_alloc ((u->controls + 1) * sizeof *control);
+
+  for (size_t i = 0; i < u->servers; i++)
+    {
+      put_server (&item[i], &u->server[i]);
+      list[i] = &item[i];
+    }
+  for (size_t i = 0; i < u->controls; i++)
+    control[i] = wi_bytes (u->control[i]);
+  w.number = u->number;
+  w.n_servers = u->servers;
+  w.servers = list;
+  w.n_controls = u->controls;
+  w.controls = control;
+  w.entries = u->entries;
+  wi_pack (out, &w.base);
+  free (control);
+  free (list);
+  free (item);
+}
+
+static bool
+get_server (const Wire__RosterServer *w, struct tk_server *s)
+{
+  *s = (struct tk_server){ .slots = w->slots,
+                           .state = (enum tk_server_state) w->state,
+                           .cold = (zp_time) w->cold_us,
+                           .born_ms = w->born_ms,
+                           .seq = w->seq,
+                           .expired = w->expired };
+  return w->state <= TK_SERVER_GONE && w->cold_us < (uint64_t) ZP_NEVER / 2
+         && zp_str_copy (s->id, sizeof s->id, wi_view (w->id))
+         && zp_str_copy (s->service, sizeof s->service, wi_view (w->service))
+         && zp_str_copy (s->address, sizeof s->address, wi_view (w->address))
+         && zp_str_copy (s->failure_domain, sizeof s->failure_domain,
+                         wi_view (w->failure_domain));
+}
+
+bool
+ro_get_update (struct zp_str payload, struct ro_update *out, void **owner)
+{
+  Wire__RosterUpdate *w
+      = wi_unpack (&wire__roster_update__descriptor, payload);
+
+  *out = (struct ro_update){ .number = 0 };
+  *owner = w;
+  if (!w)
+    return false;
+  struct tk_server *server = zp_alloc ((w->n_servers + 1) * sizeof *server);
+  struct zp_str *control = zp_alloc ((w->n_controls + 1) * sizeof *control);
+  out->number = w->number;
+  out->entries = w->entries;
+  out->server = server;
+  out->control = control;
+  for (size_t i = 0; i < w->n_servers; i++)
+    if (!get_server (w->servers[i], &server[out->servers++]))
+      return false;
+  for (size_t i = 0; i < w->n_controls; i++)
+    control[out->controls++] = wi_view (w->controls[i]);
+  return true;
+}
+
+void
+ro_update_free (struct ro_update *u, void *owner)
+{
+  free ((void *) u->server);
+  free ((void *) u->control);
+  wi_free (owner);
+}
+
+void
+ro_put_ack (struct zp_buf *out, uint64_t number)
+{
+  Wire__RosterAck w = WIRE__ROSTER_ACK__INIT;
+
+  w.number = number;
+  wi_pack (out, &w.base);
+}
+
+bool
+ro_get_ack (struct zp_str payload, uint64_t *number)
+{
+  Wire__RosterAck *w = wi_unpack (&wire__roster_ack__descriptor, payload);
+
+  if (!w)
+    return false;
+  *number = w->number;
+  wi_free (w);
+  return true;
+}
--- /dev/null
+++ b/src/roster/source.c
@@ -0,0 +1,476 @@
+#include "roster/source.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "roster/codec.h"
+#include "roster/table.h"
+#include "wire/conn.h"
+#include "wire/frame.h"
+
+#define PART "roster"
+
+/* A connection without a hello is closed after this time, and one that was
+   silent for this long has lost its other side: hellos come every 500 ms.  */
+#define SILENCE (3 * ZP_SEC)
+
+/* Periods without a report after which a server counts as gone.  A report may
+   be lost once, and its repetition goes to another daemon.  */
+#define MISSED_REPORTS 4
+
+/* A server whose last report here is older than this many periods has reported
+   to another daemon meanwhile; entry daemons are told again.  */
+#define RETURN_PERIODS 2
+
+#define TICK (100 * ZP_MS)
+
+struct link
+{
+  struct link *next;
+  struct ro_source *source;
+  struct wi_conn *conn;
+  zp_time since;
+  bool known;
+  struct tk_daemon daemon;
+  uint64_t sent, acked; /* numbers of updates */
+  zp_time sent_at;      /* of the oldest update without an acknowledgement */
+};
+
+/* A report that waits for the acknowledgements of all.  */
+struct wait
+{
+  uint64_t ticket;
+  uint64_t number;
+};
+
+struct ro_source
+{
+  struct tk_loop *loop;
+  struct tk_task task;
+  struct tk_task *decider;
+  zp_time period;
+  struct wi_listener *listener;
+  struct link *links;
+  struct ro_table table;
+  uint64_t number; /* of the last change */
+  struct wait *waits;
+  size_t wait_count, wait_cap;
+  struct zp_buf controls; /* "IP:port" lines */
+  unsigned entries;       /* as last told */
+  ev_timer batch, tick;
+};
+
+/* Acknowledgements.  */
+
+/* Whether the link has to acknowledge a change before it is settled.  */
+static bool
+counts (const struct link *l, zp_time now)
+{
+  return l->known && l->daemon.kind == TK_DAEMON_ENTRY
+         && (l->acked >= l->sent || now - l->sent_at < RO_ACK_LIMIT);
+}
+
+static bool
+settled (const struct ro_source *s, uint64_t number, zp_time now)
+{
+  for (const struct link *l = s->links; l; l = l->next)
+    if (counts (l, now) && l->acked < number)
+      return false;
+  return true;
+}
+
+static void
+settle (struct ro_source *s)
+{
+  zp_time now = zp_clock_mono ();
+  size_t kept = 0;
+
+  for (size_t i = 0; i < s->wait_count; i++)
+    if (settled (s, s->waits[i].number, now))
+      {
+        struct tk_msg *m = tk_msg_new (TK_SERVER_SETTLED);
+        m->u.settled.ticket = s->waits[i].ticket;
+        tk_send (s->decider, m);
+      }
+    else
+      s->waits[kept++] = s->waits[i];
+  s->wait_count = kept;
+}
+
+static void
+add_wait (struct ro_source *s, uint64_t ticket)
+{
+  if (s->wait_count == s->wait_cap)
+    {
+      s->wait_cap = s->wait_cap > 0 ? 2 * s->wait_cap : 16;
+      s->waits = zp_realloc (s->waits, s->wait_cap * sizeof *s->waits);
+    }
+  s->waits[s->wait_count++]
+      = (struct wait){ .ticket = ticket, .number = s->number };
+}
+
+/* Updates.  */
+
+static size_t
+list_controls (const struct ro_source *s, struct zp_str *out, size_t max)
+{
+  struct zp_str rest = zp_str_of (&s->controls), line;
+  size_t n = 0;
+
+  while (rest.len > 0 && n < max)
+    {
+      zp_str_split (rest, '\n', &line, &rest);
+      if (line.len > 0)
+        out[n++] = line;
+    }
+  return n;
+}
+
+#define CONTROLS_MAX 64
+
+static void
+send_update (struct link *l, zp_time now)
+{
+  struct ro_source *s = l->source;
+  struct tk_server *list
+      = zp_alloc ((s->table.len + 1) * sizeof (struct tk_server));
+  struct zp_str controls[CONTROLS_MAX];
+  struct zp_buf b = { .ptr = NULL };
+  struct ro_update u = { .number = s->number, .entries = s->entries };
+
+  for (size_t i = 0; i < s->table.len; i++)
+    {
+      const struct ro_server *x = &s->table.item[i];
+      if (x->number <= l->sent || l->daemon.kind != TK_DAEMON_ENTRY)
+        continue;
+      list[u.servers] = x->report;
+      list[u.servers++].cold = x->cold_until > now ? x->cold_until - now : 0;
+    }
+  u.server = list;
+  u.control = controls;
+  u.controls = list_controls (s, controls, CONTROLS_MAX);
+  ro_put_update (&b, &u);
+  if (l->acked >= l->sent)
+    l->sent_at = now;
+  l->sent = s->number;
+  if (!wi_conn_send (l->conn, WI_ROSTER_UPDATE, zp_str_of (&b)))
+    zp_log (ZP_LOG_WARNING, PART, "daemon %s does not read its updates",
+            l->daemon.name);
+  zp_buf_free (&b);
+  free (list);
+}
+
+static void
+send_changes (struct ro_source *s)
+{
+  zp_time now = zp_clock_mono ();
+
+  for (struct link *l = s->links; l; l = l->next)
+    if (l->known && l->daemon.kind == TK_DAEMON_ENTRY && l->sent < s->number)
+      send_update (l, now);
+  settle (s);
+}
+
+static void
+on_batch (struct ev_loop *ev, ev_timer *w, int events)
+{
+  (void) ev;
+  (void) events;
+  send_changes (w->data);
+}
+
+static void
+changed (struct ro_source *s)
+{
+  s->number++;
+  if (ev_is_active (&s->batch))
+    return;
+  ev_timer_set (&s->batch, (double) RO_BATCH / ZP_SEC, 0.0);
+  ev_timer_start (s->loop->ev, &s->batch);
+}
+
+static void
+on_expired (void *self, struct ro_server *x)
+{
+  struct ro_source *s = self;
+
+  zp_log (ZP_LOG_NOTICE, PART, "server %s of %s is gone: no report since %d "
+          "periods", x->report.id, x->report.service, MISSED_REPORTS);
+  changed (s);
+  x->number = s->number;
+}
+
+/* Servers.  */
+
+static void
+take_server (struct ro_source *s, const struct tk_server *report)
+{
+  zp_time now = zp_clock_mono ();
+  struct ro_server *known = ro_table_find (&s->table, zp_str_from (report->id));
+  zp_time heard = known ? known->heard : 0;
+  struct ro_server *x, *followed;
+  enum ro_taken taken
+      = ro_table_take (&s->table, report, now, &x, &followed);
+
+  switch (taken)
+    {
+    case RO_OLD:
+    case RO_FULL:
+      if (taken == RO_FULL)
+        zp_log (ZP_LOG_ERR, PART, "server %s is left out: %d are known",
+                report->id, RO_SERVERS_MAX);
+      break;
+    case RO_SAME:
+      if (now - heard <= RETURN_PERIODS * s->period)
+        break;
+      changed (s);
+      x->number = s->number;
+      break;
+    case RO_CHANGED:
+    case RO_STARTED:
+      zp_log (ZP_LOG_NOTICE, PART,
+              "server %s of %s at %s, %u slots: state %d, cold for %lld ms",
+              report->id, report->service, report->address, report->slots,
+              (int) report->state, (long long) (report->cold / ZP_MS));
+      changed (s);
+      x->number = s->number;
+      if (followed)
+        followed->number = s->number;
+      break;
+    }
+  if (report->ticket == 0)
+    return;
+  add_wait (s, report->ticket);
+  settle (s);
+}
+
+/* Connections.  */
+
+static void
+tell_daemon (const struct link *l, bool lost)
+{
+  struct tk_msg *m = tk_msg_new (TK_DAEMON);
+
+  m->u.daemon = l->daemon;
+  m->u.daemon.lost = lost;
+  tk_send (l->source->decider, m);
+}
+
+static void
+link_free (struct link *l)
+{
+  struct ro_source *s = l->source;
+  struct link **at = &s->links;
+
+  while (*at != l)
+    at = &(*at)->next;
+  *at = l->next;
+  wi_conn_free (l->conn);
+  free (l);
+}
+
+/* Whether another connection of the same daemon stands.  */
+static bool
+has_other (const struct link *l)
+{
+  for (const struct link *x = l->source->links; x; x = x->next)
+    if (x != l && x->known && x->daemon.id == l->daemon.id)
+      return true;
+  return false;
+}
+
+static void
+lose (struct link *l, const char *why)
+{
+  struct ro_source *s = l->source;
+
+  if (l->known && !has_other (l))
+    {
+      zp_log (ZP_LOG_NOTICE, PART, "lost daemon %s: %s", l->daemon.name, why);
+      tell_daemon (l, true);
+    }
+  link_free (l);
+  settle (s);
+}
+
+/* Daemons that stop are counted until they are gone: they still send.  */
+static unsigned
+count_entries (const struct ro_source *s)
+{
+  unsigned n = 0;
+
+  for (const struct link *l = s->links; l; l = l->next)
+    n += l->known && l->daemon.kind == TK_DAEMON_ENTRY && !has_other (l);
+  return n;
+}
+
+static void
+take_hello (struct link *l, struct zp_str payload)
+{
+  struct tk_daemon d;
+  uint64_t acked;
+
+  if (!ro_get_hello (payload, &d, &acked))
+    {
+      lose (l, "a hello that cannot be read");
+      return;
+    }
+  bool first = !l->known;
+  bool same = !first && memcmp (&d, &l->daemon, sizeof d) == 0;
+  l->known = true;
+  l->daemon = d;
+  if (first)
+    zp_log (ZP_LOG_NOTICE, PART, "daemon %s connected", d.name);
+  if (!same)
+    tell_daemon (l, false);
+  /* The first answer holds the whole table.  Every hello is answered, so that
+     both sides see a connection that has become silent.  */
+  l->source->entries = count_entries (l->source);
+  send_update (l, zp_clock_mono ());
+}
+
+static void
+on_frame (void *self, struct wi_conn *conn, uint8_t kind,
+          struct zp_str payload)
+{
+  struct link *l = self;
+  uint64_t acked;
+
+  (void) conn;
+  switch (kind)
+    {
+    case WI_ROSTER_HELLO:
+      take_hello (l, payload);
+      return;
+    case WI_ROSTER_ACK:
+      if (ro_get_ack (payload, &acked))
+        {
+          if (acked > l->acked)
+            l->acked = acked;
+          l->sent_at = zp_clock_mono ();
+          settle (l->source);
+          return;
+        }
+      break;
+    default:
+      break;
+    }
+  lose (l, "a frame of another protocol");
+}
+
+static void
+on_end (void *self, struct wi_conn *conn, const struct zp_err *why)
+{
+  (void) conn;
+  lose (self, why->text);
+}
+
+static const struct wi_handlers handlers
+    = { .on_frame = on_frame, .on_end = on_end };
+
+static void
+on_accept (void *self, struct wi_conn *conn)
+{
+  struct ro_source *s = self;
+  struct link *l = zp_alloc (sizeof *l);
+
+  l->source = s;
+  l->conn = conn;
+  l->since = zp_clock_mono ();
+  l->next = s->links;
+  s->links = l;
+  wi_conn_set (conn, &handlers, l);
+}
+
+static void
+on_tick (struct ev_loop *ev, ev_timer *w, int events)
+{
+  struct ro_source *s = w->data;
+  zp_time now = zp_clock_mono ();
+
+  (void) ev;
+  (void) events;
+  for (struct link *l = s->links, *next; l; l = next)
+    {
+      next = l->next;
+      zp_time heard = wi_conn_last_read (l->conn);
+      if (now - (heard > l->since ? heard : l->since) > SILENCE)
+        lose (l, "silent");
+    }
+  ro_table_expire (&s->table, now - MISSED_REPORTS * s->period, now,
+                   on_expired, s);
+  s->entries = count_entries (s);
+  settle (s);
+}
+
+/* Messages.  */
+
+static void
+on_message (void *self, struct tk_msg *m)
+{
+  struct ro_source *s = self;
+
+  switch (m->kind)
+    {
+    case TK_SERVER:
+      take_server (s, &m->u.server);
+      break;
+    case TK_SOURCES:
+      zp_buf_clear (&s->controls);
+      zp_buf_put (&s->controls, zp_str_of (&m->u.addresses.lines));
+      changed (s);
+      break;
+    default:
+      assert (!"message that the roster source does not take");
+    }
+  tk_msg_free (m);
+}
+
+struct ro_source *
+ro_source_open (struct tk_loop *l, const struct ro_source_options *o,
+                struct zp_err *err)
+{
+  struct ro_source *s = zp_alloc (sizeof *s);
+
+  s->loop = l;
+  s->decider = o->decider;
+  s->period = o->report_period;
+  s->listener = wi_listen (l->ev, o->address, on_accept, s, err);
+  if (!s->listener)
+    {
+      free (s);
+      return NULL;
+    }
+  tk_task_init (&s->task, l, on_message, s);
+  ev_timer_init (&s->batch, on_batch, 0.0, 0.0);
+  s->batch.data = s;
+  ev_timer_init (&s->tick, on_tick, 0.0, (double) TICK / ZP_SEC);
+  s->tick.data = s;
+  ev_timer_start (l->ev, &s->tick);
+  return s;
+}
+
+struct tk_task *
+ro_source_task (struct ro_source *s)
+{
+  return &s->task;
+}
+
+void
+ro_source_close (struct ro_source *s)
+{
+  if (!s)
+    return;
+  while (s->links)
+    link_free (s->links);
+  ev_timer_stop (s->loop->ev, &s->batch);
+  ev_timer_stop (s->loop->ev, &s->tick);
+  wi_listener_free (s->listener);
+  tk_task_free (&s->task);
+  ro_table_free (&s->table);
+  zp_buf_free (&s->controls);
+  free (s->waits);
+  free (s);
+}
--- /dev/null
+++ b/src/roster/table.c
@@ -0,0 +1,159 @@
+#include "roster/table.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+struct ro_server *
+ro_table_find (const struct ro_table *t, struct zp_str id)
+{
+  for (size_t i = 0; i < t->len; i++)
+    if (zp_str_eq (zp_str_from (t->item[i].report.id), id))
+      return &t->item[i];
+  return NULL;
+}
+
+static struct ro_server *
+find_address (const struct ro_table *t, const char *address,
+              const struct ro_server *not)
+{
+  for (size_t i = 0; i < t->len; i++)
+    {
+      struct ro_server *x = &t->item[i];
+      if (x != not && x->report.state != TK_SERVER_GONE
+          && strcmp (x->report.address, address) == 0)
+        return x;
+    }
+  return NULL;
+}
+
+/* A server's word that it leaves.  Without BORN it means the start that is
+   known.  */
+static bool
+leaves (const struct tk_server *s)
+{
+  return s->state == TK_SERVER_GONE && !s->expired;
+}
+
+/* Whether S says less than the report that is known.  The word that a start
+   leaves is its last one, whatever its SEQ.  */
+static bool
+older (const struct tk_server *s, const struct tk_server *known)
+{
+  if (leaves (s) && (s->born_ms == 0 || s->born_ms == known->born_ms))
+    return leaves (known);
+  if (s->born_ms != known->born_ms)
+    return s->born_ms < known->born_ms;
+  return s->expired ? s->seq < known->seq : s->seq <= known->seq;
+}
+
+static bool
+differs (const struct tk_server *a, const struct tk_server *b)
+{
+  return a->state != b->state || a->slots != b->slots
+         || strcmp (a->address, b->address) != 0
+         || strcmp (a->service, b->service) != 0
+         || strcmp (a->failure_domain, b->failure_domain) != 0;
+}
+
+static struct ro_server *
+add (struct ro_table *t)
+{
+  if (t->len == t->cap)
+    {
+      t->cap = t->cap > 0 ? 2 * t->cap : 64;
+      t->item = zp_realloc (t->item, t->cap * sizeof *t->item);
+    }
+  struct ro_server *x = &t->item[t->len++];
+  *x = (struct ro_server){ .heard = 0 };
+  return x;
+}
+
+enum ro_taken
+ro_table_take (struct ro_table *t, const struct tk_server *s, zp_time now,
+               struct ro_server **at, struct ro_server **followed)
+{
+  struct ro_server *x = ro_table_find (t, zp_str_from (s->id));
+  enum ro_taken taken = RO_SAME;
+
+  *at = NULL;
+  if (followed)
+    *followed = NULL;
+  if (x && older (s, &x->report))
+    return RO_OLD;
+  if (x && leaves (s))
+    {
+      x->report.state = TK_SERVER_GONE;
+      x->report.expired = false;
+      x->heard = now;
+      *at = x;
+      return RO_CHANGED;
+    }
+  if (s->state != TK_SERVER_GONE)
+    {
+      struct ro_server *other = find_address (t, s->address, x);
+      if (other && other->report.born_ms > s->born_ms)
+        return RO_OLD;
+      if (other)
+        {
+          other->report.state = TK_SERVER_GONE;
+          other->report.expired = false;
+          other->heard = now;
+          if (followed)
+            *followed = other;
+        }
+    }
+  if (!x || s->born_ms > x->report.born_ms)
+    taken = RO_STARTED;
+  /* One start that has said that it leaves does not come back.  */
+  else if (x->report.state == TK_SERVER_GONE && !x->report.expired
+           && s->state != TK_SERVER_GONE)
+    return RO_OLD;
+  else if (differs (s, &x->report)
+           || (s->cold > 0 && x->cold_until + RO_COLD_CHANGE < now + s->cold))
+    taken = RO_CHANGED;
+  if (!x)
+    {
+      size_t place
+          = followed && *followed ? (size_t) (*followed - t->item) : 0;
+      if (t->len == RO_SERVERS_MAX)
+        return RO_FULL;
+      x = add (t);
+      if (followed && *followed)
+        *followed = &t->item[place];
+    }
+  x->report = *s;
+  x->cold_until = s->cold > 0 ? now + s->cold : 0;
+  x->heard = now;
+  *at = x;
+  return taken;
+}
+
+void
+ro_table_expire (struct ro_table *t, zp_time since, zp_time now, ro_each *each,
+                 void *self)
+{
+  for (size_t i = 0; i < t->len;)
+    {
+      struct ro_server *x = &t->item[i];
+      if (x->report.state != TK_SERVER_GONE && x->heard < since)
+        {
+          x->report.state = TK_SERVER_GONE;
+          x->report.expired = true;
+          x->heard = now;
+          each (self, x);
+        }
+      if (x->report.state == TK_SERVER_GONE && now - x->heard > RO_GONE_KEPT)
+        {
+          *x = t->item[--t->len];
+          continue;
+        }
+      i++;
+    }
+}
+
+void
+ro_table_free (struct ro_table *t)
+{
+  free (t->item);
+  *t = (struct ro_table){ .item = NULL };
+}
--- /dev/null
+++ b/src/site/site.c
@@ -0,0 +1,193 @@
+#include "site/site.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+struct si_site *
+si_site_new (uint64_t number)
+{
+  struct si_site *s = zp_alloc (sizeof *s);
+
+  s->number = number;
+  return s;
+}
+
+void
+si_site_add_service (struct si_site *s, const struct si_service *service)
+{
+  s->service
+      = zp_realloc (s->service, (s->services + 1) * sizeof *s->service);
+  s->service[s->services++] = *service;
+}
+
+void
+si_site_add_route (struct si_site *s, const struct si_route *route)
+{
+  s->route = zp_realloc (s->route, (s->routes + 1) * sizeof *s->route);
+  s->route[s->routes++] = *route;
+}
+
+void
+si_route_add_part (struct si_route *r, struct zp_str service, unsigned weight)
+{
+  r->part = zp_realloc (r->part, (r->parts + 1) * sizeof *r->part);
+  r->part[r->parts++] = (struct si_part){ .service = zp_buf_from (service),
+                                          .weight = weight };
+}
+
+void
+si_route_add_home (struct si_route *r, struct zp_str region)
+{
+  r->home = zp_realloc (r->home, (r->homes + 1) * sizeof *r->home);
+  r->home[r->homes++] = zp_buf_from (region);
+}
+
+void
+si_route_clear (struct si_route *r)
+{
+  zp_buf_free (&r->name);
+  zp_buf_free (&r->host);
+  zp_buf_free (&r->prefix);
+  for (size_t i = 0; i < r->parts; i++)
+    zp_buf_free (&r->part[i].service);
+  for (size_t i = 0; i < r->homes; i++)
+    zp_buf_free (&r->home[i]);
+  free (r->part);
+  free (r->home);
+}
+
+void
+si_site_free (struct si_site *s)
+{
+  if (!s)
+    return;
+  for (size_t i = 0; i < s->routes; i++)
+    si_route_clear (&s->route[i]);
+  for (size_t i = 0; i < s->services; i++)
+    {
+      zp_buf_free (&s->service[i].name);
+      zp_buf_free (&s->service[i].health_path);
+    }
+  free (s->route);
+  free (s->service);
+  free (s);
+}
+
+/* Order of routes: by host, and of one host the longest prefix first.  */
+
+static int
+cmp_host (struct zp_str a, struct zp_str b)
+{
+  size_t n = a.len < b.len ? a.len : b.len;
+  int c = n > 0 ? strncasecmp (a.ptr, b.ptr, n) : 0;
+
+  if (c != 0)
+    return c;
+  return a.len < b.len ? -1 : a.len > b.len;
+}
+
+static int
+cmp_route (const void *a, const void *b)
+{
+  const struct si_route *x = a, *y = b;
+  int c = cmp_host (zp_str_of (&x->host), zp_str_of (&y->host));
+
+  if (c != 0)
+    return c;
+  if (x->prefix.len != y->prefix.len)
+    return x->prefix.len > y->prefix.len ? -1 : 1;
+  return zp_str_cmp (zp_str_of (&x->prefix), zp_str_of (&y->prefix));
+}
+
+static bool
+check_route (struct si_site *s, struct si_route *r, struct zp_err *err)
+{
+  unsigned weight = 0;
+
+  if (r->host.len == 0)
+    return zp_fail (err, ZP_EINVAL, "route \"%.*s\": no host",
+                    ZP_ARG (zp_str_of (&r->name)));
+  if (r->prefix.len == 0 || r->prefix.ptr[0] != '/')
+    return zp_fail (err, ZP_EINVAL,
+                    "route \"%.*s\": found prefix \"%.*s\", allowed: one that "
+                    "begins with \"/\"",
+                    ZP_ARG (zp_str_of (&r->name)),
+                    ZP_ARG (zp_str_of (&r->prefix)));
+  for (size_t i = 0; i < r->parts; i++)
+    {
+      const struct si_service *v
+          = si_site_service (s, zp_str_of (&r->part[i].service));
+      if (!v)
+        return zp_fail (err, ZP_EINVAL,
+                        "route \"%.*s\": no service \"%.*s\"",
+                        ZP_ARG (zp_str_of (&r->name)),
+                        ZP_ARG (zp_str_of (&r->part[i].service)));
+      r->part[i].index = (size_t) (v - s->service);
+      weight += r->part[i].weight;
+    }
+  return weight > 0
+         || zp_fail (err, ZP_EINVAL, "route \"%.*s\": leads to no service",
+                     ZP_ARG (zp_str_of (&r->name)));
+}
+
+bool
+si_site_seal (struct si_site *s, struct zp_err *err)
+{
+  for (size_t i = 0; i < s->services; i++)
+    if (si_site_service (s, zp_str_of (&s->service[i].name)) != &s->service[i])
+      return zp_fail (err, ZP_EINVAL, "service \"%.*s\" is there twice",
+                      ZP_ARG (zp_str_of (&s->service[i].name)));
+  for (size_t i = 0; i < s->routes; i++)
+    if (!check_route (s, &s->route[i], err))
+      return false;
+  if (s->routes > 0)
+    qsort (s->route, s->routes, sizeof *s->route, cmp_route);
+  for (size_t i = 1; i < s->routes; i++)
+    if (cmp_route (&s->route[i - 1], &s->route[i]) == 0)
+      return zp_fail (err, ZP_EINVAL,
+                      "host \"%.*s\", prefix \"%.*s\": two routes",
+                      ZP_ARG (zp_str_of (&s->route[i].host)),
+                      ZP_ARG (zp_str_of (&s->route[i].prefix)));
+  return true;
+}
+
+/* The first route of HOST.  */
+static size_t
+first_of_host (const struct si_site *s, struct zp_str host)
+{
+  size_t low = 0, high = s->routes;
+
+  while (low < high)
+    {
+      size_t mid = low + (high - low) / 2;
+      if (cmp_host (zp_str_of (&s->route[mid].host), host) < 0)
+        low = mid + 1;
+      else
+        high = mid;
+    }
+  return low;
+}
+
+const struct si_route *
+si_site_route (const struct si_site *s, struct zp_str host, struct zp_str path)
+{
+  struct zp_str name, port;
+
+  zp_str_split (host, ':', &name, &port);
+  for (size_t i = first_of_host (s, name);
+       i < s->routes && cmp_host (zp_str_of (&s->route[i].host), name) == 0;
+       i++)
+    if (zp_str_starts (path, zp_str_of (&s->route[i].prefix)))
+      return &s->route[i];
+  return NULL;
+}
+
+const struct si_service *
+si_site_service (const struct si_site *s, struct zp_str name)
+{
+  for (size_t i = 0; i < s->services; i++)
+    if (zp_str_eq (zp_str_of (&s->service[i].name), name))
+      return &s->service[i];
+  return NULL;
+}
--- /dev/null
+++ b/src/steer/pace.c
@@ -0,0 +1,26 @@
+#include "steer/pace.h"
+
+static double
+saved (const struct st_pace *p, double per_s, unsigned daemons, zp_time now)
+{
+  if (p->at == 0)
+    return 1.0;
+  double s = p->saved
+             + (double) (now - p->at) / (double) ZP_SEC * per_s
+                   / (daemons > 0 ? daemons : 1);
+  return s < 1.0 ? s : 1.0;
+}
+
+bool
+st_pace_open (const struct st_pace *p, double per_s, unsigned daemons,
+              zp_time now)
+{
+  return saved (p, per_s, daemons, now) >= 1.0;
+}
+
+void
+st_pace_take (struct st_pace *p, double per_s, unsigned daemons, zp_time now)
+{
+  p->saved = saved (p, per_s, daemons, now) - 1.0;
+  p->at = now;
+}
--- a/src/steer/retry.c
+++ b/src/steer/retry.c
@@ -88,7 +88,8 @@
   if (r->poisoned)
     return false;
   *why = ST_REFUSE_ATTEMPTS;
-  if (r->attempts >= ST_RETRY_ATTEMPTS)
+  if (r->attempts
+      >= (r->attempts_max > 0 ? r->attempts_max : ST_RETRY_ATTEMPTS))
     return false;
   *why = ST_REFUSE_DEADLINE;
   if (r->deadline - r->now <= r->expected)
--- a/src/steer/retry.h
+++ b/src/steer/retry.h
@@ -51,6 +51,7 @@
   bool poisoned;     /* st_poison_admit refuses it now */
   bool other_server; /* a server that was not tried could take it */
   unsigned attempts; /* ended so far, the last one included */
+  unsigned attempts_max; /* 0: ST_RETRY_ATTEMPTS */
   bool has_answer;   /* the last attempt ended with a whole answer */
   zp_time now;
   zp_time deadline;
--- a/src/task/msg.c
+++ b/src/task/msg.c
@@ -17,6 +17,9 @@
   switch (m->kind)
     {
     case TK_HTTP_REQUEST:
+      zp_buf_free (&m->u.request.host);
+      zp_buf_free (&m->u.request.request_id);
+      zp_buf_free (&m->u.request.affinity);
       zp_buf_free (&m->u.request.method);
       zp_buf_free (&m->u.request.path);
       zp_buf_free (&m->u.request.query);
@@ -38,6 +41,7 @@
       zp_buf_free (&m->u.forward.headers);
       zp_buf_free (&m->u.forward.body);
       zp_buf_free (&m->u.forward.request_id);
+      zp_buf_free (&m->u.forward.host);
       break;
     case TK_FORWARD_DONE:
       zp_buf_free (&m->u.done.content_type);
@@ -63,6 +67,14 @@
     case TK_CONFIG_ASK:
     case TK_IN_FORCE:
     case TK_FRESH:
+    case TK_SERVER:
+    case TK_SERVER_SETTLED:
+    case TK_DAEMON:
+    case TK_CENSUS:
+      break;
+    case TK_SOURCES:
+    case TK_SEEDS:
+      zp_buf_free (&m->u.addresses.lines);
       break;
     }
   free (m);
--- a/src/task/msg.h
+++ b/src/task/msg.h
@@ -44,11 +44,25 @@
   TK_CONFIG_ASK, /* asks for a whole TK_CONFIG */
   TK_IN_FORCE,   /* a configuration is in force on a daemon */
   TK_FRESH,      /* whether the configuration can be called current */
+  TK_SOURCES,    /* where the configuration can be had */
+
+  /* Rosters of backend servers and daemons.  */
+  TK_SERVER,         /* what a server says of itself, or is known of it */
+  TK_SERVER_SETTLED, /* every connected daemon has taken a TK_SERVER */
+  TK_DAEMON,         /* another daemon, or this one */
+  TK_CENSUS,         /* how many daemons there are */
+  TK_SEEDS,          /* the seeds in the settings have changed */
 };
 
+struct tk_task;
+
 struct tk_http_request
 {
   uint64_t id;
+  struct tk_task *from; /* the front task that takes the answer */
+  struct zp_buf host;       /* of the Host header */
+  struct zp_buf request_id; /* as the caller sent it; empty: none */
+  struct zp_buf affinity;   /* empty: none */
   struct zp_buf method;
   struct zp_buf path;  /* without the query */
   struct zp_buf query; /* behind "?", not decoded */
@@ -72,7 +86,8 @@
   unsigned status;
   bool has_verdict;
   enum zp_verdict verdict;
-  unsigned retry_after_s; /* 0: no Retry-After header */
+  unsigned retry_after_s;  /* 0: no Retry-After header */
+  unsigned retry_after_ms; /* the same with a fraction; goes first */
   struct zp_buf location; /* empty: no Location header */
   struct zp_buf content_type;
   struct zp_buf headers; /* as in struct tk_http_request */
@@ -89,7 +104,10 @@
   struct zp_buf headers; /* as in struct tk_http_request */
   struct zp_buf body;
   struct zp_buf request_id;
-  zp_time deadline;      /* monotonic; the attempt is cancelled then */
+  struct zp_buf host;       /* empty: the address of the server */
+  char expect[ZP_NAME_MAX]; /* id of the server; empty: any */
+  zp_time idle_max; /* oldest idle connection to use; 0: the usual limit */
+  zp_time deadline;         /* monotonic; the attempt is cancelled then */
   bool fresh_connection; /* never reuse an idle connection */
 };
 
@@ -108,13 +126,24 @@
   TK_END_CANCELLED,
 };
 
+/* What a backend server says of its load with an answer.  */
+struct tk_server_load
+{
+  bool known;
+  unsigned running, waiting, slots;
+};
+
 struct tk_forward_done
 {
   uint64_t id;
   enum tk_forward_end end;
   enum zp_verdict verdict;
   unsigned status;
+  bool stamped; /* the answer bears the server's mark */
+  bool reused;  /* the connection had served a request before */
+  struct tk_server_load load;
   zp_time elapsed;
+  zp_time connect; /* until the connection stood; 0: it was reused */
   struct zp_buf content_type;
   struct zp_buf headers; /* as in struct tk_http_request */
   struct zp_buf body;
@@ -182,6 +211,66 @@
   bool fresh;
 };
 
+enum tk_server_state
+{
+  TK_SERVER_READY,
+  TK_SERVER_DRAINING,
+  TK_SERVER_GONE,
+};
+
+/* One start of a backend server.  A later start under the same id has a higher
+   BORN, and a later report of one start a higher SEQ.  */
+struct tk_server
+{
+  char id[ZP_NAME_MAX];
+  char service[ZP_NAME_MAX];
+  char address[ZP_ADDRESS_MAX];
+  char failure_domain[ZP_NAME_MAX];
+  unsigned slots;
+  enum tk_server_state state;
+  zp_time cold;     /* how much longer it stays cold */
+  uint64_t born_ms; /* wall clock of the server, in ms since 1970 */
+  uint64_t seq;
+  bool expired;    /* gone because it was silent: a newer report brings it back */
+  uint64_t ticket; /* not 0: answered by TK_SERVER_SETTLED */
+};
+
+struct tk_server_settled
+{
+  uint64_t ticket;
+};
+
+enum tk_daemon_kind
+{
+  TK_DAEMON_ENTRY,
+  TK_DAEMON_CONTROL,
+};
+
+struct tk_daemon
+{
+  enum tk_daemon_kind kind;
+  uint64_t id;
+  char name[ZP_NAME_MAX];
+  char address[ZP_ADDRESS_MAX]; /* of its HTTP interface */
+  char failure_domain[ZP_NAME_MAX];
+  char region[ZP_NAME_MAX];
+  char log[ZP_ADDRESS_MAX]; /* control: of the replicated log */
+  bool ready;
+  bool leaving;
+  bool lost; /* its connection has ended */
+};
+
+struct tk_census
+{
+  unsigned entries;
+};
+
+/* "IP:port" each, one a line.  */
+struct tk_addresses
+{
+  struct zp_buf lines;
+};
+
 struct tk_msg
 {
   struct tk_msg *next; /* used by the mailbox only */
@@ -201,6 +290,11 @@
     struct tk_config config;
     struct tk_in_force in_force;
     struct tk_fresh fresh;
+    struct tk_addresses addresses;
+    struct tk_server server;
+    struct tk_server_settled settled;
+    struct tk_daemon daemon;
+    struct tk_census census;
   } u;
 };
 
--- /dev/null
+++ b/src/ticket/blob.c
@@ -0,0 +1,50 @@
+#include "ticket/blob.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <zlib.h>
+
+/* The first bytes hold the length of the text, big endian.  */
+#define LENGTH_BYTES 4
+
+void
+ti_blob_pack (struct zp_str text, struct ti_blob *out)
+{
+  uLongf n = compressBound (text.len);
+
+  assert (text.len <= UINT32_MAX);
+  out->ptr = zp_alloc (LENGTH_BYTES + n);
+  for (int i = 0; i < LENGTH_BYTES; i++)
+    out->ptr[i] = (char) (text.len >> (8 * (LENGTH_BYTES - 1 - i)));
+  /* Fails only for a buffer below the bound, or without memory.  */
+  if (compress2 ((Bytef *) out->ptr + LENGTH_BYTES, &n,
+                 (const Bytef *) (text.ptr ? text.ptr : ""), text.len,
+                 Z_BEST_SPEED)
+      != Z_OK)
+    abort ();
+  out->len = LENGTH_BYTES + n;
+}
+
+bool
+ti_blob_unpack (const struct ti_blob *b, struct zp_buf *out, size_t max)
+{
+  size_t want = 0;
+
+  if (b->len < LENGTH_BYTES)
+    return false;
+  for (int i = 0; i < LENGTH_BYTES; i++)
+    want = want << 8 | (unsigned char) b->ptr[i];
+  if (want > max)
+    return false;
+  char *text = zp_alloc (want + 1);
+  uLongf n = want;
+  bool ok = uncompress ((Bytef *) text, &n,
+                        (const Bytef *) b->ptr + LENGTH_BYTES,
+                        b->len - LENGTH_BYTES)
+                == Z_OK
+            && n == want;
+  if (ok)
+    zp_buf_put_bytes (out, text, n);
+  free (text);
+  return ok;
+}
--- a/src/ticket/command.c
+++ b/src/ticket/command.c
@@ -1,6 +1,7 @@
 #include "ticket/command.h"
 
 #include <inttypes.h>
+#include <stdlib.h>
 
 #include "base/settings.h"
 #include "ticket/json.h"
@@ -10,8 +11,29 @@
   [TI_REVIEW] = "review",
   [TI_NUMBER] = "number",
   [TI_STEP] = "step",
+  [TI_PUT] = "put",
+  [TI_EVACUATE] = "evacuate",
 };
 
+/* The object that a TI_PUT carries.  The view lives as long as C.  */
+static struct ti_object
+document_of (const struct ti_command *c)
+{
+  struct ti_object o = { .key = { .kind = TI_DOCUMENT } };
+
+  o.u.document = (struct ti_document){ .number = c->u.put.number,
+                                       .body = c->u.put.body };
+  return o;
+}
+
+static void
+put_document (const struct ti_command *c, struct zp_buf *out)
+{
+  struct ti_object o = document_of (c);
+
+  ti_object_write (&o, out);
+}
+
 void
 ti_command_encode (const struct ti_command *c, struct zp_buf *out)
 {
@@ -38,6 +60,15 @@
                      ZP_ARG (ti_text_str (&c->u.step.shift)), c->u.step.before,
                      c->u.step.after);
       break;
+    case TI_PUT:
+      zp_buf_printf (out, ",\"document\":");
+      put_document (c, out);
+      break;
+    case TI_EVACUATE:
+      zp_buf_printf (out, ",\"failure_domain\":\"%.*s\",\"on\":%s",
+                     ZP_ARG (ti_text_str (&c->u.evacuate.failure_domain)),
+                     c->u.evacuate.on ? "true" : "false");
+      break;
     }
   zp_buf_put (out, ZP_STR ("}"));
 }
@@ -66,6 +97,29 @@
   return out->ticket != NULL;
 }
 
+static bool
+decode_put (struct json_object *root, struct ti_put_command *out,
+            struct zp_err *err)
+{
+  const struct ti_key key = { .kind = TI_DOCUMENT };
+  struct zp_report report = { .count = 0 };
+  struct ti_object *o
+      = ti_object_read (&key, ti_json_get (root, "document"), &report);
+
+  if (o)
+    {
+      out->number = o->u.document.number;
+      out->body = o->u.document.body;
+      o->u.document.body = (struct ti_blob){ .ptr = NULL };
+    }
+  else
+    zp_fail (err, ZP_ECORRUPT, "%.*s", ZP_ARG (zp_str_of (&report.lines)));
+  bool ok = o != NULL;
+  ti_object_free (o);
+  zp_report_free (&report);
+  return ok;
+}
+
 static bool
 decode_kind (struct json_object *root, struct ti_command *out,
              struct zp_err *err)
@@ -94,6 +148,14 @@
            && get_share (root, "before", &out->u.step.before)
            && get_share (root, "after", &out->u.step.after);
       break;
+    case TI_PUT:
+      return decode_put (root, &out->u.put, err);
+    case TI_EVACUATE:
+      out->u.evacuate.on
+          = json_object_get_boolean (ti_json_get (root, "on"));
+      ok = ti_name_parse (ti_json_str (ti_json_get (root, "failure_domain")),
+                          &out->u.evacuate.failure_domain);
+      break;
     }
   return ok
          || zp_fail (err, ZP_ECORRUPT, "bad fields of command \"%s\"",
@@ -112,7 +174,7 @@
   if (!root)
     return false;
   struct zp_str name = ti_json_str (ti_json_get (root, "command"));
-  for (enum ti_command_kind k = TI_SUBMIT; k <= TI_STEP; k++)
+  for (enum ti_command_kind k = TI_SUBMIT; k <= TI_EVACUATE; k++)
     if (zp_str_eq (name, zp_str_from (names[k])))
       {
         out->kind = k;
@@ -143,6 +205,11 @@
     case TI_REVIEW:
     case TI_NUMBER:
     case TI_STEP:
+    case TI_EVACUATE:
+      break;
+    case TI_PUT:
+      free (c->u.put.body.ptr);
+      c->u.put.body = (struct ti_blob){ .ptr = NULL };
       break;
     }
 }
--- a/src/ticket/command.h
+++ b/src/ticket/command.h
@@ -17,6 +17,8 @@
   TI_REVIEW,
   TI_NUMBER,
   TI_STEP,
+  TI_PUT,
+  TI_EVACUATE,
 };
 
 struct ti_submit_command
@@ -46,6 +48,21 @@
   uint32_t before, after; /* millionths */
 };
 
+/* Puts a whole document into force, without a ticket.  The highest number
+   wins; a number that is not higher changes nothing.  */
+struct ti_put_command
+{
+  uint64_t number;
+  struct ti_blob body; /* as in struct ti_document */
+};
+
+/* Begins or ends the drain of a failure domain, without a ticket.  */
+struct ti_evacuate_command
+{
+  struct ti_text failure_domain;
+  bool on;
+};
+
 struct ti_command
 {
   enum ti_command_kind kind;
@@ -56,6 +73,8 @@
     struct ti_review_command review;
     struct ti_number_command number;
     struct ti_step_command step;
+    struct ti_put_command put;
+    struct ti_evacuate_command evacuate;
   } u;
 };
 
--- a/src/ticket/object.c
+++ b/src/ticket/object.c
@@ -151,6 +151,14 @@
   { .key = NULL },
 };
 
+static const struct ti_field document_fields[] = {
+  { .key = "number",
+    .kind = TI_FIELD_NUMBER,
+    .offset = AT (document.number) },
+  { .key = "body", .kind = TI_FIELD_BLOB, .offset = AT (document.body) },
+  { .key = NULL },
+};
+
 static const struct
 {
   const char *name;
@@ -167,6 +175,7 @@
   [TI_SHIFT] = { "shift", shift_fields },
   [TI_BLOCKS] = { "blocks", blocks_fields },
   [TI_CONTROL] = { "control", control_fields },
+  [TI_DOCUMENT] = { "document", document_fields },
 };
 
 const struct ti_field *
@@ -255,7 +264,7 @@
     return zp_fail (err, ZP_EINVAL,
                     "%.*s: unknown kind \"%.*s\", allowed: service, region, "
                     "failure_domain, link, site, entry, limits, drain, "
-                    "shift, blocks, control",
+                    "shift, blocks, control, document",
                     ZP_ARG (text), ZP_ARG (kind));
   if (!ti_name_parse (name, &out->name))
     return zp_fail (err, ZP_EINVAL,
@@ -353,6 +362,11 @@
           struct ti_prefixes *l = at;
           l->item = copy_array (l->item, l->len * sizeof *l->item);
         }
+      if (f->kind == TI_FIELD_BLOB)
+        {
+          struct ti_blob *b = at;
+          b->ptr = copy_array (b->ptr, b->len);
+        }
     }
   return n;
 }
@@ -369,6 +383,8 @@
         free (((struct ti_latencies *) at)->item);
       if (f->kind == TI_FIELD_PREFIXES)
         free (((struct ti_prefixes *) at)->item);
+      if (f->kind == TI_FIELD_BLOB)
+        free (((struct ti_blob *) at)->ptr);
     }
   free (o);
 }
@@ -427,6 +443,8 @@
         case TI_FIELD_SHARE:
         case TI_FIELD_ADDRESS:
         case TI_FIELD_PREFIXES:
+        case TI_FIELD_NUMBER:
+        case TI_FIELD_BLOB:
           break;
         }
     }
--- a/src/ticket/object.h
+++ b/src/ticket/object.h
@@ -26,6 +26,9 @@
 #define TI_LATENCIES_MAX 64  /* in one region */
 #define TI_SHARE_ONE 1000000 /* a share of 1 */
 
+/* Name of the document that holds the routes.  */
+#define TI_ROUTES "routes"
+
 enum ti_kind
 {
   TI_SERVICE,
@@ -39,6 +42,7 @@
   TI_SHIFT,
   TI_BLOCKS,
   TI_CONTROL,
+  TI_DOCUMENT,
   TI_KIND_COUNT,
 };
 
@@ -161,6 +165,13 @@
   struct ti_prefixes prefixes;
 };
 
+/* Owned bytes.  */
+struct ti_blob
+{
+  char *ptr;
+  size_t len;
+};
+
 struct ti_control
 {
   struct ti_text address; /* of the replicated log */
@@ -169,6 +180,15 @@
   enum ti_role role;
 };
 
+/* A whole configuration of routes under the operators' own number.  BODY is
+   compressed by zlib and read by the decoder of the interface that took it,
+   so that it is read back byte for byte.  */
+struct ti_document
+{
+  uint64_t number;
+  struct ti_blob body;
+};
+
 struct ti_object
 {
   struct ti_key key;
@@ -185,6 +205,7 @@
     struct ti_shift shift;
     struct ti_blocks blocks;
     struct ti_control control;
+    struct ti_document document;
   } u;
 };
 
@@ -202,6 +223,8 @@
   TI_FIELD_TARGET,    /* struct ti_target */
   TI_FIELD_LATENCIES, /* struct ti_latencies */
   TI_FIELD_PREFIXES,  /* struct ti_prefixes, MIN to MAX items */
+  TI_FIELD_NUMBER,    /* uint64_t */
+  TI_FIELD_BLOB,      /* struct ti_blob; base64 in JSON */
 };
 
 struct ti_field
--- a/src/ticket/object_json.c
+++ b/src/ticket/object_json.c
@@ -1,3 +1,5 @@
+#include <inttypes.h>
+#include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -195,6 +197,21 @@
   return ok;
 }
 
+static bool
+read_blob (const struct place *p, struct json_object *v, struct ti_blob *out)
+{
+  struct zp_str s = ti_json_str (v);
+
+  out->ptr = zp_alloc (s.len + 1);
+  if (json_object_is_type (v, json_type_string)
+      && sodium_base642bin ((unsigned char *) out->ptr, s.len + 1, s.ptr,
+                            s.len, NULL, &out->len, NULL,
+                            sodium_base64_VARIANT_ORIGINAL)
+             == 0)
+    return true;
+  return mistake (p, v, "base64");
+}
+
 static bool
 read_field (const struct place *p, struct json_object *v, void *out)
 {
@@ -232,6 +249,10 @@
       return read_latencies (p, v, out);
     case TI_FIELD_PREFIXES:
       return read_prefixes (p, v, out);
+    case TI_FIELD_NUMBER:
+      return ti_json_u64 (v, out) || mistake (p, v, "a whole number");
+    case TI_FIELD_BLOB:
+      return read_blob (p, v, out);
     }
   return false;
 }
@@ -326,6 +347,18 @@
   zp_buf_put (out, ZP_STR ("]"));
 }
 
+static void
+write_blob (const struct ti_blob *b, struct zp_buf *out)
+{
+  size_t n = sodium_base64_ENCODED_LEN (b->len, sodium_base64_VARIANT_ORIGINAL);
+  char *text = zp_alloc (n);
+
+  sodium_bin2base64 (text, n, (const unsigned char *) b->ptr, b->len,
+                     sodium_base64_VARIANT_ORIGINAL);
+  zp_buf_printf (out, "\"%s\"", text);
+  free (text);
+}
+
 static void
 write_field (const struct ti_field *f, const void *at, struct zp_buf *out)
 {
@@ -364,6 +397,12 @@
     case TI_FIELD_PREFIXES:
       write_prefixes (at, out);
       break;
+    case TI_FIELD_NUMBER:
+      zp_buf_printf (out, "%" PRIu64, *(const uint64_t *) at);
+      break;
+    case TI_FIELD_BLOB:
+      write_blob (at, out);
+      break;
     }
 }
 
--- a/src/ticket/store_apply.c
+++ b/src/ticket/store_apply.c
@@ -1,5 +1,6 @@
 #include <assert.h>
 #include <inttypes.h>
+#include <string.h>
 
 #include "ticket/store_state.h"
 #include "ticket/validate.h"
@@ -178,8 +179,10 @@
   return out->errors.count > 0;
 }
 
+/* Puts EDIT into force as the next number.  Takes EDIT over.  */
 static void
-put_in_force (struct ti_store *s, uint64_t index, struct ti_pending *p,
+put_in_force (struct ti_store *s, uint64_t index,
+              const struct ti_digest *digest, const struct ti_edit *edit,
               struct ti_result *out)
 {
   struct ti_change *change = zp_alloc (sizeof *change);
@@ -190,10 +193,9 @@
     .kind = TI_CHANGE_EDIT,
     .index = index,
     .time = s->now,
-    .u.edit = { .number = past.number, .digest = p->digest },
+    .u.edit = { .number = past.number, .digest = *digest },
   };
-  change->u.edit.edit = p->ticket->edit;
-  p->ticket->edit = (struct ti_edit){ .set = NULL };
+  change->u.edit.edit = *edit;
 
   ti_config_undo (s->config, &change->u.edit.edit, &past.undo);
   ti_edit_write (&past.undo, &text);
@@ -233,7 +235,11 @@
       return;
     }
   if (!invalid (s, p->ticket, out))
-    put_in_force (s, index, p, out);
+    {
+      struct ti_edit edit = p->ticket->edit;
+      p->ticket->edit = (struct ti_edit){ .set = NULL };
+      put_in_force (s, index, &p->digest, &edit, out);
+    }
   decide (s, p, out);
 }
 
@@ -275,6 +281,69 @@
   (void) ok;
 }
 
+/* Sets O, or deletes KEY without one, as a numbered change that has no ticket
+   and no digest.  Takes O over.  */
+static void
+put_object (struct ti_store *s, uint64_t index, const struct ti_key *key,
+            struct ti_object *o, struct ti_result *out)
+{
+  struct ti_digest none;
+  struct ti_edit edit = { .set = NULL };
+
+  memset (none.hex, '0', sizeof none.hex);
+  if (o)
+    {
+      edit.set = zp_alloc (sizeof (struct ti_object *));
+      edit.set[0] = o;
+      edit.set_len = 1;
+    }
+  else
+    {
+      ti_keys_put (&edit.deleted, key);
+    }
+  put_in_force (s, index, &none, &edit, out);
+}
+
+static void
+apply_put (struct ti_store *s, uint64_t index, struct ti_put_command *c,
+           struct ti_result *out)
+{
+  struct ti_key key = { .kind = TI_DOCUMENT };
+
+  ti_text_set (&key.name, ZP_STR (TI_ROUTES));
+  const struct ti_object *held = ti_config_find (s->config, &key);
+  out->outcome = TI_DONE;
+  if (held && c->number <= held->u.document.number)
+    return;
+  struct ti_object *o = zp_alloc (sizeof *o);
+  *o = (struct ti_object){ .key = key };
+  o->u.document
+      = (struct ti_document){ .number = c->number, .body = c->body };
+  c->body = (struct ti_blob){ .ptr = NULL };
+  put_object (s, index, &key, o, out);
+}
+
+static void
+apply_evacuate (struct ti_store *s, uint64_t index,
+                const struct ti_evacuate_command *c, struct ti_result *out)
+{
+  struct ti_key key = { .kind = TI_DRAIN, .name = c->failure_domain };
+  bool held = ti_config_find (s->config, &key) != NULL;
+
+  out->outcome = TI_DONE;
+  if (held == c->on)
+    return;
+  struct ti_object *o = NULL;
+  if (c->on)
+    {
+      o = zp_alloc (sizeof *o);
+      *o = (struct ti_object){ .key = key };
+      o->u.drain.target.kind = TI_TARGET_FAILURE_DOMAIN;
+      o->u.drain.target.name = c->failure_domain;
+    }
+  put_object (s, index, &key, o, out);
+}
+
 void
 ti_store_apply (struct ti_store *s, uint64_t index, struct zp_str bytes,
                 struct ti_result *out)
@@ -305,6 +374,12 @@
     case TI_STEP:
       apply_step (s, index, &c.u.step, out);
       break;
+    case TI_PUT:
+      apply_put (s, index, &c.u.put, out);
+      break;
+    case TI_EVACUATE:
+      apply_evacuate (s, index, &c.u.evacuate, out);
+      break;
     }
   ti_command_clear (&c);
 }
--- a/src/ticket/validate.c
+++ b/src/ticket/validate.c
@@ -126,6 +126,7 @@
     case TI_FAILURE_DOMAIN:
     case TI_SITE:
     case TI_DRAIN:
+    case TI_DOCUMENT:
     case TI_KIND_COUNT:
       return NULL;
     }
--- a/src/wire/address.h
+++ b/src/wire/address.h
@@ -12,6 +12,15 @@
 
 #include "base/err.h"
 
+/* Ports of the inner protocols, counted from the first port that a deployment
+   sets aside for them.  They are the same on all machines.  */
+enum wi_port
+{
+  WI_PORT_LOG,    /* replicated log */
+  WI_PORT_FOLLOW, /* dissemination of the configuration */
+  WI_PORT_ROSTER, /* rosters of servers and daemons */
+};
+
 bool wi_address_parse (struct zp_str text, struct sockaddr_storage *out,
                        socklen_t *len, struct zp_err *err);
 
--- a/src/wire/frame.h
+++ b/src/wire/frame.h
@@ -57,6 +57,11 @@
   WI_FOLLOW_SNAPSHOT = 62,
   WI_FOLLOW_REPORT = 63,
   WI_FOLLOW_PING = 64,
+
+  /* roster.proto */
+  WI_ROSTER_HELLO = 70,
+  WI_ROSTER_UPDATE = 71,
+  WI_ROSTER_ACK = 72,
 };
 
 struct wi_header
