--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -255,6 +255,7 @@
   while ((q = zp_slots_next (&g->requests, &at)))
     {
       tk_msg_free (q->msg);
+      zp_buf_free (&q->homes);
       free (q);
     }
   zp_slots_free (&g->requests);
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -108,6 +108,7 @@
   unsigned priority, attempts_max;
   zp_time objective;
   uint64_t object; /* hash of what it concerns; 0: not known */
+  struct zp_buf homes; /* regions it may be served in, one a line; empty: all */
 
   zp_time arrived, deadline;
   struct st_queue_ref ref;
--- a/src/gate/request.c
+++ b/src/gate/request.c
@@ -45,6 +45,7 @@
 {
   assert (q->phase == GT_ENDING);
   tk_msg_free (q->msg);
+  zp_buf_free (&q->homes);
   zp_slots_remove (&g->requests, q->id);
   free (q);
 }
@@ -166,6 +167,8 @@
   q->objective = r->objective;
   if (r->sticky && object.len > 0)
     q->object = zp_str_hash (object, 1);
+  for (size_t i = 0; i < r->homes; i++)
+    zp_buf_printf (&q->homes, "%.*s\n", ZP_ARG (zp_str_of (&r->home[i])));
   q->deadline
       = h->deadline > 0 ? h->deadline : q->arrived + ZP_DEADLINE_DEFAULT;
   if (r->timeout > 0 && q->arrived + r->timeout < q->deadline)
--- a/src/gate/servers.c
+++ b/src/gate/servers.c
@@ -198,12 +198,31 @@
   return false;
 }
 
+static bool
+at_home (const struct gt_gate *g, const struct gt_request *q,
+         const struct gt_server *s)
+{
+  struct zp_str rest = zp_str_of (&q->homes), home;
+  struct zp_str region
+      = gt_settings_region (g->settings, zp_str_from (s->report.failure_domain));
+
+  if (rest.len == 0)
+    return true;
+  while (rest.len > 0)
+    {
+      zp_str_split (rest, '\n', &home, &rest);
+      if (home.len > 0 && zp_str_eq (home, region))
+        return true;
+    }
+  return false;
+}
+
 bool
 gt_server_usable (const struct gt_gate *g, const struct gt_server *s,
                   const struct gt_request *q, zp_time now)
 {
   if (s->service != q->service || s->report.state != TK_SERVER_READY
-      || s->report.slots == 0 || tried (q, s->hash)
+      || s->report.slots == 0 || tried (q, s->hash) || !at_home (g, q, s)
       || gt_config_evacuated (g, s->report.failure_domain))
     return false;
   if (gt_server_is_cold (s, now)
--- a/src/steer/pool.h
+++ b/src/steer/pool.h
@@ -40,7 +40,7 @@
 #define ST_POOL_NEAR (10 * ZP_MS)
 
 /* Share of its slots by which the preferred server may be fuller.  */
-#define ST_POOL_SKEW 0.34
+#define ST_POOL_SKEW 1.0
 
 /* What is known of one server's work.  */
 struct st_pool_load
