Take only slow servers by their own service time

Cause: servers were compared by their own smoothed service time, which differs by 100 ms with the share of requests on objects that are warm there, so requests on one object went to 12.8 servers instead of the preferred one of a region.

--- a/src/gate/servers.c
+++ b/src/gate/servers.c
@@ -14,6 +14,11 @@
 /* Answers from which the smoothed service time of a server is used.  */
 #define USUAL_ANSWERS 3
 
+/* A server counts as slow when it takes this many times as long as its service
+   usually does.  Requests on objects that a server has handled lately take a
+   third of the time of others, so smaller differences say nothing.  */
+#define SLOW_SERVER 2
+
 /* Ways.  */
 
 static struct gt_way *
@@ -186,7 +191,9 @@
 {
   zp_time usual = st_queue_service_time (s->service->queue);
 
-  return s->answers >= USUAL_ANSWERS ? s->usual : usual;
+  if (s->answers < USUAL_ANSWERS || s->usual < SLOW_SERVER * usual)
+    return usual;
+  return s->usual;
 }
 
 static bool
