--- a/src/base/limits.h
+++ b/src/base/limits.h
@@ -61,6 +61,9 @@
    ZP_CONNECT_TIMEOUT counts as refused: regions are 110 ms apart there and
    back, and a server takes about 1 ms.  */
 #define ZP_CONNECT_TIMEOUT (500 * ZP_MS)
+/* A connection whose bytes are not acknowledged for this long is silent: the
+   farthest servers acknowledge in 110 ms.  */
+#define ZP_CONN_SILENCE (1000 * ZP_MS)
 #define ZP_CONN_IDLE_MAX (10 * ZP_SEC)
 #define ZP_CONN_AGE_MAX (60 * ZP_SEC)
 
--- a/src/control/control.c
+++ b/src/control/control.c
@@ -540,6 +540,8 @@
     case TK_CENSUS:
       break;
     case TK_SEEDS:
+      if (!c->roster.client)
+        break;
       tk_send (ro_client_task (c->roster.client), m);
       return;
     default:
--- a/src/control/program.c
+++ b/src/control/program.c
@@ -7,6 +7,8 @@
 #include "base/arguments.h"
 #include "base/log.h"
 #include "control/control.h"
+#include "roster/seeds.h"
+#include "task/watch.h"
 
 #define PART "main"
 
@@ -16,6 +18,35 @@
       "Exit status: 0 after a graceful shutdown (SIGTERM or SIGINT) or when "
       "the settings are valid, 1 after a failure, 64 for wrong usage.";
 
+/* What a change of the settings file needs.  */
+struct reload
+{
+  struct ct_control *control;
+  const char *path;
+};
+
+/* Of the settings, only the seeds can change while the daemon runs.  Settings
+   with mistakes leave those in force that were there before.  */
+static void
+on_changed (void *self)
+{
+  const struct reload *r = self;
+  struct ct_settings now;
+  struct zp_report report = { .count = 0 };
+
+  if (ct_settings_load (&now, r->path, &report))
+    {
+      zp_log (ZP_LOG_NOTICE, PART, "settings were read again: %zu seeds",
+              now.seeds.len);
+      ro_send_seeds (ct_control_task (r->control), &now.seeds);
+    }
+  else
+    zp_log (ZP_LOG_ERR, PART, "settings stay as they were: %.*s",
+            ZP_ARG (zp_str_of (&report.lines)));
+  ct_settings_free (&now);
+  zp_report_free (&report);
+}
+
 static void
 on_signal (struct ev_loop *ev, ev_signal *w, int events)
 {
@@ -25,7 +56,8 @@
 }
 
 static int
-run (struct ct_settings *settings, const struct ct_interface *interface)
+run (struct ct_settings *settings, const char *path,
+     const struct ct_interface *interface)
 {
   struct tk_loop loop;
   struct zp_err err = { .text = "" };
@@ -33,6 +65,8 @@
 
   /* A connection that the other side closed is an error of its write.  */
   signal (SIGPIPE, SIG_IGN);
+  /* Until the file is watched.  */
+  signal (SIGHUP, SIG_IGN);
   tk_loop_init (&loop);
   struct ct_control *c = NULL;
   if (ct_settings_identify (settings, &err))
@@ -49,11 +83,15 @@
   interrupt.data = ct_control_task (c);
   ev_signal_start (loop.ev, &term);
   ev_signal_start (loop.ev, &interrupt);
+  struct reload reload = { .control = c, .path = path };
+  struct tk_watch watch;
+  tk_watch_start (&watch, loop.ev, path, on_changed, &reload);
   zp_log (ZP_LOG_NOTICE, PART,
           "member %lld listens on %.*s, operators on %.*s",
           (long long) settings->id, ZP_ARG (settings->address),
           ZP_ARG (settings->http));
   tk_loop_run (&loop);
+  tk_watch_stop (&watch);
   ev_signal_stop (loop.ev, &term);
   ev_signal_stop (loop.ev, &interrupt);
   ct_control_close (c);
@@ -81,7 +119,7 @@
       status = EXIT_SUCCESS;
     }
   else
-    status = run (&settings, interface);
+    status = run (&settings, o.path, interface);
   ct_settings_free (&settings);
   zp_report_free (&report);
   return status;
--- a/src/gate/dispatch.c
+++ b/src/gate/dispatch.c
@@ -7,10 +7,6 @@
 
 #define PART "dispatch"
 
-/* Share of the time left that the first attempt of an idempotent request gets,
-   so that a silent connection leaves time for another server.  */
-#define FIRST_ATTEMPT 0.6
-
 /* Oldest idle connection that a request that may run once is sent on.  The
    server may close an idle connection at the moment when the request is sent,
    and then it may have run.  */
@@ -41,9 +37,10 @@
       struct gt_server *s = g->server[i];
       if (!gt_server_usable (g, s, q, now))
         continue;
+      s->load.service = gt_server_usual (s);
       c[n] = (struct st_pool_candidate){ .load = &s->load,
                                          .way = s->domain_way,
-                                         .service = gt_server_usual (s),
+                                         .service = s->load.service,
                                          .rank = rank_of (q, s),
                                          .usable = true };
       of[n++] = s;
@@ -58,16 +55,6 @@
 
 /* Forwarding.  */
 
-static zp_time
-attempt_deadline (const struct gt_request *q, zp_time now)
-{
-  zp_time left = q->deadline - now;
-
-  if (!q->idempotent || q->attempts_max < 2 || q->attempts > 1)
-    return q->deadline;
-  return now + (zp_time) ((double) left * FIRST_ATTEMPT);
-}
-
 static void
 send_forward (struct gt_gate *g, const struct gt_request *q,
               const struct gt_server *s)
@@ -88,7 +75,7 @@
   zp_buf_put (&f->headers, zp_str_of (&h->headers));
   zp_buf_put (&f->body, zp_str_of (&h->body));
   zp_buf_put (&f->request_id, zp_str_of (&h->request_id));
-  f->deadline = attempt_deadline (q, q->started);
+  f->deadline = q->deadline;
   f->fresh_connection = q->fresh;
   f->idle_max = q->idempotent ? IDLE_MAX : ONCE_IDLE_MAX;
   tk_send (g->forward, m);
--- a/src/steer/pool.c
+++ b/src/steer/pool.c
@@ -17,8 +17,10 @@
 {
   if (l->sampled == 0 || l->others <= 0)
     return l->own;
-  double age = (double) (now - l->sampled) / (double) ST_POOL_HALF_LIFE;
-  return l->own + l->others * exp2 (-age);
+  double age = l->service > 0
+                   ? (double) (now - l->sampled) / (double) l->service - 1.0
+                   : 0.0;
+  return l->own + l->others * exp2 (age > 0 ? -age : 0.0);
 }
 
 /* Less than a whole slot of room is no room: the estimate of the others' work
--- a/src/steer/pool.h
+++ b/src/steer/pool.h
@@ -32,9 +32,8 @@
 
 #include "base/clock.h"
 
-/* Half of the others' work has ended after this time.  Service times of the
-   sheets are 250 to 640 ms.  */
-#define ST_POOL_HALF_LIFE (300 * ZP_MS)
+/* The others' work is taken to last for one service time, and to fade by half
+   in each one after that.  */
 
 /* Failure domains of one region are 1 to 3 ms apart; regions 40 ms or more.  */
 #define ST_POOL_NEAR (10 * ZP_MS)
@@ -49,6 +48,7 @@
   unsigned own;    /* requests of this daemon there */
   double others;   /* work of other daemons, at SAMPLED */
   zp_time sampled; /* 0: never */
+  zp_time service; /* usual service time */
 };
 
 /* Notes what the server said with an answer.  OWN is the number of this
--- /dev/null
+++ b/src/task/watch.h
@@ -0,0 +1,38 @@
+/* NAME
+     watch - notices that the settings file has changed
+
+   DESCRIPTION
+     Calls CHANGED on the loop's thread at SIGHUP, and when the file has another
+     time of modification or size than before; it is looked at once in
+     TK_WATCH_PERIOD.  */
+
+#ifndef ZP_TASK_WATCH_H
+#define ZP_TASK_WATCH_H
+
+#include <ev.h>
+#include <stdbool.h>
+#include <sys/stat.h>
+
+#include "base/clock.h"
+
+#define TK_WATCH_PERIOD (2 * ZP_SEC)
+
+typedef void tk_changed (void *self);
+
+struct tk_watch
+{
+  struct ev_loop *ev;
+  const char *path;
+  struct stat seen;
+  ev_signal hangup;
+  ev_timer timer;
+  tk_changed *changed;
+  void *self;
+};
+
+/* PATH has to stay.  */
+void tk_watch_start (struct tk_watch *w, struct ev_loop *ev, const char *path,
+                     tk_changed *changed, void *self);
+void tk_watch_stop (struct tk_watch *w);
+
+#endif
