Place requests by the expected finish, warm servers before free ones

Cause: a daemon sent to any server with an estimated free slot. Servers answer requests on objects that they know in about 110 ms instead of 350 ms, so spread requests need twice the slots and keep the overload up; requests also queued at servers because the estimate of the others' work faded too fast. Now each object has two servers in a region, the wait at a warm server is weighed against the service time of a cold one, and a request that would wait longer than its latency objective allows is refused at once.

--- a/src/gate/dispatch.c
+++ b/src/gate/dispatch.c
@@ -15,6 +15,19 @@
 
 /* Choice.  */
 
+/* Servers of one region that an object may go to.  All daemons choose the same
+   ones, and two bear that one is full or ends.  */
+#define SERVERS_OF_OBJECT 2
+
+/* The candidates for one request, with the server of each.  */
+struct choices
+{
+  struct st_pool_candidate *candidate;
+  struct gt_server **server;
+  struct zp_str *region;
+  size_t len;
+};
+
 static uint64_t
 rank_of (const struct gt_request *q, const struct gt_server *s)
 {
@@ -23,36 +36,116 @@
   return zp_str_hash (zp_str_from (s->report.id), object);
 }
 
-/* Chooses a server for Q.  OUT is set when one has room.  */
-static struct st_pool_choice
-choose (struct gt_gate *g, const struct gt_request *q, zp_time now,
-        struct gt_server **out)
+/* How many candidates of the same region rank before candidate AT.  */
+static unsigned
+place_in_region (const struct choices *x, size_t at)
+{
+  unsigned n = 0;
+
+  for (size_t i = 0; i < x->len; i++)
+    n += x->candidate[i].rank < x->candidate[at].rank
+         && zp_str_eq (x->region[i], x->region[at]);
+  return n;
+}
+
+/* Keeps the servers of the object, if the request concerns one.  */
+static void
+keep_servers_of_object (struct choices *x)
+{
+  size_t kept = 0;
+  unsigned *place = zp_alloc (x->len * sizeof *place);
+
+  for (size_t i = 0; i < x->len; i++)
+    place[i] = place_in_region (x, i);
+  for (size_t i = 0; i < x->len; i++)
+    {
+      if (place[i] >= SERVERS_OF_OBJECT)
+        continue;
+      x->candidate[kept] = x->candidate[i];
+      x->region[kept] = x->region[i];
+      x->server[kept++] = x->server[i];
+    }
+  x->len = kept;
+  free (place);
+}
+
+/* The time of Q at S.  The first server of its region is expected to know the
+   object from other daemons.  */
+static zp_time
+expected (const struct gt_request *q, const struct gt_server *s, bool warm)
 {
-  struct st_pool_candidate *c = zp_alloc (g->servers * sizeof *c);
-  struct gt_server **of = zp_alloc (g->servers * sizeof (void *));
-  size_t n = 0;
+  zp_time usual = gt_service_usual (s->service);
+  zp_time t = q->object == 0
+                  ? usual
+                  : st_times_expect (&s->service->times, warm, usual);
+  zp_time own = gt_server_usual (s);
+
+  /* A slow server is slow with every object.  */
+  return own > usual && usual > 0 ? t * own / usual : t;
+}
 
+static void
+fill (struct gt_gate *g, const struct gt_request *q, zp_time now,
+      struct choices *x)
+{
   for (size_t i = 0; i < g->servers; i++)
     {
       struct gt_server *s = g->server[i];
       if (!gt_server_usable (g, s, q, now))
         continue;
-      s->load.service = gt_server_usual (s);
-      c[n] = (struct st_pool_candidate){ .load = &s->load,
-                                         .way = s->domain_way,
-                                         .service = s->load.service,
-                                         .rank = rank_of (q, s),
-                                         .usable = true };
-      of[n++] = s;
+      x->candidate[x->len]
+          = (struct st_pool_candidate){ .load = &s->load,
+                                        .way = s->domain_way,
+                                        .usual = gt_server_usual (s),
+                                        .rank = rank_of (q, s) };
+      x->region[x->len] = gt_server_region (g, s);
+      x->server[x->len++] = s;
+    }
+  if (q->object != 0)
+    keep_servers_of_object (x);
+  for (size_t i = 0; i < x->len; i++)
+    {
+      struct gt_server *s = x->server[i];
+      bool warm = place_in_region (x, i) == 0
+                  || st_warm_has (&s->warm, q->object, now);
+      x->candidate[i].service = expected (q, s, warm);
     }
-  struct st_pool_choice choice = st_pool_choose (c, n, now);
+}
+
+/* Chooses a server for Q.  OUT is set when there is one.  */
+static struct st_pool_choice
+choose (struct gt_gate *g, const struct gt_request *q, zp_time now,
+        struct gt_server **out)
+{
+  struct choices x
+      = { .candidate = zp_alloc (g->servers * sizeof *x.candidate),
+          .server = zp_alloc (g->servers * sizeof (void *)),
+          .region = zp_alloc (g->servers * sizeof *x.region) };
+
+  fill (g, q, now, &x);
+  struct st_pool_choice choice = st_pool_choose (x.candidate, x.len, now);
   if (choice.kind == ST_POOL_SEND)
-    *out = of[choice.at];
-  free (of);
-  free (c);
+    *out = x.server[choice.at];
+  free (x.candidate);
+  free (x.server);
+  free (x.region);
   return choice;
 }
 
+/* Whether Q may wait for as long as CHOICE says.  */
+static bool
+worth_waiting (const struct gt_request *q, const struct st_pool_choice *choice,
+               zp_time now)
+{
+  const struct st_patience p = { .now = now,
+                                 .arrived = q->arrived,
+                                 .deadline = q->deadline,
+                                 .objective = q->objective,
+                                 .finish = choice->finish - choice->wait };
+
+  return choice->wait <= st_patience_wait (&p);
+}
+
 /* Forwarding.  */
 
 static void
@@ -95,6 +188,9 @@
     q->tried[q->attempts] = s->hash;
   q->attempts++;
   q->phase = GT_RUNNING;
+  q->warm = st_warm_has (&s->warm, q->object, now);
+  if (q->object != 0)
+    st_warm_note (&s->warm, q->object, now);
   s->load.own++;
   s->service->running++;
   zp_log (ZP_LOG_DEBUG, PART,
@@ -107,18 +203,6 @@
 
 /* Admission.  */
 
-static zp_time
-patience_end (const struct gt_request *q)
-{
-  const struct st_patience p
-      = { .arrived = q->arrived,
-          .deadline = q->deadline,
-          .objective = q->objective,
-          .service = st_queue_service_time (q->service->queue) };
-
-  return st_patience_end (&p);
-}
-
 static void
 refuse_id (struct gt_gate *g, uint64_t id, const char *reason)
 {
@@ -128,33 +212,41 @@
   gt_request_refuse (g, q, reason, true);
 }
 
-/* The slots that this daemon can expect to use are those that it uses now.  */
+/* No server can take Q now: all are cold and have their part, are ejected or
+   tried.  It waits for as long as it could for a slot.  */
 static void
 enqueue (struct gt_gate *g, struct gt_request *q, zp_time now)
 {
   struct gt_service *s = q->service;
-  const struct st_queue_entry e = { .id = q->id,
-                                    .class = q->priority,
-                                    .deadline = patience_end (q) };
-  struct st_push p = st_queue_push (s->queue, &e, s->running, now);
-
-  switch (p.kind)
+  zp_time usual = gt_service_usual (s);
+  const struct st_patience p = { .now = now,
+                                 .arrived = q->arrived,
+                                 .deadline = q->deadline,
+                                 .objective = q->objective,
+                                 .finish = usual };
+  const struct st_queue_entry e
+      = { .id = q->id,
+          .class = q->priority,
+          .deadline = now + st_patience_wait (&p) + usual };
+  struct st_push pushed = st_queue_push (s->queue, &e, s->running, now);
+
+  switch (pushed.kind)
     {
     case ST_PUSH_ADDED:
-      q->ref = p.u.added;
+      q->ref = pushed.u.added;
       q->phase = GT_QUEUED;
       break;
     case ST_PUSH_ADDED_EVICTED:
-      q->ref = p.u.evicted.added;
+      q->ref = pushed.u.evicted.added;
       q->phase = GT_QUEUED;
-      refuse_id (g, p.u.evicted.evicted.id, "queue-full");
+      refuse_id (g, pushed.u.evicted.evicted.id, "queue-full");
       break;
     case ST_PUSH_FULL:
       gt_request_refuse (g, q, "queue-full", true);
       return;
     case ST_PUSH_WAIT:
     case ST_PUSH_EXPIRED:
-      gt_request_refuse (g, q, "no-capacity-in-time", true);
+      gt_request_refuse (g, q, "no-server-in-time", true);
       return;
     }
   gt_wake (g);
@@ -172,16 +264,19 @@
       gt_request_refuse (g, q, "deadline", false);
       return;
     }
-  if (st_queue_len (q->service->queue) == 0)
+  struct st_pool_choice c = choose (g, q, now, &s);
+  switch (c.kind)
     {
-      struct st_pool_choice c = choose (g, q, now, &s);
-      if (c.kind == ST_POOL_SEND)
-        {
-          run (g, q, s, now);
-          return;
-        }
+    case ST_POOL_SEND:
+      if (worth_waiting (q, &c, now))
+        run (g, q, s, now);
+      else
+        gt_request_refuse (g, q, "no-capacity-in-time", true);
+      return;
+    case ST_POOL_NONE:
+      enqueue (g, q, now);
+      return;
     }
-  enqueue (g, q, now);
 }
 
 /* Queue.  */
@@ -197,10 +292,14 @@
     {
       struct gt_request *q = zp_slots_get (&g->requests, e.id);
       assert (q && q->phase == GT_QUEUED);
-      if (choose (g, q, now, &x).kind != ST_POOL_SEND)
+      struct st_pool_choice c = choose (g, q, now, &x);
+      if (c.kind != ST_POOL_SEND)
         return;
       st_queue_cancel (s->queue, q->ref);
-      run (g, q, x, now);
+      if (worth_waiting (q, &c, now))
+        run (g, q, x, now);
+      else
+        gt_request_refuse (g, q, "no-capacity-in-time", true);
     }
 }
 
@@ -215,7 +314,7 @@
       struct gt_service *s = g->service[i];
       gt_dispatch_service (g, s);
       while (st_queue_expire (s->queue, now, &e))
-        refuse_id (g, e.id, "no-capacity-in-time");
+        refuse_id (g, e.id, "no-server-in-time");
       if (st_queue_len (s->queue) > 0)
         gt_wake (g);
     }
@@ -270,7 +369,8 @@
 #define USUAL_WEIGHT 0.2
 
 static void
-note_time (struct gt_server *s, const struct tk_forward_done *d)
+note_time (struct gt_server *s, const struct gt_request *q,
+           const struct tk_forward_done *d)
 {
   zp_time t = d->elapsed - s->domain_way;
 
@@ -281,6 +381,8 @@
                                           + (double) t * USUAL_WEIGHT);
   s->answers++;
   st_queue_served (s->service->queue, t);
+  if (q->object != 0)
+    st_times_note (&s->service->times, q->warm, t);
 }
 
 /* Takes Q off its server and notes what the outcome says of it.  */
@@ -310,7 +412,7 @@
       return;
     }
   if (end == ST_END_ANSWER && d->status < 300)
-    note_time (s, d);
+    note_time (s, q, d);
   struct st_health_event e
       = st_health_outcome (&s->health, &s->service->group, &o, now, &g->rng);
   if (e.kind == ST_EVENT_EJECTED)
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -34,6 +34,7 @@
 #include "steer/pool.h"
 #include "steer/queue.h"
 #include "steer/retry.h"
+#include "steer/warm.h"
 #include "task/task.h"
 #include "ticket/config.h"
 
@@ -63,6 +64,7 @@
   struct st_budget budget;
   struct st_health_group group;
   unsigned running; /* requests of this daemon */
+  struct st_times times;
   struct zp_counter *requests, *answered, *refused, *maybe, *retries;
 };
 
@@ -76,6 +78,7 @@
   struct st_pool_load load;
   struct st_health health;
   struct st_pace pace;
+  struct st_warm warm;
   zp_time usual; /* service time, smoothed; 0: none yet */
   unsigned answers;
 };
@@ -118,6 +121,7 @@
   uint64_t server; /* hash; of the attempt in flight */
   zp_time started;
   bool fresh;
+  bool warm; /* the server was expected to know the object */
 };
 
 struct gt_gate
@@ -173,8 +177,13 @@
 double gt_server_cold_rate (const struct gt_server *s);
 bool gt_server_is_cold (const struct gt_server *s, zp_time now);
 
-/* The usual time of a request at S, without the way.  */
+/* The usual time of a request of S's service.  */
+zp_time gt_service_usual (const struct gt_service *s);
+
+/* The same at S, which may be slower than the others.  */
 zp_time gt_server_usual (const struct gt_server *s);
+struct zp_str gt_server_region (const struct gt_gate *g,
+                                const struct gt_server *s);
 
 /* request.c */
 void gt_request_start (struct gt_gate *g, struct tk_msg *m);
--- a/src/gate/servers.c
+++ b/src/gate/servers.c
@@ -88,6 +88,7 @@
   st_health_add (&s->health, &s->service->group, zp_clock_mono ());
   s->load = (struct st_pool_load){ .own = own };
   s->usual = 0;
+  st_warm_clear (&s->warm);
   s->answers = 0;
 }
 
@@ -186,10 +187,16 @@
 
 /* Choice.  */
 
+zp_time
+gt_service_usual (const struct gt_service *s)
+{
+  return st_queue_service_time (s->queue);
+}
+
 zp_time
 gt_server_usual (const struct gt_server *s)
 {
-  zp_time usual = st_queue_service_time (s->service->queue);
+  zp_time usual = gt_service_usual (s->service);
 
   if (s->answers < USUAL_ANSWERS || s->usual < SLOW_SERVER * usual)
     return usual;
@@ -205,13 +212,19 @@
   return false;
 }
 
+struct zp_str
+gt_server_region (const struct gt_gate *g, const struct gt_server *s)
+{
+  return gt_settings_region (g->settings,
+                             zp_str_from (s->report.failure_domain));
+}
+
 static bool
 at_home (const struct gt_gate *g, const struct gt_request *q,
          const struct gt_server *s)
 {
   struct zp_str rest = zp_str_of (&q->homes), home;
-  struct zp_str region
-      = gt_settings_region (g->settings, zp_str_from (s->report.failure_domain));
+  struct zp_str region = gt_server_region (g, s);
 
   if (rest.len == 0)
     return true;
--- a/src/steer/patience.c
+++ b/src/steer/patience.c
@@ -1,16 +1,25 @@
 #include "steer/patience.h"
 
+static zp_time
+share (zp_time t, double part)
+{
+  return (zp_time) ((double) t * part);
+}
+
 zp_time
-st_patience_end (const struct st_patience *p)
+st_patience_wait (const struct st_patience *p)
 {
-  zp_time left = p->deadline - p->arrived;
-  zp_time end = p->arrived + (zp_time) ((double) left * ST_PATIENCE_LATE);
+  zp_time most = p->deadline - p->now - p->finish;
+  zp_time wait = p->arrived + p->objective - p->now - p->finish;
 
+  if (most < 0)
+    return most;
   if (p->objective == 0)
-    return p->deadline;
-  if (p->service <= p->objective)
-    end = p->arrived + p->objective;
-  return end < p->deadline ? end : p->deadline;
+    return share (most, ST_PATIENCE_NONE);
+  zp_time late = share (p->objective, ST_PATIENCE_LATE);
+  if (wait < late)
+    wait = late;
+  return wait < most ? wait : most;
 }
 
 zp_time
--- a/src/steer/patience.h
+++ b/src/steer/patience.h
@@ -3,19 +3,18 @@
      may return
 
    DESCRIPTION
-     Pure.  Answers the load of the sheets: the look-ups and bookings offered at
-     the height of a wave need up to a fifth more slots than there are.  An
-     answer behind the latency objective is worth a fifth of one in time, and
-     every request that waits makes those behind it late too.  So a request
-     waits only as long as it can still be answered within its objective.  When
-     the usual service time alone passes the objective, every answer is late;
-     a request then waits for at most ST_PATIENCE_LATE of the time that its
-     caller has.
-
-     What cannot be served in that time is refused at once, and the caller is
-     told to return when a part of those that run now have ended.  The time is
-     spread, so that callers who were refused together do not return together.
- */
+     Pure.  Answers the load of the sheets: at the height of a wave, and while
+     servers are cold, more requests arrive than can be answered within their
+     latency objective.  An answer behind the objective is worth a fifth of one
+     in time, and every request that waits makes those behind it late too.  So a
+     request waits only as long as it can still be answered within its
+     objective.  One that will be late without any wait, because the server does
+     not know its object yet, may wait for ST_PATIENCE_LATE of the objective: it
+     warms the server for those that follow.
+
+     What cannot be served so is refused at once, and the caller is told to
+     return when a part of those that run now have ended.  The time is spread,
+     so that callers who were refused together do not return together.  */
 
 #ifndef ZP_STEER_PATIENCE_H
 #define ZP_STEER_PATIENCE_H
@@ -23,8 +22,11 @@
 #include "base/clock.h"
 #include "base/rng.h"
 
-/* Share of the caller's time that a request may take when it is late anyway. */
-#define ST_PATIENCE_LATE 0.5
+/* Share of the objective that a request may wait when it is late anyway.  */
+#define ST_PATIENCE_LATE 0.25
+
+/* Share of the time left that a request without an objective may wait.  */
+#define ST_PATIENCE_NONE 0.5
 
 /* Bounds of the time after which a refused caller returns.  Callers wait at
    most a third of the time that they have left.  */
@@ -33,15 +35,16 @@
 
 struct st_patience
 {
+  zp_time now;
   zp_time arrived;
   zp_time deadline;  /* of the caller */
   zp_time objective; /* latency objective; 0: none */
-  zp_time service;   /* usual service time, the way included */
+  zp_time finish;    /* expected time until the answer, without a wait */
 };
 
-/* The time by which the request has to be answered for waiting to be worth it;
-   never behind the deadline.  */
-zp_time st_patience_end (const struct st_patience *p);
+/* How long the request may wait from NOW on.  Below 0 when its answer would
+   come behind the deadline.  */
+zp_time st_patience_wait (const struct st_patience *p);
 
 /* Time after which a refused caller may return.  */
 zp_time st_return_after (zp_time service, zp_time left, struct zp_rng *rng);
--- a/src/steer/pool.h
+++ b/src/steer/pool.h
@@ -6,19 +6,20 @@
      entry daemon owns a server and can lease its slots out.  Each entry daemon
      counts its own requests at a server and learns from the server's answers
      how many it has altogether; the difference is the work of the other
-     daemons.  The estimate of the others' work fades with its age, because
-     their requests end too.
+     daemons.  It is smoothed over answers, and fades by half in each
+     ST_POOL_HALF_LIFE without an answer, so that a server that was full is
+     tried again.
 
-     A server has room while the estimated work is below its slots.  Of the
-     servers with room the one with the earliest expected finish is chosen: the
-     way there and back and the usual service time.  Servers whose finish
-     differs by less than ST_POOL_NEAR count as equal; among these the one that
-     ranks first for the request's object is chosen, as long as it is not
-     fuller than the emptiest by more than ST_POOL_SKEW of its slots.
+     The request goes where its answer is expected first: the way there and
+     back, the wait for a slot, and the service time.  On an object that a
+     server knows, the service time is a third of the usual one, so that waiting
+     for that server beats a free one.  This answers the load of the sheets,
+     where all requests need less than the slots when they meet servers that
+     know their objects, and twice the slots when they do not: a daemon that
+     sends to any free server under load keeps the load up.
 
-     Without room the request waits.  The entry daemon never sends more than
-     the estimated room, because a request in a server's own queue can no
-     longer go anywhere else.
+     Candidates whose finish differs by less than ST_POOL_NEAR count as equal;
+     of these the one with the lowest rank is chosen.
 
    RETURN VALUE
      st_pool_choose returns a tagged choice.  */
@@ -32,14 +33,10 @@
 
 #include "base/clock.h"
 
-/* The others' work is taken to last for one service time, and to fade by half
-   in each one after that.  */
+#define ST_POOL_HALF_LIFE (1000 * ZP_MS)
 
 /* Failure domains of one region are 1 to 3 ms apart; regions 40 ms or more.  */
-#define ST_POOL_NEAR (10 * ZP_MS)
-
-/* Share of its slots by which the preferred server may be fuller.  */
-#define ST_POOL_SKEW 1.0
+#define ST_POOL_NEAR (5 * ZP_MS)
 
 /* What is known of one server's work.  */
 struct st_pool_load
@@ -48,7 +45,6 @@
   unsigned own;    /* requests of this daemon there */
   double others;   /* work of other daemons, at SAMPLED */
   zp_time sampled; /* 0: never */
-  zp_time service; /* usual service time */
 };
 
 /* Notes what the server said with an answer.  OWN is the number of this
@@ -62,23 +58,23 @@
 struct st_pool_candidate
 {
   const struct st_pool_load *load;
-  zp_time way;    /* there and back */
-  zp_time service; /* usual service time */
-  uint64_t rank;  /* for the object of the request; the lowest is preferred */
-  bool usable;    /* may get a request now */
+  zp_time way;     /* there and back */
+  zp_time service; /* expected service time of this request there */
+  zp_time usual;   /* of the requests before it */
+  uint64_t rank;   /* for the object of the request */
 };
 
 enum st_pool_kind
 {
   ST_POOL_SEND, /* to candidate AT */
-  ST_POOL_WAIT, /* none has room */
-  ST_POOL_NONE, /* none is usable */
+  ST_POOL_NONE, /* no candidate */
 };
 
 struct st_pool_choice
 {
   enum st_pool_kind kind;
   size_t at;
+  zp_time wait;   /* expected, for a slot */
   zp_time finish; /* expected time until the answer */
 };
 
