--- /dev/null
+++ b/tests/test-calls.c
@@ -0,0 +1,197 @@
+#include "harness.h"
+
+#include <stdlib.h>
+
+#include "control/calls.h"
+#include "ticket/blob.h"
+
+static struct ti_store *store;
+static struct ct_daemons daemons;
+static struct ct_calls_view view;
+static struct ct_step step;
+static uint64_t entry;
+
+static void
+reset (enum ct_standing_kind kind)
+{
+  ti_store_free (store);
+  ct_daemons_free (&daemons);
+  store = ti_store_new (TI_CONFLICT_BY_OBJECT);
+  view = (struct ct_calls_view){ .store = store,
+                                 .daemons = &daemons,
+                                 .lookup_ttl = 2 * ZP_SEC,
+                                 .wall = 5 };
+  view.standing.kind = kind;
+  view.standing.leader_http = ZP_STR ("10.0.0.9:90");
+}
+
+/* Decides CALL and applies what it proposes.  */
+static void
+decide (const struct ct_call *call)
+{
+  struct ti_result r;
+
+  ct_calls_decide (call, &view, &step);
+  if (step.kind != CT_STEP_PROPOSE)
+    return;
+  ti_store_apply (store, ++entry, zp_str_of (&step.u.command), &r);
+  CU_ASSERT_EQUAL (r.outcome, TI_DONE);
+  ti_result_free (&r);
+  zp_buf_free (&step.u.command);
+}
+
+static struct ct_call
+put (uint64_t number, const char *body)
+{
+  struct ct_call c = { .kind = CT_CALL_PUT };
+
+  c.u.put = (struct ct_put){ .number = number, .body = zp_str_from (body) };
+  return c;
+}
+
+static const struct ct_call read_call = { .kind = CT_CALL_READ };
+
+static bool
+replies (enum ct_reply_kind kind)
+{
+  return step.kind == CT_STEP_REPLY && step.u.reply.kind == kind;
+}
+
+/* Guards against an order that is refused because it was sent again, and
+   against a resend that is logged anew.  */
+static void
+test_put (void)
+{
+  struct ct_call c = put (7, "seven");
+
+  reset (CT_LEADER);
+  decide (&c);
+  CU_ASSERT_EQUAL (step.kind, CT_STEP_PROPOSE);
+  decide (&c);
+  CU_ASSERT (replies (CT_REPLY_DONE));
+  c = put (6, "six");
+  decide (&c);
+  CU_ASSERT (replies (CT_REPLY_DONE));
+  decide (&read_call);
+  CU_ASSERT (replies (CT_REPLY_DOCUMENT));
+  CU_ASSERT (zp_str_eq (step.u.reply.u.document, ZP_STR ("seven")));
+  zp_buf_free (&step.document);
+
+  struct ct_call long_one = { .kind = CT_CALL_PUT };
+  char *text = zp_alloc (CT_DOCUMENT_MAX + 1);
+  long_one.u.put
+      = (struct ct_put){ .number = 9,
+                         .body = { .ptr = text, .len = CT_DOCUMENT_MAX + 1 } };
+  decide (&long_one);
+  CU_ASSERT (replies (CT_REPLY_BAD));
+  free (text);
+}
+
+/* Guards against reads that may be old: only the leader answers, and before the
+   first document the caller asks again.  */
+static void
+test_who_answers (void)
+{
+  struct ct_call c = put (7, "seven");
+  struct ct_call evacuate = { .kind = CT_CALL_EVACUATE };
+
+  reset (CT_LEADER);
+  decide (&read_call);
+  CU_ASSERT (replies (CT_REPLY_UNAVAILABLE));
+  reset (CT_FOLLOWER);
+  decide (&read_call);
+  CU_ASSERT (replies (CT_REPLY_LEADER));
+  CU_ASSERT (zp_str_eq (step.u.reply.u.leader, ZP_STR ("10.0.0.9:90")));
+  decide (&c);
+  CU_ASSERT (replies (CT_REPLY_LEADER));
+  reset (CT_NO_LEADER);
+  decide (&read_call);
+  CU_ASSERT (replies (CT_REPLY_UNAVAILABLE));
+  decide (&c);
+  CU_ASSERT (replies (CT_REPLY_UNAVAILABLE));
+  decide (&evacuate);
+  CU_ASSERT (replies (CT_REPLY_UNAVAILABLE));
+}
+
+static void
+test_evacuate (void)
+{
+  struct ct_call c = { .kind = CT_CALL_EVACUATE };
+
+  reset (CT_LEADER);
+  ti_text_set (&c.u.evacuate.failure_domain, ZP_STR ("a-1"));
+  decide (&c);
+  CU_ASSERT (replies (CT_REPLY_DONE)); /* ends one that never began */
+  c.u.evacuate.on = true;
+  decide (&c);
+  CU_ASSERT_EQUAL (step.kind, CT_STEP_PROPOSE);
+  decide (&c);
+  CU_ASSERT (replies (CT_REPLY_DONE));
+}
+
+/* Guards against servers that cannot report while there is no leader, and
+   against a word of leaving that is acknowledged at once.  */
+static void
+test_servers (void)
+{
+  struct ct_call c = { .kind = CT_CALL_SERVER };
+
+  reset (CT_NO_LEADER);
+  zp_str_copy (c.u.server.id, sizeof c.u.server.id, ZP_STR ("i-1"));
+  decide (&c);
+  CU_ASSERT_EQUAL (step.kind, CT_STEP_SERVER);
+  CU_ASSERT_STRING_EQUAL (step.u.server.id, "i-1");
+  CU_ASSERT (!ct_calls_binding (&c.u.server));
+  c.u.server.state = TK_SERVER_DRAINING;
+  CU_ASSERT (ct_calls_binding (&c.u.server));
+  c.u.server.state = TK_SERVER_GONE;
+  CU_ASSERT (ct_calls_binding (&c.u.server));
+}
+
+static void
+test_entries (void)
+{
+  struct ct_call c = { .kind = CT_CALL_ENTRIES };
+  struct tk_daemon d = { .kind = TK_DAEMON_ENTRY,
+                         .id = 1,
+                         .address = "10.0.0.1:80",
+                         .region = "a",
+                         .ready = true };
+
+  reset (CT_NO_LEADER);
+  decide (&c);
+  CU_ASSERT (replies (CT_REPLY_UNAVAILABLE));
+  ct_daemons_take (&daemons, &d, 1);
+  decide (&c);
+  CU_ASSERT (replies (CT_REPLY_ENTRIES));
+  CU_ASSERT_EQUAL (step.u.reply.u.entries.len, 1);
+  CU_ASSERT_EQUAL (step.u.reply.u.entries.ttl, 2 * ZP_SEC);
+}
+
+static void
+test_bad (void)
+{
+  struct ct_call bad = { .kind = CT_CALL_BAD };
+  struct ct_call unknown = { .kind = CT_CALL_UNKNOWN };
+
+  reset (CT_LEADER);
+  strcpy (bad.u.bad.text, "no such service");
+  decide (&bad);
+  CU_ASSERT (replies (CT_REPLY_BAD));
+  CU_ASSERT_STRING_EQUAL (step.u.reply.u.bad, "no such service");
+  decide (&unknown);
+  CU_ASSERT (replies (CT_REPLY_UNKNOWN));
+  reset (CT_LEADER);
+  ti_store_free (store);
+  store = NULL;
+}
+
+static const struct zp_test tests[]
+    = { { "documents", test_put },
+        { "who answers", test_who_answers },
+        { "evacuations", test_evacuate },
+        { "reports of servers", test_servers },
+        { "entry VMs", test_entries },
+        { "calls that cannot be read", test_bad } };
+
+TEST_MAIN ("calls", tests)
--- /dev/null
+++ b/tests/test-join.c
@@ -0,0 +1,188 @@
+#include "harness.h"
+
+#include "control/join.h"
+
+#define LED 1
+
+static struct lg_members members;
+static struct ct_daemons daemons;
+static const struct ct_join_self self
+    = { .id = 1, .region = { .ptr = "r1", .len = 2 }, .led_since = LED };
+
+static void
+reset (void)
+{
+  members = (struct lg_members){ .len = 0 };
+  ct_daemons_free (&daemons);
+}
+
+static struct tk_daemon
+control (uint64_t id, int machine, const char *region)
+{
+  struct tk_daemon d = { .kind = TK_DAEMON_CONTROL, .id = id, .ready = true };
+
+  snprintf (d.log, sizeof d.log, "10.0.0.%d:70", machine);
+  zp_str_copy (d.region, sizeof d.region, zp_str_from (region));
+  return d;
+}
+
+static void
+connect_daemon (uint64_t id, int machine, const char *region)
+{
+  struct tk_daemon d = control (id, machine, region);
+
+  ct_daemons_take (&daemons, &d, 0);
+}
+
+static void
+lose_daemon (uint64_t id, int machine, const char *region, zp_time now)
+{
+  struct tk_daemon d = control (id, machine, region);
+
+  d.lost = true;
+  ct_daemons_take (&daemons, &d, now);
+}
+
+static void
+member (uint64_t id, int machine, bool voter)
+{
+  char address[ZP_ADDRESS_MAX];
+
+  snprintf (address, sizeof address, "10.0.0.%d:70", machine);
+  lg_members_put (&members, id, voter, zp_str_from (address));
+}
+
+/* Six machines in three regions; 1 to 5 vote, 1 leads.  */
+static void
+full_group (void)
+{
+  static const char *const region[] = { "", "r1", "r2", "r3", "r1", "r2",
+                                        "r3" };
+
+  reset ();
+  for (int i = 1; i <= 6; i++)
+    {
+      member ((uint64_t) i, i, i <= 5);
+      if (i > 1)
+        connect_daemon ((uint64_t) i, i, region[i]);
+    }
+}
+
+static struct lg_change change;
+
+static bool
+decide (zp_time now)
+{
+  change = (struct lg_change){ .id = 0 };
+  return ct_join_decide (&members, &daemons, &self, now, &change);
+}
+
+/* Guards against a group that stays at its three founders, and against more
+   voters of one region than its loss may take.  */
+static void
+test_growth (void)
+{
+  reset ();
+  for (int i = 1; i <= 3; i++)
+    member ((uint64_t) i, i, true);
+  connect_daemon (2, 2, "r2");
+  connect_daemon (3, 3, "r3");
+  CU_ASSERT (!decide (ZP_SEC));
+  connect_daemon (4, 4, "r1");
+  CU_ASSERT_FATAL (decide (ZP_SEC));
+  CU_ASSERT_EQUAL (change.kind, LG_ADD_LEARNER);
+  CU_ASSERT_EQUAL (change.id, 4);
+  CU_ASSERT (zp_str_eq (change.address, ZP_STR ("10.0.0.4:70")));
+  member (4, 4, false);
+  CU_ASSERT_FATAL (decide (ZP_SEC));
+  CU_ASSERT_EQUAL (change.kind, LG_PROMOTE);
+  CU_ASSERT_EQUAL (change.id, 4);
+  member (4, 4, true);
+  /* A third daemon of region r1 does not vote.  */
+  connect_daemon (5, 5, "r1");
+  member (5, 5, false);
+  CU_ASSERT (!decide (ZP_SEC));
+  reset ();
+}
+
+/* Guards against a sixth voter, with which a loss of three is no longer
+   borne.  */
+static void
+test_spare (void)
+{
+  full_group ();
+  CU_ASSERT (!decide (ZP_SEC));
+}
+
+/* Guards against counting the vote of a machine that has lost its disk.  */
+static void
+test_wiped (void)
+{
+  full_group ();
+  lose_daemon (2, 2, "r2", ZP_SEC);
+  connect_daemon (1000, 2, "r2");
+  CU_ASSERT_FATAL (decide (ZP_SEC + 1));
+  CU_ASSERT_EQUAL (change.kind, LG_REMOVE);
+  CU_ASSERT_EQUAL (change.id, 2);
+  lg_members_remove (&members, 2);
+  CU_ASSERT_FATAL (decide (ZP_SEC + 1));
+  CU_ASSERT_EQUAL (change.kind, LG_ADD_LEARNER);
+  CU_ASSERT_EQUAL (change.id, 1000);
+}
+
+/* Guards against a voter that is gone for good and is never replaced, against
+   replacing it during a restart, and by a new leader that has not heard of the
+   others yet.  */
+static void
+test_lost_voter (void)
+{
+  full_group ();
+  lose_daemon (3, 3, "r3", 10 * ZP_SEC);
+  CU_ASSERT (!decide (10 * ZP_SEC + CT_LOST_VOTER - 1));
+  CU_ASSERT_FATAL (decide (10 * ZP_SEC + CT_LOST_VOTER));
+  CU_ASSERT_EQUAL (change.kind, LG_REMOVE);
+  CU_ASSERT_EQUAL (change.id, 3);
+  lg_members_remove (&members, 3);
+  CU_ASSERT_FATAL (decide (10 * ZP_SEC + CT_LOST_VOTER));
+  CU_ASSERT_EQUAL (change.kind, LG_PROMOTE);
+  CU_ASSERT_EQUAL (change.id, 6);
+
+  full_group ();
+  lose_daemon (3, 3, "r3", 0);
+  CU_ASSERT (!decide (LED + 2 * ZP_SEC));
+}
+
+/* Guards against removing voters that are cut off together with a majority:
+   the group would shrink to the part that is left.  */
+static void
+test_no_majority (void)
+{
+  full_group ();
+  lose_daemon (2, 2, "r2", 10 * ZP_SEC);
+  lose_daemon (3, 3, "r3", 10 * ZP_SEC);
+  lose_daemon (4, 4, "r1", 10 * ZP_SEC);
+  CU_ASSERT (!decide (60 * ZP_SEC)
+             || (change.kind == LG_REMOVE && change.id == 0));
+}
+
+static void
+test_lost_learner (void)
+{
+  full_group ();
+  lose_daemon (6, 6, "r3", 10 * ZP_SEC);
+  CU_ASSERT (!decide (10 * ZP_SEC + CT_LOST_LEARNER - 1));
+  CU_ASSERT_FATAL (decide (10 * ZP_SEC + CT_LOST_LEARNER));
+  CU_ASSERT_EQUAL (change.kind, LG_REMOVE);
+  CU_ASSERT_EQUAL (change.id, 6);
+  reset ();
+}
+
+static const struct zp_test tests[]
+    = { { "the group grows to five voters", test_growth },
+        { "the sixth is a spare", test_spare },
+        { "a member without its storage", test_wiped },
+        { "a voter that is gone", test_lost_voter },
+        { "no change without a majority", test_no_majority },
+        { "a learner that is gone", test_lost_learner } };
+
+TEST_MAIN ("join", tests)
--- /dev/null
+++ b/tests/test-roster-codec.c
@@ -0,0 +1,103 @@
+#include "harness.h"
+
+#include "roster/codec.h"
+#include "wire/bytes.h"
+
+/* Guards against fields that are lost or swapped on the way.  */
+static void
+test_update (void)
+{
+  const struct tk_server in[] = {
+    { .id = "i-1",
+      .service = "svc",
+      .address = "10.0.0.1:80",
+      .failure_domain = "a-1",
+      .slots = 6,
+      .state = TK_SERVER_DRAINING,
+      .cold = 1500 * ZP_MS,
+      .born_ms = 1700000000123,
+      .seq = 44 },
+    { .id = "i-2", .state = TK_SERVER_GONE, .expired = true },
+  };
+  const struct zp_str control[]
+      = { ZP_STR ("10.0.0.8:1"), ZP_STR ("10.0.0.9:1") };
+  const struct ro_update u = { .number = 7,
+                               .server = in,
+                               .servers = 2,
+                               .control = control,
+                               .controls = 2,
+                               .entries = 420 };
+  struct zp_buf b = { .ptr = NULL };
+  struct ro_update out;
+  void *owner;
+
+  ro_put_update (&b, &u);
+  CU_ASSERT_FATAL (ro_get_update (zp_str_of (&b), &out, &owner));
+  CU_ASSERT_EQUAL (out.number, 7);
+  CU_ASSERT_EQUAL (out.entries, 420);
+  CU_ASSERT_EQUAL_FATAL (out.servers, 2);
+  CU_ASSERT_EQUAL (memcmp (&out.server[0], &in[0], sizeof in[0]), 0);
+  CU_ASSERT_EQUAL (memcmp (&out.server[1], &in[1], sizeof in[1]), 0);
+  CU_ASSERT_EQUAL_FATAL (out.controls, 2);
+  CU_ASSERT (zp_str_eq (out.control[1], control[1]));
+  ro_update_free (&out, owner);
+  zp_buf_free (&b);
+}
+
+static void
+test_hello (void)
+{
+  const struct tk_daemon in = { .kind = TK_DAEMON_CONTROL,
+                                .id = 1ULL << 40,
+                                .name = "core-1",
+                                .address = "10.0.0.1:80",
+                                .failure_domain = "a-1",
+                                .region = "a",
+                                .log = "10.0.0.1:70",
+                                .ready = true,
+                                .leaving = true };
+  struct zp_buf b = { .ptr = NULL };
+  struct tk_daemon out;
+  uint64_t acked;
+
+  ro_put_hello (&b, &in, 12);
+  CU_ASSERT_FATAL (ro_get_hello (zp_str_of (&b), &out, &acked));
+  CU_ASSERT_EQUAL (acked, 12);
+  CU_ASSERT_EQUAL (memcmp (&out, &in, sizeof in), 0);
+  zp_buf_free (&b);
+}
+
+/* Guards against reading behind the end, and against states that are not known
+   here: every cut of a message is refused or gives another valid one.  */
+static void
+test_damage (void)
+{
+  const struct tk_server s = { .id = "i-1", .state = 9 };
+  const struct ro_update u = { .server = &s, .servers = 1 };
+  struct zp_buf b = { .ptr = NULL };
+  struct ro_update out;
+  void *owner;
+  uint64_t n;
+
+  ro_put_update (&b, &u);
+  CU_ASSERT (!ro_get_update (zp_str_of (&b), &out, &owner));
+  ro_update_free (&out, owner);
+  for (size_t i = 0; i < b.len; i++)
+    {
+      struct zp_str cut = { .ptr = b.ptr, .len = i };
+      ro_get_update (cut, &out, &owner);
+      ro_update_free (&out, owner);
+    }
+  CU_ASSERT (!ro_get_ack (ZP_STR ("\xff\xff\xff"), &n));
+  zp_buf_clear (&b);
+  ro_put_ack (&b, 99);
+  CU_ASSERT (ro_get_ack (zp_str_of (&b), &n));
+  CU_ASSERT_EQUAL (n, 99);
+  zp_buf_free (&b);
+}
+
+static const struct zp_test tests[] = { { "updates", test_update },
+                                        { "hellos", test_hello },
+                                        { "damaged messages", test_damage } };
+
+TEST_MAIN ("roster-codec", tests)
--- /dev/null
+++ b/tests/test-roster-table.c
@@ -0,0 +1,177 @@
+#include "harness.h"
+
+#include "roster/table.h"
+
+static struct tk_server
+report (const char *id, const char *address, uint64_t born, uint64_t seq)
+{
+  struct tk_server s
+      = { .slots = 6, .born_ms = born, .seq = seq, .service = "svc" };
+
+  zp_str_copy (s.id, sizeof s.id, zp_str_from (id));
+  zp_str_copy (s.address, sizeof s.address, zp_str_from (address));
+  return s;
+}
+
+static struct ro_table table;
+
+static enum ro_taken
+take (struct tk_server s, zp_time now)
+{
+  struct ro_server *at;
+
+  return ro_table_take (&table, &s, now, &at, NULL);
+}
+
+static enum tk_server_state
+state_of (const char *id)
+{
+  const struct ro_server *s = ro_table_find (&table, zp_str_from (id));
+
+  return s ? s->report.state : TK_SERVER_GONE;
+}
+
+/* Guards against late reports that bring an earlier state back.  */
+static void
+test_order (void)
+{
+  struct tk_server s = report ("a", "10.0.0.1:80", 1000, 4);
+
+  CU_ASSERT_EQUAL (take (s, 1), RO_STARTED);
+  CU_ASSERT_EQUAL (take (s, 2), RO_OLD);
+  s.seq = 6;
+  CU_ASSERT_EQUAL (take (s, 3), RO_SAME);
+  s.seq = 7;
+  s.state = TK_SERVER_DRAINING;
+  CU_ASSERT_EQUAL (take (s, 4), RO_CHANGED);
+  CU_ASSERT_EQUAL (take (report ("a", "10.0.0.1:80", 1000, 5), 5), RO_OLD);
+  CU_ASSERT_EQUAL (state_of ("a"), TK_SERVER_DRAINING);
+  ro_table_free (&table);
+}
+
+/* Guards against a restart under the same id whose reports count from 1 again,
+   and against a report of the earlier start that a partition has held up.  */
+static void
+test_restart (void)
+{
+  CU_ASSERT_EQUAL (take (report ("a", "10.0.0.1:80", 1000, 90), 1),
+                   RO_STARTED);
+  CU_ASSERT_EQUAL (take (report ("a", "10.0.0.1:80", 2000, 1), 2),
+                   RO_STARTED);
+  CU_ASSERT_EQUAL (take (report ("a", "10.0.0.1:80", 1000, 91), 3), RO_OLD);
+  /* The word of the earlier start that it leaves is late too.  */
+  struct tk_server gone = report ("a", "", 1000, 92);
+  gone.state = TK_SERVER_GONE;
+  CU_ASSERT_EQUAL (take (gone, 4), RO_OLD);
+  CU_ASSERT_EQUAL (state_of ("a"), TK_SERVER_READY);
+  ro_table_free (&table);
+}
+
+/* Guards against two servers at one address: the one that was born later has
+   it, whatever arrives first.  */
+static void
+test_reused_address (void)
+{
+  struct tk_server s = report ("new", "10.0.0.1:80", 2000, 1);
+  struct ro_server *at, *followed;
+
+  take (report ("old", "10.0.0.1:80", 1000, 5), 1);
+  CU_ASSERT_EQUAL (ro_table_take (&table, &s, 2, &at, &followed), RO_STARTED);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (followed);
+  CU_ASSERT_STRING_EQUAL (followed->report.id, "old");
+  CU_ASSERT_STRING_EQUAL (at->report.id, "new");
+  CU_ASSERT_EQUAL (state_of ("old"), TK_SERVER_GONE);
+  CU_ASSERT_EQUAL (take (report ("old", "10.0.0.1:80", 1000, 6), 3), RO_OLD);
+  CU_ASSERT_EQUAL (take (report ("older", "10.0.0.1:80", 500, 6), 3), RO_OLD);
+  CU_ASSERT_EQUAL (state_of ("new"), TK_SERVER_READY);
+  ro_table_free (&table);
+}
+
+/* Guards against a server that has said that it leaves and gets work again by a
+   late report of its own, and against its word being lost because another
+   daemon has newer reports of it.  */
+static void
+test_leave (void)
+{
+  struct tk_server gone = { .state = TK_SERVER_GONE, .id = "a" };
+
+  take (report ("a", "10.0.0.1:80", 1000, 9), 1);
+  CU_ASSERT_EQUAL (take (gone, 2), RO_CHANGED);
+  CU_ASSERT_EQUAL (take (gone, 3), RO_OLD);
+  CU_ASSERT_EQUAL (take (report ("a", "10.0.0.1:80", 1000, 12), 4), RO_OLD);
+  CU_ASSERT_EQUAL (state_of ("a"), TK_SERVER_GONE);
+  CU_ASSERT_EQUAL (take (report ("a", "10.0.0.1:80", 3000, 1), 5),
+                   RO_STARTED);
+  CU_ASSERT_EQUAL (state_of ("a"), TK_SERVER_READY);
+
+  /* Its word before any report of it.  */
+  gone.id[0] = 'b';
+  CU_ASSERT_EQUAL (take (gone, 6), RO_STARTED);
+  CU_ASSERT_EQUAL (state_of ("b"), TK_SERVER_GONE);
+  ro_table_free (&table);
+}
+
+static void
+count (void *self, struct ro_server *s)
+{
+  (void) s;
+  ++*(unsigned *) self;
+}
+
+/* Guards against servers that stay for ever after a crash, and against one that
+   was cut off and never comes back.  */
+static void
+test_silence (void)
+{
+  unsigned gone = 0;
+
+  take (report ("a", "10.0.0.1:80", 1000, 1), 1 * ZP_SEC);
+  take (report ("b", "10.0.0.2:80", 1000, 1), 5 * ZP_SEC);
+  ro_table_expire (&table, 2 * ZP_SEC, 8 * ZP_SEC, count, &gone);
+  CU_ASSERT_EQUAL (gone, 1);
+  CU_ASSERT_EQUAL (state_of ("a"), TK_SERVER_GONE);
+  CU_ASSERT_EQUAL (state_of ("b"), TK_SERVER_READY);
+  CU_ASSERT_EQUAL (take (report ("a", "10.0.0.1:80", 1000, 2), 9 * ZP_SEC),
+                   RO_CHANGED);
+  CU_ASSERT_EQUAL (state_of ("a"), TK_SERVER_READY);
+
+  /* Silence at one control daemon does not beat a newer report to another.  */
+  struct tk_server silent = report ("a", "10.0.0.1:80", 1000, 1);
+  silent.state = TK_SERVER_GONE;
+  silent.expired = true;
+  CU_ASSERT_EQUAL (take (silent, 10 * ZP_SEC), RO_OLD);
+  silent.seq = 2;
+  CU_ASSERT_EQUAL (take (silent, 10 * ZP_SEC), RO_CHANGED);
+
+  ro_table_expire (&table, 0, 10 * ZP_SEC + RO_GONE_KEPT + 1, count, &gone);
+  CU_ASSERT_PTR_NULL (ro_table_find (&table, ZP_STR ("a")));
+  CU_ASSERT_PTR_NOT_NULL (ro_table_find (&table, ZP_STR ("b")));
+  ro_table_free (&table);
+}
+
+/* Guards against a server that becomes cold again unnoticed.  */
+static void
+test_cold_again (void)
+{
+  struct tk_server s = report ("a", "10.0.0.1:80", 1000, 1);
+
+  take (s, ZP_SEC);
+  s.seq = 2;
+  s.cold = 3 * ZP_SEC;
+  CU_ASSERT_EQUAL (take (s, 2 * ZP_SEC), RO_CHANGED);
+  /* What is left of the same time is no change.  */
+  s.seq = 3;
+  s.cold = 1500 * ZP_MS;
+  CU_ASSERT_EQUAL (take (s, 3500 * ZP_MS), RO_SAME);
+  ro_table_free (&table);
+}
+
+static const struct zp_test tests[]
+    = { { "late reports", test_order },
+        { "a restart under the same id", test_restart },
+        { "an address that is used again", test_reused_address },
+        { "a server that leaves", test_leave },
+        { "silent servers", test_silence },
+        { "cold again", test_cold_again } };
+
+TEST_MAIN ("roster-table", tests)
