Leave silent control daemons after 0.9 s

Ruled out: slow decoding (the change came in force 1 ms after it arrived). Pings come every 250 ms now, and only connected control daemons are followed.

--- a/src/base/limits.h
+++ b/src/base/limits.h
@@ -47,9 +47,12 @@
 #define ZP_RECONNECT_MAX (2000 * ZP_MS)
 
 /* Dissemination of the configuration.  A follower leaves a source that is
-   silent, or out of contact with the leader, for ZP_FOLLOW_SILENCE.  */
-#define ZP_FOLLOW_PING (1000 * ZP_MS)
-#define ZP_FOLLOW_SILENCE (3000 * ZP_MS)
+   silent, or out of contact with the leader, for ZP_FOLLOW_SILENCE.  A change
+   has to be in force within 2.5 s where platforms ask for the most, also when
+   the source and the next one are cut off silently: 0.9 s to notice, 0.5 s for
+   a connection that does not stand, and an exchange of 0.1 s.  */
+#define ZP_FOLLOW_PING (250 * ZP_MS)
+#define ZP_FOLLOW_SILENCE (900 * ZP_MS)
 #define ZP_FOLLOW_RETRY (200 * ZP_MS)
 #define ZP_FOLLOW_HISTORY 4096 /* changes that a source keeps */
 #define ZP_FOLLOW_HISTORY_BYTES (4 * 1024 * 1024)
--- a/src/roster/client.c
+++ b/src/roster/client.c
@@ -16,7 +16,7 @@
 /* A connection is tried again after this time, and given up when it does not
    stand or nothing was read for SILENCE.  */
 #define REDIAL (300 * ZP_MS)
-#define SILENCE (2500 * ZP_MS)
+#define SILENCE (1000 * ZP_MS)
 
 /* A control daemon that was named by others is forgotten when neither it nor
    another one has been heard to name it for this long.  */
@@ -31,6 +31,7 @@
   bool seed;
   zp_time named; /* last heard of */
   struct wi_conn *conn;
+  bool known; /* it has answered on this connection */
   zp_time dialed, dial_at;
   unsigned entries;
   uint64_t acked;
@@ -46,7 +47,7 @@
   struct control *control[CONTROLS_MAX];
   size_t controls;
   unsigned entries; /* as last told */
-  zp_time hello_at;
+  zp_time ping_at;
   ev_timer timer;
 };
 
@@ -69,8 +70,13 @@
   if (!c->follower)
     return;
   struct tk_msg *m = tk_msg_new (TK_SOURCES);
+  bool any = false;
+  for (size_t i = 0; i < c->controls; i++)
+    any = any || c->control[i]->known;
   for (size_t i = 0; i < c->controls; i++)
     {
+      if (any && !c->control[i]->known)
+        continue;
       with_port (zp_str_from (c->control[i]->address), c->follow_port,
                  &m->u.addresses.lines);
       zp_buf_put (&m->u.addresses.lines, ZP_STR ("\n"));
@@ -153,6 +159,10 @@
   wi_conn_free (x->conn);
   x->conn = NULL;
   x->dial_at = zp_clock_mono () + REDIAL;
+  if (!x->known)
+    return;
+  x->known = false;
+  tell_follower (x->client);
 }
 
 static void
@@ -204,8 +214,11 @@
     }
   for (size_t i = 0; i < u.controls; i++)
     more = name_control (c, u.control[i], false) || more;
-  if (more)
-    tell_follower (c);
+  if (more || !x->known)
+    {
+      x->known = true;
+      tell_follower (c);
+    }
   x->entries = u.entries;
   x->acked = u.number;
   tell_census (c);
@@ -222,10 +235,17 @@
   struct control *x = self;
 
   (void) conn;
-  if (kind == WI_ROSTER_UPDATE)
-    take_update (x, payload);
-  else
-    hang_up (x, "a frame of another protocol");
+  switch (kind)
+    {
+    case WI_ROSTER_UPDATE:
+      take_update (x, payload);
+      return;
+    case WI_ROSTER_PING:
+      return;
+    default:
+      hang_up (x, "a frame of another protocol");
+      return;
+    }
 }
 
 static void
@@ -261,7 +281,7 @@
 }
 
 static void
-check (struct control *x, bool hello, zp_time now)
+check (struct control *x, bool ping, zp_time now)
 {
   if (!x->conn)
     {
@@ -280,8 +300,8 @@
       hang_up (x, "silent");
       return;
     }
-  if (hello)
-    send_hello (x);
+  if (ping)
+    wi_conn_send (x->conn, WI_ROSTER_PING, ZP_STR (""));
 }
 
 static void
@@ -289,12 +309,12 @@
 {
   struct ro_client *c = w->data;
   zp_time now = zp_clock_mono ();
-  bool hello = now >= c->hello_at;
+  bool ping = now >= c->ping_at;
 
   (void) ev;
   (void) events;
-  if (hello)
-    c->hello_at = now + RO_HELLO_PERIOD;
+  if (ping)
+    c->ping_at = now + RO_PING_PERIOD;
   for (size_t i = 0; i < c->controls;)
     {
       struct control *x = c->control[i];
@@ -304,7 +324,7 @@
           tell_follower (c);
           continue;
         }
-      check (x, hello, now);
+      check (x, ping, now);
       i++;
     }
 }
--- a/src/roster/client.h
+++ b/src/roster/client.h
@@ -13,7 +13,8 @@
      itself, and TK_SEEDS.  Ports of control daemons for this protocol are the
      same on all of them, so an address of their operators' interface is enough
      to find one.  TK_SOURCES with the addresses of the configuration is sent to
-     FOLLOWER whenever the known control daemons change.  */
+     FOLLOWER whenever the control daemons that are connected change; while none
+     is, it names all that are known.  */
 
 #ifndef ZP_ROSTER_CLIENT_H
 #define ZP_ROSTER_CLIENT_H
@@ -22,8 +23,9 @@
 #include "base/settings.h"
 #include "task/task.h"
 
-/* A hello is repeated this often; it shows that the connection stands.  */
-#define RO_HELLO_PERIOD (500 * ZP_MS)
+/* A ping is sent this often and sent back; it shows that the connection
+   stands.  */
+#define RO_PING_PERIOD (300 * ZP_MS)
 
 struct ro_client;
 
--- a/src/roster/source.c
+++ b/src/roster/source.c
@@ -13,8 +13,8 @@
 #define PART "roster"
 
 /* A connection without a hello is closed after this time, and one that was
-   silent for this long has lost its other side: hellos come every 500 ms.  */
-#define SILENCE (3 * ZP_SEC)
+   silent for this long has lost its other side: pings come every 300 ms.  */
+#define SILENCE (1500 * ZP_MS)
 
 /* Periods without a report after which a server counts as gone.  A report may
    be lost once, and its repetition goes to another daemon.  */
@@ -168,7 +168,7 @@
   zp_time now = zp_clock_mono ();
 
   for (struct link *l = s->links; l; l = l->next)
-    if (l->known && l->daemon.kind == TK_DAEMON_ENTRY && l->sent < s->number)
+    if (l->known && l->sent < s->number)
       send_update (l, now);
   settle (s);
 }
@@ -325,8 +325,9 @@
     zp_log (ZP_LOG_NOTICE, PART, "daemon %s connected", d.name);
   if (!same)
     tell_daemon (l, false);
-  /* The first answer holds the whole table.  Every hello is answered, so that
-     both sides see a connection that has become silent.  */
+  if (!first)
+    return;
+  /* The first answer holds the whole table.  */
   l->source->entries = count_entries (l->source);
   send_update (l, zp_clock_mono ());
 }
@@ -338,12 +339,14 @@
   struct link *l = self;
   uint64_t acked;
 
-  (void) conn;
   switch (kind)
     {
     case WI_ROSTER_HELLO:
       take_hello (l, payload);
       return;
+    case WI_ROSTER_PING:
+      wi_conn_send (conn, WI_ROSTER_PING, ZP_STR (""));
+      return;
     case WI_ROSTER_ACK:
       if (ro_get_ack (payload, &acked))
         {
@@ -401,7 +404,12 @@
     }
   ro_table_expire (&s->table, now - MISSED_REPORTS * s->period, now,
                    on_expired, s);
-  s->entries = count_entries (s);
+  unsigned entries = count_entries (s);
+  if (entries != s->entries)
+    {
+      s->entries = entries;
+      changed (s);
+    }
   settle (s);
 }
 
--- a/tests/test-follow.c
+++ b/tests/test-follow.c
@@ -1,9 +1,11 @@
 #include "harness.h"
 
 #include <stdlib.h>
+#include <sys/socket.h>
 
 #include "follow/follower.h"
 #include "follow/source.h"
+#include "wire/address.h"
 
 /* Stands for a control daemon: its configuration is the text "vN".  */
 struct provider
@@ -229,10 +231,64 @@
   close_fixture (&f);
 }
 
+/* A change is in force within this time, also when the source is cut off.  */
+#define IN_FORCE (2500 * ZP_MS)
+
+/* Guards against a source that is cut off silently: its connection stands, but
+   nothing comes.  Seen with a control daemon that a partition had taken from
+   its entry daemons (mendex-mid, hunt-a4b6-3): they waited 3 s.  */
+static void
+test_silent_source_is_left (void)
+{
+  struct fixture f;
+  struct sockaddr_storage sa;
+  socklen_t len;
+
+  open_fixture (&f);
+  open_provider (&f, 1, 510, true);
+  snprintf (f.p[0].address, sizeof f.p[0].address, "%s",
+            test_address (19581));
+  CU_ASSERT_FATAL (
+      wi_address_parse (zp_str_from (f.p[0].address), &sa, &len, NULL));
+  int silent = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  CU_ASSERT_FATAL (silent >= 0
+                   && bind (silent, (struct sockaddr *) &sa, len) == 0
+                   && listen (silent, 4) == 0);
+  zp_time before = zp_clock_mono ();
+  open_follower (&f, 0);
+  run_until (&f, &f.d[0].version, 510);
+  CU_ASSERT (zp_clock_mono () - before < IN_FORCE);
+  close (silent);
+  close_fixture (&f);
+}
+
+/* Guards against sources that are named later and never used.  */
+static void
+test_sources_that_are_named_later (void)
+{
+  struct fixture f;
+  static const struct zp_strs none = { .len = 0 };
+  const struct fo_follower_options o
+      = { .id = 1, .sources = &none, .decider = &f.d[0].task };
+
+  open_fixture (&f);
+  open_provider (&f, 0, 500, true);
+  tk_task_init (&f.d[0].task, &f.loop, on_daemon_message, &f.d[0]);
+  f.d[0].follower = fo_follower_open (&f.loop, &o);
+  struct tk_msg *m = tk_msg_new (TK_SOURCES);
+  zp_buf_printf (&m->u.addresses.lines, "%s\n", f.p[0].address);
+  tk_send (fo_follower_task (f.d[0].follower), m);
+  run_until (&f, &f.d[0].version, 500);
+  close_fixture (&f);
+}
+
 static const struct zp_test tests[]
     = { { "a whole configuration, then changes", test_whole_then_changes },
         { "a stale source is left", test_stale_source_is_left },
         { "a lost source keeps the configuration",
-          test_lost_source_keeps_the_configuration } };
+          test_lost_source_keeps_the_configuration },
+        { "a silent source is left", test_silent_source_is_left },
+        { "sources that are named later",
+          test_sources_that_are_named_later } };
 
 TEST_MAIN ("follow", tests)
