--- a/tests/test-follow.c
+++ b/tests/test-follow.c
@@ -251,7 +251,11 @@
   CU_ASSERT_FATAL (
       wi_address_parse (zp_str_from (f.p[0].address), &sa, &len, NULL));
   int silent = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const int on = 1;
   CU_ASSERT_FATAL (silent >= 0
+                   && setsockopt (silent, SOL_SOCKET, SO_REUSEADDR, &on,
+                                  sizeof on)
+                          == 0
                    && bind (silent, (struct sockaddr *) &sa, len) == 0
                    && listen (silent, 4) == 0);
   zp_time before = zp_clock_mono ();
--- /dev/null
+++ b/tests/test-platform-calls.c
@@ -0,0 +1,214 @@
+#include "harness.h"
+
+#include "platform.h"
+
+static struct ct_call call;
+
+static void
+decode (const char *method, const char *path, const char *query,
+        const char *body)
+{
+  struct tk_http_request r = { .method = zp_buf_from (zp_str_from (method)),
+                               .path = zp_buf_from (zp_str_from (path)),
+                               .query = zp_buf_from (zp_str_from (query)),
+                               .body = zp_buf_from (zp_str_from (body)) };
+
+  pf_control_interface.decode (&r, &call);
+  zp_buf_free (&r.method);
+  zp_buf_free (&r.path);
+  zp_buf_free (&r.query);
+  zp_buf_free (&r.body);
+}
+
+static const char report[]
+    = "{\"service\":\"huvo\",\"address\":\"10.128.0.9:8080\",\"zone\":"
+      "\"sofia-a\",\"version\":\"v1\",\"capacity\":6,\"state\":\"ready\","
+      "\"warmupLeft\":\"1500ms\",\"seq\":4,\"born\":1700000000123}";
+
+static void
+test_server_report (void)
+{
+  decode ("POST", "/Instances.Heartbeat/i-7f3a", "", report);
+  CU_ASSERT_EQUAL_FATAL (call.kind, CT_CALL_SERVER);
+  CU_ASSERT_STRING_EQUAL (call.u.server.id, "i-7f3a");
+  CU_ASSERT_STRING_EQUAL (call.u.server.service, "huvo");
+  CU_ASSERT_STRING_EQUAL (call.u.server.address, "10.128.0.9:8080");
+  CU_ASSERT_STRING_EQUAL (call.u.server.failure_domain, "sofia-a");
+  CU_ASSERT_EQUAL (call.u.server.slots, 6);
+  CU_ASSERT_EQUAL (call.u.server.state, TK_SERVER_READY);
+  CU_ASSERT_EQUAL (call.u.server.cold, 1500 * ZP_MS);
+  CU_ASSERT_EQUAL (call.u.server.seq, 4);
+  CU_ASSERT_EQUAL (call.u.server.born_ms, 1700000000123);
+}
+
+/* Guards against a report of another writer that changes what is known of a
+   server: fields missing, of another type, or out of range.  */
+static void
+test_hostile_reports (void)
+{
+  static const char *const bad[][2] = {
+    { "\"service\":\"huvo\",", "" },
+    { "\"service\":\"huvo\"", "\"service\":\"\"" },
+    { "\"service\":\"huvo\"", "\"service\":[\"huvo\"]" },
+    { "\"10.128.0.9:8080\"", "\"server.example:8080\"" },
+    { "\"10.128.0.9:8080\"", "\"10.128.0.9\"" },
+    { "\"capacity\":6", "\"capacity\":\"6\"" },
+    { "\"capacity\":6", "\"capacity\":-6" },
+    { "\"capacity\":6", "\"capacity\":6000000" },
+    { "\"state\":\"ready\"", "\"state\":\"sleeping\"" },
+    { "\"state\":\"ready\"", "\"state\":1" },
+    { "\"warmupLeft\":\"1500ms\"", "\"warmupLeft\":1500" },
+    { "\"warmupLeft\":\"1500ms\"", "\"warmupLeft\":\"-5ms\"" },
+    { "\"seq\":4", "\"seq\":4.5" },
+    { "\"seq\":4", "\"seq\":-4" },
+    { "\"born\":1700000000123", "\"born\":\"now\"" },
+    { "\"born\":1700000000123", "\"born\":1700000000123.5" },
+    { "{\"service\"", "[\"service\"" },
+    { "\"zone\":\"sofia-a\"",
+      "\"zone\":\"a-name-that-is-much-longer-than-any-failure-domain-of-the-"
+      "deployment-can-be\"" },
+  };
+  char text[sizeof report + 128];
+
+  for (size_t i = 0; i < sizeof bad / sizeof bad[0]; i++)
+    {
+      const char *at = strstr (report, bad[i][0]);
+      CU_ASSERT_PTR_NOT_NULL_FATAL (at);
+      snprintf (text, sizeof text, "%.*s%s%s", (int) (at - report), report,
+                bad[i][1], at + strlen (bad[i][0]));
+      decode ("POST", "/Instances.Heartbeat/i-7f3a", "", text);
+      if (call.kind != CT_CALL_BAD)
+        {
+          printf ("taken: %s\n", bad[i][1]);
+          CU_FAIL ("a bad report was taken");
+        }
+    }
+  decode ("POST", "/Instances.Heartbeat/", "", report);
+  CU_ASSERT_EQUAL (call.kind, CT_CALL_BAD);
+  decode ("POST", "/Instances.Heartbeat/i-1", "", "\xff\xfe{");
+  CU_ASSERT_EQUAL (call.kind, CT_CALL_BAD);
+  decode ("POST", "/Instances.Heartbeat/i-1", "", "");
+  CU_ASSERT_EQUAL (call.kind, CT_CALL_BAD);
+}
+
+static void
+test_leave (void)
+{
+  decode ("POST", "/Instances.Deregister/i-7f3a", "", "");
+  CU_ASSERT_EQUAL_FATAL (call.kind, CT_CALL_SERVER);
+  CU_ASSERT_EQUAL (call.u.server.state, TK_SERVER_GONE);
+  CU_ASSERT_EQUAL (call.u.server.born_ms, 0);
+  decode ("POST", "/Instances.Deregister/i-7f3a", "", "{\"born\":17}");
+  CU_ASSERT_EQUAL (call.kind, CT_CALL_SERVER);
+  CU_ASSERT_EQUAL (call.u.server.born_ms, 17);
+  decode ("POST", "/Instances.Deregister/i-7f3a", "", "{\"born\":true}");
+  CU_ASSERT_EQUAL (call.kind, CT_CALL_BAD);
+}
+
+static void
+test_operators (void)
+{
+  decode ("POST", "/Evacuate.Start/wm-a", "", "");
+  CU_ASSERT_EQUAL_FATAL (call.kind, CT_CALL_EVACUATE);
+  CU_ASSERT (call.u.evacuate.on);
+  CU_ASSERT (zp_str_eq (ti_text_str (&call.u.evacuate.failure_domain),
+                        ZP_STR ("wm-a")));
+  decode ("POST", "/Evacuate.End/wm-a", "", "");
+  CU_ASSERT_EQUAL (call.kind, CT_CALL_EVACUATE);
+  CU_ASSERT (!call.u.evacuate.on);
+  decode ("POST", "/Evacuate.Start/a%20b", "", "");
+  CU_ASSERT_EQUAL (call.kind, CT_CALL_BAD);
+  decode ("GET", "/Config.Get", "", "");
+  CU_ASSERT_EQUAL (call.kind, CT_CALL_READ);
+  decode ("POST", "/Config.Put", "", "{\"version\":1}");
+  CU_ASSERT_EQUAL (call.kind, CT_CALL_BAD);
+  decode ("POST", "/Config.Put", "",
+          "{\"version\":4,\"listeners\":[],\"clusters\":[]}");
+  CU_ASSERT_EQUAL (call.kind, CT_CALL_PUT);
+  CU_ASSERT_EQUAL (call.u.put.number, 4);
+  decode ("GET", "/Config.Put", "", "");
+  CU_ASSERT_EQUAL (call.kind, CT_CALL_UNKNOWN);
+  decode ("POST", "/elsewhere", "", "");
+  CU_ASSERT_EQUAL (call.kind, CT_CALL_UNKNOWN);
+}
+
+static void
+test_resolve (void)
+{
+  decode ("GET", "/resolve", "name=h.example&region=sofia&zone=sofia-a", "");
+  CU_ASSERT_EQUAL_FATAL (call.kind, CT_CALL_ENTRIES);
+  CU_ASSERT_STRING_EQUAL (call.u.entries.region, "sofia");
+  CU_ASSERT_STRING_EQUAL (call.u.entries.failure_domain, "sofia-a");
+  decode ("GET", "/resolve", "", "");
+  CU_ASSERT_EQUAL (call.kind, CT_CALL_ENTRIES);
+  CU_ASSERT_STRING_EQUAL (call.u.entries.region, "");
+}
+
+static struct tk_http_answer answer;
+
+static const char *
+encode (const struct ct_reply *reply)
+{
+  struct tk_http_request r
+      = { .path = zp_buf_from (ZP_STR ("/Config.Get")) };
+
+  answer = (struct tk_http_answer){ .status = 0 };
+  pf_control_interface.encode (&r, reply, &answer);
+  zp_buf_free (&r.path);
+  return answer.body.ptr ? answer.body.ptr : "";
+}
+
+static void
+drop_answer (void)
+{
+  zp_buf_free (&answer.body);
+  zp_buf_free (&answer.content_type);
+  zp_buf_free (&answer.location);
+}
+
+static void
+test_answers (void)
+{
+  const struct zp_str address[]
+      = { ZP_STR ("10.1.0.15:8641"), ZP_STR ("10.1.0.16:8641") };
+  struct ct_reply reply = { .kind = CT_REPLY_ENTRIES };
+
+  reply.u.entries.address = address;
+  reply.u.entries.len = 2;
+  reply.u.entries.ttl = 1500 * ZP_MS;
+  CU_ASSERT_STRING_EQUAL (
+      encode (&reply),
+      "{\"addresses\":[\"10.1.0.15:8641\",\"10.1.0.16:8641\"],\"ttl\":"
+      "\"1500ms\"}");
+  CU_ASSERT_EQUAL (answer.status, 200);
+  drop_answer ();
+  reply = (struct ct_reply){ .kind = CT_REPLY_LEADER };
+  reply.u.leader = ZP_STR ("10.0.0.4:80");
+  encode (&reply);
+  CU_ASSERT_EQUAL (answer.status, 307);
+  CU_ASSERT_STRING_EQUAL (answer.location.ptr, "http://10.0.0.4:80/Config.Get");
+  drop_answer ();
+  reply = (struct ct_reply){ .kind = CT_REPLY_BAD };
+  reply.u.bad = "a \"quoted\" reason";
+  CU_ASSERT (HAS_TEXT (encode (&reply), "\\\"quoted\\\""));
+  CU_ASSERT_EQUAL (answer.status, 400);
+  drop_answer ();
+  reply = (struct ct_reply){ .kind = CT_REPLY_UNAVAILABLE };
+  encode (&reply);
+  CU_ASSERT_EQUAL (answer.status, 503);
+  drop_answer ();
+  reply = (struct ct_reply){ .kind = CT_REPLY_DOCUMENT };
+  reply.u.document = ZP_STR ("{\"version\":7}");
+  CU_ASSERT_STRING_EQUAL (encode (&reply), "{\"version\":7}");
+  drop_answer ();
+}
+
+static const struct zp_test tests[]
+    = { { "reports of servers", test_server_report },
+        { "reports of other writers", test_hostile_reports },
+        { "servers that leave", test_leave },
+        { "operators", test_operators },
+        { "look-ups", test_resolve },
+        { "answers", test_answers } };
+
+TEST_MAIN ("platform-calls", tests)
--- /dev/null
+++ b/tests/test-platform-day.c
@@ -0,0 +1,498 @@
+/* Plays a short day with the programs of the platform as processes of their
+   own: three control daemons, an entry daemon, and a stub server here.  */
+
+#include "harness.h"
+
+#include <curl/curl.h>
+#include <fcntl.h>
+#include <libgen.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+
+#include "base/settings.h"
+#include "front/server.h"
+#include "platform.h"
+
+#define CORES 3
+#define EDGE CORES /* place of the entry daemon */
+#define PROCESSES (CORES + 1)
+#define PORT_CONTROL 8649
+#define PORT_DIRECTORY 8644
+#define PORT_FRONT 8641
+#define PORT_READY 8640
+#define PORT_INNER 7620
+#define PORT_SERVER 8080
+
+/* Time in which each step of the day has to end.  */
+#define PATIENCE (15 * ZP_SEC)
+
+static char folder[64];
+static char programs[512]; /* folder of the programs */
+static pid_t process[PROCESSES];
+
+/* The address of machine AT; different test runs use different ones.  */
+static const char *
+ip (int at)
+{
+  static char text[8][32];
+  static int turn;
+  unsigned pid = (unsigned) getpid ();
+  char *out = text[turn++ % 8];
+
+  snprintf (out, sizeof text[0], "127.%u.%u.%d", 128 + (pid >> 8) % 64,
+            pid % 256, 10 + at);
+  return out;
+}
+
+/* Settings, from the templates that are deployed.  */
+
+static void
+replace (struct zp_buf *text, const char *from, const char *to)
+{
+  struct zp_buf out = { .ptr = NULL };
+  const char *at = text->ptr, *found;
+
+  while ((found = strstr (at, from)))
+    {
+      zp_buf_put_bytes (&out, at, (size_t) (found - at));
+      zp_buf_put (&out, zp_str_from (to));
+      at = found + strlen (from);
+    }
+  zp_buf_put (&out, zp_str_from (at));
+  zp_buf_free (text);
+  *text = out;
+}
+
+static void
+replace_f (struct zp_buf *text, const char *from, const char *fmt, ...)
+{
+  struct zp_buf to = { .ptr = NULL };
+  va_list ap;
+
+  va_start (ap, fmt);
+  zp_buf_vprintf (&to, fmt, ap);
+  va_end (ap);
+  replace (text, from, to.ptr);
+  zp_buf_free (&to);
+}
+
+static void
+write_settings (int at, bool bootstrap)
+{
+  struct zp_buf text = { .ptr = NULL };
+  char path[128];
+  struct zp_err err;
+
+  CU_ASSERT_FATAL (zp_file_read (at == EDGE ? "deploy/edge.json.tmpl"
+                                            : "deploy/core.json.tmpl",
+                                 &text, 65536, &err));
+  replace_f (&text, "{{nodeName|json}}", "\"machine-%d\"", at);
+  replace (&text, "{{zone|json}}", "\"a-1\"");
+  replace (&text, "{{region|json}}", "\"a\"");
+  replace (&text, "{{bootstrap|json}}", bootstrap ? "true" : "false");
+  replace_f (&text, "{{dataDir|json}}", "\"%s/data-%d\"", folder, at);
+  replace_f (&text, "{{ip|json}}", "\"%s\"", ip (at));
+  replace_f (&text, "{{listen.control|json}}", "\"%s:%d\"", ip (at),
+             PORT_CONTROL);
+  replace_f (&text, "{{listen.directory|json}}", "\"%s:%d\"", ip (at),
+             PORT_DIRECTORY);
+  replace_f (&text, "{{listen.front|json}}", "\"%s:%d\"", ip (at), PORT_FRONT);
+  replace_f (&text, "{{listen.ready|json}}", "\"%s:%d\"", ip (at), PORT_READY);
+  replace_f (&text, "{{internalPorts.0|json}}", "%d", PORT_INNER);
+  replace (&text, "{{heartbeat|json}}", "\"1500ms\"");
+  replace (&text, "{{bounds.grace|json}}", "\"6s\"");
+  replace (&text, "{{#zones}}\"{{@}}={{.}}\"{{,}}{{/zones}}", "\"a-1=a\"");
+  replace_f (&text, "{{seeds|json}}", "[\"%s:%d\",\"%s:%d\",\"%s:%d\"]",
+             ip (0), PORT_CONTROL, ip (1), PORT_CONTROL, ip (2),
+             PORT_CONTROL);
+  CU_ASSERT_PTR_NULL (strstr (text.ptr, "{{"));
+  snprintf (path, sizeof path, "%s/%d.json", folder, at);
+  FILE *f = fopen (path, "w");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (f);
+  fputs (text.ptr, f);
+  fclose (f);
+  zp_buf_free (&text);
+}
+
+static void
+start (int at)
+{
+  char program[600], settings[128], log[128];
+
+  snprintf (program, sizeof program, "%s/%s", programs,
+            at == EDGE ? "zp-edge" : "zp-core");
+  snprintf (settings, sizeof settings, "%s/%d.json", folder, at);
+  snprintf (log, sizeof log, "%s/%d.log", folder, at);
+  process[at] = fork ();
+  CU_ASSERT_FATAL (process[at] >= 0);
+  if (process[at] > 0)
+    return;
+  int fd = open (log, O_WRONLY | O_CREAT | O_APPEND, 0600);
+  dup2 (fd, STDERR_FILENO);
+  dup2 (fd, STDOUT_FILENO);
+  execl (program, program, "--settings", settings, (char *) NULL);
+  _exit (127);
+}
+
+/* The exit status of a process that was asked to stop.  */
+static int
+stop (int at)
+{
+  int status = -1;
+
+  kill (process[at], SIGTERM);
+  waitpid (process[at], &status, 0);
+  process[at] = 0;
+  return WIFEXITED (status) ? WEXITSTATUS (status) : -1;
+}
+
+/* A stub server.  */
+
+struct stub
+{
+  struct tk_loop loop;
+  struct tk_task task;
+  struct fr_server *front;
+  struct tk_msg *held; /* a request that waits for the test */
+  bool hold;
+  unsigned served;
+};
+
+static void
+serve (const struct tk_http_request *q)
+{
+  struct tk_msg *m = tk_msg_new (TK_HTTP_ANSWER);
+
+  m->u.answer.id = q->id;
+  m->u.answer.status = 200;
+  zp_buf_put (&m->u.answer.headers,
+              ZP_STR ("X-Server-Stamp: stamp-1\nX-Server-Load: 1,0,6\n"));
+  zp_buf_printf (&m->u.answer.body, "%.*s %.*s",
+                 ZP_ARG (zp_str_of (&q->method)), ZP_ARG (zp_str_of (&q->path)));
+  tk_send (q->from, m);
+}
+
+static void
+on_stub (void *self, struct tk_msg *m)
+{
+  struct stub *s = self;
+
+  if (m->kind == TK_HTTP_REQUEST)
+    {
+      s->served++;
+      if (s->hold)
+        {
+          s->held = m;
+          return;
+        }
+      serve (&m->u.request);
+    }
+  tk_msg_free (m);
+}
+
+static void
+on_release (struct ev_loop *ev, ev_timer *w, int events)
+{
+  struct stub *s = w->data;
+
+  (void) ev;
+  (void) events;
+  if (!s->held)
+    return;
+  serve (&s->held->u.request);
+  tk_msg_free (s->held);
+  s->held = NULL;
+}
+
+/* HTTP from the test.  */
+
+struct reply
+{
+  long status;
+  char body[4096];
+  char headers[4096];
+  size_t body_len, headers_len;
+};
+
+static size_t
+keep (char *out, size_t *len, size_t size, const char *bytes, size_t n)
+{
+  if (*len + n < size)
+    {
+      memcpy (out + *len, bytes, n);
+      *len += n;
+      out[*len] = '\0';
+    }
+  return n;
+}
+
+static size_t
+on_body (char *bytes, size_t size, size_t n, void *self)
+{
+  struct reply *r = self;
+
+  return keep (r->body, &r->body_len, sizeof r->body, bytes, size * n);
+}
+
+static size_t
+on_header (char *bytes, size_t size, size_t n, void *self)
+{
+  struct reply *r = self;
+
+  return keep (r->headers, &r->headers_len, sizeof r->headers, bytes, size * n);
+}
+
+/* POST with BODY, GET without one.  */
+static struct reply
+call (int at, int port, const char *path, const char *body)
+{
+  struct reply r = { .status = 0 };
+  struct curl_slist *headers = NULL;
+  char url[256];
+  CURL *c = curl_easy_init ();
+
+  snprintf (url, sizeof url, "http://%s:%d%s", ip (at), port, path);
+  headers = curl_slist_append (headers, "Host: h.example");
+  headers = curl_slist_append (headers, "X-Request-Id: 9c41d07be2a35f68");
+  headers = curl_slist_append (headers, "X-Deadline-Ms: 4000");
+  headers = curl_slist_append (headers, "Expect:");
+  curl_easy_setopt (c, CURLOPT_URL, url);
+  curl_easy_setopt (c, CURLOPT_PROXY, "");
+  curl_easy_setopt (c, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (c, CURLOPT_TIMEOUT_MS, 5000L);
+  curl_easy_setopt (c, CURLOPT_HTTPHEADER, headers);
+  curl_easy_setopt (c, CURLOPT_WRITEFUNCTION, on_body);
+  curl_easy_setopt (c, CURLOPT_WRITEDATA, &r);
+  curl_easy_setopt (c, CURLOPT_HEADERFUNCTION, on_header);
+  curl_easy_setopt (c, CURLOPT_HEADERDATA, &r);
+  if (body)
+    curl_easy_setopt (c, CURLOPT_POSTFIELDS, body);
+  curl_easy_perform (c);
+  curl_easy_getinfo (c, CURLINFO_RESPONSE_CODE, &r.status);
+  curl_slist_free_all (headers);
+  curl_easy_cleanup (c);
+  return r;
+}
+
+/* Calls the control daemons in turn until one answers with STATUS.  */
+static struct reply
+call_control (const char *path, const char *body, long status)
+{
+  zp_time end = zp_clock_mono () + PATIENCE;
+  struct reply r = { .status = 0 };
+
+  for (int i = 0; zp_clock_mono () < end; i++)
+    {
+      r = call (i % CORES, PORT_CONTROL, path, body);
+      if (r.status == status)
+        return r;
+      usleep (50000);
+    }
+  printf ("%s: the last status is %ld\n", path, r.status);
+  CU_FAIL ("no control daemon gives the wanted answer");
+  return r;
+}
+
+static struct reply
+wait_for (int port, const char *path, long status)
+{
+  zp_time end = zp_clock_mono () + PATIENCE;
+  struct reply r = { .status = 0 };
+
+  while (zp_clock_mono () < end)
+    {
+      r = call (EDGE, port, path, NULL);
+      if (r.status == status)
+        return r;
+      usleep (50000);
+    }
+  printf ("%s: the last status is %ld\n", path, r.status);
+  CU_FAIL ("the entry daemon does not give the wanted answer");
+  return r;
+}
+
+static const char document[]
+    = "{\"version\":7,\"listeners\":[{\"host\":\"h.example\",\"routingRules\":"
+      "[{\"type\":\"unsafe\",\"match\":{\"pathPrefix\":\"/p/\"},\"action\":{"
+      "\"service\":\"svc\",\"timeout\":\"3s\",\"attempts\":2}}]}],"
+      "\"clusters\":[{\"name\":\"svc\"}]}";
+
+static void
+report (const char *state, unsigned seq)
+{
+  char body[512];
+
+  snprintf (body, sizeof body,
+            "{\"service\":\"svc\",\"address\":\"%s:%d\",\"zone\":\"a-1\","
+            "\"version\":\"v1\",\"capacity\":6,\"state\":\"%s\","
+            "\"warmupLeft\":\"0ms\",\"seq\":%u,\"born\":1700000000000}",
+            ip (EDGE + 1), PORT_SERVER, state, seq);
+  call_control ("/Instances.Heartbeat/i-1", body, 200);
+}
+
+static struct stub stub;
+
+static void
+open_stub (void)
+{
+  char address[64];
+
+  snprintf (address, sizeof address, "%s:%d", ip (EDGE + 1), PORT_SERVER);
+  const struct fr_options o = { .address = zp_str_from (address),
+                                .decider = &stub.task,
+                                .names = &pf_names,
+                                .idle_max = 60 * ZP_SEC,
+                                .body_max = 65536 };
+  tk_loop_init (&stub.loop);
+  tk_task_init (&stub.task, &stub.loop, on_stub, &stub);
+  stub.front = fr_server_open_with (&stub.loop, &o, NULL);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (stub.front);
+  tk_loop_start (&stub.loop);
+}
+
+static void
+close_stub (void)
+{
+  tk_loop_stop (&stub.loop);
+  tk_loop_join (&stub.loop);
+  fr_server_close (stub.front);
+  tk_task_free (&stub.task);
+  tk_loop_free (&stub.loop);
+}
+
+/* Guards against parts that work alone but not together: founding without an
+   operator, a configuration on its way from an operator to a caller, a server
+   that joins, leaves, and is left out by an evacuation.  */
+static void
+test_day (void)
+{
+  char wanted[64];
+
+  for (int i = 0; i < PROCESSES; i++)
+    {
+      write_settings (i, true);
+      start (i);
+    }
+  open_stub ();
+  CU_ASSERT_EQUAL (wait_for (PORT_READY, "/ready", 503).status, 503);
+  call_control ("/Config.Put", "{\"version\":1}", 400);
+  call_control ("/Config.Put", document, 200);
+  CU_ASSERT_STRING_EQUAL (call_control ("/Config.Get", NULL, 200).body,
+                          document);
+  wait_for (PORT_READY, "/ready", 200);
+  CU_ASSERT (HAS_TEXT (wait_for (PORT_FRONT, "/p/x", 503).headers,
+                       "Retry-After: 0."));
+  wait_for (PORT_FRONT, "/q/x", 404);
+
+  report ("ready", 1);
+  struct reply r = wait_for (PORT_FRONT, "/p/x", 200);
+  CU_ASSERT_STRING_EQUAL (r.body, "GET /p/x");
+  CU_ASSERT (HAS_TEXT (r.headers, "X-Server-Stamp: stamp-1"));
+  CU_ASSERT (HAS_TEXT (r.headers, "X-Request-Id: 9c41d07be2a35f68"));
+
+  snprintf (wanted, sizeof wanted, "{\"addresses\":[\"%s:%d\"],", ip (EDGE),
+            PORT_FRONT);
+  r = call (0, PORT_DIRECTORY, "/resolve?name=h.example&region=a", NULL);
+  CU_ASSERT_EQUAL (r.status, 200);
+  CU_ASSERT (HAS_TEXT (r.body, wanted));
+
+  call_control ("/Evacuate.Start/a-1", "", 200);
+  wait_for (PORT_FRONT, "/p/x", 503);
+  call_control ("/Evacuate.End/a-1", "", 200);
+  wait_for (PORT_FRONT, "/p/x", 200);
+
+  /* A member that loses its storage comes back as another one.  */
+  kill (process[2], SIGKILL);
+  waitpid (process[2], NULL, 0);
+  char command[256];
+  snprintf (command, sizeof command, "%s/data-2", folder);
+  CU_ASSERT_EQUAL (rename (command, strcat (strcpy (wanted, folder), "/old")),
+                   0);
+  write_settings (2, false);
+  start (2);
+  usleep (300000);
+  CU_ASSERT_STRING_EQUAL (call_control ("/Config.Get", NULL, 200).body,
+                          document);
+
+  report ("draining", 2);
+  unsigned before = stub.served;
+  CU_ASSERT_EQUAL (call (EDGE, PORT_FRONT, "/p/x", NULL).status, 503);
+  CU_ASSERT_EQUAL (stub.served, before);
+  report ("ready", 3);
+  wait_for (PORT_FRONT, "/p/x", 200);
+}
+
+/* Guards against a planned stop that ends requests in progress.  */
+static void
+test_stop (void)
+{
+  ev_timer release;
+
+  /* The request is answered 1 s after the stop begins.  */
+  stub.hold = true;
+  pid_t caller = fork ();
+  CU_ASSERT_FATAL (caller >= 0);
+  if (caller == 0)
+    _exit (call (EDGE, PORT_FRONT, "/p/slow", NULL).status == 200 ? 0 : 1);
+  zp_time end = zp_clock_mono () + PATIENCE;
+  while (!stub.held && zp_clock_mono () < end)
+    usleep (10000);
+  CU_ASSERT_PTR_NOT_NULL (stub.held);
+  kill (process[EDGE], SIGTERM);
+  usleep (100000);
+  CU_ASSERT_EQUAL (call (EDGE, PORT_READY, "/ready", NULL).status, 503);
+  tk_loop_stop (&stub.loop);
+  tk_loop_join (&stub.loop);
+  ev_timer_init (&release, on_release, 0.9, 0.0);
+  release.data = &stub;
+  ev_timer_start (stub.loop.ev, &release);
+  stub.hold = false;
+  tk_loop_start (&stub.loop);
+  int status = -1;
+  waitpid (caller, &status, 0);
+  CU_ASSERT (WIFEXITED (status) && WEXITSTATUS (status) == 0);
+  CU_ASSERT_EQUAL (stop (EDGE), 0);
+  for (int i = 0; i < CORES; i++)
+    CU_ASSERT_EQUAL (stop (i), 0);
+  close_stub ();
+}
+
+static const struct zp_test tests[]
+    = { { "a day", test_day }, { "a planned stop", test_stop } };
+
+static void
+end_processes (void)
+{
+  for (int i = 0; i < PROCESSES; i++)
+    if (process[i] > 0)
+      kill (process[i], SIGKILL);
+}
+
+int
+main (int argc, char **argv)
+{
+  char path[512];
+
+  (void) argc;
+  snprintf (path, sizeof path, "%s", argv[0]);
+  snprintf (programs, sizeof programs, "%s/..", dirname (path));
+  strcpy (folder, "/tmp/test-platform-XXXXXX");
+  if (!mkdtemp (folder))
+    return 1;
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  CU_initialize_registry ();
+  CU_pSuite suite = CU_add_suite ("platform-day", NULL, NULL);
+  for (size_t i = 0; i < sizeof tests / sizeof tests[0]; i++)
+    CU_add_test (suite, tests[i].name, tests[i].run);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  unsigned failed = CU_get_number_of_failures ();
+  unsigned ran = CU_get_number_of_tests_run ();
+  CU_cleanup_registry ();
+  end_processes ();
+  if (failed > 0)
+    printf ("the logs are in %s\n", folder);
+  return failed == 0 && ran > 0 ? 0 : 1;
+}
--- /dev/null
+++ b/tests/test-platform-document.c
@@ -0,0 +1,148 @@
+#include "harness.h"
+
+#include "platform.h"
+
+/* A configuration with two routes, as the platform's pages lay it out.  */
+static const char good[]
+    = "{\"version\":7,\"limits\":{\"maxHeaderBytes\":16384,"
+      "\"idleTimeout\":\"15000ms\"},\"listeners\":[{\"host\":\"jepu9.example\","
+      "\"routingRules\":[{\"name\":\"r-1\",\"type\":\"unsafe\",\"slo\":"
+      "\"400ms\",\"priority\":1,\"sticky\":true,\"match\":{\"pathPrefix\":"
+      "\"/puka/\"},\"action\":{\"service\":\"wuno\",\"timeout\":\"1500ms\","
+      "\"attempts\":2,\"homeRegions\":[\"sofia\"]}}]},{\"host\":"
+      "\"hulo84.example\",\"routingRules\":[{\"name\":\"r-2\",\"type\":"
+      "\"safe\",\"match\":{\"pathPrefix\":\"/leny/\"},\"action\":{"
+      "\"trafficSplit\":[{\"service\":\"huvo\",\"weight\":90},{\"service\":"
+      "\"wuno\",\"weight\":10}],\"timeout\":\"1.2s\",\"attempts\":3}}]}],"
+      "\"clusters\":[{\"name\":\"huvo\",\"healthPath\":\"/health\","
+      "\"maxConns\":360,\"warmup\":\"3s\",\"warmupPerS\":13.0},{\"name\":"
+      "\"wuno\"}],\"unknown\":[1]}";
+
+static void
+test_fields (void)
+{
+  struct zp_err err = { .text = "" };
+  struct si_site *s = pf_document_decode (zp_str_from (good), &err);
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  CU_ASSERT_EQUAL (s->number, 7);
+  CU_ASSERT_EQUAL (s->idle_timeout, 15 * ZP_SEC);
+  const struct si_route *r
+      = si_site_route (s, ZP_STR ("jepu9.example"), ZP_STR ("/puka/x"));
+  CU_ASSERT_PTR_NOT_NULL_FATAL (r);
+  CU_ASSERT_EQUAL (r->class, SI_ONCE);
+  CU_ASSERT_EQUAL (r->timeout, 1500 * ZP_MS);
+  CU_ASSERT_EQUAL (r->objective, 400 * ZP_MS);
+  CU_ASSERT_EQUAL (r->priority, 1);
+  CU_ASSERT_EQUAL (r->attempts, 2);
+  CU_ASSERT (r->sticky);
+  CU_ASSERT_EQUAL (r->homes, 1);
+  CU_ASSERT_EQUAL (r->parts, 1);
+  r = si_site_route (s, ZP_STR ("hulo84.example"), ZP_STR ("/leny/"));
+  CU_ASSERT_PTR_NOT_NULL_FATAL (r);
+  CU_ASSERT_EQUAL (r->class, SI_IDEMPOTENT);
+  CU_ASSERT_EQUAL (r->objective, 0);
+  CU_ASSERT (!r->sticky);
+  CU_ASSERT_EQUAL (r->parts, 2);
+  CU_ASSERT_EQUAL (r->part[0].weight, 90);
+  const struct si_service *v = si_site_service (s, ZP_STR ("huvo"));
+  CU_ASSERT_PTR_NOT_NULL_FATAL (v);
+  CU_ASSERT_EQUAL (v->connections, 360);
+  CU_ASSERT_EQUAL (v->warmup, 3 * ZP_SEC);
+  CU_ASSERT_DOUBLE_EQUAL (v->warmup_per_s, 13.0, 0.001);
+  si_site_free (s);
+}
+
+/* Replaces the first FROM of the good document by TO and decodes it.  */
+static bool
+decodes (const char *from, const char *to)
+{
+  char text[sizeof good + 256];
+  const char *at = strstr (good, from);
+  struct zp_err err = { .text = "" };
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (at);
+  snprintf (text, sizeof text, "%.*s%s%s", (int) (at - good), good, to,
+            at + strlen (from));
+  struct si_site *s = pf_document_decode (zp_str_from (text), &err);
+  if (!s)
+    CU_ASSERT (err.text[0] != '\0');
+  bool ok = s != NULL;
+  si_site_free (s);
+  return ok;
+}
+
+/* Guards against content that breaks a rule and comes into force.  */
+static void
+test_invalid (void)
+{
+  static const char *const bad[][2] = {
+    { "\"service\":\"wuno\"", "\"service\":\"nope\"" },
+    { "\"/puka/\"", "\"puka/\"" },
+    { "\"jepu9.example\"", "\"\"" },
+    { "\"host\":\"jepu9.example\",", "" },
+    { "\"version\":7", "\"version\":\"7\"" },
+    { "\"version\":7,", "" },
+    { "\"version\":7", "\"version\":-1" },
+    { "\"timeout\":\"1500ms\",", "" },
+    { "\"timeout\":\"1500ms\"", "\"timeout\":1500" },
+    { "\"timeout\":\"1500ms\"", "\"timeout\":\"soon\"" },
+    { "\"attempts\":2", "\"attempts\":\"2\"" },
+    { "\"weight\":90", "\"weights\":90" },
+    { "\"weight\":90", "\"weight\":-90" },
+    { "\"type\":\"unsafe\",", "" },
+    { "\"match\":{\"pathPrefix\":\"/puka/\"}", "\"match\":[]" },
+    { "\"homeRegions\":[\"sofia\"]", "\"homeRegions\":[4]" },
+    { "\"routingRules\":[{", "\"routingRules\":[7,{" },
+    { "\"clusters\":[", "\"clusters\":[{}," },
+    { "\"name\":\"wuno\"", "\"name\":\"huvo\"" },
+    { "\"listeners\":[", "\"listener\":[" },
+    { "\"unknown\":[1]}", "\"unknown\":[1]" },
+    { "\"unknown\":[1]}", "\"unknown\":[1]}}" },
+  };
+
+  CU_ASSERT (decodes ("\"unknown\":[1]", "\"unknown\":{}"));
+  CU_ASSERT (decodes ("\"homeRegions\":[\"sofia\"]", "\"homeRegions\":[]"));
+  for (size_t i = 0; i < sizeof bad / sizeof bad[0]; i++)
+    if (decodes (bad[i][0], bad[i][1]))
+      {
+        printf ("taken: %s\n", bad[i][1]);
+        CU_FAIL ("invalid content was taken");
+      }
+}
+
+/* Guards against a body that was cut short.  */
+static void
+test_cut (void)
+{
+  for (size_t n = 0; n + 1 < sizeof good; n++)
+    {
+      struct zp_str cut = { .ptr = good, .len = n };
+      CU_ASSERT_PTR_NULL (pf_document_decode (cut, NULL));
+    }
+}
+
+/* Guards against a request that is repeated because its kind is not known.  */
+static void
+test_unknown_kind (void)
+{
+  char text[sizeof good + 16];
+  const char *at = strstr (good, "\"safe\"");
+
+  snprintf (text, sizeof text, "%.*s\"keyed\"%s", (int) (at - good), good,
+            at + strlen ("\"safe\""));
+  struct si_site *s = pf_document_decode (zp_str_from (text), NULL);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  CU_ASSERT_EQUAL (
+      si_site_route (s, ZP_STR ("hulo84.example"), ZP_STR ("/leny/"))->class,
+      SI_ONCE);
+  si_site_free (s);
+}
+
+static const struct zp_test tests[]
+    = { { "fields", test_fields },
+        { "invalid content", test_invalid },
+        { "cut short", test_cut },
+        { "a kind that is not known", test_unknown_kind } };
+
+TEST_MAIN ("platform-document", tests)
