Pass on reports that change nothing, and refuse at once without a server

Cause: a server that reports to two control daemons by turns was taken for gone at entry daemons when one of them had not heard of it for four periods, because newer reports that changed nothing were not passed on. A request whose service has no server at all waited for its patience; it is refused at once now.

--- a/src/gate/dispatch.c
+++ b/src/gate/dispatch.c
@@ -212,8 +212,17 @@
   gt_request_refuse (g, q, reason, true);
 }
 
-/* No server can take Q now: all are cold and have their part, are ejected or
-   tried.  It waits for as long as it could for a slot.  */
+static bool
+any_eligible (const struct gt_gate *g, const struct gt_request *q)
+{
+  for (size_t i = 0; i < g->servers; i++)
+    if (gt_server_eligible (g, g->server[i], q))
+      return true;
+  return false;
+}
+
+/* No server can take Q now: those that could are cold and have their part, or
+   are ejected.  It waits for as long as it could for a slot.  */
 static void
 enqueue (struct gt_gate *g, struct gt_request *q, zp_time now)
 {
@@ -274,7 +283,10 @@
         gt_request_refuse (g, q, "no-capacity-in-time", true);
       return;
     case ST_POOL_NONE:
-      enqueue (g, q, now);
+      if (any_eligible (g, q))
+        enqueue (g, q, now);
+      else
+        gt_request_refuse (g, q, "no-server", true);
       return;
     }
 }
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -174,6 +174,10 @@
 void gt_server_connected (struct gt_gate *g, struct gt_server *s, zp_time way);
 bool gt_server_usable (const struct gt_gate *g, const struct gt_server *s,
                        const struct gt_request *q, zp_time now);
+/* Whether S could get Q soon: it is not, like gt_server_usable, asked whether it
+   may get it now.  */
+bool gt_server_eligible (const struct gt_gate *g, const struct gt_server *s,
+                         const struct gt_request *q);
 double gt_server_cold_rate (const struct gt_server *s);
 bool gt_server_is_cold (const struct gt_server *s, zp_time now);
 
--- a/src/gate/servers.c
+++ b/src/gate/servers.c
@@ -237,13 +237,20 @@
   return false;
 }
 
+bool
+gt_server_eligible (const struct gt_gate *g, const struct gt_server *s,
+                    const struct gt_request *q)
+{
+  return s->service == q->service && s->report.state == TK_SERVER_READY
+         && s->report.slots > 0 && !tried (q, s->hash) && at_home (g, q, s)
+         && !gt_config_evacuated (g, s->report.failure_domain);
+}
+
 bool
 gt_server_usable (const struct gt_gate *g, const struct gt_server *s,
                   const struct gt_request *q, zp_time now)
 {
-  if (s->service != q->service || s->report.state != TK_SERVER_READY
-      || s->report.slots == 0 || tried (q, s->hash) || !at_home (g, q, s)
-      || gt_config_evacuated (g, s->report.failure_domain))
+  if (!gt_server_eligible (g, s, q))
     return false;
   if (gt_server_is_cold (s, now)
       && !st_pace_open (&s->pace, gt_server_cold_rate (s), g->daemons, now))
--- a/src/roster/codec.c
+++ b/src/roster/codec.c
@@ -59,14 +59,17 @@
 {
   wire__roster_server__init (w);
   w->id = text (s->id);
+  w->born_ms = s->born_ms;
+  w->seq = s->seq;
+  w->same = s->same;
+  if (s->same)
+    return;
   w->service = text (s->service);
   w->address = text (s->address);
   w->failure_domain = text (s->failure_domain);
   w->slots = s->slots;
   w->state = (uint32_t) s->state;
   w->cold_us = s->cold > 0 ? (uint64_t) s->cold : 0;
-  w->born_ms = s->born_ms;
-  w->seq = s->seq;
   w->expired = s->expired;
 }
 
@@ -107,7 +110,8 @@
                            .cold = (zp_time) w->cold_us,
                            .born_ms = w->born_ms,
                            .seq = w->seq,
-                           .expired = w->expired };
+                           .expired = w->expired,
+                           .same = w->same };
   return w->state <= TK_SERVER_GONE && w->cold_us < (uint64_t) ZP_NEVER / 2
          && zp_str_copy (s->id, sizeof s->id, wi_view (w->id))
          && zp_str_copy (s->service, sizeof s->service, wi_view (w->service))
--- a/src/roster/source.c
+++ b/src/roster/source.c
@@ -20,9 +20,10 @@
    be lost once, and its repetition goes to another daemon.  */
 #define MISSED_REPORTS 4
 
-/* A server whose last report here is older than this many periods has reported
-   to another daemon meanwhile; entry daemons are told again.  */
-#define RETURN_PERIODS 2
+/* Reports that change nothing are passed on once in this many periods.  An
+   entry daemon has to know a newer report of a server that reports here before
+   another control daemon, to which it reported earlier, takes it for gone.  */
+#define REPEAT_PERIODS 2
 
 #define TICK (100 * ZP_MS)
 
@@ -143,9 +144,11 @@
   for (size_t i = 0; i < s->table.len; i++)
     {
       const struct ro_server *x = &s->table.item[i];
-      if (x->number <= l->sent || l->daemon.kind != TK_DAEMON_ENTRY)
+      if ((x->number <= l->sent && x->repeat <= l->sent)
+          || l->daemon.kind != TK_DAEMON_ENTRY)
         continue;
       list[u.servers] = x->report;
+      list[u.servers].same = x->number <= l->sent;
       list[u.servers++].cold = x->cold_until > now ? x->cold_until - now : 0;
     }
   u.server = list;
@@ -208,8 +211,6 @@
 take_server (struct ro_source *s, const struct tk_server *report)
 {
   zp_time now = zp_clock_mono ();
-  struct ro_server *known = ro_table_find (&s->table, zp_str_from (report->id));
-  zp_time heard = known ? known->heard : 0;
   struct ro_server *x, *followed;
   enum ro_taken taken
       = ro_table_take (&s->table, report, now, &x, &followed);
@@ -223,10 +224,11 @@
                 report->id, RO_SERVERS_MAX);
       break;
     case RO_SAME:
-      if (now - heard <= RETURN_PERIODS * s->period)
+      if (now - x->repeated < REPEAT_PERIODS * s->period)
         break;
-      changed (s);
-      x->number = s->number;
+      /* It goes out with the next tick, together with others.  */
+      x->repeat = ++s->number;
+      x->repeated = now;
       break;
     case RO_CHANGED:
     case RO_STARTED:
@@ -236,6 +238,7 @@
               (int) report->state, (long long) (report->cold / ZP_MS));
       changed (s);
       x->number = s->number;
+      x->repeated = now;
       if (followed)
         followed->number = s->number;
       break;
@@ -408,9 +411,9 @@
   if (entries != s->entries)
     {
       s->entries = entries;
-      changed (s);
+      s->number++;
     }
-  settle (s);
+  send_changes (s);
 }
 
 /* Messages.  */
--- a/src/roster/table.c
+++ b/src/roster/table.c
@@ -68,6 +68,22 @@
   return x;
 }
 
+/* Takes a report that says that nothing has changed.  It brings back a server
+   that was taken for silent.  */
+static enum ro_taken
+take_same (struct ro_server *x, const struct tk_server *s, zp_time now)
+{
+  if (leaves (&x->report) || s->born_ms != x->report.born_ms)
+    return RO_OLD;
+  x->report.seq = s->seq;
+  x->heard = now;
+  if (!x->report.expired)
+    return RO_SAME;
+  x->report.expired = false;
+  x->report.state = x->said;
+  return RO_CHANGED;
+}
+
 enum ro_taken
 ro_table_take (struct ro_table *t, const struct tk_server *s, zp_time now,
                struct ro_server **at, struct ro_server **followed)
@@ -80,6 +96,11 @@
     *followed = NULL;
   if (x && older (s, &x->report))
     return RO_OLD;
+  if (s->same)
+    {
+      *at = x;
+      return x ? take_same (x, s, now) : RO_OLD;
+    }
   if (x && leaves (s))
     {
       x->report.state = TK_SERVER_GONE;
@@ -122,6 +143,8 @@
         *followed = &t->item[place];
     }
   x->report = *s;
+  if (!s->expired)
+    x->said = s->state;
   x->cold_until = s->cold > 0 ? now + s->cold : 0;
   x->heard = now;
   *at = x;
--- a/src/roster/table.h
+++ b/src/roster/table.h
@@ -37,9 +37,12 @@
 struct ro_server
 {
   struct tk_server report; /* the newest one */
+  enum tk_server_state said; /* by the server itself */
   zp_time cold_until;
   zp_time heard; /* when a report arrived that was not old */
   uint64_t number; /* of the last change, for the owner of the table */
+  uint64_t repeat; /* of the last report that changed nothing, likewise */
+  zp_time repeated; /* when it was passed on */
 };
 
 struct ro_table
--- a/src/task/msg.h
+++ b/src/task/msg.h
@@ -232,6 +232,7 @@
   uint64_t born_ms; /* wall clock of the server, in ms since 1970 */
   uint64_t seq;
   bool expired;    /* gone because it was silent: a newer report brings it back */
+  bool same; /* only ID, BORN and SEQ are set: the rest is as before */
   uint64_t ticket; /* not 0: answered by TK_SERVER_SETTLED */
 };
 
--- a/src/wire/roster.pb-c.c
+++ b/src/wire/roster.pb-c.c
@@ -342,7 +342,7 @@
   (ProtobufCMessageInit) wire__roster_hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__roster_server__field_descriptors[10] =
+static const ProtobufCFieldDescriptor wire__roster_server__field_descriptors[11] =
 {
   {
     "id",
@@ -464,6 +464,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "same",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RosterServer, same),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__roster_server__field_indices_by_name[] = {
   2,   /* field[2] = address */
@@ -472,6 +484,7 @@
   9,   /* field[9] = expired */
   3,   /* field[3] = failure_domain */
   0,   /* field[0] = id */
+  10,   /* field[10] = same */
   8,   /* field[8] = seq */
   1,   /* field[1] = service */
   4,   /* field[4] = slots */
@@ -480,7 +493,7 @@
 static const ProtobufCIntRange wire__roster_server__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor wire__roster_server__descriptor =
 {
@@ -490,7 +503,7 @@
   "Wire__RosterServer",
   "wire",
   sizeof(Wire__RosterServer),
-  10,
+  11,
   wire__roster_server__field_descriptors,
   wire__roster_server__field_indices_by_name,
   1,  wire__roster_server__number_ranges,
--- a/src/wire/roster.pb-c.h
+++ b/src/wire/roster.pb-c.h
@@ -83,10 +83,14 @@
    * gone because it was silent
    */
   protobuf_c_boolean expired;
+  /*
+   * only id, born_ms and seq are set: the rest is as before
+   */
+  protobuf_c_boolean same;
 };
 #define WIRE__ROSTER_SERVER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__roster_server__descriptor) \
-    , {0,NULL}, {0,NULL}, {0,NULL}, {0,NULL}, 0, 0, 0, 0, 0, 0 }
+    , {0,NULL}, {0,NULL}, {0,NULL}, {0,NULL}, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/tests/test-platform-day.c
+++ b/tests/test-platform-day.c
@@ -31,6 +31,7 @@
 static char folder[64];
 static char programs[512]; /* folder of the programs */
 static pid_t process[PROCESSES];
+static unsigned pid; /* of the test; its children use the same addresses */
 
 /* The address of machine AT; different test runs use different ones.  */
 static const char *
@@ -38,7 +39,6 @@
 {
   static char text[8][32];
   static int turn;
-  unsigned pid = (unsigned) getpid ();
   char *out = text[turn++ % 8];
 
   snprintf (out, sizeof text[0], "127.%u.%u.%d", 128 + (pid >> 8) % 64,
@@ -418,7 +418,10 @@
 
   report ("draining", 2);
   unsigned before = stub.served;
+  zp_time asked = zp_clock_mono ();
   CU_ASSERT_EQUAL (call (EDGE, PORT_FRONT, "/p/x", NULL).status, 503);
+  /* Nothing can serve it, so it is refused at once.  */
+  CU_ASSERT (zp_clock_mono () - asked < 500 * ZP_MS);
   CU_ASSERT_EQUAL (stub.served, before);
   report ("ready", 3);
   wait_for (PORT_FRONT, "/p/x", 200);
@@ -430,6 +433,8 @@
 {
   ev_timer release;
 
+  /* Servers that do not report are forgotten after 6 s.  */
+  report ("ready", 4);
   /* The request is answered 1 s after the stop begins.  */
   stub.hold = true;
   pid_t caller = fork ();
@@ -476,6 +481,7 @@
   char path[512];
 
   (void) argc;
+  pid = (unsigned) getpid ();
   snprintf (path, sizeof path, "%s", argv[0]);
   snprintf (programs, sizeof programs, "%s/..", dirname (path));
   strcpy (folder, "/tmp/test-platform-XXXXXX");
--- a/tests/test-roster-table.c
+++ b/tests/test-roster-table.c
@@ -149,6 +149,44 @@
   ro_table_free (&table);
 }
 
+/* Guards against a server that reports to two control daemons by turns, and is
+   taken for gone when one of them has not heard of it for a while: a report
+   that changes nothing counts as newer, and brings a silent server back.  */
+static void
+test_same (void)
+{
+  struct tk_server draining = report ("a", "10.0.0.1:80", 1000, 3);
+  struct tk_server same
+      = { .id = "a", .born_ms = 1000, .seq = 5, .same = true };
+  struct tk_server silent = report ("a", "10.0.0.1:80", 1000, 4);
+
+  CU_ASSERT_EQUAL (take (same, 1), RO_OLD);
+  draining.state = TK_SERVER_DRAINING;
+  take (draining, 1);
+  CU_ASSERT_EQUAL (take (same, 2), RO_SAME);
+  silent.state = TK_SERVER_GONE;
+  silent.expired = true;
+  CU_ASSERT_EQUAL (take (silent, 3), RO_OLD);
+  CU_ASSERT_EQUAL (state_of ("a"), TK_SERVER_DRAINING);
+  silent.seq = 5;
+  CU_ASSERT_EQUAL (take (silent, 4), RO_CHANGED);
+  CU_ASSERT_EQUAL (state_of ("a"), TK_SERVER_GONE);
+  same.seq = 6;
+  CU_ASSERT_EQUAL (take (same, 5), RO_CHANGED);
+  CU_ASSERT_EQUAL (state_of ("a"), TK_SERVER_DRAINING);
+
+  /* It says nothing of another start, and none that leaves comes back.  */
+  same.seq = 7;
+  same.born_ms = 2000;
+  CU_ASSERT_EQUAL (take (same, 6), RO_OLD);
+  struct tk_server gone = { .state = TK_SERVER_GONE, .id = "a" };
+  take (gone, 7);
+  same.born_ms = 1000;
+  CU_ASSERT_EQUAL (take (same, 8), RO_OLD);
+  CU_ASSERT_EQUAL (state_of ("a"), TK_SERVER_GONE);
+  ro_table_free (&table);
+}
+
 /* Guards against a server that becomes cold again unnoticed.  */
 static void
 test_cold_again (void)
@@ -172,6 +210,7 @@
         { "an address that is used again", test_reused_address },
         { "a server that leaves", test_leave },
         { "silent servers", test_silence },
+        { "a report that changes nothing", test_same },
         { "cold again", test_cold_again } };
 
 TEST_MAIN ("roster-table", tests)
