--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -181,9 +181,8 @@
       return read_list (s, v, (struct zp_strs *) (void *) out);
     case ZP_SETTING_DURATION:
       return json_object_is_type (v, json_type_string)
-             && zp_duration_parse (
-                 zp_str_from (json_object_get_string (v)),
-                 (zp_time *) (void *) out);
+             && zp_duration_parse (zp_str_from (json_object_get_string (v)),
+                                   (zp_time *) (void *) out);
     case ZP_SETTING_REAL:
       if (!json_object_is_type (v, json_type_int)
           && !json_object_is_type (v, json_type_double))
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -19,10 +19,10 @@
 
 enum zp_setting_kind
 {
-  ZP_SETTING_TEXT, /* struct zp_str */
-  ZP_SETTING_INT,  /* int64_t, MIN to MAX */
-  ZP_SETTING_BOOL, /* bool */
-  ZP_SETTING_LIST, /* struct zp_strs, of text */
+  ZP_SETTING_TEXT,     /* struct zp_str */
+  ZP_SETTING_INT,      /* int64_t, MIN to MAX */
+  ZP_SETTING_BOOL,     /* bool */
+  ZP_SETTING_LIST,     /* struct zp_strs, of text */
   ZP_SETTING_DURATION, /* zp_time, from text such as "250ms" or "2.5s" */
   ZP_SETTING_REAL,     /* double, MIN to MAX */
 };
--- a/src/control/call.h
+++ b/src/control/call.h
@@ -1,5 +1,6 @@
 /* NAME
-     call - the calls of operators and backend servers, apart from their encoding
+     call - the calls of operators and backend servers, apart from their
+   encoding
 
    DESCRIPTION
      A control daemon can speak another interface than the product's own one.
@@ -61,8 +62,8 @@
 enum ct_reply_kind
 {
   CT_REPLY_DONE,
-  CT_REPLY_BAD,         /* the call will never be accepted */
-  CT_REPLY_UNKNOWN,     /* no such call, or nothing to read yet */
+  CT_REPLY_BAD,     /* the call will never be accepted */
+  CT_REPLY_UNKNOWN, /* no such call, or nothing to read yet */
   CT_REPLY_DOCUMENT,
   CT_REPLY_ENTRIES,
   CT_REPLY_METRICS,
@@ -91,8 +92,8 @@
 {
   const struct fr_names *names;
   void (*decode) (const struct tk_http_request *r, struct ct_call *out);
-  void (*encode) (const struct tk_http_request *r, const struct ct_reply *reply,
-                  struct tk_http_answer *out);
+  void (*encode) (const struct tk_http_request *r,
+                  const struct ct_reply *reply, struct tk_http_answer *out);
 };
 
 #endif
--- a/src/control/calls.c
+++ b/src/control/calls.c
@@ -77,9 +77,7 @@
   const struct ti_document *now = held (v->store);
 
   /* Nothing is in force yet: the caller may ask again.  */
-  if (!now)
-    reply (out, CT_REPLY_UNAVAILABLE);
-  else if (!ti_blob_unpack (&now->body, &out->document, CT_DOCUMENT_MAX))
+  if (!now || !ti_blob_unpack (&now->body, &out->document, CT_DOCUMENT_MAX))
     reply (out, CT_REPLY_UNAVAILABLE);
   else
     reply (out, CT_REPLY_DOCUMENT)->u.document = zp_str_of (&out->document);
@@ -98,9 +96,9 @@
       reply (out, CT_REPLY_DONE);
       return;
     }
-  c.u.evacuate = (struct ti_evacuate_command){
-    .failure_domain = e->failure_domain, .on = e->on
-  };
+  c.u.evacuate
+      = (struct ti_evacuate_command){ .failure_domain = e->failure_domain,
+                                      .on = e->on };
   propose (&c, out);
 }
 
--- a/src/control/calls.h
+++ b/src/control/calls.h
@@ -52,8 +52,8 @@
 };
 
 /* The caller releases OUT's document and command.  */
-void ct_calls_decide (const struct ct_call *call, const struct ct_calls_view *v,
-                      struct ct_step *out);
+void ct_calls_decide (const struct ct_call *call,
+                      const struct ct_calls_view *v, struct ct_step *out);
 
 /* Whether a report of a server may be acknowledged only when no entry daemon
    will send it new work for much longer.  */
--- a/src/control/control.c
+++ b/src/control/control.c
@@ -37,7 +37,7 @@
   struct ti_store *store;
   struct ct_replica *replica;
   struct fr_server *front;
-  struct fr_server *directory; /* NULL: none */
+  struct fr_server *directory;          /* NULL: none */
   const struct ct_interface *interface; /* NULL: the product's own */
   struct ct_roster roster;
   struct fo_source *source; /* NULL: no "follow" in the settings */
--- a/src/control/identity.c
+++ b/src/control/identity.c
@@ -26,7 +26,8 @@
   struct in_addr a;
 
   zp_str_split (address, ':', &host, &port);
-  if (!zp_str_copy (text, sizeof text, host) || inet_pton (AF_INET, text, &a) != 1)
+  if (!zp_str_copy (text, sizeof text, host)
+      || inet_pton (AF_INET, text, &a) != 1)
     return 0;
   return ntohl (a.s_addr);
 }
--- a/src/control/join.c
+++ b/src/control/join.c
@@ -180,9 +180,8 @@
                 const struct ct_join_self *self, zp_time now,
                 struct lg_change *out)
 {
-  const struct view v = {
-    .members = members, .daemons = daemons, .self = self, .now = now
-  };
+  const struct view v
+      = { .members = members, .daemons = daemons, .self = self, .now = now };
 
   return wiped (&v, out) || newcomer (&v, out) || promotion (&v, out)
          || lost_voter (&v, out) || lost_learner (&v, out);
--- a/src/control/roster.c
+++ b/src/control/roster.c
@@ -21,17 +21,17 @@
 
   while (n > 0 && address.ptr[n - 1] != ':')
     n--;
-  zp_str_u64 ((struct zp_str){ .ptr = address.ptr + n, .len = address.len - n },
-              &port);
+  zp_str_u64 (
+      (struct zp_str){ .ptr = address.ptr + n, .len = address.len - n },
+      &port);
   return (unsigned) port;
 }
 
 static struct tk_daemon
 self_of (const struct ct_settings *s)
 {
-  struct tk_daemon d = { .kind = TK_DAEMON_CONTROL,
-                         .id = (uint64_t) s->id,
-                         .ready = true };
+  struct tk_daemon d
+      = { .kind = TK_DAEMON_CONTROL, .id = (uint64_t) s->id, .ready = true };
 
   zp_str_copy (d.name, sizeof d.name, s->name);
   zp_str_copy (d.address, sizeof d.address, s->http);
@@ -93,11 +93,10 @@
       r->wait_cap = r->wait_cap > 0 ? 2 * r->wait_cap : 16;
       r->wait = zp_realloc (r->wait, r->wait_cap * sizeof *r->wait);
     }
-  r->wait[r->waits++]
-      = (struct ct_report_wait){ .ticket = ++r->tickets,
-                                 .http = q->id,
-                                 .from = q->from,
-                                 .arrived = zp_clock_mono () };
+  r->wait[r->waits++] = (struct ct_report_wait){ .ticket = ++r->tickets,
+                                                 .http = q->id,
+                                                 .from = q->from,
+                                                 .arrived = zp_clock_mono () };
   return r->tickets;
 }
 
--- a/src/control/roster.h
+++ b/src/control/roster.h
@@ -40,7 +40,7 @@
   struct ct_report_wait *wait;
   size_t waits, wait_cap;
   uint64_t tickets;
-  zp_time led_since; /* 0: this member does not lead */
+  zp_time led_since;      /* 0: this member does not lead */
   struct zp_buf controls; /* as last told to the source */
 };
 
--- a/src/control/settings.c
+++ b/src/control/settings.c
@@ -1,5 +1,6 @@
 #include "control/settings.h"
 
+#include <assert.h>
 #include <inttypes.h>
 #include <stdio.h>
 
@@ -139,6 +140,7 @@
 check_seeds (const struct ct_settings *s, const char *path,
              struct zp_report *report)
 {
+  assert (s->seeds.item);
   for (size_t i = 0; i < s->seeds.len; i++)
     wi_address_check (s->seeds.item[i], path, "seeds", report);
   check_address (s->roster, path, "ip", report);
@@ -185,7 +187,7 @@
     }
   check_missing (s->id == 0, path, "id", report);
   check_missing (s->members.item == NULL, path, "members", report);
-  if (report->count > 0)
+  if (report->count > 0 || !s->members.item)
     return false;
   for (size_t i = 0; i < s->members.len; i++)
     read_member (s, path, s->members.item[i], report);
--- a/src/control/waiting.h
+++ b/src/control/waiting.h
@@ -16,9 +16,9 @@
 struct ct_waiting
 {
   uint64_t proposal;
-  uint64_t http;  /* id of the request */
+  uint64_t http;        /* id of the request */
   struct tk_task *from; /* the front task that takes the answer */
-  uint64_t index; /* 0: not in the log yet */
+  uint64_t index;       /* 0: not in the log yet */
   struct zp_buf path, query;
   struct tk_msg *answer; /* NULL: not applied yet */
 };
--- a/src/follow/follower.c
+++ b/src/follow/follower.c
@@ -338,8 +338,8 @@
       zp_str_split (rest, '\n', &line, &rest);
       if (line.len == 0)
         continue;
-      f->sources = zp_realloc (f->sources, (f->source_count + 1)
-                                               * sizeof *f->sources);
+      f->sources = zp_realloc (f->sources,
+                               (f->source_count + 1) * sizeof *f->sources);
       if (zp_str_eq (line, zp_str_of (&used)))
         f->source = f->source_count;
       f->sources[f->source_count++] = zp_buf_from (line);
--- a/src/forward/client.c
+++ b/src/forward/client.c
@@ -16,8 +16,9 @@
 
 #define PART "forward"
 
-/* Idle connections that are kept, to all backend servers together: one for each
-   slot of 270 servers with 6 slots, and below the usual limit of descriptors.  */
+/* Idle connections that are kept, to all backend servers together: one for
+   each slot of 270 servers with 6 slots, and below the usual limit of
+   descriptors.  */
 #define IDLE_CONNECTIONS 1620L
 
 /* One socket of libcurl in the event loop.  */
@@ -320,7 +321,8 @@
 }
 
 /* A connection on which sent bytes stay unacknowledged, or probes of an idle
-   one unanswered, is lost; the request ends then instead of at its deadline. */
+   one unanswered, is lost; the request ends then instead of at its deadline.
+ */
 static int
 on_socket_open (void *self, curl_socket_t fd, curlsocktype purpose)
 {
@@ -362,9 +364,9 @@
   curl_easy_setopt (e, CURLOPT_HTTP_VERSION, (long) CURL_HTTP_VERSION_1_1);
   curl_easy_setopt (e, CURLOPT_TIMEOUT_MS, milliseconds (left));
   curl_easy_setopt (e, CURLOPT_CONNECTTIMEOUT_MS, milliseconds (connect));
-  curl_easy_setopt (e, CURLOPT_MAXAGE_CONN,
-                    (long) ((f->idle_max > 0 ? f->idle_max : ZP_CONN_IDLE_MAX)
-                            / ZP_SEC));
+  curl_easy_setopt (
+      e, CURLOPT_MAXAGE_CONN,
+      (long) ((f->idle_max > 0 ? f->idle_max : ZP_CONN_IDLE_MAX) / ZP_SEC));
   curl_easy_setopt (e, CURLOPT_MAXLIFETIME_CONN,
                     (long) (ZP_CONN_AGE_MAX / ZP_SEC));
   curl_easy_setopt (e, CURLOPT_FRESH_CONNECT, f->fresh_connection ? 1L : 0L);
--- a/src/front/header.c
+++ b/src/front/header.c
@@ -43,8 +43,8 @@
 {
   if (fr_header_is (name, names->deadline_ms)
       || fr_header_is (name, names->request_id)
-      || fr_header_is (name, names->verdict)
-      || fr_header_is (name, names->key) || fr_header_is (name, names->expect))
+      || fr_header_is (name, names->verdict) || fr_header_is (name, names->key)
+      || fr_header_is (name, names->expect))
     return false;
   for (size_t i = 0; i < sizeof own_headers / sizeof own_headers[0]; i++)
     if (fr_header_is (name, own_headers[i]))
--- a/src/front/server.c
+++ b/src/front/server.c
@@ -484,9 +484,9 @@
       MHD_OPTION_URI_LOG_CALLBACK, on_target, s, MHD_OPTION_NOTIFY_COMPLETED,
       on_completed, s, MHD_OPTION_CONNECTION_LIMIT,
       (unsigned) ZP_CALLER_CONNECTIONS, MHD_OPTION_CONNECTION_TIMEOUT,
-      (unsigned) (o->idle_max / ZP_SEC),
-      MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t) (2 * ZP_HEADERS_MAX),
-      MHD_OPTION_LISTEN_BACKLOG_SIZE, 1024u, MHD_OPTION_END);
+      (unsigned) (o->idle_max / ZP_SEC), MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+      (size_t) (2 * ZP_HEADERS_MAX), MHD_OPTION_LISTEN_BACKLOG_SIZE, 1024u,
+      MHD_OPTION_END);
   const union MHD_DaemonInfo *i
       = s->daemon ? MHD_get_daemon_info (s->daemon, MHD_DAEMON_INFO_EPOLL_FD)
                   : NULL;
--- a/src/front/server.h
+++ b/src/front/server.h
@@ -35,8 +35,8 @@
                                        const struct fr_options *o,
                                        struct zp_err *err);
 
-/* Listens on ADDRESS ("IP:port") with the names and limits of the product's own
-   interface.  */
+/* Listens on ADDRESS ("IP:port") with the names and limits of the product's
+   own interface.  */
 struct fr_server *fr_server_open (struct tk_loop *l, struct zp_str address,
                                   struct tk_task *decider, struct zp_err *err);
 
--- a/src/gate/config.c
+++ b/src/gate/config.c
@@ -42,8 +42,7 @@
   for (size_t i = 0; i < g->services; i++)
     if (zp_str_eq (zp_str_from (g->service[i]->name), name))
       return g->service[i];
-  g->service
-      = zp_realloc (g->service, (g->services + 1) * sizeof (void *));
+  g->service = zp_realloc (g->service, (g->services + 1) * sizeof (void *));
   return g->service[g->services++] = service_new (name);
 }
 
--- a/src/gate/dispatch.c
+++ b/src/gate/dispatch.c
@@ -193,11 +193,12 @@
     st_warm_note (&s->warm, q->object, now);
   s->load.own++;
   s->service->running++;
-  zp_log (ZP_LOG_DEBUG, PART,
-          "request %.*s of %s -> server %s, work %.1f of %u slots, way %lld ms",
-          ZP_ARG (zp_str_of (&q->msg->u.request.request_id)),
-          q->service->name, s->report.id, st_pool_work (&s->load, now),
-          s->load.slots, (long long) (s->domain_way / ZP_MS));
+  zp_log (
+      ZP_LOG_DEBUG, PART,
+      "request %.*s of %s -> server %s, work %.1f of %u slots, way %lld ms",
+      ZP_ARG (zp_str_of (&q->msg->u.request.request_id)), q->service->name,
+      s->report.id, st_pool_work (&s->load, now), s->load.slots,
+      (long long) (s->domain_way / ZP_MS));
   send_forward (g, q, s);
 }
 
@@ -388,9 +389,10 @@
 
   if (t < ZP_MS)
     t = ZP_MS;
-  s->usual = s->answers == 0 ? t
-                             : (zp_time) ((double) s->usual * (1 - USUAL_WEIGHT)
-                                          + (double) t * USUAL_WEIGHT);
+  s->usual = s->answers == 0
+                 ? t
+                 : (zp_time) ((double) s->usual * (1 - USUAL_WEIGHT)
+                              + (double) t * USUAL_WEIGHT);
   s->answers++;
   st_queue_served (s->service->queue, t);
   if (q->object != 0)
@@ -417,8 +419,7 @@
   if (d->load.known)
     st_pool_sample (&s->load, d->load.running, d->load.waiting, s->load.own,
                     now);
-  if (d->end == TK_END_ANSWER && d->status == 421
-      && d->verdict == ZP_NOT_RUN)
+  if (d->end == TK_END_ANSWER && d->status == 421 && d->verdict == ZP_NOT_RUN)
     {
       gt_server_wrong (g, s);
       return;
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -59,7 +59,8 @@
 struct gt_service
 {
   char name[ZP_NAME_MAX];
-  const struct si_service *settings; /* of the site in force; NULL: not in it */
+  const struct si_service
+      *settings; /* of the site in force; NULL: not in it */
   struct st_queue *queue;
   struct st_budget budget;
   struct st_health_group group;
@@ -111,7 +112,8 @@
   unsigned priority, attempts_max;
   zp_time objective;
   uint64_t object; /* hash of what it concerns; 0: not known */
-  struct zp_buf homes; /* regions it may be served in, one a line; empty: all */
+  struct zp_buf
+      homes; /* regions it may be served in, one a line; empty: all */
 
   zp_time arrived, deadline;
   struct st_queue_ref ref;
@@ -174,8 +176,8 @@
 void gt_server_connected (struct gt_gate *g, struct gt_server *s, zp_time way);
 bool gt_server_usable (const struct gt_gate *g, const struct gt_server *s,
                        const struct gt_request *q, zp_time now);
-/* Whether S could get Q soon: it is not, like gt_server_usable, asked whether it
-   may get it now.  */
+/* Whether S could get Q soon: it is not, like gt_server_usable, asked whether
+   it may get it now.  */
 bool gt_server_eligible (const struct gt_gate *g, const struct gt_server *s,
                          const struct gt_request *q);
 double gt_server_cold_rate (const struct gt_server *s);
--- a/src/gate/request.c
+++ b/src/gate/request.c
@@ -161,8 +161,8 @@
   struct zp_str object = zp_str_of (&h->affinity);
 
   q->idempotent = r->class == SI_IDEMPOTENT;
-  q->priority = r->priority < ST_QUEUE_CLASSES ? r->priority
-                                               : ST_QUEUE_CLASSES - 1;
+  q->priority
+      = r->priority < ST_QUEUE_CLASSES ? r->priority : ST_QUEUE_CLASSES - 1;
   q->attempts_max = r->attempts > 0 ? r->attempts : 1;
   q->objective = r->objective;
   if (r->sticky && object.len > 0)
@@ -191,7 +191,8 @@
   if (!(r = find_route (g, h)))
     {
       zp_count (zp_counter ("zp_unknown_requests_total", ""), 1);
-      zp_log (ZP_LOG_INFO, PART, "request %.*s has no route in configuration "
+      zp_log (ZP_LOG_INFO, PART,
+              "request %.*s has no route in configuration "
               "%llu: %.*s%.*s",
               ZP_ARG (zp_str_of (&h->request_id)),
               (unsigned long long) g->site->number,
@@ -215,8 +216,8 @@
   gt_dispatch_admit (g, q);
 }
 
-/* The caller has left: nobody wants the answer, and the server should not spend
-   a slot on it.  */
+/* The caller has left: nobody wants the answer, and the server should not
+   spend a slot on it.  */
 void
 gt_request_gone (struct gt_gate *g, uint64_t http)
 {
--- a/src/gate/servers.c
+++ b/src/gate/servers.c
@@ -117,8 +117,8 @@
 gt_server_take (struct gt_gate *g, const struct tk_server *report)
 {
   struct ro_server *x, *followed;
-  enum ro_taken taken = ro_table_take (&g->table, report, zp_clock_mono (), &x,
-                                       &followed);
+  enum ro_taken taken
+      = ro_table_take (&g->table, report, zp_clock_mono (), &x, &followed);
 
   switch (taken)
     {
@@ -136,8 +136,7 @@
   if (followed)
     put_server (g, followed, false);
   put_server (g, x, taken == RO_STARTED);
-  struct gt_service *s
-      = gt_service_get (g, zp_str_from (report->service));
+  struct gt_service *s = gt_service_get (g, zp_str_from (report->service));
   gt_dispatch_service (g, s);
 }
 
@@ -145,8 +144,7 @@
 void
 gt_server_wrong (struct gt_gate *g, struct gt_server *s)
 {
-  struct ro_server *x
-      = ro_table_find (&g->table, zp_str_from (s->report.id));
+  struct ro_server *x = ro_table_find (&g->table, zp_str_from (s->report.id));
 
   zp_log (ZP_LOG_NOTICE, PART, "server %s of %s is no longer at %s",
           s->report.id, s->service->name, s->report.address);
--- a/src/gate/settings.c
+++ b/src/gate/settings.c
@@ -95,7 +95,8 @@
                      path, ZP_ARG (s->regions.item[i]));
   s->id = number_of (s->front);
   if (s->id == 0)
-    zp_report_add (report, "%s: \"front\": found \"%.*s\", allowed: an IPv4 "
+    zp_report_add (report,
+                   "%s: \"front\": found \"%.*s\", allowed: an IPv4 "
                    "address and a port",
                    path, ZP_ARG (s->front));
   return report->count == 0;
--- a/src/roster/client.c
+++ b/src/roster/client.c
@@ -265,8 +265,8 @@
   struct zp_err err = { .text = "" };
 
   with_port (zp_str_from (x->address), x->client->roster_port, &address);
-  x->conn = wi_conn_open (x->client->loop->ev, zp_str_of (&address),
-                          &handlers, x, &err);
+  x->conn = wi_conn_open (x->client->loop->ev, zp_str_of (&address), &handlers,
+                          x, &err);
   zp_buf_free (&address);
   x->dialed = now;
   x->acked = 0;
--- a/src/roster/codec.c
+++ b/src/roster/codec.c
@@ -41,15 +41,15 @@
                              .ready = w->ready,
                              .leaving = w->leaving };
   *acked = w->acked;
-  bool ok = w->kind <= TK_DAEMON_CONTROL
-            && zp_str_copy (out->name, sizeof out->name, wi_view (w->name))
-            && zp_str_copy (out->address, sizeof out->address,
-                            wi_view (w->address))
-            && zp_str_copy (out->failure_domain, sizeof out->failure_domain,
-                            wi_view (w->failure_domain))
-            && zp_str_copy (out->region, sizeof out->region,
-                            wi_view (w->region))
-            && zp_str_copy (out->log, sizeof out->log, wi_view (w->log));
+  bool ok
+      = w->kind <= TK_DAEMON_CONTROL
+        && zp_str_copy (out->name, sizeof out->name, wi_view (w->name))
+        && zp_str_copy (out->address, sizeof out->address,
+                        wi_view (w->address))
+        && zp_str_copy (out->failure_domain, sizeof out->failure_domain,
+                        wi_view (w->failure_domain))
+        && zp_str_copy (out->region, sizeof out->region, wi_view (w->region))
+        && zp_str_copy (out->log, sizeof out->log, wi_view (w->log));
   wi_free (w);
   return ok;
 }
--- a/src/roster/source.c
+++ b/src/roster/source.c
@@ -2,7 +2,6 @@
 
 #include <assert.h>
 #include <stdlib.h>
-#include <string.h>
 
 #include "base/log.h"
 #include "roster/codec.h"
@@ -35,6 +34,7 @@
   zp_time since;
   bool known;
   struct tk_daemon daemon;
+  struct zp_buf hello;  /* as it arrived last */
   uint64_t sent, acked; /* numbers of updates */
   zp_time sent_at;      /* of the oldest update without an acknowledgement */
 };
@@ -199,8 +199,10 @@
 {
   struct ro_source *s = self;
 
-  zp_log (ZP_LOG_NOTICE, PART, "server %s of %s is gone: no report since %d "
-          "periods", x->report.id, x->report.service, MISSED_REPORTS);
+  zp_log (ZP_LOG_NOTICE, PART,
+          "server %s of %s is gone: no report since %d "
+          "periods",
+          x->report.id, x->report.service, MISSED_REPORTS);
   changed (s);
   x->number = s->number;
 }
@@ -212,8 +214,7 @@
 {
   zp_time now = zp_clock_mono ();
   struct ro_server *x, *followed;
-  enum ro_taken taken
-      = ro_table_take (&s->table, report, now, &x, &followed);
+  enum ro_taken taken = ro_table_take (&s->table, report, now, &x, &followed);
 
   switch (taken)
     {
@@ -271,6 +272,7 @@
     at = &(*at)->next;
   *at = l->next;
   wi_conn_free (l->conn);
+  zp_buf_free (&l->hello);
   free (l);
 }
 
@@ -321,9 +323,11 @@
       return;
     }
   bool first = !l->known;
-  bool same = !first && memcmp (&d, &l->daemon, sizeof d) == 0;
+  bool same = !first && zp_str_eq (payload, zp_str_of (&l->hello));
   l->known = true;
   l->daemon = d;
+  zp_buf_clear (&l->hello);
+  zp_buf_put (&l->hello, payload);
   if (first)
     zp_log (ZP_LOG_NOTICE, PART, "daemon %s connected", d.name);
   if (!same)
@@ -474,8 +478,11 @@
 {
   if (!s)
     return;
-  while (s->links)
-    link_free (s->links);
+  for (struct link *l = s->links, *next; l; l = next)
+    {
+      next = l->next;
+      link_free (l);
+    }
   ev_timer_stop (s->loop->ev, &s->batch);
   ev_timer_stop (s->loop->ev, &s->tick);
   wi_listener_free (s->listener);
--- a/src/roster/source.h
+++ b/src/roster/source.h
@@ -35,8 +35,8 @@
 
 struct ro_source_options
 {
-  struct zp_str address;   /* "IP:port" to listen on */
-  zp_time report_period;   /* of the reports of one server */
+  struct zp_str address; /* "IP:port" to listen on */
+  zp_time report_period; /* of the reports of one server */
   struct tk_task *decider;
 };
 
--- a/src/roster/table.c
+++ b/src/roster/table.c
@@ -1,5 +1,6 @@
 #include "roster/table.h"
 
+#include <assert.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -14,12 +15,12 @@
 
 static struct ro_server *
 find_address (const struct ro_table *t, const char *address,
-              const struct ro_server *not)
+              const struct ro_server * not )
 {
   for (size_t i = 0; i < t->len; i++)
     {
       struct ro_server *x = &t->item[i];
-      if (x != not && x->report.state != TK_SERVER_GONE
+      if (x != not &&x->report.state != TK_SERVER_GONE
           && strcmp (x->report.address, address) == 0)
         return x;
     }
@@ -63,6 +64,7 @@
       t->cap = t->cap > 0 ? 2 * t->cap : 64;
       t->item = zp_realloc (t->item, t->cap * sizeof *t->item);
     }
+  assert (t->item);
   struct ro_server *x = &t->item[t->len++];
   *x = (struct ro_server){ .heard = 0 };
   return x;
--- a/src/roster/table.h
+++ b/src/roster/table.h
@@ -36,12 +36,12 @@
 
 struct ro_server
 {
-  struct tk_server report; /* the newest one */
+  struct tk_server report;   /* the newest one */
   enum tk_server_state said; /* by the server itself */
   zp_time cold_until;
-  zp_time heard; /* when a report arrived that was not old */
-  uint64_t number; /* of the last change, for the owner of the table */
-  uint64_t repeat; /* of the last report that changed nothing, likewise */
+  zp_time heard;    /* when a report arrived that was not old */
+  uint64_t number;  /* of the last change, for the owner of the table */
+  uint64_t repeat;  /* of the last report that changed nothing, likewise */
   zp_time repeated; /* when it was passed on */
 };
 
@@ -53,11 +53,11 @@
 
 enum ro_taken
 {
-  RO_OLD,       /* older than what is known */
-  RO_SAME,      /* newer, but nothing has changed */
-  RO_CHANGED,   /* a known start has changed its state */
-  RO_STARTED,   /* a start that was not known */
-  RO_FULL,      /* RO_SERVERS_MAX are known */
+  RO_OLD,     /* older than what is known */
+  RO_SAME,    /* newer, but nothing has changed */
+  RO_CHANGED, /* a known start has changed its state */
+  RO_STARTED, /* a start that was not known */
+  RO_FULL,    /* RO_SERVERS_MAX are known */
 };
 
 /* AT is set to the server, except for RO_OLD and RO_FULL.  Servers that were
--- a/src/site/site.c
+++ b/src/site/site.c
@@ -16,8 +16,7 @@
 void
 si_site_add_service (struct si_site *s, const struct si_service *service)
 {
-  s->service
-      = zp_realloc (s->service, (s->services + 1) * sizeof *s->service);
+  s->service = zp_realloc (s->service, (s->services + 1) * sizeof *s->service);
   s->service[s->services++] = *service;
 }
 
@@ -32,8 +31,8 @@
 si_route_add_part (struct si_route *r, struct zp_str service, unsigned weight)
 {
   r->part = zp_realloc (r->part, (r->parts + 1) * sizeof *r->part);
-  r->part[r->parts++] = (struct si_part){ .service = zp_buf_from (service),
-                                          .weight = weight };
+  r->part[r->parts++]
+      = (struct si_part){ .service = zp_buf_from (service), .weight = weight };
 }
 
 void
@@ -119,8 +118,7 @@
       const struct si_service *v
           = si_site_service (s, zp_str_of (&r->part[i].service));
       if (!v)
-        return zp_fail (err, ZP_EINVAL,
-                        "route \"%.*s\": no service \"%.*s\"",
+        return zp_fail (err, ZP_EINVAL, "route \"%.*s\": no service \"%.*s\"",
                         ZP_ARG (zp_str_of (&r->name)),
                         ZP_ARG (zp_str_of (&r->part[i].service)));
       r->part[i].index = (size_t) (v - s->service);
--- a/src/steer/pool.c
+++ b/src/steer/pool.c
@@ -22,9 +22,8 @@
   double sample = all > own ? (double) (all - own) : 0.0;
   double before = others (l, now);
 
-  l->others = l->sampled == 0
-                  ? sample
-                  : before + (sample - before) * SAMPLE_WEIGHT;
+  l->others
+      = l->sampled == 0 ? sample : before + (sample - before) * SAMPLE_WEIGHT;
   l->sampled = now;
 }
 
--- a/src/steer/pool.h
+++ b/src/steer/pool.h
@@ -12,10 +12,10 @@
 
      The request goes where its answer is expected first: the way there and
      back, the wait for a slot, and the service time.  On an object that a
-     server knows, the service time is a third of the usual one, so that waiting
-     for that server beats a free one.  This answers the load of the sheets,
-     where all requests need less than the slots when they meet servers that
-     know their objects, and twice the slots when they do not: a daemon that
+     server knows, the service time is a third of the usual one, so that
+   waiting for that server beats a free one.  This answers the load of the
+   sheets, where all requests need less than the slots when they meet servers
+   that know their objects, and twice the slots when they do not: a daemon that
      sends to any free server under load keeps the load up.
 
      Candidates whose finish differs by less than ST_POOL_NEAR count as equal;
@@ -35,7 +35,7 @@
 
 #define ST_POOL_HALF_LIFE (1000 * ZP_MS)
 
-/* Failure domains of one region are 1 to 3 ms apart; regions 40 ms or more.  */
+/* Failure domains of one region are 1 to 3 ms apart; regions 40 ms or more. */
 #define ST_POOL_NEAR (5 * ZP_MS)
 
 /* What is known of one server's work.  */
--- a/src/steer/retry.h
+++ b/src/steer/retry.h
@@ -48,11 +48,11 @@
 struct st_retry_request
 {
   bool idempotent;
-  bool poisoned;     /* st_poison_admit refuses it now */
-  bool other_server; /* a server that was not tried could take it */
-  unsigned attempts; /* ended so far, the last one included */
+  bool poisoned;         /* st_poison_admit refuses it now */
+  bool other_server;     /* a server that was not tried could take it */
+  unsigned attempts;     /* ended so far, the last one included */
   unsigned attempts_max; /* 0: ST_RETRY_ATTEMPTS */
-  bool has_answer;   /* the last attempt ended with a whole answer */
+  bool has_answer;       /* the last attempt ended with a whole answer */
   zp_time now;
   zp_time deadline;
   zp_time expected;        /* usual time of one attempt */
--- a/src/task/msg.h
+++ b/src/task/msg.h
@@ -59,7 +59,7 @@
 struct tk_http_request
 {
   uint64_t id;
-  struct tk_task *from; /* the front task that takes the answer */
+  struct tk_task *from;     /* the front task that takes the answer */
   struct zp_buf host;       /* of the Host header */
   struct zp_buf request_id; /* as the caller sent it; empty: none */
   struct zp_buf affinity;   /* empty: none */
@@ -88,7 +88,7 @@
   enum zp_verdict verdict;
   unsigned retry_after_s;  /* 0: no Retry-After header */
   unsigned retry_after_ms; /* the same with a fraction; goes first */
-  struct zp_buf location; /* empty: no Location header */
+  struct zp_buf location;  /* empty: no Location header */
   struct zp_buf content_type;
   struct zp_buf headers; /* as in struct tk_http_request */
   struct zp_buf body;
@@ -107,7 +107,7 @@
   struct zp_buf host;       /* empty: the address of the server */
   char expect[ZP_NAME_MAX]; /* id of the server; empty: any */
   zp_time idle_max; /* oldest idle connection to use; 0: the usual limit */
-  zp_time deadline;         /* monotonic; the attempt is cancelled then */
+  zp_time deadline; /* monotonic; the attempt is cancelled then */
   bool fresh_connection; /* never reuse an idle connection */
 };
 
@@ -231,8 +231,8 @@
   zp_time cold;     /* how much longer it stays cold */
   uint64_t born_ms; /* wall clock of the server, in ms since 1970 */
   uint64_t seq;
-  bool expired;    /* gone because it was silent: a newer report brings it back */
-  bool same; /* only ID, BORN and SEQ are set: the rest is as before */
+  bool expired; /* gone because it was silent: a newer report brings it back */
+  bool same;    /* only ID, BORN and SEQ are set: the rest is as before */
   uint64_t ticket; /* not 0: answered by TK_SERVER_SETTLED */
 };
 
--- a/src/task/watch.h
+++ b/src/task/watch.h
@@ -2,8 +2,8 @@
      watch - notices that the settings file has changed
 
    DESCRIPTION
-     Calls CHANGED on the loop's thread at SIGHUP, and when the file has another
-     time of modification or size than before; it is looked at once in
+     Calls CHANGED on the loop's thread at SIGHUP, and when the file has
+   another time of modification or size than before; it is looked at once in
      TK_WATCH_PERIOD.  */
 
 #ifndef ZP_TASK_WATCH_H
--- a/src/ticket/blob.c
+++ b/src/ticket/blob.c
@@ -38,11 +38,11 @@
     return false;
   char *text = zp_alloc (want + 1);
   uLongf n = want;
-  bool ok = uncompress ((Bytef *) text, &n,
-                        (const Bytef *) b->ptr + LENGTH_BYTES,
-                        b->len - LENGTH_BYTES)
-                == Z_OK
-            && n == want;
+  bool ok
+      = uncompress ((Bytef *) text, &n, (const Bytef *) b->ptr + LENGTH_BYTES,
+                    b->len - LENGTH_BYTES)
+            == Z_OK
+        && n == want;
   if (ok)
     zp_buf_put_bytes (out, text, n);
   free (text);
--- a/src/ticket/command.c
+++ b/src/ticket/command.c
@@ -7,12 +7,8 @@
 #include "ticket/json.h"
 
 static const char *const names[] = {
-  [TI_SUBMIT] = "submit",
-  [TI_REVIEW] = "review",
-  [TI_NUMBER] = "number",
-  [TI_STEP] = "step",
-  [TI_PUT] = "put",
-  [TI_EVACUATE] = "evacuate",
+  [TI_SUBMIT] = "submit", [TI_REVIEW] = "review", [TI_NUMBER] = "number",
+  [TI_STEP] = "step",     [TI_PUT] = "put",       [TI_EVACUATE] = "evacuate",
 };
 
 /* The object that a TI_PUT carries.  The view lives as long as C.  */
@@ -151,8 +147,7 @@
     case TI_PUT:
       return decode_put (root, &out->u.put, err);
     case TI_EVACUATE:
-      out->u.evacuate.on
-          = json_object_get_boolean (ti_json_get (root, "on"));
+      out->u.evacuate.on = json_object_get_boolean (ti_json_get (root, "on"));
       ok = ti_name_parse (ti_json_str (ti_json_get (root, "failure_domain")),
                           &out->u.evacuate.failure_domain);
       break;
--- a/src/ticket/object.c
+++ b/src/ticket/object.c
@@ -152,9 +152,7 @@
 };
 
 static const struct ti_field document_fields[] = {
-  { .key = "number",
-    .kind = TI_FIELD_NUMBER,
-    .offset = AT (document.number) },
+  { .key = "number", .kind = TI_FIELD_NUMBER, .offset = AT (document.number) },
   { .key = "body", .kind = TI_FIELD_BLOB, .offset = AT (document.body) },
   { .key = NULL },
 };
--- a/src/ticket/object_json.c
+++ b/src/ticket/object_json.c
@@ -350,7 +350,8 @@
 static void
 write_blob (const struct ti_blob *b, struct zp_buf *out)
 {
-  size_t n = sodium_base64_ENCODED_LEN (b->len, sodium_base64_VARIANT_ORIGINAL);
+  size_t n
+      = sodium_base64_ENCODED_LEN (b->len, sodium_base64_VARIANT_ORIGINAL);
   char *text = zp_alloc (n);
 
   sodium_bin2base64 (text, n, (const unsigned char *) b->ptr, b->len,
--- a/src/ticket/store_apply.c
+++ b/src/ticket/store_apply.c
@@ -317,8 +317,7 @@
     return;
   struct ti_object *o = zp_alloc (sizeof *o);
   *o = (struct ti_object){ .key = key };
-  o->u.document
-      = (struct ti_document){ .number = c->number, .body = c->body };
+  o->u.document = (struct ti_document){ .number = c->number, .body = c->body };
   c->body = (struct ti_blob){ .ptr = NULL };
   put_object (s, index, &key, o, out);
 }
--- a/tests/test-blob.c
+++ b/tests/test-blob.c
@@ -47,7 +47,7 @@
   zp_buf_free (&back);
 }
 
-static const struct zp_test tests[] = { { "round trip", test_round_trip },
-                                        { "damaged bytes", test_damage } };
+static const struct zp_test tests[]
+    = { { "round trip", test_round_trip }, { "damaged bytes", test_damage } };
 
 TEST_MAIN ("blob", tests)
--- a/tests/test-calls.c
+++ b/tests/test-calls.c
@@ -17,10 +17,9 @@
   ti_store_free (store);
   ct_daemons_free (&daemons);
   store = ti_store_new (TI_CONFLICT_BY_OBJECT);
-  view = (struct ct_calls_view){ .store = store,
-                                 .daemons = &daemons,
-                                 .lookup_ttl = 2 * ZP_SEC,
-                                 .wall = 5 };
+  view = (struct ct_calls_view){
+    .store = store, .daemons = &daemons, .lookup_ttl = 2 * ZP_SEC, .wall = 5
+  };
   view.standing.kind = kind;
   view.standing.leader_http = ZP_STR ("10.0.0.9:90");
 }
@@ -87,8 +86,8 @@
   free (text);
 }
 
-/* Guards against reads that may be old: only the leader answers, and before the
-   first document the caller asks again.  */
+/* Guards against reads that may be old: only the leader answers, and before
+   the first document the caller asks again.  */
 static void
 test_who_answers (void)
 {
@@ -186,12 +185,10 @@
   store = NULL;
 }
 
-static const struct zp_test tests[]
-    = { { "documents", test_put },
-        { "who answers", test_who_answers },
-        { "evacuations", test_evacuate },
-        { "reports of servers", test_servers },
-        { "entry VMs", test_entries },
-        { "calls that cannot be read", test_bad } };
+static const struct zp_test tests[] = {
+  { "documents", test_put },        { "who answers", test_who_answers },
+  { "evacuations", test_evacuate }, { "reports of servers", test_servers },
+  { "entry VMs", test_entries },    { "calls that cannot be read", test_bad }
+};
 
 TEST_MAIN ("calls", tests)
--- a/tests/test-follow.c
+++ b/tests/test-follow.c
@@ -246,18 +246,16 @@
 
   open_fixture (&f);
   open_provider (&f, 1, 510, true);
-  snprintf (f.p[0].address, sizeof f.p[0].address, "%s",
-            test_address (19581));
+  snprintf (f.p[0].address, sizeof f.p[0].address, "%s", test_address (19581));
   CU_ASSERT_FATAL (
       wi_address_parse (zp_str_from (f.p[0].address), &sa, &len, NULL));
   int silent = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const int on = 1;
-  CU_ASSERT_FATAL (silent >= 0
-                   && setsockopt (silent, SOL_SOCKET, SO_REUSEADDR, &on,
-                                  sizeof on)
-                          == 0
-                   && bind (silent, (struct sockaddr *) &sa, len) == 0
-                   && listen (silent, 4) == 0);
+  CU_ASSERT_FATAL (
+      silent >= 0
+      && setsockopt (silent, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) == 0
+      && bind (silent, (struct sockaddr *) &sa, len) == 0
+      && listen (silent, 4) == 0);
   zp_time before = zp_clock_mono ();
   open_follower (&f, 0);
   run_until (&f, &f.d[0].version, 510);
--- a/tests/test-identity.c
+++ b/tests/test-identity.c
@@ -45,8 +45,7 @@
   struct ct_identity x;
 
   new_folder ();
-  struct ct_identity_options o
-      = options ("10.0.0.1:70", "10.0.0.1:90", true);
+  struct ct_identity_options o = options ("10.0.0.1:70", "10.0.0.1:90", true);
   CU_ASSERT_FATAL (ct_identity_load (&o, &x, NULL));
   CU_ASSERT_EQUAL (x.id, 0x0a000001);
   CU_ASSERT_EQUAL_FATAL (x.founders.len, 2);
@@ -100,8 +99,7 @@
   char path[128];
 
   new_folder ();
-  struct ct_identity_options o
-      = options ("10.0.0.1:70", "10.0.0.1:90", true);
+  struct ct_identity_options o = options ("10.0.0.1:70", "10.0.0.1:90", true);
   snprintf (path, sizeof path, "%s/%s", folder, CT_IDENTITY_FILE);
   FILE *f = fopen (path, "w");
   CU_ASSERT_PTR_NOT_NULL_FATAL (f);
@@ -118,9 +116,8 @@
   drop_folder ();
 }
 
-static const struct zp_test tests[]
-    = { { "founders", test_founder },
-        { "members that join", test_joiner },
-        { "a damaged file", test_damage } };
+static const struct zp_test tests[] = { { "founders", test_founder },
+                                        { "members that join", test_joiner },
+                                        { "a damaged file", test_damage } };
 
 TEST_MAIN ("identity", tests)
--- a/tests/test-join.c
+++ b/tests/test-join.c
@@ -56,8 +56,8 @@
 static void
 full_group (void)
 {
-  static const char *const region[] = { "", "r1", "r2", "r3", "r1", "r2",
-                                        "r3" };
+  static const char *const region[]
+      = { "", "r1", "r2", "r3", "r1", "r2", "r3" };
 
   reset ();
   for (int i = 1; i <= 6; i++)
--- a/tests/test-platform-calls.c
+++ b/tests/test-platform-calls.c
@@ -149,8 +149,7 @@
 static const char *
 encode (const struct ct_reply *reply)
 {
-  struct tk_http_request r
-      = { .path = zp_buf_from (ZP_STR ("/Config.Get")) };
+  struct tk_http_request r = { .path = zp_buf_from (ZP_STR ("/Config.Get")) };
 
   answer = (struct tk_http_answer){ .status = 0 };
   pf_control_interface.encode (&r, reply, &answer);
@@ -186,7 +185,8 @@
   reply.u.leader = ZP_STR ("10.0.0.4:80");
   encode (&reply);
   CU_ASSERT_EQUAL (answer.status, 307);
-  CU_ASSERT_STRING_EQUAL (answer.location.ptr, "http://10.0.0.4:80/Config.Get");
+  CU_ASSERT_STRING_EQUAL (answer.location.ptr,
+                          "http://10.0.0.4:80/Config.Get");
   drop_answer ();
   reply = (struct ct_reply){ .kind = CT_REPLY_BAD };
   reply.u.bad = "a \"quoted\" reason";
--- a/tests/test-platform-day.c
+++ b/tests/test-platform-day.c
@@ -105,8 +105,7 @@
   replace (&text, "{{bounds.grace|json}}", "\"6s\"");
   replace (&text, "{{#zones}}\"{{@}}={{.}}\"{{,}}{{/zones}}", "\"a-1=a\"");
   replace_f (&text, "{{seeds|json}}", "[\"%s:%d\",\"%s:%d\",\"%s:%d\"]",
-             ip (0), PORT_CONTROL, ip (1), PORT_CONTROL, ip (2),
-             PORT_CONTROL);
+             ip (0), PORT_CONTROL, ip (1), PORT_CONTROL, ip (2), PORT_CONTROL);
   CU_ASSERT_PTR_NULL (strstr (text.ptr, "{{"));
   snprintf (path, sizeof path, "%s/%d.json", folder, at);
   FILE *f = fopen (path, "w");
@@ -170,7 +169,8 @@
   zp_buf_put (&m->u.answer.headers,
               ZP_STR ("X-Server-Stamp: stamp-1\nX-Server-Load: 1,0,6\n"));
   zp_buf_printf (&m->u.answer.body, "%.*s %.*s",
-                 ZP_ARG (zp_str_of (&q->method)), ZP_ARG (zp_str_of (&q->path)));
+                 ZP_ARG (zp_str_of (&q->method)),
+                 ZP_ARG (zp_str_of (&q->path)));
   tk_send (q->from, m);
 }
 
@@ -241,7 +241,8 @@
 {
   struct reply *r = self;
 
-  return keep (r->headers, &r->headers_len, sizeof r->headers, bytes, size * n);
+  return keep (r->headers, &r->headers_len, sizeof r->headers, bytes,
+               size * n);
 }
 
 /* POST with BODY, GET without one.  */
--- a/tests/test-platform-document.c
+++ b/tests/test-platform-document.c
@@ -5,7 +5,8 @@
 /* A configuration with two routes, as the platform's pages lay it out.  */
 static const char good[]
     = "{\"version\":7,\"limits\":{\"maxHeaderBytes\":16384,"
-      "\"idleTimeout\":\"15000ms\"},\"listeners\":[{\"host\":\"jepu9.example\","
+      "\"idleTimeout\":\"15000ms\"},\"listeners\":[{\"host\":\"jepu9."
+      "example\","
       "\"routingRules\":[{\"name\":\"r-1\",\"type\":\"unsafe\",\"slo\":"
       "\"400ms\",\"priority\":1,\"sticky\":true,\"match\":{\"pathPrefix\":"
       "\"/puka/\"},\"action\":{\"service\":\"wuno\",\"timeout\":\"1500ms\","
--- a/tests/test-pool.c
+++ b/tests/test-pool.c
@@ -59,10 +59,9 @@
 test_rank (void)
 {
   struct st_pool_load a = { .slots = 6, .own = 3 }, b = { .slots = 6 };
-  struct st_pool_candidate c[]
-      = { candidate (&b, 3 * ZP_MS, 110 * ZP_MS, 9),
-          candidate (&a, ZP_MS, 110 * ZP_MS, 5),
-          candidate (&b, 2 * ZP_MS, 110 * ZP_MS, 7) };
+  struct st_pool_candidate c[] = { candidate (&b, 3 * ZP_MS, 110 * ZP_MS, 9),
+                                   candidate (&a, ZP_MS, 110 * ZP_MS, 5),
+                                   candidate (&b, 2 * ZP_MS, 110 * ZP_MS, 7) };
 
   CU_ASSERT_EQUAL (st_pool_choose (c, 3, 0).at, 1);
   CU_ASSERT_EQUAL (st_pool_choose (c, 0, 0).kind, ST_POOL_NONE);
@@ -91,10 +90,10 @@
 }
 
 /* The load of the sheets at one service of a region: 6 servers of 6 slots, 39
-   objects, 100 requests/s.  A server answers in 110 ms when it knows the object
-   and in 360 ms when it does not, and knows the last 40 objects.  Plays it with
-   SERVERS candidates for each object and returns the share that met a server
-   that knew its object.  */
+   objects, 100 requests/s.  A server answers in 110 ms when it knows the
+   object and in 360 ms when it does not, and knows the last 40 objects.  Plays
+   it with SERVERS candidates for each object and returns the share that met a
+   server that knew its object.  */
 static double
 play (size_t servers)
 {
--- a/tests/test-roster-codec.c
+++ b/tests/test-roster-codec.c
@@ -3,6 +3,21 @@
 #include "roster/codec.h"
 #include "wire/bytes.h"
 
+static void
+check_server (const struct tk_server *a, const struct tk_server *b)
+{
+  CU_ASSERT_STRING_EQUAL (a->id, b->id);
+  CU_ASSERT_STRING_EQUAL (a->service, b->service);
+  CU_ASSERT_STRING_EQUAL (a->address, b->address);
+  CU_ASSERT_STRING_EQUAL (a->failure_domain, b->failure_domain);
+  CU_ASSERT_EQUAL (a->slots, b->slots);
+  CU_ASSERT_EQUAL (a->state, b->state);
+  CU_ASSERT_EQUAL (a->cold, b->cold);
+  CU_ASSERT_EQUAL (a->born_ms, b->born_ms);
+  CU_ASSERT_EQUAL (a->seq, b->seq);
+  CU_ASSERT_EQUAL (a->expired, b->expired);
+}
+
 /* Guards against fields that are lost or swapped on the way.  */
 static void
 test_update (void)
@@ -36,8 +51,8 @@
   CU_ASSERT_EQUAL (out.number, 7);
   CU_ASSERT_EQUAL (out.entries, 420);
   CU_ASSERT_EQUAL_FATAL (out.servers, 2);
-  CU_ASSERT_EQUAL (memcmp (&out.server[0], &in[0], sizeof in[0]), 0);
-  CU_ASSERT_EQUAL (memcmp (&out.server[1], &in[1], sizeof in[1]), 0);
+  check_server (&out.server[0], &in[0]);
+  check_server (&out.server[1], &in[1]);
   CU_ASSERT_EQUAL_FATAL (out.controls, 2);
   CU_ASSERT (zp_str_eq (out.control[1], control[1]));
   ro_update_free (&out, owner);
@@ -63,7 +78,14 @@
   ro_put_hello (&b, &in, 12);
   CU_ASSERT_FATAL (ro_get_hello (zp_str_of (&b), &out, &acked));
   CU_ASSERT_EQUAL (acked, 12);
-  CU_ASSERT_EQUAL (memcmp (&out, &in, sizeof in), 0);
+  CU_ASSERT_EQUAL (out.kind, in.kind);
+  CU_ASSERT_EQUAL (out.id, in.id);
+  CU_ASSERT_STRING_EQUAL (out.name, in.name);
+  CU_ASSERT_STRING_EQUAL (out.address, in.address);
+  CU_ASSERT_STRING_EQUAL (out.failure_domain, in.failure_domain);
+  CU_ASSERT_STRING_EQUAL (out.region, in.region);
+  CU_ASSERT_STRING_EQUAL (out.log, in.log);
+  CU_ASSERT (out.ready && out.leaving);
   zp_buf_free (&b);
 }
 
--- a/tests/test-roster-table.c
+++ b/tests/test-roster-table.c
@@ -56,8 +56,7 @@
 {
   CU_ASSERT_EQUAL (take (report ("a", "10.0.0.1:80", 1000, 90), 1),
                    RO_STARTED);
-  CU_ASSERT_EQUAL (take (report ("a", "10.0.0.1:80", 2000, 1), 2),
-                   RO_STARTED);
+  CU_ASSERT_EQUAL (take (report ("a", "10.0.0.1:80", 2000, 1), 2), RO_STARTED);
   CU_ASSERT_EQUAL (take (report ("a", "10.0.0.1:80", 1000, 91), 3), RO_OLD);
   /* The word of the earlier start that it leaves is late too.  */
   struct tk_server gone = report ("a", "", 1000, 92);
@@ -87,8 +86,8 @@
   ro_table_free (&table);
 }
 
-/* Guards against a server that has said that it leaves and gets work again by a
-   late report of its own, and against its word being lost because another
+/* Guards against a server that has said that it leaves and gets work again by
+   a late report of its own, and against its word being lost because another
    daemon has newer reports of it.  */
 static void
 test_leave (void)
@@ -100,8 +99,7 @@
   CU_ASSERT_EQUAL (take (gone, 3), RO_OLD);
   CU_ASSERT_EQUAL (take (report ("a", "10.0.0.1:80", 1000, 12), 4), RO_OLD);
   CU_ASSERT_EQUAL (state_of ("a"), TK_SERVER_GONE);
-  CU_ASSERT_EQUAL (take (report ("a", "10.0.0.1:80", 3000, 1), 5),
-                   RO_STARTED);
+  CU_ASSERT_EQUAL (take (report ("a", "10.0.0.1:80", 3000, 1), 5), RO_STARTED);
   CU_ASSERT_EQUAL (state_of ("a"), TK_SERVER_READY);
 
   /* Its word before any report of it.  */
@@ -118,8 +116,8 @@
   ++*(unsigned *) self;
 }
 
-/* Guards against servers that stay for ever after a crash, and against one that
-   was cut off and never comes back.  */
+/* Guards against servers that stay for ever after a crash, and against one
+   that was cut off and never comes back.  */
 static void
 test_silence (void)
 {
--- a/tests/test-roster.c
+++ b/tests/test-roster.c
@@ -222,8 +222,8 @@
   struct zp_buf hello = { .ptr = NULL };
 
   open_fixture (&f);
-  f.mute = wi_conn_open (f.loop.ev, zp_str_from (f.address), &handlers, &f,
-                         NULL);
+  f.mute
+      = wi_conn_open (f.loop.ev, zp_str_from (f.address), &handlers, &f, NULL);
   ro_put_hello (&hello, &self, 0);
   wi_conn_send (f.mute, WI_ROSTER_HELLO, zp_str_of (&hello));
   zp_buf_free (&hello);
--- a/tests/test-site.c
+++ b/tests/test-site.c
@@ -54,10 +54,11 @@
 static void
 test_longest_prefix (void)
 {
-  static const char *const routes[][3]
-      = { { "x.example", "/p/", "a" },     { "x.example", "/p/q/", "b" },
-          { "y.example", "/p/q/r/", "a" }, { "x.example.org", "/", "a" },
-          { NULL, NULL, NULL } };
+  static const char *const routes[][3] = { { "x.example", "/p/", "a" },
+                                           { "x.example", "/p/q/", "b" },
+                                           { "y.example", "/p/q/r/", "a" },
+                                           { "x.example.org", "/", "a" },
+                                           { NULL, NULL, NULL } };
   struct si_site *s = site_of (routes);
 
   CU_ASSERT_FATAL (si_site_seal (s, NULL));
@@ -80,8 +81,8 @@
 
   for (size_t i = 0; i < sizeof bad / sizeof bad[0]; i++)
     {
-      const char *const routes[][3] = { { bad[i][0], bad[i][1], bad[i][2] },
-                                        { NULL, NULL, NULL } };
+      const char *const routes[][3]
+          = { { bad[i][0], bad[i][1], bad[i][2] }, { NULL, NULL, NULL } };
       struct zp_err err = { .text = "" };
       struct si_site *s = site_of (routes);
       CU_ASSERT (!si_site_seal (s, &err));
