Bound how fast requests move between regions

Ruled out: damping the choice of a server, which also slows down the way out of a lost failure domain.

--- a/src/gate/config.c
+++ b/src/gate/config.c
@@ -142,6 +142,16 @@
     }
 }
 
+static size_t
+count_drains (const struct ti_config *c)
+{
+  size_t n = 0;
+
+  for (size_t at = 0; c && ti_config_next (c, TI_DRAIN, &at);)
+    n++;
+  return n;
+}
+
 /* Configurations.  */
 
 static struct ti_config *
@@ -180,6 +190,8 @@
   if (d && (!g->site || d->number > g->site->number))
     read_document (g, d);
   find_taken_back (g, old);
+  if (count_drains (next) > count_drains (old))
+    gt_server_lost (g);
   ti_config_free (old);
 }
 
--- a/src/gate/dispatch.c
+++ b/src/gate/dispatch.c
@@ -112,6 +112,51 @@
     }
 }
 
+/* Keeps the candidates of the region with number REGION.  */
+static void
+keep_region (struct gt_gate *g, struct choices *x, size_t region)
+{
+  size_t kept = 0;
+
+  for (size_t i = 0; i < x->len; i++)
+    {
+      if (gt_region_number (g, x->region[i]) != region)
+        continue;
+      x->candidate[kept] = x->candidate[i];
+      x->region[kept] = x->region[i];
+      x->server[kept++] = x->server[i];
+    }
+  x->len = kept;
+}
+
+/* Bounds the move of requests between regions: when CHOICE would pass the cap,
+   the choice is made anew in the region in which the shares change least.  */
+static struct st_pool_choice
+bound_move (struct gt_gate *g, struct choices *x, struct st_pool_choice choice,
+            zp_time now)
+{
+  size_t wanted = gt_region_number (g, x->region[choice.at]);
+  double least = st_mix_change (&g->mix, wanted, now);
+  size_t region = wanted;
+
+  if (least <= ST_MIX_CAP
+      || (g->lost_at > 0 && now - g->lost_at < GT_LOSS_RECENT))
+    return choice;
+  for (size_t i = 0; i < x->len; i++)
+    {
+      size_t other = gt_region_number (g, x->region[i]);
+      double change = st_mix_change (&g->mix, other, now);
+      if (change >= least)
+        continue;
+      least = change;
+      region = other;
+    }
+  if (region == wanted)
+    return choice;
+  keep_region (g, x, region);
+  return st_pool_choose (x->candidate, x->len, now);
+}
+
 /* Chooses a server for Q.  OUT is set when there is one.  */
 static struct st_pool_choice
 choose (struct gt_gate *g, const struct gt_request *q, zp_time now,
@@ -124,6 +169,8 @@
 
   fill (g, q, now, &x);
   struct st_pool_choice choice = st_pool_choose (x.candidate, x.len, now);
+  if (choice.kind == ST_POOL_SEND)
+    choice = bound_move (g, &x, choice, now);
   if (choice.kind == ST_POOL_SEND)
     *out = x.server[choice.at];
   free (x.candidate);
@@ -188,6 +235,7 @@
     q->tried[q->attempts] = s->hash;
   q->attempts++;
   q->phase = GT_RUNNING;
+  st_mix_note (&g->mix, gt_region_number (g, gt_server_region (g, s)), now);
   q->warm = st_warm_has (&s->warm, q->object, now);
   if (q->object != 0)
     st_warm_note (&s->warm, q->object, now);
@@ -428,6 +476,8 @@
     note_time (s, q, d);
   struct st_health_event e
       = st_health_outcome (&s->health, &s->service->group, &o, now, &g->rng);
+  if (e.kind == ST_EVENT_EJECTED)
+    gt_server_lost (g);
   if (e.kind == ST_EVENT_EJECTED)
     zp_log (ZP_LOG_NOTICE, PART, "server %s of %s is ejected for %lld ms: %s",
             s->report.id, s->service->name,
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -30,6 +30,7 @@
 #include "roster/table.h"
 #include "site/site.h"
 #include "steer/health.h"
+#include "steer/mix.h"
 #include "steer/pace.h"
 #include "steer/pool.h"
 #include "steer/queue.h"
@@ -47,6 +48,10 @@
 
 #define GT_TRIED_MAX 8
 
+/* Traffic may move freely between regions for this long after servers have
+   been lost: callers come first then.  */
+#define GT_LOSS_RECENT (5 * ZP_SEC)
+
 /* What is read from a document by the interface that it came by.  */
 struct gt_interface
 {
@@ -145,6 +150,11 @@
   size_t servers;
   struct gt_way *way;
   size_t ways;
+  struct st_mix mix;
+  char region[ST_MIX_REGIONS][ZP_NAME_MAX]; /* by number */
+  size_t regions;
+  zp_time lost_at; /* servers were lost last; 0: never */
+
   unsigned daemons; /* entry daemons that may send */
   zp_time daemons_at;
 
@@ -188,6 +198,11 @@
 
 /* The same at S, which may be slower than the others.  */
 zp_time gt_server_usual (const struct gt_server *s);
+/* Notes that servers were lost.  */
+void gt_server_lost (struct gt_gate *g);
+
+/* The number of a region; the last one stands for all that have none.  */
+size_t gt_region_number (struct gt_gate *g, struct zp_str region);
 struct zp_str gt_server_region (const struct gt_gate *g,
                                 const struct gt_server *s);
 
--- a/src/gate/servers.c
+++ b/src/gate/servers.c
@@ -102,6 +102,8 @@
     s = server_new (g, &x->report, hash);
   else if (started)
     restart (g, s, x->report.service);
+  if (s->report.state == TK_SERVER_READY && x->report.state != TK_SERVER_READY)
+    gt_server_lost (g);
   s->report = x->report;
   s->load.slots = x->report.slots;
   if (x->cold_until > s->cold_until)
@@ -149,6 +151,7 @@
   zp_log (ZP_LOG_NOTICE, PART, "server %s of %s is no longer at %s",
           s->report.id, s->service->name, s->report.address);
   s->report.state = TK_SERVER_GONE;
+  gt_server_lost (g);
   if (!x)
     return;
   x->report.state = TK_SERVER_GONE;
@@ -217,6 +220,24 @@
                              zp_str_from (s->report.failure_domain));
 }
 
+size_t
+gt_region_number (struct gt_gate *g, struct zp_str region)
+{
+  for (size_t i = 0; i < g->regions; i++)
+    if (zp_str_eq (zp_str_from (g->region[i]), region))
+      return i;
+  if (g->regions == ST_MIX_REGIONS - 1)
+    return g->regions;
+  zp_str_copy (g->region[g->regions], sizeof g->region[0], region);
+  return g->regions++;
+}
+
+void
+gt_server_lost (struct gt_gate *g)
+{
+  g->lost_at = zp_clock_mono ();
+}
+
 static bool
 at_home (const struct gt_gate *g, const struct gt_request *q,
          const struct gt_server *s)
--- /dev/null
+++ b/src/steer/mix.c
@@ -0,0 +1,66 @@
+#include "steer/mix.h"
+
+#include <assert.h>
+#include <math.h>
+#include <string.h>
+
+#define WINDOW_BUCKETS (ST_MIX_BUCKETS / 2)
+
+/* Empties the buckets between the newest one and NOW.  */
+static void
+advance (struct st_mix *m, zp_time now)
+{
+  int64_t bucket = now / ST_MIX_BUCKET;
+
+  if (bucket - m->newest >= ST_MIX_BUCKETS)
+    memset (m->count, 0, sizeof m->count);
+  else
+    for (int64_t b = m->newest + 1; b <= bucket; b++)
+      memset (m->count[b % ST_MIX_BUCKETS], 0, sizeof m->count[0]);
+  if (bucket > m->newest)
+    m->newest = bucket;
+}
+
+void
+st_mix_note (struct st_mix *m, size_t region, zp_time now)
+{
+  assert (region < ST_MIX_REGIONS);
+  advance (m, now);
+  m->count[m->newest % ST_MIX_BUCKETS][region]++;
+}
+
+/* Requests of each region in the window that ends BACK buckets ago.  */
+static uint32_t
+sum (const struct st_mix *m, int64_t back, uint32_t *out)
+{
+  uint32_t all = 0;
+
+  memset (out, 0, ST_MIX_REGIONS * sizeof *out);
+  for (int64_t b = m->newest - back;
+       b > m->newest - back - WINDOW_BUCKETS && b >= 0; b--)
+    for (size_t r = 0; r < ST_MIX_REGIONS; r++)
+      {
+        out[r] += m->count[b % ST_MIX_BUCKETS][r];
+        all += m->count[b % ST_MIX_BUCKETS][r];
+      }
+  return all;
+}
+
+double
+st_mix_change (struct st_mix *m, size_t region, zp_time now)
+{
+  uint32_t before[ST_MIX_REGIONS], last[ST_MIX_REGIONS];
+  double moved = 0.0;
+
+  assert (region < ST_MIX_REGIONS);
+  advance (m, now);
+  uint32_t old = sum (m, WINDOW_BUCKETS, before);
+  uint32_t new = sum (m, 0, last);
+  if (old < ST_MIX_MIN || new < ST_MIX_MIN)
+    return 0.0;
+  last[region]++;
+  new ++;
+  for (size_t r = 0; r < ST_MIX_REGIONS; r++)
+    moved += fabs ((double) last[r] / new - (double) before[r] / old);
+  return moved / 2;
+}
