--- a/src/control/control.c
+++ b/src/control/control.c
@@ -23,6 +23,10 @@
 
 #define TICK (100 * ZP_MS)
 
+/* A follower that has not heard from its leader for this long may be cut off;
+   heartbeats come every 150 ms.  */
+#define CONTACT_RECENT (500 * ZP_MS)
+
 /* Operators wait 1 s for an answer, and a platform kills what has not ended
    6 s after its request to stop.  */
 #define CONTROL_STOP_LIMIT (4 * ZP_SEC)
@@ -203,7 +207,8 @@
 {
   struct lg_status s = ct_replica_status (c->replica);
   bool fresh = ct_replica_lease (c->replica)
-               || (s.role == LG_FOLLOWER && s.leader != 0);
+               || (s.role == LG_FOLLOWER && s.leader != 0
+                   && zp_clock_mono () - s.contact < CONTACT_RECENT);
 
   if (!c->source || fresh == c->fresh)
     return;
@@ -211,6 +216,11 @@
   struct tk_msg *m = tk_msg_new (TK_FRESH);
   m->u.fresh.fresh = fresh;
   tk_send (fo_source_task (c->source), m);
+  if (!c->roster.source)
+    return;
+  m = tk_msg_new (TK_FRESH);
+  m->u.fresh.fresh = fresh;
+  tk_send (ro_source_task (c->roster.source), m);
 }
 
 /* Callbacks of the log.  */
--- a/src/follow/follower.c
+++ b/src/follow/follower.c
@@ -125,15 +125,21 @@
 /* Connection to the source.  */
 
 static void
-leave_source (struct fo_follower *f, const char *why)
+drop_source (struct fo_follower *f, const char *why)
 {
   /* A source that cannot be reached is tried again several times a second.  */
   if (f->conn)
     zp_log (wi_conn_ready (f->conn) ? ZP_LOG_NOTICE : ZP_LOG_DEBUG, PART,
-            "leaves source %s: %s", f->sources[f->source].ptr, why);
+            "leaves its source: %s", why);
   wi_conn_free (f->conn);
   f->conn = NULL;
   fo_state_restart (&f->state);
+}
+
+static void
+leave_source (struct fo_follower *f, const char *why)
+{
+  drop_source (f, why);
   if (f->source_count > 0)
     f->source = (f->source + 1) % f->source_count;
   f->dial_at = zp_clock_mono () + ZP_FOLLOW_RETRY;
@@ -344,6 +350,11 @@
         f->source = f->source_count;
       f->sources[f->source_count++] = zp_buf_from (line);
     }
+  bool named
+      = f->source_count > 0
+        && zp_str_eq (zp_str_of (&f->sources[f->source]), zp_str_of (&used));
+  if (f->conn && !named)
+    drop_source (f, "it is no longer named");
   zp_buf_free (&used);
 }
 
--- a/src/ledger/core-election.c
+++ b/src/ledger/core-election.c
@@ -4,13 +4,27 @@
 
 #include "ledger/core-state.h"
 
+/* The turn of this member among the voters, from 0.  Members that do not vote
+   come last.  */
+static size_t
+turn (const struct lg_core *c)
+{
+  size_t voters = lg_members_voters (&c->members);
+  size_t before = 0;
+
+  if (!lg_members_voter (&c->members, c->id))
+    return voters;
+  for (size_t i = 0; i < c->members.len; i++)
+    before += c->members.item[i].voter && c->members.item[i].id < c->id;
+  return (before + (size_t) (c->term % voters)) % voters;
+}
+
 void
 lg_reset_deadline (struct lg_core *c)
 {
-  uint32_t spread = (uint32_t) (LG_ELECTION_MAX - LG_ELECTION_MIN);
-
-  c->deadline
-      = c->now + LG_ELECTION_MIN + (zp_time) zp_rng_below (c->rng, spread);
+  c->deadline = c->now + LG_ELECTION_MIN
+                + (zp_time) turn (c) * LG_ELECTION_STEP
+                + (zp_time) zp_rng_below (c->rng, LG_ELECTION_JITTER);
 }
 
 /* Gives up what only a leader has.  */
--- a/src/ledger/core.h
+++ b/src/ledger/core.h
@@ -38,7 +38,15 @@
 /* A new leader is wanted within 1.5 s of the loss of one, with round trips of
    110 ms between regions.  */
 #define LG_ELECTION_MIN (800 * ZP_MS)
-#define LG_ELECTION_MAX (1200 * ZP_MS)
+
+/* Voters stand for election one after the other, in an order that turns with
+   the term, so that two of them rarely divide the votes.  The step is longer
+   than a round trip between regions, after which the others know of the first
+   one.  */
+#define LG_ELECTION_STEP (150 * ZP_MS)
+#define LG_ELECTION_JITTER (40 * ZP_MS)
+#define LG_ELECTION_MAX                                                       \
+  (LG_ELECTION_MIN + LG_MEMBERS_MAX * LG_ELECTION_STEP + LG_ELECTION_JITTER)
 #define LG_LEASE (650 * ZP_MS)
 
 /* Longer than the lease by more than the clock-rate error, and shorter than
--- a/src/roster/client.c
+++ b/src/roster/client.c
@@ -32,6 +32,7 @@
   zp_time named; /* last heard of */
   struct wi_conn *conn;
   bool known; /* it has answered on this connection */
+  bool fresh; /* it is in contact with the leader of the log */
   zp_time dialed, dial_at;
   unsigned entries;
   uint64_t acked;
@@ -64,18 +65,26 @@
   zp_buf_printf (out, "%.*s%u", (int) n, address.ptr ? address.ptr : "", port);
 }
 
+/* Control daemons that are current go before those that are only connected. */
+static unsigned
+worth_following (const struct control *x)
+{
+  return x->known ? 1 + x->fresh : 0;
+}
+
 static void
 tell_follower (struct ro_client *c)
 {
   if (!c->follower)
     return;
   struct tk_msg *m = tk_msg_new (TK_SOURCES);
-  bool any = false;
+  unsigned best = 0;
   for (size_t i = 0; i < c->controls; i++)
-    any = any || c->control[i]->known;
+    if (worth_following (c->control[i]) > best)
+      best = worth_following (c->control[i]);
   for (size_t i = 0; i < c->controls; i++)
     {
-      if (any && !c->control[i]->known)
+      if (worth_following (c->control[i]) < best)
         continue;
       with_port (zp_str_from (c->control[i]->address), c->follow_port,
                  &m->u.addresses.lines);
@@ -161,7 +170,7 @@
   x->dial_at = zp_clock_mono () + REDIAL;
   if (!x->known)
     return;
-  x->known = false;
+  x->known = x->fresh = false;
   tell_follower (x->client);
 }
 
@@ -228,6 +237,22 @@
   ro_update_free (&u, owner);
 }
 
+static void
+take_ping (struct control *x, struct zp_str payload)
+{
+  bool fresh;
+
+  if (!ro_get_ping (payload, &fresh))
+    {
+      hang_up (x, "a ping that cannot be read");
+      return;
+    }
+  if (fresh == x->fresh)
+    return;
+  x->fresh = fresh;
+  tell_follower (x->client);
+}
+
 static void
 on_frame (void *self, struct wi_conn *conn, uint8_t kind,
           struct zp_str payload)
@@ -241,6 +266,7 @@
       take_update (x, payload);
       return;
     case WI_ROSTER_PING:
+      take_ping (x, payload);
       return;
     default:
       hang_up (x, "a frame of another protocol");
--- a/src/roster/codec.c
+++ b/src/roster/codec.c
@@ -172,3 +172,24 @@
   wi_free (w);
   return true;
 }
+
+void
+ro_put_ping (struct zp_buf *out, bool fresh)
+{
+  Wire__RosterPing w = WIRE__ROSTER_PING__INIT;
+
+  w.fresh = fresh;
+  wi_pack (out, &w.base);
+}
+
+bool
+ro_get_ping (struct zp_str payload, bool *fresh)
+{
+  Wire__RosterPing *w = wi_unpack (&wire__roster_ping__descriptor, payload);
+
+  if (!w)
+    return false;
+  *fresh = w->fresh;
+  wi_free (w);
+  return true;
+}
--- a/src/roster/codec.h
+++ b/src/roster/codec.h
@@ -32,6 +32,9 @@
                     void **owner);
 void ro_update_free (struct ro_update *u, void *owner);
 
+void ro_put_ping (struct zp_buf *out, bool fresh);
+bool ro_get_ping (struct zp_str payload, bool *fresh);
+
 void ro_put_ack (struct zp_buf *out, uint64_t number);
 bool ro_get_ack (struct zp_str payload, uint64_t *number);
 
--- a/src/roster/source.c
+++ b/src/roster/source.c
@@ -60,6 +60,7 @@
   size_t wait_count, wait_cap;
   struct zp_buf controls; /* "IP:port" lines */
   unsigned entries;       /* as last told */
+  bool fresh;             /* in contact with the leader of the log */
   ev_timer batch, tick;
 };
 
@@ -339,6 +340,16 @@
   send_update (l, zp_clock_mono ());
 }
 
+static void
+answer_ping (struct link *l)
+{
+  struct zp_buf b = { .ptr = NULL };
+
+  ro_put_ping (&b, l->source->fresh);
+  wi_conn_send (l->conn, WI_ROSTER_PING, zp_str_of (&b));
+  zp_buf_free (&b);
+}
+
 static void
 on_frame (void *self, struct wi_conn *conn, uint8_t kind,
           struct zp_str payload)
@@ -346,13 +357,14 @@
   struct link *l = self;
   uint64_t acked;
 
+  (void) conn;
   switch (kind)
     {
     case WI_ROSTER_HELLO:
       take_hello (l, payload);
       return;
     case WI_ROSTER_PING:
-      wi_conn_send (conn, WI_ROSTER_PING, ZP_STR (""));
+      answer_ping (l);
       return;
     case WI_ROSTER_ACK:
       if (ro_get_ack (payload, &acked))
@@ -432,6 +444,9 @@
     case TK_SERVER:
       take_server (s, &m->u.server);
       break;
+    case TK_FRESH:
+      s->fresh = m->u.fresh.fresh;
+      break;
     case TK_SOURCES:
       zp_buf_clear (&s->controls);
       zp_buf_put (&s->controls, zp_str_of (&m->u.addresses.lines));
--- a/src/wire/frame.h
+++ b/src/wire/frame.h
@@ -62,7 +62,7 @@
   WI_ROSTER_HELLO = 70,
   WI_ROSTER_UPDATE = 71,
   WI_ROSTER_ACK = 72,
-  WI_ROSTER_PING = 73, /* no payload; sent back */
+  WI_ROSTER_PING = 73,
 };
 
 struct wi_header
--- a/src/wire/roster.pb-c.c
+++ b/src/wire/roster.pb-c.c
@@ -142,6 +142,51 @@
   assert(message->base.descriptor == &wire__roster_update__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wire__roster_ping__init
+                     (Wire__RosterPing         *message)
+{
+  static const Wire__RosterPing init_value = WIRE__ROSTER_PING__INIT;
+  *message = init_value;
+}
+size_t wire__roster_ping__get_packed_size
+                     (const Wire__RosterPing *message)
+{
+  assert(message->base.descriptor == &wire__roster_ping__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__roster_ping__pack
+                     (const Wire__RosterPing *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__roster_ping__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__roster_ping__pack_to_buffer
+                     (const Wire__RosterPing *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__roster_ping__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__RosterPing *
+       wire__roster_ping__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__RosterPing *)
+     protobuf_c_message_unpack (&wire__roster_ping__descriptor,
+                                allocator, len, data);
+}
+void   wire__roster_ping__free_unpacked
+                     (Wire__RosterPing *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__roster_ping__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wire__roster_ack__init
                      (Wire__RosterAck         *message)
 {
@@ -587,6 +632,44 @@
   (ProtobufCMessageInit) wire__roster_update__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor wire__roster_ping__field_descriptors[1] =
+{
+  {
+    "fresh",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RosterPing, fresh),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__roster_ping__field_indices_by_name[] = {
+  0,   /* field[0] = fresh */
+};
+static const ProtobufCIntRange wire__roster_ping__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor wire__roster_ping__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.RosterPing",
+  "RosterPing",
+  "Wire__RosterPing",
+  "wire",
+  sizeof(Wire__RosterPing),
+  1,
+  wire__roster_ping__field_descriptors,
+  wire__roster_ping__field_indices_by_name,
+  1,  wire__roster_ping__number_ranges,
+  (ProtobufCMessageInit) wire__roster_ping__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor wire__roster_ack__field_descriptors[1] =
 {
   {
--- a/src/wire/roster.pb-c.h
+++ b/src/wire/roster.pb-c.h
@@ -18,6 +18,7 @@
 typedef struct Wire__RosterHello Wire__RosterHello;
 typedef struct Wire__RosterServer Wire__RosterServer;
 typedef struct Wire__RosterUpdate Wire__RosterUpdate;
+typedef struct Wire__RosterPing Wire__RosterPing;
 typedef struct Wire__RosterAck Wire__RosterAck;
 
 
@@ -117,6 +118,22 @@
     , 0, 0,NULL, 0,NULL, 0 }
 
 
+/*
+ * Answers a ping.
+ */
+struct  Wire__RosterPing
+{
+  ProtobufCMessage base;
+  /*
+   * the control daemon is in contact with the leader
+   */
+  protobuf_c_boolean fresh;
+};
+#define WIRE__ROSTER_PING__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__roster_ping__descriptor) \
+    , 0 }
+
+
 struct  Wire__RosterAck
 {
   ProtobufCMessage base;
@@ -184,6 +201,25 @@
 void   wire__roster_update__free_unpacked
                      (Wire__RosterUpdate *message,
                       ProtobufCAllocator *allocator);
+/* Wire__RosterPing methods */
+void   wire__roster_ping__init
+                     (Wire__RosterPing         *message);
+size_t wire__roster_ping__get_packed_size
+                     (const Wire__RosterPing   *message);
+size_t wire__roster_ping__pack
+                     (const Wire__RosterPing   *message,
+                      uint8_t             *out);
+size_t wire__roster_ping__pack_to_buffer
+                     (const Wire__RosterPing   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__RosterPing *
+       wire__roster_ping__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__roster_ping__free_unpacked
+                     (Wire__RosterPing *message,
+                      ProtobufCAllocator *allocator);
 /* Wire__RosterAck methods */
 void   wire__roster_ack__init
                      (Wire__RosterAck         *message);
@@ -214,6 +250,9 @@
 typedef void (*Wire__RosterUpdate_Closure)
                  (const Wire__RosterUpdate *message,
                   void *closure_data);
+typedef void (*Wire__RosterPing_Closure)
+                 (const Wire__RosterPing *message,
+                  void *closure_data);
 typedef void (*Wire__RosterAck_Closure)
                  (const Wire__RosterAck *message,
                   void *closure_data);
@@ -226,6 +265,7 @@
 extern const ProtobufCMessageDescriptor wire__roster_hello__descriptor;
 extern const ProtobufCMessageDescriptor wire__roster_server__descriptor;
 extern const ProtobufCMessageDescriptor wire__roster_update__descriptor;
+extern const ProtobufCMessageDescriptor wire__roster_ping__descriptor;
 extern const ProtobufCMessageDescriptor wire__roster_ack__descriptor;
 
 PROTOBUF_C__END_DECLS
