Keep an object on one server of a region

Two servers an object cost warm answers and gave little: when the first one is full, the first one of another region is warm and its way is shorter than a cold start.

--- a/src/gate/choose.c
+++ b/src/gate/choose.c
@@ -6,7 +6,7 @@
 
 /* Servers of one region that an object may go to.  All daemons choose the same
    ones, and two bear that one is full or ends.  */
-#define SERVERS_OF_OBJECT 2
+#define SERVERS_OF_OBJECT 1
 
 /* The candidates for one request, with the server of each.  */
 struct choices
