--- a/bench/bench-config.c
+++ b/bench/bench-config.c
@@ -71,9 +71,9 @@
                    i % DOMAINS);
   for (unsigned i = 0; i < ENTRIES; i++)
     zp_buf_printf (out,
-                   "\"entry/e%u\":{\"failure_domain\":\"f%u\",\"address\":"
+                   "\"entry/%u\":{\"failure_domain\":\"f%u\",\"address\":"
                    "\"10.0.%u.%u:80\",\"enabled\":true},",
-                   i, i % DOMAINS, i / 200, i % 200);
+                   i + 1, i % DOMAINS, i / 200, i % 200);
   zp_buf_put (out, ZP_STR ("\"service/main\":{\"class\":\"once\",\"priority\":"
                            "0,\"deadline_ms\":1000,\"queue_max\":10}}}"));
 }
@@ -156,8 +156,8 @@
       if (drain)
         zp_buf_printf (&text,
                        "{\"title\":\"drain\",\"author\":\"ana\",\"against\":0,"
-                       "\"set\":{\"drain/d%u\":{\"target\":\"entry/e%u\"}}}",
-                       i, i);
+                       "\"set\":{\"drain/d%u\":{\"target\":\"entry/%u\"}}}",
+                       i, i + 1);
       else
         put_blocks (&text, i, TI_PREFIXES_MAX, 1);
       double us = apply (c, zp_str_of (&text));
--- a/bench/bench-conflict.c
+++ b/bench/bench-conflict.c
@@ -96,9 +96,9 @@
                    i % DOMAINS);
   for (unsigned i = 0; i < ENTRIES; i++)
     zp_buf_printf (out,
-                   "\"entry/e%u\":{\"failure_domain\":\"f%u\",\"address\":"
+                   "\"entry/%u\":{\"failure_domain\":\"f%u\",\"address\":"
                    "\"10.0.%u.%u:80\",\"enabled\":true},",
-                   i, i % DOMAINS, i / 200, i % 200);
+                   i + 1, i % DOMAINS, i / 200, i % 200);
   zp_buf_put (out, ZP_STR ("\"service/main\":{\"class\":\"once\",\"priority\":"
                            "0,\"deadline_ms\":1000,\"queue_max\":10}}"));
 }
@@ -126,7 +126,7 @@
   if (kind < 45) /* a VM leaves for a restart, or is back */
     {
       unsigned e = popular (rng, ENTRIES);
-      snprintf (name, sizeof name, "e%u", e);
+      snprintf (name, sizeof name, "%u", e + 1);
       if (exists (c, TI_DRAIN, name))
         zp_buf_printf (out, "\"delete\":[\"drain/%s\"]", name);
       else
@@ -137,9 +137,9 @@
     {
       unsigned e = popular (rng, ENTRIES);
       zp_buf_printf (out,
-                     "\"set\":{\"entry/e%u\":{\"failure_domain\":\"f%u\","
+                     "\"set\":{\"entry/%u\":{\"failure_domain\":\"f%u\","
                      "\"address\":\"10.0.%u.%u:80\",\"enabled\":%s}}",
-                     e, e % DOMAINS, e / 200, e % 200,
+                     e + 1, e % DOMAINS, e / 200, e % 200,
                      zp_rng_below (rng, 2) ? "true" : "false");
     }
   else if (kind < 80)
--- a/bench/bench-log.c
+++ b/bench/bench-log.c
@@ -183,9 +183,9 @@
                            "\"entry_networks\":[\"10.0.0.0/8\"]}"));
   for (unsigned i = 0; i < ENTRIES; i++)
     zp_buf_printf (out,
-                   ",\"entry/e%u\":{\"failure_domain\":\"f\",\"address\":"
+                   ",\"entry/%u\":{\"failure_domain\":\"f\",\"address\":"
                    "\"10.0.%u.%u:80\",\"enabled\":true}",
-                   i, i / 200, i % 200);
+                   i + 1, i / 200, i % 200);
   zp_buf_put (out, ZP_STR ("}}"));
 }
 
@@ -204,8 +204,8 @@
   else
     zp_buf_printf (&text,
                    "{\"title\":\"change %u\",\"author\":\"ana\",\"against\":"
-                   "%u,\"set\":{\"drain/d%u\":{\"target\":\"entry/e%u\"}}}",
-                   n, n, e, e);
+                   "%u,\"set\":{\"drain/d%u\":{\"target\":\"entry/%u\"}}}",
+                   n, n, e, e + 1);
   c.kind = TI_SUBMIT;
   c.u.submit.ticket = make_ticket (zp_str_of (&text));
   ti_ticket_digest (c.u.submit.ticket, &digest);
--- a/src/ctl/client.c
+++ b/src/ctl/client.c
@@ -6,11 +6,12 @@
 
 #include "base/limits.h"
 
-#define CONNECT_LIMIT_MS 2000L
+#define CONNECT_LIMIT_MS 700L
 
-/* A leader answers within some round trips between regions, so that a server
-   that stays silent this long is frozen or cut off.  */
-#define TRY_LIMIT (2 * ZP_SEC)
+/* A leader answers within some round trips between regions, which take 110 ms,
+   and a sync, so that a server that stays silent this long is frozen or cut
+   off. Requests may be sent again: they take effect once.  */
+#define TRY_LIMIT (700 * ZP_MS)
 #define PAUSE (300 * ZP_MS) /* between two rounds over the servers */
 #define REDIRECTS_MAX 3L
 
