--- /dev/null
+++ b/tests/test-gate.c
@@ -0,0 +1,461 @@
+/* The deciding task of an entry daemon, with the forward task and the callers
+   played by the test.  */
+
+#include "harness.h"
+
+#include <stdlib.h>
+
+#include "forward/client.h"
+#include "gate/gate.h"
+#include "ticket/blob.h"
+#include "ticket/store.h"
+
+/* Everything runs on one loop; the test waits at most this long.  */
+#define PATIENCE_S 5.0
+
+struct fixture
+{
+  struct tk_loop loop;
+  struct gt_settings settings;
+  struct zp_str regions[2];
+  struct gt_gate *gate;
+  struct tk_task forward, front, roster;
+  struct tk_msg *sent[8]; /* TK_FORWARD */
+  size_t sends, cancels;
+  struct tk_msg *answer[8]; /* TK_HTTP_ANSWER */
+  size_t answers;
+  struct tk_daemon said;
+  struct ti_store *store;
+  uint64_t version;
+  ev_timer guard;
+  bool timed_out, stopped;
+};
+
+static struct fixture f;
+
+static void
+on_forward (void *self, struct tk_msg *m)
+{
+  (void) self;
+  if (m->kind == TK_FORWARD)
+    {
+      f.sent[f.sends++] = m;
+      return;
+    }
+  f.cancels++;
+  tk_msg_free (m);
+}
+
+static void
+on_front (void *self, struct tk_msg *m)
+{
+  (void) self;
+  f.answer[f.answers++] = m;
+}
+
+static void
+on_roster (void *self, struct tk_msg *m)
+{
+  (void) self;
+  if (m->kind == TK_DAEMON)
+    f.said = m->u.daemon;
+  tk_msg_free (m);
+}
+
+static void
+on_guard (struct ev_loop *ev, ev_timer *w, int events)
+{
+  (void) w;
+  (void) events;
+  f.timed_out = true;
+  ev_break (ev, EVBREAK_ALL);
+}
+
+static void
+on_stopped (void *self)
+{
+  (void) self;
+  f.stopped = true;
+}
+
+/* A document here is "VERSION [once]": one route / to the service "svc".  */
+static struct si_site *
+decode (struct zp_str text, struct zp_err *err)
+{
+  struct zp_str number, kind;
+  uint64_t n = 0;
+
+  zp_str_split (text, ' ', &number, &kind);
+  zp_str_u64 (number, &n);
+  struct si_site *s = si_site_new (n);
+  struct si_service v = { .name = zp_buf_from (ZP_STR ("svc")) };
+  struct si_route r = { .host = zp_buf_from (ZP_STR ("h")),
+                        .prefix = zp_buf_from (ZP_STR ("/")),
+                        .class = kind.len > 0 ? SI_ONCE : SI_IDEMPOTENT,
+                        .timeout = 2 * ZP_SEC,
+                        .objective = 400 * ZP_MS,
+                        .attempts = 3 };
+  si_route_add_part (&r, ZP_STR ("svc"), 1);
+  si_site_add_service (s, &v);
+  si_site_add_route (s, &r);
+  if (si_site_seal (s, err))
+    return s;
+  si_site_free (s);
+  return NULL;
+}
+
+static const struct gt_interface interface = { .names = &fr_names_own,
+                                               .decode = decode };
+
+static void
+put_document (const char *text, uint64_t number)
+{
+  struct ti_command c = { .kind = TI_PUT, .now = 5 };
+  struct zp_buf bytes = { .ptr = NULL };
+  struct ti_result r;
+  struct tk_msg *m = tk_msg_new (TK_CONFIG);
+
+  c.u.put.number = number;
+  ti_blob_pack (zp_str_from (text), &c.u.put.body);
+  ti_command_encode (&c, &bytes);
+  ti_store_apply (f.store, ++f.version, zp_str_of (&bytes), &r);
+  m->u.config.whole = true;
+  m->u.config.version = f.version;
+  ti_config_encode (ti_store_config (f.store), &m->u.config.bytes);
+  tk_send (&f.gate->task, m);
+  ti_result_free (&r);
+  zp_buf_free (&bytes);
+  ti_command_clear (&c);
+}
+
+static void
+put_server (const char *id, const char *address, enum tk_server_state state,
+            uint64_t seq)
+{
+  struct tk_msg *m = tk_msg_new (TK_SERVER);
+
+  m->u.server = (struct tk_server){ .service = "svc",
+                                    .failure_domain = "a-1",
+                                    .slots = 4,
+                                    .state = state,
+                                    .born_ms = 1000,
+                                    .seq = seq };
+  zp_str_copy (m->u.server.id, sizeof m->u.server.id, zp_str_from (id));
+  zp_str_copy (m->u.server.address, sizeof m->u.server.address,
+               zp_str_from (address));
+  tk_send (&f.gate->task, m);
+}
+
+static void
+request (uint64_t http)
+{
+  struct tk_msg *m = tk_msg_new (TK_HTTP_REQUEST);
+  struct tk_http_request *r = &m->u.request;
+
+  r->id = http;
+  r->from = &f.front;
+  r->host = zp_buf_from (ZP_STR ("h"));
+  r->method = zp_buf_from (ZP_STR ("GET"));
+  r->path = zp_buf_from (ZP_STR ("/x"));
+  zp_buf_printf (&r->request_id, "r-%llu", (unsigned long long) http);
+  r->deadline = zp_clock_mono () + 2 * ZP_SEC;
+  tk_send (&f.gate->task, m);
+}
+
+#define RUN_UNTIL(condition)                                                  \
+  while (!(condition) && !f.timed_out)                                        \
+    ev_run (f.loop.ev, EVRUN_ONCE);                                           \
+  CU_ASSERT_FATAL (!f.timed_out)
+
+/* Lets everything that is on its way arrive.  */
+static void
+settle (void)
+{
+  for (int i = 0; i < 20; i++)
+    ev_run (f.loop.ev, EVRUN_NOWAIT);
+}
+
+/* Ends the attempt AT.  */
+static void
+done (size_t at, enum tk_forward_end end, unsigned status,
+      enum zp_verdict verdict, bool stamped)
+{
+  struct tk_msg *m = tk_msg_new (TK_FORWARD_DONE);
+
+  m->u.done.id = f.sent[at]->u.forward.id;
+  m->u.done.end = end;
+  m->u.done.status = status;
+  m->u.done.verdict = verdict;
+  m->u.done.stamped = stamped;
+  zp_buf_put (&m->u.done.body, ZP_STR ("the server's bytes"));
+  tk_send (&f.gate->task, m);
+}
+
+static void
+set_up (const char *document)
+{
+  static char front[ZP_ADDRESS_MAX], ready[ZP_ADDRESS_MAX];
+  struct zp_err err = { .text = "" };
+
+  f = (struct fixture){ .version = 0 };
+  snprintf (front, sizeof front, "%s", test_address (19611));
+  snprintf (ready, sizeof ready, "%s", test_address (19612));
+  f.regions[0] = ZP_STR ("a-1=a");
+  f.settings = (struct gt_settings){ .name = ZP_STR ("edge"),
+                                     .failure_domain = ZP_STR ("a-1"),
+                                     .region = ZP_STR ("a"),
+                                     .front = zp_str_from (front),
+                                     .ready = zp_str_from (ready),
+                                     .regions = { f.regions, 1 },
+                                     .lookup_ttl = 100 * ZP_MS,
+                                     .grace = 3 * ZP_SEC };
+  tk_loop_init (&f.loop);
+  tk_task_init (&f.forward, &f.loop, on_forward, &f);
+  tk_task_init (&f.front, &f.loop, on_front, &f);
+  tk_task_init (&f.roster, &f.loop, on_roster, &f);
+  f.store = ti_store_new (TI_CONFLICT_BY_OBJECT);
+  f.gate = gt_gate_open (&f.loop, &f.settings, &interface, &err);
+  if (!f.gate)
+    CU_FAIL_FATAL ("the gate does not open");
+  f.gate->forward = &f.forward;
+  f.gate->roster = &f.roster;
+  f.gate->stopped = on_stopped;
+  ev_timer_init (&f.guard, on_guard, PATIENCE_S, 0.0);
+  ev_timer_start (f.loop.ev, &f.guard);
+  if (document)
+    put_document (document, 7);
+}
+
+static void
+tear_down (void)
+{
+  for (size_t i = 0; i < f.sends; i++)
+    tk_msg_free (f.sent[i]);
+  for (size_t i = 0; i < f.answers; i++)
+    tk_msg_free (f.answer[i]);
+  ev_timer_stop (f.loop.ev, &f.guard);
+  gt_gate_close (f.gate);
+  ti_store_free (f.store);
+  tk_task_free (&f.forward);
+  tk_task_free (&f.front);
+  tk_task_free (&f.roster);
+  tk_loop_free (&f.loop);
+}
+
+static unsigned
+status (size_t at)
+{
+  return f.answer[at]->u.answer.status;
+}
+
+/* Guards against refusals of proper requests with a status that ends them, and
+   against requests that are held while nothing can serve them.  */
+static void
+test_refusals (void)
+{
+  set_up (NULL);
+  request (1);
+  RUN_UNTIL (f.answers == 1);
+  CU_ASSERT_EQUAL (status (0), 503);
+  CU_ASSERT (f.answer[0]->u.answer.retry_after_ms > 0);
+  put_document ("7", 7);
+  RUN_UNTIL (f.said.ready);
+  request (2);
+  RUN_UNTIL (f.answers == 2);
+  CU_ASSERT_EQUAL (status (1), 503);
+  CU_ASSERT (f.answer[1]->u.answer.retry_after_ms > 0);
+  CU_ASSERT_EQUAL (f.sends, 0);
+  tear_down ();
+}
+
+static void
+test_answer (void)
+{
+  set_up ("7");
+  put_server ("i-1", "10.0.0.1:80", TK_SERVER_READY, 1);
+  request (1);
+  RUN_UNTIL (f.sends == 1);
+  CU_ASSERT_STRING_EQUAL (f.sent[0]->u.forward.expect, "i-1");
+  CU_ASSERT_STRING_EQUAL (f.sent[0]->u.forward.address, "10.0.0.1:80");
+  CU_ASSERT (zp_str_eq (zp_str_of (&f.sent[0]->u.forward.request_id),
+                        ZP_STR ("r-1")));
+  done (0, TK_END_ANSWER, 200, ZP_RAN, true);
+  RUN_UNTIL (f.answers == 1);
+  CU_ASSERT_EQUAL (status (0), 200);
+  CU_ASSERT (zp_str_eq (zp_str_of (&f.answer[0]->u.answer.body),
+                        ZP_STR ("the server's bytes")));
+  tear_down ();
+}
+
+/* How a first attempt ends, and whether the request may be sent again.  */
+static const struct
+{
+  enum tk_forward_end end;
+  unsigned status;
+  enum zp_verdict verdict;
+  bool stamped;
+  bool again_once, again_idempotent;
+  unsigned answer_once; /* what the caller of an at-most-once request gets */
+} ends[] = {
+  { TK_END_NO_CONNECT, 0, ZP_NOT_RUN, false, true, true, 0 },
+  { TK_END_ANSWER, 421, ZP_NOT_RUN, false, true, true, 0 },
+  { TK_END_ANSWER, 503, ZP_NOT_RUN, true, true, true, 0 },
+  { TK_END_ANSWER, 503, ZP_RAN, true, false, true, 502 },
+  { TK_END_ANSWER, 429, ZP_RAN, true, false, true, 502 },
+  { TK_END_ANSWER, 200, ZP_RAN, false, false, true, 502 },
+  { TK_END_ANSWER, 500, ZP_RAN, true, false, true, 500 },
+  { TK_END_ANSWER, 400, ZP_RAN, true, false, false, 400 },
+  { TK_END_LOST, 0, ZP_MAY_HAVE_RUN, false, false, true, 502 },
+  { TK_END_TIMEOUT, 0, ZP_MAY_HAVE_RUN, false, false, true, 502 },
+};
+
+/* Guards against requests that run twice, against refusals that say "not run"
+   of what may have run, and against answers that are not the server's.  */
+static void
+test_ends (void)
+{
+  for (size_t i = 0; i < sizeof ends / sizeof ends[0]; i++)
+    for (int once = 0; once < 2; once++)
+      {
+        bool again = once ? ends[i].again_once : ends[i].again_idempotent;
+        set_up (once ? "7 once" : "7");
+        put_server ("i-1", "10.0.0.1:80", TK_SERVER_READY, 1);
+        put_server ("i-2", "10.0.0.2:80", TK_SERVER_READY, 1);
+        request (1);
+        RUN_UNTIL (f.sends == 1);
+        done (0, ends[i].end, ends[i].status, ends[i].verdict,
+              ends[i].stamped);
+        settle ();
+        CU_ASSERT_EQUAL (f.sends, again ? 2 : 1);
+        CU_ASSERT_EQUAL (f.answers, again ? 0 : 1);
+        if (again)
+          CU_ASSERT_STRING_NOT_EQUAL (f.sent[0]->u.forward.expect,
+                                      f.sent[1]->u.forward.expect);
+        if (once && !again)
+          CU_ASSERT_EQUAL (status (0), ends[i].answer_once);
+        if (once && !again)
+          CU_ASSERT_NOT_EQUAL (status (0), 503);
+        tear_down ();
+      }
+}
+
+/* Guards against a promise of "not run" after an earlier attempt that may have
+   run.  */
+static void
+test_verdict_of_all_attempts (void)
+{
+  set_up ("7");
+  put_server ("i-1", "10.0.0.1:80", TK_SERVER_READY, 1);
+  put_server ("i-2", "10.0.0.2:80", TK_SERVER_READY, 1);
+  request (1);
+  RUN_UNTIL (f.sends == 1);
+  done (0, TK_END_LOST, 0, ZP_MAY_HAVE_RUN, false);
+  RUN_UNTIL (f.sends == 2);
+  done (1, TK_END_ANSWER, 503, ZP_NOT_RUN, true);
+  RUN_UNTIL (f.answers == 1);
+  CU_ASSERT_EQUAL (status (0), 502);
+  tear_down ();
+}
+
+/* Guards against a caller that has left and whose request goes on.  */
+static void
+test_caller_leaves (void)
+{
+  set_up ("7 once");
+  put_server ("i-1", "10.0.0.1:80", TK_SERVER_READY, 1);
+  request (1);
+  RUN_UNTIL (f.sends == 1);
+  struct tk_msg *m = tk_msg_new (TK_HTTP_GONE);
+  m->u.gone.id = 1;
+  tk_send (&f.gate->task, m);
+  RUN_UNTIL (f.cancels == 1);
+  done (0, TK_END_CANCELLED, 0, ZP_MAY_HAVE_RUN, false);
+  settle ();
+  CU_ASSERT_EQUAL (f.sends, 1);
+  CU_ASSERT_EQUAL (f.answers, 0);
+  CU_ASSERT_EQUAL (f.gate->requests.len, 0);
+  tear_down ();
+}
+
+/* Guards against requests to a server that drains or has another start at its
+   address.  */
+static void
+test_servers_that_leave (void)
+{
+  set_up ("7");
+  put_server ("i-1", "10.0.0.1:80", TK_SERVER_READY, 1);
+  put_server ("i-1", "10.0.0.1:80", TK_SERVER_DRAINING, 2);
+  request (1);
+  RUN_UNTIL (f.answers == 1);
+  CU_ASSERT_EQUAL (status (0), 503);
+  put_server ("i-2", "10.0.0.2:80", TK_SERVER_READY, 1);
+  request (2);
+  RUN_UNTIL (f.sends == 1);
+  done (0, TK_END_ANSWER, 421, ZP_NOT_RUN, false);
+  RUN_UNTIL (f.answers == 2);
+  CU_ASSERT_EQUAL (status (1), 503);
+  /* It does not come back by a late report of the same start.  */
+  put_server ("i-2", "10.0.0.2:80", TK_SERVER_READY, 9);
+  request (3);
+  RUN_UNTIL (f.answers == 3);
+  CU_ASSERT_EQUAL (status (2), 503);
+  CU_ASSERT_EQUAL (f.sends, 1);
+  tear_down ();
+}
+
+/* Guards against a configuration that goes back, and one that cannot be read
+   and takes the routes away.  */
+static void
+test_configurations (void)
+{
+  set_up ("7");
+  RUN_UNTIL (f.gate->site && f.gate->site->number == 7);
+  struct tk_msg *m = tk_msg_new (TK_CONFIG);
+  m->u.config.whole = true;
+  m->u.config.version = 99;
+  zp_buf_put (&m->u.config.bytes, ZP_STR ("no configuration"));
+  tk_send (&f.gate->task, m);
+  settle ();
+  CU_ASSERT_EQUAL (f.gate->site->number, 7);
+  put_document ("9", 9);
+  RUN_UNTIL (f.gate->site->number == 9);
+  tear_down ();
+}
+
+/* Guards against a stop that ends requests in progress, and against one that
+   never comes.  */
+static void
+test_stop (void)
+{
+  set_up ("7");
+  put_server ("i-1", "10.0.0.1:80", TK_SERVER_READY, 1);
+  request (1);
+  RUN_UNTIL (f.sends == 1);
+  tk_send (&f.gate->task, tk_msg_new (TK_STOP));
+  RUN_UNTIL (f.said.leaving);
+  CU_ASSERT (!f.said.ready);
+  ev_timer wait;
+  ev_timer_init (&wait, on_guard, 0.4, 0.0);
+  ev_timer_start (f.loop.ev, &wait);
+  while (!f.timed_out)
+    ev_run (f.loop.ev, EVRUN_ONCE);
+  ev_timer_stop (f.loop.ev, &wait);
+  f.timed_out = false;
+  CU_ASSERT (!f.stopped);
+  done (0, TK_END_ANSWER, 200, ZP_RAN, true);
+  RUN_UNTIL (f.answers == 1 && f.stopped);
+  CU_ASSERT_EQUAL (status (0), 200);
+  tear_down ();
+}
+
+static const struct zp_test tests[]
+    = { { "refusals", test_refusals },
+        { "an answer", test_answer },
+        { "how attempts end", test_ends },
+        { "the verdict covers all attempts", test_verdict_of_all_attempts },
+        { "the caller leaves", test_caller_leaves },
+        { "servers that leave", test_servers_that_leave },
+        { "configurations", test_configurations },
+        { "a planned stop", test_stop } };
+
+TEST_MAIN ("gate", tests)
