--- a/bench/bench-replica.c
+++ b/bench/bench-replica.c
@@ -75,7 +75,11 @@
 {
   (void) self;
   if (reply->kind == LG_REPLY_REFUSED || reply->kind == LG_REPLY_LOST)
-    fig_die ("bench-replica: a proposal was not committed", NULL);
+    {
+      struct zp_err err = { .text = "" };
+      zp_fail (&err, ZP_EUNAVAIL, "%s", reply->reason ? reply->reason : "");
+      fig_die ("bench-replica: a proposal was not committed", &err);
+    }
   group.committed += reply->kind == LG_REPLY_COMMITTED;
 }
 
--- a/src/control/replica-links.c
+++ b/src/control/replica-links.c
@@ -10,7 +10,7 @@
 #include "wire/frame.h"
 
 #define RETRY_MIN (100 * ZP_MS)
-#define RETRY_MAX (2000 * ZP_MS)
+#define RETRY_MAX (300 * ZP_MS)
 
 /* An accepted connection that brings no message for this time is closed.  */
 #define UNKNOWN_MAX (10 * ZP_SEC)
--- a/src/control/replica-links.h
+++ b/src/control/replica-links.h
@@ -19,7 +19,7 @@
 
 /* Shorter than the lease, so that a leader whose connections became silent has
    fresh ones before it loses its followers.  */
-#define CT_SILENT (500 * ZP_MS)
+#define CT_SILENT (600 * ZP_MS)
 
 struct ct_links;
 
--- a/src/ledger/core-election.c
+++ b/src/ledger/core-election.c
@@ -22,8 +22,10 @@
 void
 lg_reset_deadline (struct lg_core *c)
 {
-  c->deadline = c->now + LG_ELECTION_MIN
-                + (zp_time) turn (c) * LG_ELECTION_STEP
+  zp_time step
+      = lg_log_last (&c->log) == 0 ? LG_FOUNDING_STEP : LG_ELECTION_STEP;
+
+  c->deadline = c->now + LG_ELECTION_MIN + (zp_time) turn (c) * step
                 + (zp_time) zp_rng_below (c->rng, LG_ELECTION_JITTER);
 }
 
--- a/src/ledger/core.h
+++ b/src/ledger/core.h
@@ -37,22 +37,30 @@
 
 /* A new leader is wanted within 1.5 s of the loss of one, with round trips of
    110 ms between regions.  */
-#define LG_ELECTION_MIN (800 * ZP_MS)
+#define LG_ELECTION_MIN (1000 * ZP_MS)
 
 /* Voters stand for election one after the other, in an order that turns with
    the term, so that two of them rarely divide the votes.  The step is longer
    than a round trip between regions, after which the others know of the first
    one.  */
-#define LG_ELECTION_STEP (150 * ZP_MS)
+#define LG_ELECTION_STEP (120 * ZP_MS)
+
+/* The same for the first leader of a group, which needs the votes of all; the
+   founders start up to 300 ms apart.  */
+#define LG_FOUNDING_STEP (600 * ZP_MS)
 #define LG_ELECTION_JITTER (40 * ZP_MS)
 #define LG_ELECTION_MAX                                                       \
-  (LG_ELECTION_MIN + LG_MEMBERS_MAX * LG_ELECTION_STEP + LG_ELECTION_JITTER)
-#define LG_LEASE (650 * ZP_MS)
+  (LG_ELECTION_MIN + LG_MEMBERS_MAX * LG_FOUNDING_STEP + LG_ELECTION_JITTER)
+
+/* A follower acknowledges with its disk, and busy disks take hundreds of
+   milliseconds for a sync: with a lease of 650 ms leaders lost it on a machine
+   with a load of 10.  */
+#define LG_LEASE (880 * ZP_MS)
 
 /* Longer than the lease by more than the clock-rate error, and shorter than
    the election timeout by more than half a heartbeat, so that the votes of
    followers that last heard from the leader at different times are ready.  */
-#define LG_VOTE_WAIT (700 * ZP_MS)
+#define LG_VOTE_WAIT (920 * ZP_MS)
 #define LG_HEARTBEAT (150 * ZP_MS)
 
 /* An append without answer is sent again after this time.  */
