--- a/src/gate/dispatch.c
+++ b/src/gate/dispatch.c
@@ -35,6 +35,10 @@
   zp_buf_put (&f->headers, zp_str_of (&h->headers));
   zp_buf_put (&f->body, zp_str_of (&h->body));
   zp_buf_put (&f->request_id, zp_str_of (&h->request_id));
+  st_egress_add (&g->egress,
+                 GT_HEADER_BYTES + f->headers.len + f->target.len
+                     + f->body.len,
+                 q->started);
   f->deadline = q->deadline;
   f->fresh_connection = q->fresh;
   f->idle_max = q->idempotent ? IDLE_MAX : ONCE_IDLE_MAX;
@@ -152,6 +156,11 @@
       gt_request_refuse (g, q, "deadline", false);
       return;
     }
+  if (q->attempts == 0 && st_egress_wait (&g->egress, now) > ST_EGRESS_WAIT)
+    {
+      gt_request_refuse (g, q, "link-full", true);
+      return;
+    }
   struct st_pool_choice c = gt_choose (g, q, now, &s);
   switch (c.kind)
     {
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -247,6 +247,7 @@
   g->settings = s;
   g->interface = i;
   g->daemons = 1;
+  st_egress_init (&g->egress, s->link_mbps);
   zp_rng_seed_os (&g->rng);
   tk_task_init (&g->task, l, on_message, g);
   ev_timer_init (&g->timer, on_timer, 0.0, 0.0);
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -32,6 +32,7 @@
 #include "gate/settings.h"
 #include "roster/table.h"
 #include "site/site.h"
+#include "steer/egress.h"
 #include "steer/health.h"
 #include "steer/mix.h"
 #include "steer/pace.h"
@@ -51,6 +52,9 @@
 
 #define GT_TRIED_MAX 8
 
+/* Bytes of the headers of one message, with those of TCP and IP.  */
+#define GT_HEADER_BYTES 400
+
 /* Traffic may move freely between regions for this long after servers have
    been lost: callers come first then.  */
 #define GT_LOSS_RECENT (5 * ZP_SEC)
@@ -168,6 +172,7 @@
   struct gt_way *way;
   size_t ways;
   struct st_mix mix;
+  struct st_egress egress;
   char region[ST_MIX_REGIONS][ZP_NAME_MAX]; /* by number */
   size_t regions;
   zp_time lost_at; /* servers were lost last; 0: never */
--- a/src/gate/request.c
+++ b/src/gate/request.c
@@ -99,6 +99,7 @@
                                  q->deadline - now, &g->rng);
       zp_count (not_run ? q->service->refused : q->service->maybe, 1);
       gt_record_refusal (g, q, reason, after, now);
+      st_egress_add (&g->egress, GT_HEADER_BYTES, now);
       send_refusal (h->from, q->http,
                     refusal_status (q->furthest, now >= q->deadline),
                     q->furthest, reason, after);
@@ -116,6 +117,9 @@
       zp_count (q->service->answered, 1);
       zp_histogram_add (&q->service->answer_time,
                         zp_clock_mono () - q->arrived);
+      st_egress_add (&g->egress,
+                     GT_HEADER_BYTES + d->headers.len + d->body.len,
+                     zp_clock_mono ());
       struct tk_msg *m = tk_msg_new (TK_HTTP_ANSWER);
       struct tk_http_answer *a = &m->u.answer;
       a->id = q->http;
--- a/src/gate/settings.h
+++ b/src/gate/settings.h
@@ -9,6 +9,7 @@
        inner_port     first port of the inner protocols (enum wi_port)
        regions        "FAILURE_DOMAIN=REGION" of all failure domains
        lookup_ttl     how long callers keep the address of this daemon
+       link_mbps      rate of this machine's link; 0: not bounded
        grace          time between the request to stop and the kill  */
 
 #ifndef ZP_GATE_SETTINGS_H
@@ -24,6 +25,7 @@
   struct zp_strs seeds, regions;
   int64_t inner_port;
   zp_time lookup_ttl, grace;
+  double link_mbps;
   int64_t log_level;
   uint64_t id; /* number of the front's IPv4 address */
 };
