Let the daemons of a region tell each other their work at each server

Each daemon tells one control daemon of its region its requests at each server five times a second and gets those of the others.

--- a/src/control/roster.c
+++ b/src/control/roster.c
@@ -162,6 +162,7 @@
 {
   const struct ro_source_options source
       = { .address = settings->roster,
+          .region = settings->region,
           .report_period = settings->server_report,
           .decider = decider };
   const struct ro_client_options client
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -74,6 +74,14 @@
     }
 }
 
+static void
+on_work_timer (struct ev_loop *ev, ev_timer *w, int events)
+{
+  (void) ev;
+  (void) events;
+  gt_server_tell_work (w->data);
+}
+
 /* What this daemon says of itself.  */
 
 static bool
@@ -208,6 +216,9 @@
     case TK_CENSUS:
       take_census (g, m->u.census.entries);
       break;
+    case TK_WORK:
+      gt_server_take_work (g, &m->u.work);
+      break;
     case TK_SEEDS:
       tk_send (g->roster, m);
       return;
@@ -252,10 +263,17 @@
   tk_task_init (&g->task, l, on_message, g);
   ev_timer_init (&g->timer, on_timer, 0.0, 0.0);
   g->timer.data = g;
+  ev_timer_init (&g->work_timer, on_work_timer,
+                 (double) GT_WORK_PERIOD / ZP_SEC,
+                 (double) GT_WORK_PERIOD / ZP_SEC);
+  g->work_timer.data = g;
   g->front = open_front (g, s->front, err);
   g->ready = g->front ? open_front (g, s->ready, err) : NULL;
   if (g->ready)
-    return g;
+    {
+      ev_timer_start (l->ev, &g->work_timer);
+      return g;
+    }
   gt_gate_close (g);
   return NULL;
 }
@@ -283,6 +301,7 @@
   if (!g)
     return;
   ev_timer_stop (g->loop->ev, &g->timer);
+  ev_timer_stop (g->loop->ev, &g->work_timer);
   fr_server_close (g->front);
   fr_server_close (g->ready);
   tk_task_free (&g->task);
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -52,6 +52,10 @@
 
 #define GT_TRIED_MAX 8
 
+/* How often the daemons of a region tell each other their work: a fraction of
+   the shortest service time of the sheets, 75 ms warm and 250 ms cold.  */
+#define GT_WORK_PERIOD (200 * ZP_MS)
+
 /* Bytes of the headers of one message, with those of TCP and IP.  */
 #define GT_HEADER_BYTES 400
 
@@ -161,6 +165,7 @@
   const struct gt_interface *interface;
   struct zp_rng rng;
   ev_timer timer;
+  ev_timer work_timer;
 
   struct ti_config *config;
   struct si_site *site; /* NULL before the first configuration */
@@ -215,6 +220,11 @@
 double gt_server_cold_rate (const struct gt_server *s);
 bool gt_server_is_cold (const struct gt_server *s, zp_time now);
 
+/* Tells the roster what this daemon has at each server, and takes what the
+   others have.  */
+void gt_server_tell_work (struct gt_gate *g);
+void gt_server_take_work (struct gt_gate *g, const struct tk_work *w);
+
 /* The usual time of a request of S's service.  */
 zp_time gt_service_usual (const struct gt_service *s);
 
--- a/src/gate/servers.c
+++ b/src/gate/servers.c
@@ -11,6 +11,9 @@
 #define WAY_REGION (4 * ZP_MS)
 #define WAY_FAR (100 * ZP_MS)
 
+/* Part of a longer measurement that is added to the way.  */
+#define WAY_GROWTH 32
+
 /* Answers from which the smoothed service time of a server is used.  */
 #define USUAL_ANSWERS 3
 
@@ -45,9 +48,9 @@
 {
   struct gt_way *w = way_of (g, s->report.failure_domain);
 
-  /* Half old, half new: the first measurement counts soon, and one that waited
-     for the server does not count for long.  */
-  w->way = (w->way + way) / 2;
+  /* A connection may wait for a busy server or link, so that the way is near
+     the least that was measured; it grows slowly.  */
+  w->way = way < w->way ? way : w->way + (way - w->way) / WAY_GROWTH;
   for (size_t i = 0; i < g->servers; i++)
     if (strcmp (g->server[i]->report.failure_domain, w->failure_domain) == 0)
       g->server[i]->domain_way = w->way;
@@ -158,6 +161,41 @@
   x->report.expired = false;
 }
 
+/* Work.  */
+
+void
+gt_server_tell_work (struct gt_gate *g)
+{
+  struct tk_msg *m = tk_msg_new (TK_WORK);
+  struct tk_work *w = &m->u.work;
+
+  w->item = zp_alloc ((g->servers + 1) * sizeof *w->item);
+  for (size_t i = 0; i < g->servers; i++)
+    if (g->server[i]->load.own > 0)
+      w->item[w->len++]
+          = (struct tk_work_item){ .server = g->server[i]->hash,
+                                   .count = g->server[i]->load.own };
+  tk_send (g->roster, m);
+}
+
+void
+gt_server_take_work (struct gt_gate *g, const struct tk_work *w)
+{
+  zp_time now = zp_clock_mono ();
+
+  for (size_t i = 0; i < g->servers; i++)
+    {
+      g->server[i]->load.region = 0;
+      g->server[i]->load.told = now;
+    }
+  for (size_t i = 0; i < w->len; i++)
+    {
+      struct gt_server *s = gt_server_find (g, w->item[i].server);
+      if (s)
+        s->load.region = w->item[i].count;
+    }
+}
+
 /* Cold servers.  */
 
 bool
--- a/src/roster/client.c
+++ b/src/roster/client.c
@@ -31,8 +31,9 @@
   bool seed;
   zp_time named; /* last heard of */
   struct wi_conn *conn;
-  bool known; /* it has answered on this connection */
-  bool fresh; /* it is in contact with the leader of the log */
+  bool known;               /* it has answered on this connection */
+  bool fresh;               /* it is in contact with the leader of the log */
+  char region[ZP_NAME_MAX]; /* empty: not known yet */
   zp_time dialed, dial_at;
   unsigned entries;
   uint64_t acked;
@@ -242,7 +243,7 @@
 {
   bool fresh;
 
-  if (!ro_get_ping (payload, &fresh))
+  if (!ro_get_ping (payload, &fresh, x->region))
     {
       hang_up (x, "a ping that cannot be read");
       return;
@@ -253,6 +254,20 @@
   tell_follower (x->client);
 }
 
+static void
+pass_work (struct control *x, struct zp_str payload)
+{
+  struct tk_msg *m = tk_msg_new (TK_WORK);
+
+  if (ro_get_work (payload, &m->u.work))
+    {
+      tk_send (x->client->decider, m);
+      return;
+    }
+  tk_msg_free (m);
+  hang_up (x, "work that cannot be read");
+}
+
 static void
 on_frame (void *self, struct wi_conn *conn, uint8_t kind,
           struct zp_str payload)
@@ -268,6 +283,9 @@
     case WI_ROSTER_PING:
       take_ping (x, payload);
       return;
+    case WI_ROSTER_WORK:
+      pass_work (x, payload);
+      return;
     default:
       hang_up (x, "a frame of another protocol");
       return;
@@ -366,6 +384,37 @@
       send_hello (c->control[i]);
 }
 
+/* The control daemon of this region that sums up the work: the one with the
+   lowest address that is connected, which is the same for all daemons of the
+   region while none is cut off.  NULL: none.  */
+static struct control *
+hub (struct ro_client *c)
+{
+  struct control *best = NULL;
+
+  for (size_t i = 0; i < c->controls; i++)
+    {
+      struct control *x = c->control[i];
+      if (x->known && strcmp (x->region, c->self.region) == 0
+          && (!best || strcmp (x->address, best->address) < 0))
+        best = x;
+    }
+  return best;
+}
+
+static void
+send_work (struct ro_client *c, const struct tk_work *w)
+{
+  struct control *x = hub (c);
+  struct zp_buf b = { .ptr = NULL };
+
+  if (!x)
+    return;
+  ro_put_work (&b, w);
+  wi_conn_send (x->conn, WI_ROSTER_WORK, zp_str_of (&b));
+  zp_buf_free (&b);
+}
+
 static void
 on_message (void *self, struct tk_msg *m)
 {
@@ -376,6 +425,9 @@
     case TK_DAEMON:
       take_self (c, &m->u.daemon);
       break;
+    case TK_WORK:
+      send_work (c, &m->u.work);
+      break;
     case TK_SEEDS:
       take_seeds (c, zp_str_of (&m->u.addresses.lines));
       break;
--- a/src/roster/codec.c
+++ b/src/roster/codec.c
@@ -174,22 +174,64 @@
 }
 
 void
-ro_put_ping (struct zp_buf *out, bool fresh)
+ro_put_ping (struct zp_buf *out, bool fresh, struct zp_str region)
 {
   Wire__RosterPing w = WIRE__ROSTER_PING__INIT;
 
   w.fresh = fresh;
+  w.region = wi_bytes (region);
   wi_pack (out, &w.base);
 }
 
 bool
-ro_get_ping (struct zp_str payload, bool *fresh)
+ro_get_ping (struct zp_str payload, bool *fresh, char *region)
 {
   Wire__RosterPing *w = wi_unpack (&wire__roster_ping__descriptor, payload);
 
   if (!w)
     return false;
   *fresh = w->fresh;
+  bool ok = zp_str_copy (region, ZP_NAME_MAX, wi_view (w->region));
   wi_free (w);
-  return true;
+  return ok;
+}
+
+void
+ro_put_work (struct zp_buf *out, const struct tk_work *work)
+{
+  Wire__RosterWork w = WIRE__ROSTER_WORK__INIT;
+  uint64_t *servers = zp_alloc ((work->len + 1) * sizeof *servers);
+  uint32_t *counts = zp_alloc ((work->len + 1) * sizeof *counts);
+
+  for (size_t i = 0; i < work->len; i++)
+    {
+      servers[i] = work->item[i].server;
+      counts[i] = work->item[i].count;
+    }
+  w.n_servers = w.n_counts = work->len;
+  w.servers = servers;
+  w.counts = counts;
+  wi_pack (out, &w.base);
+  free (counts);
+  free (servers);
+}
+
+bool
+ro_get_work (struct zp_str payload, struct tk_work *out)
+{
+  Wire__RosterWork *w = wi_unpack (&wire__roster_work__descriptor, payload);
+
+  *out = (struct tk_work){ .item = NULL };
+  if (!w)
+    return false;
+  bool ok = w->n_servers == w->n_counts;
+  if (ok)
+    {
+      out->item = zp_alloc ((w->n_servers + 1) * sizeof *out->item);
+      for (size_t i = 0; i < w->n_servers; i++)
+        out->item[out->len++] = (struct tk_work_item){ .server = w->servers[i],
+                                                       .count = w->counts[i] };
+    }
+  wi_free (w);
+  return ok;
 }
--- a/src/roster/codec.h
+++ b/src/roster/codec.h
@@ -32,8 +32,14 @@
                     void **owner);
 void ro_update_free (struct ro_update *u, void *owner);
 
-void ro_put_ping (struct zp_buf *out, bool fresh);
-bool ro_get_ping (struct zp_str payload, bool *fresh);
+void ro_put_ping (struct zp_buf *out, bool fresh, struct zp_str region);
+
+/* REGION has room for ZP_NAME_MAX.  */
+bool ro_get_ping (struct zp_str payload, bool *fresh, char *region);
+
+/* The caller frees OUT's list.  */
+void ro_put_work (struct zp_buf *out, const struct tk_work *w);
+bool ro_get_work (struct zp_str payload, struct tk_work *out);
 
 void ro_put_ack (struct zp_buf *out, uint64_t number);
 bool ro_get_ack (struct zp_str payload, uint64_t *number);
--- a/src/roster/source.c
+++ b/src/roster/source.c
@@ -6,6 +6,7 @@
 #include "base/log.h"
 #include "roster/codec.h"
 #include "roster/table.h"
+#include "roster/work.h"
 #include "wire/conn.h"
 #include "wire/frame.h"
 
@@ -55,7 +56,9 @@
   struct wi_listener *listener;
   struct link *links;
   struct ro_table table;
-  uint64_t number; /* of the last change */
+  struct ro_work work;
+  struct zp_buf region; /* of this daemon */
+  uint64_t number;      /* of the last change */
   struct wait *waits;
   size_t wait_count, wait_cap;
   struct zp_buf controls; /* "IP:port" lines */
@@ -296,6 +299,7 @@
     {
       zp_log (ZP_LOG_NOTICE, PART, "lost daemon %s: %s", l->daemon.name, why);
       tell_daemon (l, true);
+      ro_work_drop (&s->work, l->daemon.id);
     }
   link_free (l);
   settle (s);
@@ -345,11 +349,36 @@
 {
   struct zp_buf b = { .ptr = NULL };
 
-  ro_put_ping (&b, l->source->fresh);
+  ro_put_ping (&b, l->source->fresh, zp_str_of (&l->source->region));
   wi_conn_send (l->conn, WI_ROSTER_PING, zp_str_of (&b));
   zp_buf_free (&b);
 }
 
+/* Keeps what the daemon has at each server, and answers with the requests of
+   the others of its region.  */
+static void
+take_work (struct link *l, struct zp_str payload)
+{
+  struct ro_source *s = l->source;
+  struct zp_str region = zp_str_from (l->daemon.region);
+  zp_time now = zp_clock_mono ();
+  struct zp_buf b = { .ptr = NULL };
+  struct tk_work own, others;
+
+  if (!ro_get_work (payload, &own))
+    {
+      zp_log (ZP_LOG_WARNING, PART, "daemon %s: its work cannot be read",
+              l->daemon.name);
+      return;
+    }
+  ro_work_take (&s->work, l->daemon.id, region, &own, now);
+  ro_work_others (&s->work, l->daemon.id, region, now, &others);
+  ro_put_work (&b, &others);
+  wi_conn_send (l->conn, WI_ROSTER_WORK, zp_str_of (&b));
+  zp_buf_free (&b);
+  free (others.item);
+}
+
 static void
 on_frame (void *self, struct wi_conn *conn, uint8_t kind,
           struct zp_str payload)
@@ -366,6 +395,10 @@
     case WI_ROSTER_PING:
       answer_ping (l);
       return;
+    case WI_ROSTER_WORK:
+      if (l->known)
+        take_work (l, payload);
+      return;
     case WI_ROSTER_ACK:
       if (ro_get_ack (payload, &acked))
         {
@@ -467,6 +500,7 @@
   s->loop = l;
   s->decider = o->decider;
   s->period = o->report_period;
+  zp_buf_put (&s->region, o->region);
   s->listener = wi_listen (l->ev, o->address, on_accept, s, err);
   if (!s->listener)
     {
@@ -503,6 +537,8 @@
   wi_listener_free (s->listener);
   tk_task_free (&s->task);
   ro_table_free (&s->table);
+  ro_work_free (&s->work);
+  zp_buf_free (&s->region);
   zp_buf_free (&s->controls);
   free (s->waits);
   free (s);
--- a/src/roster/source.h
+++ b/src/roster/source.h
@@ -38,6 +38,7 @@
 struct ro_source_options
 {
   struct zp_str address; /* "IP:port" to listen on */
+  struct zp_str region;  /* of this daemon */
   zp_time report_period; /* of the reports of one server */
   struct tk_task *decider;
 };
--- /dev/null
+++ b/src/roster/work.c
@@ -0,0 +1,96 @@
+#include "roster/work.h"
+
+#include <assert.h>
+#include <stdlib.h>
+
+static struct ro_said *
+find (const struct ro_work *w, uint64_t daemon)
+{
+  for (size_t i = 0; i < w->len; i++)
+    if (w->item[i].daemon == daemon)
+      return &w->item[i];
+  return NULL;
+}
+
+void
+ro_work_take (struct ro_work *w, uint64_t daemon, struct zp_str region,
+              struct tk_work *work, zp_time now)
+{
+  struct ro_said *x = find (w, daemon);
+
+  if (!x)
+    {
+      if (w->len == w->cap)
+        {
+          w->cap = w->cap > 0 ? 2 * w->cap : 16;
+          w->item = zp_realloc (w->item, w->cap * sizeof *w->item);
+        }
+      assert (w->item);
+      x = &w->item[w->len++];
+      *x = (struct ro_said){ .daemon = daemon };
+    }
+  free (x->work.item);
+  x->work = *work;
+  x->at = now;
+  zp_str_copy (x->region, sizeof x->region, region);
+  *work = (struct tk_work){ .item = NULL };
+}
+
+static int
+cmp_server (const void *a, const void *b)
+{
+  const struct tk_work_item *x = a, *y = b;
+
+  return x->server < y->server ? -1 : x->server > y->server;
+}
+
+static bool
+counts (const struct ro_said *x, uint64_t daemon, struct zp_str region,
+        zp_time now)
+{
+  return x->daemon != daemon && now - x->at < RO_WORK_KEPT
+         && zp_str_eq (zp_str_from (x->region), region);
+}
+
+void
+ro_work_others (const struct ro_work *w, uint64_t daemon, struct zp_str region,
+                zp_time now, struct tk_work *out)
+{
+  size_t most = 0, kept = 0;
+
+  for (size_t i = 0; i < w->len; i++)
+    if (counts (&w->item[i], daemon, region, now))
+      most += w->item[i].work.len;
+  *out = (struct tk_work){ .item = zp_alloc ((most + 1) * sizeof *out->item) };
+  for (size_t i = 0; i < w->len; i++)
+    if (counts (&w->item[i], daemon, region, now))
+      for (size_t k = 0; k < w->item[i].work.len; k++)
+        out->item[out->len++] = w->item[i].work.item[k];
+  qsort (out->item, out->len, sizeof *out->item, cmp_server);
+  for (size_t i = 0; i < out->len; i++)
+    if (kept > 0 && out->item[kept - 1].server == out->item[i].server)
+      out->item[kept - 1].count += out->item[i].count;
+    else
+      out->item[kept++] = out->item[i];
+  out->len = kept;
+}
+
+void
+ro_work_drop (struct ro_work *w, uint64_t daemon)
+{
+  struct ro_said *x = find (w, daemon);
+
+  if (!x)
+    return;
+  free (x->work.item);
+  *x = w->item[--w->len];
+}
+
+void
+ro_work_free (struct ro_work *w)
+{
+  for (size_t i = 0; i < w->len; i++)
+    free (w->item[i].work.item);
+  free (w->item);
+  *w = (struct ro_work){ .item = NULL };
+}
--- a/src/steer/pool.c
+++ b/src/steer/pool.c
@@ -30,7 +30,11 @@
 double
 st_pool_work (const struct st_pool_load *l, zp_time now)
 {
-  return l->own + others (l, now);
+  double rest = others (l, now);
+
+  if (l->told > 0 && now - l->told < ST_POOL_TOLD && l->region > rest)
+    rest = l->region;
+  return l->own + rest;
 }
 
 /* Expected wait for a slot: each slot ends one request in a usual time.  */
--- a/src/steer/pool.h
+++ b/src/steer/pool.h
@@ -8,7 +8,9 @@
      how many it has altogether; the difference is the work of the other
      daemons.  It is smoothed over answers, and fades by half in each
      ST_POOL_HALF_LIFE without an answer, so that a server that was full is
-     tried again.
+     tried again.  The daemons of a region also tell each other what they have
+   at each server; while this is newer than ST_POOL_TOLD, the larger of both
+     counts.
 
      The request goes where its answer is expected first: the way there and
      back, the wait for a slot, and the service time.  On an object that a
@@ -35,6 +37,9 @@
 
 #define ST_POOL_HALF_LIFE (1000 * ZP_MS)
 
+/* Daemons tell each other every 200 ms.  */
+#define ST_POOL_TOLD (600 * ZP_MS)
+
 /* Failure domains of one region are 1 to 3 ms apart; regions 40 ms or more. */
 #define ST_POOL_NEAR (5 * ZP_MS)
 
@@ -45,6 +50,8 @@
   unsigned own;    /* requests of this daemon there */
   double others;   /* work of other daemons, at SAMPLED */
   zp_time sampled; /* 0: never */
+  unsigned region; /* requests of the other daemons of the region, at TOLD */
+  zp_time told;    /* 0: never */
 };
 
 /* Notes what the server said with an answer.  OWN is the number of this
--- a/src/task/msg.c
+++ b/src/task/msg.c
@@ -72,6 +72,9 @@
     case TK_DAEMON:
     case TK_CENSUS:
       break;
+    case TK_WORK:
+      free (m->u.work.item);
+      break;
     case TK_SOURCES:
     case TK_SEEDS:
       zp_buf_free (&m->u.addresses.lines);
--- a/src/task/msg.h
+++ b/src/task/msg.h
@@ -52,6 +52,7 @@
   TK_DAEMON,         /* another daemon, or this one */
   TK_CENSUS,         /* how many daemons there are */
   TK_SEEDS,          /* the seeds in the settings have changed */
+  TK_WORK,           /* requests at each server */
 };
 
 struct tk_task;
@@ -266,6 +267,21 @@
   unsigned entries;
 };
 
+/* Requests at servers, which are named by the hash of their id.  To the
+   roster: those of this daemon; from it: those of the other daemons of the
+   region.  */
+struct tk_work_item
+{
+  uint64_t server;
+  uint32_t count;
+};
+
+struct tk_work
+{
+  struct tk_work_item *item;
+  size_t len;
+};
+
 /* "IP:port" each, one a line.  */
 struct tk_addresses
 {
@@ -296,6 +312,7 @@
     struct tk_server_settled settled;
     struct tk_daemon daemon;
     struct tk_census census;
+    struct tk_work work;
   } u;
 };
 
--- a/src/wire/frame.h
+++ b/src/wire/frame.h
@@ -63,6 +63,7 @@
   WI_ROSTER_UPDATE = 71,
   WI_ROSTER_ACK = 72,
   WI_ROSTER_PING = 73,
+  WI_ROSTER_WORK = 74,
 };
 
 struct wi_header
--- a/src/wire/roster.pb-c.c
+++ b/src/wire/roster.pb-c.c
@@ -232,6 +232,51 @@
   assert(message->base.descriptor == &wire__roster_ack__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wire__roster_work__init
+                     (Wire__RosterWork         *message)
+{
+  static const Wire__RosterWork init_value = WIRE__ROSTER_WORK__INIT;
+  *message = init_value;
+}
+size_t wire__roster_work__get_packed_size
+                     (const Wire__RosterWork *message)
+{
+  assert(message->base.descriptor == &wire__roster_work__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__roster_work__pack
+                     (const Wire__RosterWork *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__roster_work__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__roster_work__pack_to_buffer
+                     (const Wire__RosterWork *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__roster_work__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__RosterWork *
+       wire__roster_work__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__RosterWork *)
+     protobuf_c_message_unpack (&wire__roster_work__descriptor,
+                                allocator, len, data);
+}
+void   wire__roster_work__free_unpacked
+                     (Wire__RosterWork *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__roster_work__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor wire__roster_hello__field_descriptors[10] =
 {
   {
@@ -632,7 +677,7 @@
   (ProtobufCMessageInit) wire__roster_update__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__roster_ping__field_descriptors[1] =
+static const ProtobufCFieldDescriptor wire__roster_ping__field_descriptors[2] =
 {
   {
     "fresh",
@@ -646,14 +691,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "region",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RosterPing, region),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__roster_ping__field_indices_by_name[] = {
   0,   /* field[0] = fresh */
+  1,   /* field[1] = region */
 };
 static const ProtobufCIntRange wire__roster_ping__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor wire__roster_ping__descriptor =
 {
@@ -663,7 +721,7 @@
   "Wire__RosterPing",
   "wire",
   sizeof(Wire__RosterPing),
-  1,
+  2,
   wire__roster_ping__field_descriptors,
   wire__roster_ping__field_indices_by_name,
   1,  wire__roster_ping__number_ranges,
@@ -708,3 +766,54 @@
   (ProtobufCMessageInit) wire__roster_ack__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor wire__roster_work__field_descriptors[2] =
+{
+  {
+    "servers",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Wire__RosterWork, n_servers),
+    offsetof(Wire__RosterWork, servers),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "counts",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wire__RosterWork, n_counts),
+    offsetof(Wire__RosterWork, counts),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__roster_work__field_indices_by_name[] = {
+  1,   /* field[1] = counts */
+  0,   /* field[0] = servers */
+};
+static const ProtobufCIntRange wire__roster_work__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor wire__roster_work__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.RosterWork",
+  "RosterWork",
+  "Wire__RosterWork",
+  "wire",
+  sizeof(Wire__RosterWork),
+  2,
+  wire__roster_work__field_descriptors,
+  wire__roster_work__field_indices_by_name,
+  1,  wire__roster_work__number_ranges,
+  (ProtobufCMessageInit) wire__roster_work__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/src/wire/roster.pb-c.h
+++ b/src/wire/roster.pb-c.h
@@ -20,6 +20,7 @@
 typedef struct Wire__RosterUpdate Wire__RosterUpdate;
 typedef struct Wire__RosterPing Wire__RosterPing;
 typedef struct Wire__RosterAck Wire__RosterAck;
+typedef struct Wire__RosterWork Wire__RosterWork;
 
 
 /* --- enums --- */
@@ -128,10 +129,11 @@
    * the control daemon is in contact with the leader
    */
   protobuf_c_boolean fresh;
+  ProtobufCBinaryData region;
 };
 #define WIRE__ROSTER_PING__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__roster_ping__descriptor) \
-    , 0 }
+    , 0, {0,NULL} }
 
 
 struct  Wire__RosterAck
@@ -144,6 +146,26 @@
     , 0 }
 
 
+/*
+ * Requests at servers: of the sender, or in the answer of the other entry
+ * daemons of its region.  Servers are named by the hash of their id.
+ */
+struct  Wire__RosterWork
+{
+  ProtobufCMessage base;
+  size_t n_servers;
+  uint64_t *servers;
+  /*
+   * in the order of SERVERS
+   */
+  size_t n_counts;
+  uint32_t *counts;
+};
+#define WIRE__ROSTER_WORK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__roster_work__descriptor) \
+    , 0,NULL, 0,NULL }
+
+
 /* Wire__RosterHello methods */
 void   wire__roster_hello__init
                      (Wire__RosterHello         *message);
@@ -239,6 +261,25 @@
 void   wire__roster_ack__free_unpacked
                      (Wire__RosterAck *message,
                       ProtobufCAllocator *allocator);
+/* Wire__RosterWork methods */
+void   wire__roster_work__init
+                     (Wire__RosterWork         *message);
+size_t wire__roster_work__get_packed_size
+                     (const Wire__RosterWork   *message);
+size_t wire__roster_work__pack
+                     (const Wire__RosterWork   *message,
+                      uint8_t             *out);
+size_t wire__roster_work__pack_to_buffer
+                     (const Wire__RosterWork   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__RosterWork *
+       wire__roster_work__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__roster_work__free_unpacked
+                     (Wire__RosterWork *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Wire__RosterHello_Closure)
@@ -256,6 +297,9 @@
 typedef void (*Wire__RosterAck_Closure)
                  (const Wire__RosterAck *message,
                   void *closure_data);
+typedef void (*Wire__RosterWork_Closure)
+                 (const Wire__RosterWork *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -267,6 +311,7 @@
 extern const ProtobufCMessageDescriptor wire__roster_update__descriptor;
 extern const ProtobufCMessageDescriptor wire__roster_ping__descriptor;
 extern const ProtobufCMessageDescriptor wire__roster_ack__descriptor;
+extern const ProtobufCMessageDescriptor wire__roster_work__descriptor;
 
 PROTOBUF_C__END_DECLS
 
