Refuse requests that crash the servers that run them

Entry daemons tell each other by two control daemons when the connection of a request was lost with its server. After three servers without an answer in between the request is refused for a minute; an answer clears it.

--- a/src/gate/dispatch.c
+++ b/src/gate/dispatch.c
@@ -156,6 +156,11 @@
       gt_request_refuse (g, q, "deadline", false);
       return;
     }
+  if (st_blame_refuses (&g->blame, q->fingerprint, now))
+    {
+      gt_request_refuse (g, q, "crashes-servers", false);
+      return;
+    }
   if (q->attempts == 0 && st_egress_wait (&g->egress, now) > ST_EGRESS_WAIT)
     {
       gt_request_refuse (g, q, "link-full", true);
@@ -286,6 +291,23 @@
     st_times_note (&s->service->times, q->warm, t);
 }
 
+/* A lost connection may be the request's work; an answer says that it is not.
+ */
+static void
+note_loss (struct gt_gate *g, const struct gt_request *q, enum st_end end,
+           zp_time now)
+{
+  if (end == ST_END_ANSWER)
+    st_blame_answered (&g->blame, q->fingerprint);
+  if (end != ST_END_LOST
+      || !st_blame_lost (&g->blame, q->fingerprint, q->server, now))
+    return;
+  struct tk_msg *m = tk_msg_new (TK_LOSS);
+  m->u.loss
+      = (struct tk_loss){ .fingerprint = q->fingerprint, .server = q->server };
+  tk_send (g->roster, m);
+}
+
 /* Takes Q off its server and notes what the outcome says of it.  */
 static void
 close_attempt (struct gt_gate *g, struct gt_request *q,
@@ -297,6 +319,7 @@
 
   q->phase = GT_ENDING;
   q->service->running--;
+  note_loss (g, q, end, now);
   if (!s)
     return;
   assert (s->load.own > 0);
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -216,6 +216,10 @@
     case TK_CENSUS:
       take_census (g, m->u.census.entries);
       break;
+    case TK_LOSS:
+      st_blame_lost (&g->blame, m->u.loss.fingerprint, m->u.loss.server,
+                     zp_clock_mono ());
+      break;
     case TK_WORK:
       gt_server_take_work (g, &m->u.work);
       break;
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -32,6 +32,7 @@
 #include "gate/settings.h"
 #include "roster/table.h"
 #include "site/site.h"
+#include "steer/blame.h"
 #include "steer/egress.h"
 #include "steer/health.h"
 #include "steer/mix.h"
@@ -140,7 +141,8 @@
   bool idempotent;
   unsigned priority, attempts_max;
   zp_time objective;
-  uint64_t object; /* hash of what it concerns; 0: not known */
+  uint64_t object;      /* hash of what it concerns; 0: not known */
+  uint64_t fingerprint; /* of method, path and body */
   struct zp_buf
       homes; /* regions it may be served in, one a line; empty: all */
 
@@ -178,6 +180,7 @@
   size_t ways;
   struct st_mix mix;
   struct st_egress egress;
+  struct st_blame blame;
   char region[ST_MIX_REGIONS][ZP_NAME_MAX]; /* by number */
   size_t regions;
   zp_time lost_at; /* servers were lost last; 0: never */
--- a/src/gate/request.c
+++ b/src/gate/request.c
@@ -151,12 +151,24 @@
   return gt_service_get (g, zp_str_of (&r->part[at].service));
 }
 
+static uint64_t
+fingerprint_of (const struct tk_http_request *h)
+{
+  uint64_t f = zp_str_hash (zp_str_of (&h->method), 0);
+
+  f = zp_str_hash (zp_str_of (&h->host), f);
+  f = zp_str_hash (zp_str_of (&h->path), f);
+  f = zp_str_hash (zp_str_of (&h->query), f);
+  return zp_str_hash (zp_str_of (&h->body), f);
+}
+
 static void
 read_route (struct gt_request *q, const struct si_route *r)
 {
   const struct tk_http_request *h = &q->msg->u.request;
   struct zp_str object = zp_str_of (&h->affinity);
 
+  q->fingerprint = fingerprint_of (h);
   q->idempotent = r->class == SI_IDEMPOTENT;
   q->priority
       = r->priority < ST_QUEUE_CLASSES ? r->priority : ST_QUEUE_CLASSES - 1;
--- a/src/roster/client.c
+++ b/src/roster/client.c
@@ -268,6 +268,20 @@
   hang_up (x, "work that cannot be read");
 }
 
+static void
+pass_loss (struct control *x, struct zp_str payload)
+{
+  struct tk_msg *m = tk_msg_new (TK_LOSS);
+
+  if (ro_get_loss (payload, &m->u.loss))
+    {
+      tk_send (x->client->decider, m);
+      return;
+    }
+  tk_msg_free (m);
+  hang_up (x, "a loss that cannot be read");
+}
+
 static void
 on_frame (void *self, struct wi_conn *conn, uint8_t kind,
           struct zp_str payload)
@@ -286,6 +300,9 @@
     case WI_ROSTER_WORK:
       pass_work (x, payload);
       return;
+    case WI_ROSTER_LOSS:
+      pass_loss (x, payload);
+      return;
     default:
       hang_up (x, "a frame of another protocol");
       return;
@@ -415,6 +432,21 @@
   zp_buf_free (&b);
 }
 
+/* By two control daemons, so that one that is cut off does not keep it.  */
+static void
+send_loss (struct ro_client *c, const struct tk_loss *l)
+{
+  struct zp_buf b = { .ptr = NULL };
+  unsigned sent = 0;
+
+  ro_put_loss (&b, l);
+  for (size_t i = 0; i < c->controls && sent < 2; i++)
+    if (c->control[i]->known)
+      sent += wi_conn_send (c->control[i]->conn, WI_ROSTER_LOSS,
+                            zp_str_of (&b));
+  zp_buf_free (&b);
+}
+
 static void
 on_message (void *self, struct tk_msg *m)
 {
@@ -425,6 +457,9 @@
     case TK_DAEMON:
       take_self (c, &m->u.daemon);
       break;
+    case TK_LOSS:
+      send_loss (c, &m->u.loss);
+      break;
     case TK_WORK:
       send_work (c, &m->u.work);
       break;
--- a/src/roster/codec.c
+++ b/src/roster/codec.c
@@ -235,3 +235,26 @@
   wi_free (w);
   return ok;
 }
+
+void
+ro_put_loss (struct zp_buf *out, const struct tk_loss *l)
+{
+  Wire__RosterLoss w = WIRE__ROSTER_LOSS__INIT;
+
+  w.fingerprint = l->fingerprint;
+  w.server = l->server;
+  wi_pack (out, &w.base);
+}
+
+bool
+ro_get_loss (struct zp_str payload, struct tk_loss *out)
+{
+  Wire__RosterLoss *w = wi_unpack (&wire__roster_loss__descriptor, payload);
+
+  if (!w)
+    return false;
+  *out
+      = (struct tk_loss){ .fingerprint = w->fingerprint, .server = w->server };
+  wi_free (w);
+  return true;
+}
--- a/src/roster/codec.h
+++ b/src/roster/codec.h
@@ -41,6 +41,9 @@
 void ro_put_work (struct zp_buf *out, const struct tk_work *w);
 bool ro_get_work (struct zp_str payload, struct tk_work *out);
 
+void ro_put_loss (struct zp_buf *out, const struct tk_loss *l);
+bool ro_get_loss (struct zp_str payload, struct tk_loss *out);
+
 void ro_put_ack (struct zp_buf *out, uint64_t number);
 bool ro_get_ack (struct zp_str payload, uint64_t *number);
 
--- a/src/roster/source.c
+++ b/src/roster/source.c
@@ -379,6 +379,14 @@
   free (others.item);
 }
 
+static void
+pass_loss (struct link *from, struct zp_str payload)
+{
+  for (struct link *l = from->source->links; l; l = l->next)
+    if (l != from && l->known && l->daemon.kind == TK_DAEMON_ENTRY)
+      wi_conn_send (l->conn, WI_ROSTER_LOSS, payload);
+}
+
 static void
 on_frame (void *self, struct wi_conn *conn, uint8_t kind,
           struct zp_str payload)
@@ -399,6 +407,9 @@
       if (l->known)
         take_work (l, payload);
       return;
+    case WI_ROSTER_LOSS:
+      pass_loss (l, payload);
+      return;
     case WI_ROSTER_ACK:
       if (ro_get_ack (payload, &acked))
         {
--- a/src/task/msg.c
+++ b/src/task/msg.c
@@ -71,6 +71,7 @@
     case TK_SERVER_SETTLED:
     case TK_DAEMON:
     case TK_CENSUS:
+    case TK_LOSS:
       break;
     case TK_WORK:
       free (m->u.work.item);
--- a/src/task/msg.h
+++ b/src/task/msg.h
@@ -53,6 +53,7 @@
   TK_CENSUS,         /* how many daemons there are */
   TK_SEEDS,          /* the seeds in the settings have changed */
   TK_WORK,           /* requests at each server */
+  TK_LOSS,           /* a request was lost with its server */
 };
 
 struct tk_task;
@@ -282,6 +283,13 @@
   size_t len;
 };
 
+/* The connection of a request was lost without an answer.  */
+struct tk_loss
+{
+  uint64_t fingerprint; /* of the request */
+  uint64_t server;      /* hash of its id */
+};
+
 /* "IP:port" each, one a line.  */
 struct tk_addresses
 {
@@ -313,6 +321,7 @@
     struct tk_daemon daemon;
     struct tk_census census;
     struct tk_work work;
+    struct tk_loss loss;
   } u;
 };
 
--- a/src/wire/frame.h
+++ b/src/wire/frame.h
@@ -64,6 +64,7 @@
   WI_ROSTER_ACK = 72,
   WI_ROSTER_PING = 73,
   WI_ROSTER_WORK = 74,
+  WI_ROSTER_LOSS = 75,
 };
 
 struct wi_header
--- a/src/wire/roster.pb-c.c
+++ b/src/wire/roster.pb-c.c
@@ -277,6 +277,51 @@
   assert(message->base.descriptor == &wire__roster_work__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wire__roster_loss__init
+                     (Wire__RosterLoss         *message)
+{
+  static const Wire__RosterLoss init_value = WIRE__ROSTER_LOSS__INIT;
+  *message = init_value;
+}
+size_t wire__roster_loss__get_packed_size
+                     (const Wire__RosterLoss *message)
+{
+  assert(message->base.descriptor == &wire__roster_loss__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__roster_loss__pack
+                     (const Wire__RosterLoss *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__roster_loss__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__roster_loss__pack_to_buffer
+                     (const Wire__RosterLoss *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__roster_loss__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__RosterLoss *
+       wire__roster_loss__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__RosterLoss *)
+     protobuf_c_message_unpack (&wire__roster_loss__descriptor,
+                                allocator, len, data);
+}
+void   wire__roster_loss__free_unpacked
+                     (Wire__RosterLoss *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__roster_loss__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor wire__roster_hello__field_descriptors[10] =
 {
   {
@@ -817,3 +862,54 @@
   (ProtobufCMessageInit) wire__roster_work__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor wire__roster_loss__field_descriptors[2] =
+{
+  {
+    "fingerprint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RosterLoss, fingerprint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "server",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RosterLoss, server),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__roster_loss__field_indices_by_name[] = {
+  0,   /* field[0] = fingerprint */
+  1,   /* field[1] = server */
+};
+static const ProtobufCIntRange wire__roster_loss__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor wire__roster_loss__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.RosterLoss",
+  "RosterLoss",
+  "Wire__RosterLoss",
+  "wire",
+  sizeof(Wire__RosterLoss),
+  2,
+  wire__roster_loss__field_descriptors,
+  wire__roster_loss__field_indices_by_name,
+  1,  wire__roster_loss__number_ranges,
+  (ProtobufCMessageInit) wire__roster_loss__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/src/wire/roster.pb-c.h
+++ b/src/wire/roster.pb-c.h
@@ -21,6 +21,7 @@
 typedef struct Wire__RosterPing Wire__RosterPing;
 typedef struct Wire__RosterAck Wire__RosterAck;
 typedef struct Wire__RosterWork Wire__RosterWork;
+typedef struct Wire__RosterLoss Wire__RosterLoss;
 
 
 /* --- enums --- */
@@ -166,6 +167,20 @@
     , 0,NULL, 0,NULL }
 
 
+/*
+ * From an entry daemon, and passed on to all others.
+ */
+struct  Wire__RosterLoss
+{
+  ProtobufCMessage base;
+  uint64_t fingerprint;
+  uint64_t server;
+};
+#define WIRE__ROSTER_LOSS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__roster_loss__descriptor) \
+    , 0, 0 }
+
+
 /* Wire__RosterHello methods */
 void   wire__roster_hello__init
                      (Wire__RosterHello         *message);
@@ -280,6 +295,25 @@
 void   wire__roster_work__free_unpacked
                      (Wire__RosterWork *message,
                       ProtobufCAllocator *allocator);
+/* Wire__RosterLoss methods */
+void   wire__roster_loss__init
+                     (Wire__RosterLoss         *message);
+size_t wire__roster_loss__get_packed_size
+                     (const Wire__RosterLoss   *message);
+size_t wire__roster_loss__pack
+                     (const Wire__RosterLoss   *message,
+                      uint8_t             *out);
+size_t wire__roster_loss__pack_to_buffer
+                     (const Wire__RosterLoss   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__RosterLoss *
+       wire__roster_loss__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__roster_loss__free_unpacked
+                     (Wire__RosterLoss *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Wire__RosterHello_Closure)
@@ -300,6 +334,9 @@
 typedef void (*Wire__RosterWork_Closure)
                  (const Wire__RosterWork *message,
                   void *closure_data);
+typedef void (*Wire__RosterLoss_Closure)
+                 (const Wire__RosterLoss *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -312,6 +349,7 @@
 extern const ProtobufCMessageDescriptor wire__roster_ping__descriptor;
 extern const ProtobufCMessageDescriptor wire__roster_ack__descriptor;
 extern const ProtobufCMessageDescriptor wire__roster_work__descriptor;
+extern const ProtobufCMessageDescriptor wire__roster_loss__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/tests/test-gate.c
+++ b/tests/test-gate.c
@@ -357,6 +357,44 @@
   tear_down ();
 }
 
+/* Guards against a request that crashes each server that runs it, here and at
+   other daemons, and comes again.  */
+static void
+test_crashes_servers (void)
+{
+  set_up ("7 once");
+  for (int i = 1; i <= 5; i++)
+    {
+      char id[8], address[32];
+      snprintf (id, sizeof id, "i-%d", i);
+      snprintf (address, sizeof address, "10.0.0.%d:80", i);
+      put_server (id, address, TK_SERVER_READY, 1);
+    }
+  for (size_t i = 0; i < 2; i++)
+    {
+      request (i + 1);
+      RUN_UNTIL (f.sends == i + 1);
+      done (i, TK_END_LOST, 0, ZP_MAY_HAVE_RUN, false);
+      RUN_UNTIL (f.answers == i + 1);
+      put_server ("i-9", "10.0.0.9:80", TK_SERVER_READY, i + 1);
+    }
+  CU_ASSERT_EQUAL_FATAL (f.gate->blame.len, 1);
+  /* Other daemons have lost two servers more.  */
+  for (uint64_t server = 1; server <= 2; server++)
+    {
+      struct tk_msg *m = tk_msg_new (TK_LOSS);
+      m->u.loss.fingerprint = f.gate->blame.item[0].fingerprint;
+      m->u.loss.server = server;
+      tk_send (&f.gate->task, m);
+    }
+  settle ();
+  request (7);
+  RUN_UNTIL (f.answers == 3);
+  CU_ASSERT_EQUAL (f.sends, 2);
+  CU_ASSERT_EQUAL (status (2), 503);
+  tear_down ();
+}
+
 /* Guards against a caller that has left and whose request goes on.  */
 static void
 test_caller_leaves (void)
@@ -453,6 +491,7 @@
         { "an answer", test_answer },
         { "how attempts end", test_ends },
         { "the verdict covers all attempts", test_verdict_of_all_attempts },
+        { "a request that crashes servers", test_crashes_servers },
         { "the caller leaves", test_caller_leaves },
         { "servers that leave", test_servers_that_leave },
         { "configurations", test_configurations },
