base, ticket: one index by place and one way to follow a configuration

Cause: the entry and the gate package each held a copy of the index from the front's request id to their own, and of the code that turns bytes into the next configuration. No behaviour changes.

--- a/src/entry/config.c
+++ b/src/entry/config.c
@@ -139,26 +139,6 @@
 
 /* Configurations.  */
 
-/* The configuration that C leads to, or NULL.  */
-static struct ti_config *
-next_config (struct en_router *r, const struct tk_config *c,
-             struct zp_err *err)
-{
-  if (c->whole)
-    return ti_config_decode (zp_str_of (&c->bytes), err);
-  struct ti_change *change = ti_change_decode (zp_str_of (&c->bytes), err);
-  if (!change)
-    return NULL;
-  struct ti_config *next
-      = r->config ? ti_config_copy (r->config) : ti_config_new ();
-  bool ok = ti_config_apply (next, change, err);
-  ti_change_free (change);
-  if (ok)
-    return next;
-  ti_config_free (next);
-  return NULL;
-}
-
 /* The servers that this daemon owns and may lend.  A server that it has not
    used yet counts as cold.  */
 static void
@@ -231,7 +211,8 @@
 en_config_take (struct en_router *r, struct tk_config *c)
 {
   struct zp_err err = { .code = ZP_OK };
-  struct ti_config *next = next_config (r, c, &err);
+  struct ti_config *next
+      = ti_config_follow (r->config, c->whole, zp_str_of (&c->bytes), &err);
   struct en_plan *plan = next ? en_plan_build (next, r->plan, &err) : NULL;
 
   if (!plan)
--- a/src/entry/request.c
+++ b/src/entry/request.c
@@ -10,32 +10,12 @@
 
 /* Table.  */
 
-static void
-index_http (struct en_router *r, uint64_t http, uint64_t id)
-{
-  uint32_t at = (uint32_t) http;
-
-  if (at >= r->by_http_cap)
-    {
-      size_t cap = r->by_http_cap > 0 ? r->by_http_cap : 64;
-      while (at >= cap)
-        cap *= 2;
-      r->by_http = zp_realloc (r->by_http, cap * sizeof *r->by_http);
-      for (size_t i = r->by_http_cap; i < cap; i++)
-        r->by_http[i] = 0;
-      r->by_http_cap = cap;
-    }
-  r->by_http[at] = id;
-}
-
 static struct en_request *
 find_http (struct en_router *r, uint64_t http)
 {
-  uint32_t at = (uint32_t) http;
+  struct en_request *q
+      = zp_slots_get (&r->requests, zp_places_get (&r->by_http, http));
 
-  if (at >= r->by_http_cap)
-    return NULL;
-  struct en_request *q = zp_slots_get (&r->requests, r->by_http[at]);
   return q && q->http == http ? q : NULL;
 }
 
@@ -160,7 +140,7 @@
       = st_fingerprint (zp_str_from (s->name), zp_str_of (&h->method),
                         zp_str_of (&h->path), zp_str_of (&h->body));
   q->id = zp_slots_put (&r->requests, q);
-  index_http (r, q->http, q->id);
+  zp_places_put (&r->by_http, q->http, q->id);
   st_budget_first (&s->budget);
   if (!q->once)
     {
--- a/src/entry/router.c
+++ b/src/entry/router.c
@@ -303,7 +303,7 @@
     free (r->servers.item[i]);
   free (r->servers.item);
   free (r->service);
-  free (r->by_http);
+  zp_places_free (&r->by_http);
   en_shifts_free (r);
   en_links_free (r);
   st_drains_free (&r->drains);
--- a/src/entry/router.h
+++ b/src/entry/router.h
@@ -26,6 +26,7 @@
 #define ZP_ENTRY_ROUTER_H
 
 #include "base/counter.h"
+#include "base/places.h"
 #include "base/rng.h"
 #include "base/slots.h"
 #include "entry/links.h"
@@ -136,8 +137,7 @@
 
   /* Requests.  */
   struct zp_slots requests;
-  uint64_t *by_http; /* request ids by the lower half of the front's id */
-  size_t by_http_cap;
+  struct zp_places by_http; /* by the front's id */
   struct en_service **service;
   size_t services;
   struct en_servers servers;
--- a/src/gate/config.c
+++ b/src/gate/config.c
@@ -156,29 +156,12 @@
 
 /* Configurations.  */
 
-static struct ti_config *
-next_config (struct gt_gate *g, const struct tk_config *c, struct zp_err *err)
-{
-  if (c->whole)
-    return ti_config_decode (zp_str_of (&c->bytes), err);
-  struct ti_change *change = ti_change_decode (zp_str_of (&c->bytes), err);
-  if (!change)
-    return NULL;
-  struct ti_config *next
-      = g->config ? ti_config_copy (g->config) : ti_config_new ();
-  bool ok = ti_config_apply (next, change, err);
-  ti_change_free (change);
-  if (ok)
-    return next;
-  ti_config_free (next);
-  return NULL;
-}
-
 void
 gt_config_take (struct gt_gate *g, const struct tk_config *c)
 {
   struct zp_err err;
-  struct ti_config *next = next_config (g, c, &err);
+  struct ti_config *next
+      = ti_config_follow (g->config, c->whole, zp_str_of (&c->bytes), &err);
 
   if (!next)
     {
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -314,7 +314,7 @@
     free (g->server[i]);
   free (g->server);
   free (g->way);
-  free (g->by_http);
+  zp_places_free (&g->by_http);
   ro_table_free (&g->table);
   gt_config_free (g);
   free (g);
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -27,6 +27,7 @@
 
 #include "base/counter.h"
 #include "base/histogram.h"
+#include "base/places.h"
 #include "base/rng.h"
 #include "base/slots.h"
 #include "gate/settings.h"
@@ -191,8 +192,7 @@
   struct gt_service **service;
   size_t services;
   struct zp_slots requests;
-  uint64_t *by_http;
-  size_t by_http_cap;
+  struct zp_places by_http; /* by the front's id */
 
   struct fr_server *front, *ready;
   bool leaving;
--- a/src/gate/request.c
+++ b/src/gate/request.c
@@ -1,6 +1,5 @@
 #include <assert.h>
 #include <stdlib.h>
-#include <string.h>
 
 #include "gate/gate.h"
 #include "site/split.h"
@@ -8,32 +7,12 @@
 
 /* Table.  */
 
-static void
-index_http (struct gt_gate *g, uint64_t http, uint64_t id)
-{
-  uint32_t at = (uint32_t) http;
-
-  if (at >= g->by_http_cap)
-    {
-      size_t cap = g->by_http_cap > 0 ? g->by_http_cap : 64;
-      while (at >= cap)
-        cap *= 2;
-      g->by_http = zp_realloc (g->by_http, cap * sizeof *g->by_http);
-      memset (g->by_http + g->by_http_cap, 0,
-              (cap - g->by_http_cap) * sizeof *g->by_http);
-      g->by_http_cap = cap;
-    }
-  g->by_http[at] = id;
-}
-
 static struct gt_request *
 find_http (struct gt_gate *g, uint64_t http)
 {
-  uint32_t at = (uint32_t) http;
+  struct gt_request *q
+      = zp_slots_get (&g->requests, zp_places_get (&g->by_http, http));
 
-  if (at >= g->by_http_cap)
-    return NULL;
-  struct gt_request *q = zp_slots_get (&g->requests, g->by_http[at]);
   return q && q->http == http ? q : NULL;
 }
 
@@ -214,7 +193,7 @@
   q->service = choose_service (g, r);
   read_route (q, r);
   q->id = zp_slots_put (&g->requests, q);
-  index_http (g, q->http, q->id);
+  zp_places_put (&g->by_http, q->http, q->id);
   zp_count (q->service->requests, 1);
   st_budget_first (&q->service->budget);
   gt_dispatch_admit (g, q);
--- a/src/ticket/config_codec.c
+++ b/src/ticket/config_codec.c
@@ -255,3 +255,21 @@
     }
   free (change);
 }
+
+struct ti_config *
+ti_config_follow (const struct ti_config *held, bool whole,
+                  struct zp_str bytes, struct zp_err *err)
+{
+  if (whole)
+    return ti_config_decode (bytes, err);
+  struct ti_change *change = ti_change_decode (bytes, err);
+  if (!change)
+    return NULL;
+  struct ti_config *next = held ? ti_config_copy (held) : ti_config_new ();
+  bool ok = ti_config_apply (next, change, err);
+  ti_change_free (change);
+  if (ok)
+    return next;
+  ti_config_free (next);
+  return NULL;
+}
--- a/tests/test-ticket-config.c
+++ b/tests/test-ticket-config.c
@@ -304,6 +304,44 @@
   ti_config_free (b);
 }
 
+/* Guards against a daemon that goes on from the wrong configuration, or drops
+   the one it holds, when bytes do not follow.  */
+static void
+test_follow (void)
+{
+  struct ti_config *c = ti_config_new ();
+  struct zp_err err = { .text = "" };
+  struct zp_buf bytes = { .ptr = NULL };
+
+  put_site (c, 0, "a", "f");
+  ti_config_encode (c, &bytes);
+  struct ti_config *whole
+      = ti_config_follow (NULL, true, zp_str_of (&bytes), &err);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (whole);
+  CU_ASSERT (same_bytes (whole, c));
+
+  char text[200];
+  snprintf (text, sizeof text,
+            "{\"index\":4,\"time\":0,\"number\":2,\"digest\":\"%064d\","
+            "\"set\":{\"site/b\":{\"failure_domain\":\"f\"}}}",
+            0);
+  struct ti_config *next
+      = ti_config_follow (whole, false, zp_str_from (text), &err);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (next);
+  CU_ASSERT (has (next, "site/a") && has (next, "site/b"));
+  CU_ASSERT (same_bytes (whole, c));
+
+  /* The same change does not follow itself, and half a change is none.  */
+  CU_ASSERT_PTR_NULL (
+      ti_config_follow (next, false, zp_str_from (text), &err));
+  const struct zp_str half = { .ptr = text, .len = 40 };
+  CU_ASSERT_PTR_NULL (ti_config_follow (whole, false, half, &err));
+  ti_config_free (whole);
+  ti_config_free (next);
+  ti_config_free (c);
+  zp_buf_free (&bytes);
+}
+
 static const struct zp_test tests[] = {
   { "encode and decode", test_encode_decode },
   { "bytes of a change", test_change_bytes },
@@ -312,6 +350,7 @@
   { "deleted objects are remembered", test_deleted_objects_are_remembered },
   { "undo", test_undo },
   { "diff", test_diff },
+  { "follow", test_follow },
 };
 
 TEST_MAIN ("ticket-config", tests)
