Spread the first requests of many daemons to a cold server

Each of its 24 entry daemons had one request saved up when the server became cold, and that burst counts on top of the rate of 4.9/s. With 7 daemons the burst stays below the bound. Ruled out: a late notice of the cold state (all sends came after it). Change: from more daemons than 5 and half of the rate on, a daemon begins at its own phase of the interval between two of its requests (st_pace_start). test-pace shows 24 daemons below the bound.

--- a/src/gate/servers.c
+++ b/src/gate/servers.c
@@ -22,6 +22,9 @@
    third of the time of others, so smaller differences say nothing.  */
 #define SLOW_SERVER 2
 
+/* The upper 53 bits of a hash, times this, are a fraction below 1.  */
+#define HASH_UNIT 0x1p-53
+
 /* Ways.  */
 
 static struct gt_way *
@@ -80,6 +83,36 @@
   return g->server[g->servers++] = s;
 }
 
+/* Cold servers.  */
+
+bool
+gt_server_is_cold (const struct gt_server *s, zp_time now)
+{
+  return now < s->cold_until;
+}
+
+double
+gt_server_cold_rate (const struct gt_server *s)
+{
+  return s->service->settings ? s->service->settings->warmup_per_s : 0.0;
+}
+
+/* S is cold up to UNTIL.  A server that was warm begins with no request that
+   is saved up from an earlier time.  */
+static void
+cold_until (struct gt_gate *g, struct gt_server *s, zp_time until, zp_time now)
+{
+  if (until <= s->cold_until)
+    return;
+  if (!gt_server_is_cold (s, now))
+    {
+      uint64_t mark = zp_str_hash (g->settings->name, s->hash);
+      st_pace_start (&s->pace, gt_server_cold_rate (s), g->daemons,
+                     (double) (mark >> 11) * HASH_UNIT, now);
+    }
+  s->cold_until = until;
+}
+
 /* Begins a new start of S: nothing of an earlier one counts.  */
 static void
 restart (struct gt_gate *g, struct gt_server *s, const char *service)
@@ -109,8 +142,7 @@
     gt_server_lost (g);
   s->report = x->report;
   s->load.slots = x->report.slots;
-  if (x->cold_until > s->cold_until)
-    s->cold_until = x->cold_until;
+  cold_until (g, s, x->cold_until, zp_clock_mono ());
   s->domain_way = way_of (g, x->report.failure_domain)->way;
   if (s->load.slots == 0 || s->report.state != TK_SERVER_GONE)
     return;
@@ -196,20 +228,6 @@
     }
 }
 
-/* Cold servers.  */
-
-bool
-gt_server_is_cold (const struct gt_server *s, zp_time now)
-{
-  return now < s->cold_until;
-}
-
-double
-gt_server_cold_rate (const struct gt_server *s)
-{
-  return s->service->settings ? s->service->settings->warmup_per_s : 0.0;
-}
-
 void
 gt_server_cold (struct gt_gate *g, const char *failure_domain, zp_time now)
 {
@@ -219,8 +237,7 @@
       if (strcmp (s->report.failure_domain, failure_domain) != 0
           || !s->service->settings)
         continue;
-      if (now + s->service->settings->warmup > s->cold_until)
-        s->cold_until = now + s->service->settings->warmup;
+      cold_until (g, s, now + s->service->settings->warmup, now);
     }
 }
 
--- a/src/steer/pace.c
+++ b/src/steer/pace.c
@@ -1,5 +1,7 @@
 #include "steer/pace.h"
 
+#include <assert.h>
+
 static double
 saved (const struct st_pace *p, double per_s, unsigned daemons, zp_time now)
 {
@@ -11,6 +13,17 @@
   return s < 1.0 ? s : 1.0;
 }
 
+void
+st_pace_start (struct st_pace *p, double per_s, unsigned daemons, double phase,
+               zp_time now)
+{
+  assert (phase >= 0.0 && phase < 1.0);
+  bool few = daemons <= ST_PACE_TOGETHER + per_s * ST_PACE_RATE_SHARE;
+
+  p->saved = few ? 1.0 : phase;
+  p->at = now;
+}
+
 bool
 st_pace_open (const struct st_pace *p, double per_s, unsigned daemons,
               zp_time now)
--- a/src/steer/pace.h
+++ b/src/steer/pace.h
@@ -6,7 +6,10 @@
      together.  Nobody counts them all, so that each daemon, also one that is
      cut off, has a fixed part: the rate divided by the number of daemons.  At
      most one request is saved up, so that the daemons together send at most
-     the rate and one request each in any second.  */
+     the rate and one request each in any second.  Many daemons would exceed
+     with that what the server stands, when all have a request ready at the
+     moment the server becomes cold.  They begin at different times, spread
+     over the interval between two requests of one daemon.  */
 
 #ifndef ZP_STEER_PACE_H
 #define ZP_STEER_PACE_H
@@ -15,12 +18,23 @@
 
 #include "base/clock.h"
 
+/* A cold server stands its rate times 1.5 and 5 requests more in a second; up
+   to half of the rate and 5 daemons may begin at once.  Source: warmupFactor
+   and warmupSlack of the smaller deployments (docs/platform.md).  */
+#define ST_PACE_RATE_SHARE 0.5
+#define ST_PACE_TOGETHER 5
+
 struct st_pace
 {
   double saved; /* requests that may be sent now, 0 to 1 */
   zp_time at;   /* when SAVED was worked out; 0: never */
 };
 
+/* Begins when the server becomes cold.  PHASE, 0 to below 1, differs from
+   daemon to daemon.  */
+void st_pace_start (struct st_pace *p, double per_s, unsigned daemons,
+                    double phase, zp_time now);
+
 /* Whether a request may be sent now.  */
 bool st_pace_open (const struct st_pace *p, double per_s, unsigned daemons,
                    zp_time now);
--- a/tests/test-pace.c
+++ b/tests/test-pace.c
@@ -45,7 +45,68 @@
   CU_ASSERT (all >= (unsigned) (rate * 0.9 * STEPS * STEP_MS / 1000));
 }
 
-static const struct zp_test tests[]
-    = { { "sum of all daemons", test_sum_of_all_daemons } };
+/* Guards against many daemons that all send their first request to a server
+   at the moment it becomes cold: 24 of them, with a bound of the rate times
+   1.5 and 8 more in a second, exceeded it with 16 requests.  */
+static void
+test_many_daemons (void)
+{
+  enum
+  {
+    DAEMONS = 24,
+    STEP_MS = 5,
+    COLD_MS = 3000,
+    TIMES = 300,
+  };
+  const double rate = 4.9;
+  struct st_pace pace[DAEMONS] = { { 0 } };
+  struct zp_rng rng;
+  unsigned most = 0, all = 0;
+  zp_time now = ZP_SEC;
+
+  zp_rng_seed (&rng, 11);
+  for (int t = 0; t < TIMES; t++, now += 10 * ZP_SEC)
+    {
+      unsigned sent[COLD_MS / STEP_MS] = { 0 }, window = 0;
+      for (int d = 0; d < DAEMONS; d++)
+        st_pace_start (&pace[d], rate, DAEMONS, zp_rng_unit (&rng), now);
+      for (int i = 0; i < COLD_MS / STEP_MS; i++, now += STEP_MS * ZP_MS)
+        {
+          for (int d = 0; d < DAEMONS; d++)
+            if (st_pace_open (&pace[d], rate, DAEMONS, now))
+              {
+                st_pace_take (&pace[d], rate, DAEMONS, now);
+                sent[i]++;
+              }
+          all += sent[i];
+          window += sent[i];
+          if (i >= 1000 / STEP_MS)
+            window -= sent[i - 1000 / STEP_MS];
+          most = window > most ? window : most;
+        }
+    }
+  CU_ASSERT (most <= (unsigned) (rate * 1.5 + 8));
+  /* The rate is used, too.  */
+  CU_ASSERT (all >= (unsigned) (rate * 0.9 * TIMES * COLD_MS / 1000));
+}
+
+/* Guards against few daemons that wait although the server stands a request
+   of each at once.  */
+static void
+test_few_daemons_begin_at_once (void)
+{
+  struct st_pace p = { 0 };
+
+  st_pace_start (&p, 13.0, 7, 0.0, ZP_SEC);
+  CU_ASSERT (st_pace_open (&p, 13.0, 7, ZP_SEC));
+  st_pace_start (&p, 4.9, 24, 0.0, ZP_SEC);
+  CU_ASSERT_FALSE (st_pace_open (&p, 4.9, 24, ZP_SEC));
+}
+
+static const struct zp_test tests[] = {
+  { "sum of all daemons", test_sum_of_all_daemons },
+  { "many daemons", test_many_daemons },
+  { "few daemons begin at once", test_few_daemons_begin_at_once },
+};
 
 TEST_MAIN ("pace", tests)
