Keep the indentation of manual-page comments in headers

Cause: the formatter reflowed comments and moved wrapped lines of the description to the column of its heading. Comments only.

--- a/src/base/histogram.h
+++ b/src/base/histogram.h
@@ -3,9 +3,9 @@
 
    DESCRIPTION
      A histogram is a set of counters NAME_bucket with the label "le" in
-   seconds, NAME_sum in microseconds and NAME_count, as the usual text
-   exposition format has them.  The bounds cover an answer on the same machine
-   up to the longest deadline.  */
+     seconds, NAME_sum in microseconds and NAME_count, as the usual text
+     exposition format has them.  The bounds cover an answer on the same
+     machine up to the longest deadline.  */
 
 #ifndef ZP_BASE_HISTOGRAM_H
 #define ZP_BASE_HISTOGRAM_H
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -9,15 +9,15 @@
 
    DESCRIPTION
      A line has the members "time" (UTC), "level", "program", "pid", "part"
-   (the fixed prefix of the module that logs), "text" (a short sentence) and
-   the fields of the event.  docs/OPERATIONS.md lists the fields.  One line is
-   one write, so that lines of several threads never mix.
+     (the fixed prefix of the module that logs), "text" (a short sentence) and
+     the fields of the event.  docs/OPERATIONS.md lists the fields.  One line
+     is one write, so that lines of several threads never mix.
 
      Logging never blocks: a line that the reader has no room for is dropped.
-   At most ZP_LOG_PER_S lines a second are written, of which half are kept for
-     ZP_LOG_NOTICE and more urgent ones.  Dropped lines are counted in
+     At most ZP_LOG_PER_S lines a second are written, of which half are kept
+     for ZP_LOG_NOTICE and more urgent ones.  Dropped lines are counted in
      zp_log_dropped_total, and the next line that is written says how many
-   there were.  */
+     there were.  */
 
 #ifndef ZP_BASE_LOG_H
 #define ZP_BASE_LOG_H
--- a/src/base/places.h
+++ b/src/base/places.h
@@ -3,8 +3,8 @@
 
    DESCRIPTION
      A request has an id in the front task and another one in the deciding
-   task. The front's id holds its place in the lower 32 bits (base/slots.h);
-   the deciding task finds its own id by it, without a search.  */
+     task.  The front's id holds its place in the lower 32 bits (base/slots.h);
+     the deciding task finds its own id by it, without a search.  */
 
 #ifndef ZP_BASE_PLACES_H
 #define ZP_BASE_PLACES_H
--- a/src/control/call.h
+++ b/src/control/call.h
@@ -1,6 +1,6 @@
 /* NAME
      call - the calls of operators and backend servers, apart from their
-   encoding
+     encoding
 
    DESCRIPTION
      A control daemon can speak another interface than the product's own one.
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -3,10 +3,10 @@
 
    DESCRIPTION
      Joins the parts of zp-control on one loop: the HTTP server sends
-   operators' requests here, decisions that change something are proposed to
-   the replicated log, and every committed entry is applied to the ticket
-   store. A request is answered when its entry has been applied here.  Changes
-   go to the source task, which sends them to entry daemons.
+     operators' requests here, decisions that change something are proposed to
+     the replicated log, and every committed entry is applied to the ticket
+     store.  A request is answered when its entry has been applied here.
+     Changes go to the source task, which sends them to entry daemons.
 
      On TK_STOP the daemon takes no new connections, answers what it has
      accepted and stops its loop, at the latest after ZP_STOP_LIMIT.  */
--- a/src/control/join.h
+++ b/src/control/join.h
@@ -3,8 +3,8 @@
 
    DESCRIPTION
      Pure.  The leader keeps the group at CT_VOTERS voters, or fewer while
-   fewer control daemons exist, with the other daemons as learners that hold
-   the state and can replace a voter at once:
+     fewer control daemons exist, with the other daemons as learners that hold
+     the state and can replace a voter at once:
 
      1. A member whose address is used by a daemon with another id has lost its
         storage.  It is removed: its vote cannot be counted again.
@@ -13,8 +13,8 @@
         number of them.  A region gets at most CT_VOTERS_IN_REGION, so that the
         loss of one region leaves a majority.
      4. A voter that has been lost for CT_LOST_VOTER is removed when a
-   connected learner can take its place and a majority of the others is
-   connected.
+        connected learner can take its place and a majority of the others is
+        connected.
      5. A learner that has been lost for CT_LOST_LEARNER is removed.
 
      One change at a time; the log refuses a promotion until the learner holds
--- a/src/control/settings.h
+++ b/src/control/settings.h
@@ -13,15 +13,16 @@
        join     true for a member that joins an existing group
 
      A deployment without an operator for the group gives these instead of
-   "id", "members" and "join":
+     "id", "members" and "join":
 
        seeds          operators' interfaces of some control daemons
        found          true on the first start of the whole deployment
        name, failure_domain, region  of this daemon
        ip, inner_port  address of this machine, and the first port of the inner
                       protocols (enum wi_port); they give "address", "follow"
-   and the address of the roster directory      "IP:port" for callers that ask
-   for entry VMs server_report  period of the reports of one backend server
+                      and the address of the roster
+       directory      "IP:port" for callers that ask for entry VMs
+       server_report  period of the reports of one backend server
        lookup_ttl     how long callers may keep the answer
 
    RETURN VALUE
--- a/src/forward/client.h
+++ b/src/forward/client.h
@@ -10,8 +10,9 @@
      connection, when the backend server answered 503 with "Run-Verdict:
      not-run" or an answer with the header NOT_RUN of its names, or when it
      answered 421 to a request that names the server that it is meant for.  A
-   request is sent at most once: libcurl repeats a request on a new connection
-   when a reused one turns out to be dead, and this repetition is refused here.
+     request is sent at most once: libcurl repeats a request on a new
+     connection when a reused one turns out to be dead, and this repetition is
+     refused here.
 
      A connection whose answer was not read to its end is closed, never reused.
      An answer whose Request-Id differs from that of the request is dropped. */
--- a/src/roster/client.h
+++ b/src/roster/client.h
@@ -12,10 +12,10 @@
      It takes TK_DAEMON of the deciding task, which is what this daemon says of
      itself, and TK_SEEDS.  Ports of control daemons for this protocol are the
      same on all of them, so an address of their operators' interface is enough
-     to find one.  TK_SOURCES with the addresses
-     of the configuration is sent to FOLLOWER whenever they change: it names
-   the control daemons that are in contact with the leader of the log, or else
-     those that are connected, or all that are known.  */
+     to find one.  TK_SOURCES with the addresses of the configuration is sent
+     to FOLLOWER whenever they change: it names the control daemons that are in
+     contact with the leader of the log, or else those that are connected, or
+     all that are known.  */
 
 #ifndef ZP_ROSTER_CLIENT_H
 #define ZP_ROSTER_CLIENT_H
--- a/src/roster/source.h
+++ b/src/roster/source.h
@@ -17,8 +17,8 @@
      It sends TK_DAEMON to the deciding task whenever what a connected daemon
      says of itself changes, and when its connection ends.  TK_SOURCES from the
      deciding task names the control daemons, and TK_FRESH says whether this
-   one is in contact with the leader of the log; the answers to pings pass it
-   on.  */
+     one is in contact with the leader of the log; the answers to pings pass it
+     on.  */
 
 #ifndef ZP_ROSTER_SOURCE_H
 #define ZP_ROSTER_SOURCE_H
--- a/src/steer/blame.h
+++ b/src/steer/blame.h
@@ -4,7 +4,7 @@
 
    DESCRIPTION
      Pure.  When the connection of a request is lost without an answer, the
-   pair of its fingerprint and the server is noted here and told to the other
+     pair of its fingerprint and the server is noted here and told to the other
      daemons.  After losses on ST_BLAME_SERVERS different servers without an
      answer in between, requests with the fingerprint are refused for
      ST_BLAME_PERIOD after the last loss.  An answer to the fingerprint clears
@@ -12,9 +12,9 @@
      alike.
 
      src/steer/poison.h holds the losses of a region to three by a quorum of
-   its daemons; that needs the connections between them, which routed requests
-   do without.  Here daemons that have not heard of each other's losses yet may
-     lose one server more each.  */
+     its daemons; that needs the connections between them, which routed
+     requests do without.  Here daemons that have not heard of each other's
+     losses yet may lose one server more each.  */
 
 #ifndef ZP_STEER_BLAME_H
 #define ZP_STEER_BLAME_H
--- a/src/steer/drain.h
+++ b/src/steer/drain.h
@@ -1,6 +1,6 @@
 /* NAME
      drain - what the drains of the configuration mean, and what is left of
-   them
+     them
 
    DESCRIPTION
      A drain names a server, an entry daemon, a failure domain or a region:
@@ -14,8 +14,8 @@
 
      Slots of a draining server are recalled, and its leases renewed only for
      running requests, so new work for it ends within one lease ttl of the
-   drain (P6) and what runs is not cancelled (P7).  A drained entry daemon goes
-   on serving the callers that still have it in a cached answer.
+     drain (P6) and what runs is not cancelled (P7).  A drained entry daemon
+     goes on serving the callers that still have it in a cached answer.
 
      Each daemon reports its own part of the progress; the parts of all daemons
      are added up, and the drain is done when all parts are.  */
--- a/src/steer/egress.h
+++ b/src/steer/egress.h
@@ -5,8 +5,8 @@
      Pure.  The link of a small VM takes some Mbit/s; answers of bursts exceed
      it, and then every request that is sent on and every answer waits behind
      them.  The bytes that this daemon sends fill a bucket that the link
-   empties. A request is refused while they would wait longer than
-   ST_EGRESS_WAIT: its refusal has a fraction of the bytes of its answer.  */
+     empties.  A request is refused while they would wait longer than
+     ST_EGRESS_WAIT: its refusal has a fraction of the bytes of its answer.  */
 
 #ifndef ZP_STEER_EGRESS_H
 #define ZP_STEER_EGRESS_H
--- a/src/steer/health.h
+++ b/src/steer/health.h
@@ -22,12 +22,12 @@
      a fresh connection (st_health_wants_fresh), are the test and give points.
      A server that sheds load is not failing.
 
-     A struct st_health_group counts the servers of one service.  Not more
-     than ST_HEALTH_SHARE of them are ejected at once, so that a caller whose
+     A struct st_health_group counts the servers of one service.  Not more than
+     ST_HEALTH_SHARE of them are ejected at once, so that a caller whose
      requests always fail cannot empty the service.  Servers that refuse
      connections are ejected beyond this share: half of the servers of a
-   service can die at once, and no caller can bring a refusal about.  Servers
-   that stop announcing leave the group outside this share.
+     service can die at once, and no caller can bring a refusal about.  Servers
+     that stop announcing leave the group outside this share.
 
    RETURN VALUE
      st_health_outcome returns what changed, for the log.  */
--- a/src/steer/pool.h
+++ b/src/steer/pool.h
@@ -9,16 +9,16 @@
      daemons.  It is smoothed over answers, and fades by half in each
      ST_POOL_HALF_LIFE without an answer, so that a server that was full is
      tried again.  The daemons of a region also tell each other what they have
-   at each server; while this is newer than ST_POOL_TOLD, the larger of both
+     at each server; while this is newer than ST_POOL_TOLD, the larger of both
      counts.
 
      The request goes where its answer is expected first: the way there and
      back, the wait for a slot, and the service time.  On an object that a
      server knows, the service time is a third of the usual one, so that
-   waiting for that server beats a free one.  This answers the load of the
-   sheets, where all requests need less than the slots when they meet servers
-   that know their objects, and twice the slots when they do not: a daemon that
-     sends to any free server under load keeps the load up.
+     waiting for that server beats a free one.  This answers the load of the
+     sheets, where all requests need less than the slots when they meet servers
+     that know their objects, and twice the slots when they do not: a daemon
+     that sends to any free server under load keeps the load up.
 
      Candidates whose finish differs by less than ST_POOL_NEAR count as equal;
      of these the one with the lowest rank is chosen.
--- a/src/steer/share.h
+++ b/src/steer/share.h
@@ -10,8 +10,8 @@
      with the fewest, then to the one that has waited longest.
 
      The others' part is small, because a slot that is lent to another region
-   is busy for a round trip longer with each request.  With half of the slots
-   for others, bench-capacity gave 77% of the capacity at twice the load.  */
+     is busy for a round trip longer with each request.  With half of the slots
+     for others, bench-capacity gave 77% of the capacity at twice the load.  */
 
 #ifndef ZP_STEER_SHARE_H
 #define ZP_STEER_SHARE_H
--- a/src/steer/shift.h
+++ b/src/steer/shift.h
@@ -7,13 +7,13 @@
 
      st_shift_decide is the leader's decision, a pure function of the committed
      steps, the time and the state of the receiving site.  The sum of changes
-   in any ST_SHIFT_WINDOW is at most the cap, in both directions together, and
-     every step of an earlier term counts as made when the leader began.  A
-   step counts from its commit; while one is not committed, none is added.
+     in any ST_SHIFT_WINDOW is at most the cap, in both directions together,
+     and every step of an earlier term counts as made when the leader began.  A
+     step counts from its commit; while one is not committed, none is added.
 
      st_shift_follow is the part of each entry daemon.  A daemon that is behind
      would otherwise make several steps at once, so it limits its own changes
-   by the same rule.  A new process begins with the logged share, because its
+     by the same rule.  A new process begins with the logged share, because its
      callers were served by other daemons meanwhile.  */
 
 #ifndef ZP_STEER_SHIFT_H
--- a/src/steer/warm.h
+++ b/src/steer/warm.h
@@ -3,9 +3,9 @@
 
    DESCRIPTION
      Pure.  A server answers a request on an object that it has handled lately
-   in a fraction of the usual time.  Each entry daemon notes which objects it
-   has sent to a server; the servers that rank first for an object are chosen
-   by all daemons alike, so that other daemons have warmed them too.
+     in a fraction of the usual time.  Each entry daemon notes which objects it
+     has sent to a server; the servers that rank first for an object are chosen
+     by all daemons alike, so that other daemons have warmed them too.
 
      The table has one place for each value of the lower bits of an object; a
      newer object replaces an older one, as in the server's own memory.  A note
--- a/src/task/watch.h
+++ b/src/task/watch.h
@@ -3,7 +3,7 @@
 
    DESCRIPTION
      Calls CHANGED on the loop's thread at SIGHUP, and when the file has
-   another time of modification or size than before; it is looked at once in
+     another time of modification or size than before; it is looked at once in
      TK_WATCH_PERIOD.  */
 
 #ifndef ZP_TASK_WATCH_H
--- a/src/ticket/validate.h
+++ b/src/ticket/validate.h
@@ -7,8 +7,8 @@
      deletions of objects that are absent or still in use, two objects that say
      different things about one matter (links, limits, addresses, blocks,
      shifts), entry daemons outside the networks of their failure domain,
-   shifts that would move blocks at once, and control members that cannot be
-   changed in one step.
+     shifts that would move blocks at once, and control members that cannot be
+     changed in one step.
 
    RETURN VALUE
      true when no mistake was added.  */
