--- a/tests/test-gate.c
+++ b/tests/test-gate.c
@@ -365,7 +365,7 @@
   set_up ("7 once");
   for (int i = 1; i <= 5; i++)
     {
-      char id[8], address[32];
+      char id[16], address[32];
       snprintf (id, sizeof id, "i-%d", i);
       snprintf (address, sizeof address, "10.0.0.%d:80", i);
       put_server (id, address, TK_SERVER_READY, 1);
