--- a/tests/test-replica.c
+++ b/tests/test-replica.c
@@ -314,6 +314,16 @@
   tear_down ();
 }
 
+/* A snapshot is written beside the commits, and may end after them.  */
+static bool
+has_snapshot (uint64_t at)
+{
+  char path[128];
+
+  snprintf (path, sizeof path, "%s/snapshot", group.member[at].folder);
+  return access (path, F_OK) == 0;
+}
+
 /* Guards against entries that are applied to a state that is not theirs, and
    against a member that votes although it cannot serve.  */
 static void
@@ -324,6 +334,7 @@
     open_member (i);
   commit (30);
   struct member *m = leader ();
+  wait_for (has_snapshot, (uint64_t) (m - group.member));
   close_member (m);
   m->refuse_restore = true;
   open_member ((int) (m - group.member));
