--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -52,10 +52,12 @@
    cut off does so without anyone knowing.  */
 #define GT_CENSUS_KEPT (30 * ZP_SEC)
 
+/* Servers of a request that are remembered; an attempt after so many may reach
+   one of them again.  */
 #define GT_TRIED_MAX 8
 
-/* How often the daemons of a region tell each other their work: a fraction of
-   the shortest service time of the sheets, 75 ms warm and 250 ms cold.  */
+/* How often the daemons of a region tell each other their work: below the
+   250 ms that a server takes for a request on an object new to it.  */
 #define GT_WORK_PERIOD (200 * ZP_MS)
 
 /* Bytes of the headers of one message, with those of TCP and IP.  */
--- a/src/roster/table.h
+++ b/src/roster/table.h
@@ -28,6 +28,8 @@
    partition ends; partitions of minutes are expected.  */
 #define RO_GONE_KEPT (600 * ZP_SEC)
 
+/* Bounds the memory that reports can take; the largest deployment that was run
+   has 486 servers.  */
 #define RO_SERVERS_MAX 4096
 
 /* A cold time that ends later than was known by more than this is a change.
--- a/src/roster/work.h
+++ b/src/roster/work.h
@@ -18,6 +18,8 @@
 
 #include "task/msg.h"
 
+/* Five periods of GT_WORK_PERIOD: a daemon that is silent for so long counts as
+   cut off.  */
 #define RO_WORK_KEPT (1000 * ZP_MS)
 
 /* What one daemon has said.  */
--- a/src/steer/mix.c
+++ b/src/steer/mix.c
@@ -54,13 +54,13 @@
 
   assert (region < ST_MIX_REGIONS);
   advance (m, now);
-  uint32_t old = sum (m, WINDOW_BUCKETS, before);
-  uint32_t new = sum (m, 0, last);
-  if (old < ST_MIX_MIN || new < ST_MIX_MIN)
+  uint32_t earlier = sum (m, WINDOW_BUCKETS, before);
+  uint32_t latest = sum (m, 0, last);
+  if (earlier < ST_MIX_MIN || latest < ST_MIX_MIN)
     return 0.0;
   last[region]++;
-  new ++;
+  latest++;
   for (size_t r = 0; r < ST_MIX_REGIONS; r++)
-    moved += fabs ((double) last[r] / new - (double) before[r] / old);
+    moved += fabs ((double) last[r] / latest - (double) before[r] / earlier);
   return moved / 2;
 }
--- a/src/steer/mix.h
+++ b/src/steer/mix.h
@@ -20,8 +20,13 @@
 
 #include "base/clock.h"
 
+/* Platforms count the moves from one window of 2 s to the next.  */
 #define ST_MIX_WINDOW (2 * ZP_SEC)
+
+/* Of at most 9 regions (docs/developers.md).  */
 #define ST_MIX_REGIONS 16
+
+/* One request is then at most 0.05 of a window.  */
 #define ST_MIX_MIN 20
 
 /* Largest change.  Platforms allow 0.15 of a region's requests, which come
