--- a/src/gate/choose.c
+++ b/src/gate/choose.c
@@ -5,7 +5,8 @@
 /* Choice.  */
 
 /* Servers of one region that an object may go to.  All daemons choose the same
-   ones, and two bear that one is full or ends.  */
+   one, which then knows the object; the next one follows when it is tried,
+   cold, ejected or gone.  */
 #define SERVERS_OF_OBJECT 1
 
 /* The candidates for one request, with the server of each.  */
