--- a/src/steer/pace.h
+++ b/src/steer/pace.h
@@ -18,9 +18,9 @@
 
 #include "base/clock.h"
 
-/* A cold server stands its rate times 1.5 and 5 requests more in a second; up
-   to half of the rate and 5 daemons may begin at once.  Source: warmupFactor
-   and warmupSlack of the smaller deployments (docs/platform.md).  */
+/* In a second, a cold server stands its rate times 1.5 and 5 requests more, by
+   the platform's rules for small deployments.  So half of the rate and 5
+   daemons may begin at once.  */
 #define ST_PACE_RATE_SHARE 0.5
 #define ST_PACE_TOGETHER 5
 
