trace: zpctl finds the cause of a failed request in the logs of all programs

Cause: on-call engineers had grep only. Lines about servers, daemons and configurations were sentences without fields, so that nothing could join them; zp-entry had its own sentences, and none for a failed attempt below the debug level. scenario change looked for the syslog form of lines, which no program writes any more, so its check that numbers never go back passed without a single line.

Change: one list of fields for all programs (src/base/field.h), which a test compares with docs/OPERATIONS.md. src/trace reads log files, orders lines by process and by the version of changes rather than by clocks, and names the cause; zpctl trace and zpctl timeline print it. zp-entry and zp-edge write the same lines for attempts and refusals, sampled by the same rule. scenario change reads the new lines and fails when fewer than 140 are there.

--- a/scenarios/change.sh
+++ b/scenarios/change.sh
@@ -23,6 +23,8 @@
   echo "worst time to in force everywhere: $worst ms" >&2
   [ "$worst" -le 7000 ] || echo "a ticket took $worst ms;"
   [ "$(wc -l <"$dir/in-force-ms")" = 20 ] || echo "not every ticket was put in force;"
-  grep -h 'config: version' "$dir"/entry-*.log | grep -o '^<.>zp-entry\[[0-9]*\]\|number [0-9]*' | paste -d' ' - - |
-    awk '{ if ($3 < last[$1]) exit 1; last[$1] = $3 }' || echo "a number went back;"
+  # "PID NUMBER" of each line that says what is in force.
+  sed -n 's/.*"pid":\([0-9]*\),"part":"config","configuration":\([0-9]*\),.*/\1 \2/p' "$dir"/entry-*.log |
+    awk '{ n++; if ($2 < last[$1]) exit 1; last[$1] = $2 } END { if (n < 140) exit 1 }' ||
+    echo "a number went back, or is missing in the logs;"
 }
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -37,6 +37,12 @@
   return level <= log_level;
 }
 
+bool
+zp_log_sampled (struct zp_str request)
+{
+  return zp_str_hash (request, 0) % ZP_LOG_SAMPLE == 0;
+}
+
 static const char *
 level_name (enum zp_log_level level)
 {
@@ -123,7 +129,7 @@
 {
   for (size_t i = 0; i < n; i++)
     {
-      put (l, ",\"%s\":", fields[i].name);
+      put (l, ",\"%s\":", zp_field_name (fields[i].key));
       switch (fields[i].kind)
         {
         case ZP_FIELD_TEXT:
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -5,7 +5,7 @@
      zp_log_open ("zp-edge", ZP_LOG_INFO, STDOUT_FILENO);
      zp_log (ZP_LOG_NOTICE, "gate", "stopped");
      ZP_EVENT (ZP_LOG_INFO, "request", "refused",
-               ZP_F_TEXT ("request", id), ZP_F_INT ("waited_ms", ms));
+               ZP_F_TEXT (ZP_KEY_REQUEST, id), ZP_F_INT (ZP_KEY_HELD_MS, ms));
 
    DESCRIPTION
      A line has the members "time" (UTC), "level", "program", "pid", "part"
@@ -13,6 +13,10 @@
      the fields of the event.  docs/OPERATIONS.md lists the fields.  One line
      is one write, so that lines of several threads never mix.
 
+     Lines of requests that went well are written for a sample of the requests,
+     chosen by their id, so that a request has its lines in every program or in
+     none.
+
      Logging never blocks: a line that the reader has no room for is dropped.
      At most ZP_LOG_PER_S lines a second are written, of which half are kept
      for ZP_LOG_NOTICE and more urgent ones.  Dropped lines are counted in
@@ -25,6 +29,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "base/field.h"
 #include "base/str.h"
 
 /* Lines a second, and lines at once after a quiet time.  A line costs about
@@ -32,6 +37,10 @@
 #define ZP_LOG_PER_S 300
 #define ZP_LOG_BURST 600
 
+/* An entry daemon that serves 400 requests a second writes some 12 lines a
+   second of those that went well.  */
+#define ZP_LOG_SAMPLE 32
+
 enum zp_log_level
 {
   ZP_LOG_ERR = 3,
@@ -49,7 +58,7 @@
 
 struct zp_field
 {
-  const char *name;
+  enum zp_field_key key;
   enum zp_field_kind kind;
   union
   {
@@ -58,12 +67,12 @@
   } u;
 };
 
-#define ZP_F_TEXT(n, t)                                                       \
-  (struct zp_field) { .name = (n), .kind = ZP_FIELD_TEXT, .u.text = (t) }
-#define ZP_F_INT(n, v)                                                        \
+#define ZP_F_TEXT(k, t)                                                       \
+  (struct zp_field) { .key = (k), .kind = ZP_FIELD_TEXT, .u.text = (t) }
+#define ZP_F_INT(k, v)                                                        \
   (struct zp_field)                                                           \
   {                                                                           \
-    .name = (n), .kind = ZP_FIELD_INT, .u.number = (int64_t) (v)              \
+    .key = (k), .kind = ZP_FIELD_INT, .u.number = (int64_t) (v)               \
   }
 
 /* Sets the program name, the highest level that is written, and where.  Before
@@ -72,6 +81,9 @@
 
 bool zp_log_enabled (enum zp_log_level level);
 
+/* Whether REQUEST is one of the sample of one in ZP_LOG_SAMPLE requests.  */
+bool zp_log_sampled (struct zp_str request);
+
 /* A line without fields.  */
 void zp_log (enum zp_log_level level, const char *part, const char *fmt, ...)
     __attribute__ ((format (printf, 3, 4)));
--- a/src/control/control.c
+++ b/src/control/control.c
@@ -228,12 +228,13 @@
 static void
 log_result (uint64_t index, const struct ti_result *r)
 {
-  zp_log (ZP_LOG_NOTICE, PART,
-          "entry %" PRIu64 ": ticket %.12s is %s, number %" PRIu64 ", %zu "
-          "mistakes, %zu objects in conflict",
-          index, r->digest.hex[0] ? r->digest.hex : "-",
-          ti_state_name (r->state), r->number, r->errors.count,
-          r->conflict.objects.len);
+  ZP_EVENT (ZP_LOG_NOTICE, PART, "a command to a ticket is applied",
+            ZP_F_INT (ZP_KEY_VERSION, index),
+            ZP_F_TEXT (ZP_KEY_TICKET, zp_str_from (r->digest.hex)),
+            ZP_F_TEXT (ZP_KEY_STATE, zp_str_from (ti_state_name (r->state))),
+            ZP_F_INT (ZP_KEY_TICKET_NUMBER, r->number),
+            ZP_F_INT (ZP_KEY_MISTAKES, r->errors.count),
+            ZP_F_INT (ZP_KEY_CONFLICTS, r->conflict.objects.len));
 }
 
 static void
--- a/src/control/replica.c
+++ b/src/control/replica.c
@@ -76,9 +76,11 @@
   switch (c->stop)
     {
     case LG_RUNNING:
-      zp_log (ZP_LOG_NOTICE, "replica",
-              "member %" PRIu64 " is %s in term %" PRIu64 ", leader %" PRIu64,
-              r->id, names[c->role], c->term, c->leader);
+      ZP_EVENT (ZP_LOG_NOTICE, "replica", "the role of a member has changed",
+                ZP_F_INT (ZP_KEY_MEMBER, r->id),
+                ZP_F_TEXT (ZP_KEY_STATE, zp_str_from (names[c->role])),
+                ZP_F_INT (ZP_KEY_TERM, c->term),
+                ZP_F_INT (ZP_KEY_LEADER, c->leader));
       break;
     case LG_STOP_DISK:
       zp_log (ZP_LOG_ERR, "replica",
--- a/src/ctl/command.c
+++ b/src/ctl/command.c
@@ -3,12 +3,10 @@
 #include <json-c/json.h>
 #include <stdio.h>
 
-#define PLAIN (JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE)
-
 void
 zc_print_json (struct json_object *v)
 {
-  puts (json_object_to_json_string_ext (v, PLAIN));
+  puts (json_object_to_json_string_ext (v, ZC_JSON_PLAIN));
 }
 
 void
@@ -70,6 +68,9 @@
     case ZC_EXPLAIN:
     case ZC_ENTRIES:
       return zc_run_entry (c, cmd);
+    case ZC_TRACE:
+    case ZC_TIMELINE:
+      return zc_run_logs (cmd);
     }
   return ZC_USAGE;
 }
--- a/src/ctl/command.h
+++ b/src/ctl/command.h
@@ -30,6 +30,8 @@
   ZC_DIFF,
   ZC_EXPLAIN,
   ZC_ENTRIES,
+  ZC_TRACE,
+  ZC_TIMELINE,
 };
 
 struct zc_submit
@@ -60,6 +62,15 @@
   struct zp_str caller; /* IPv4 address; empty: this host */
 };
 
+/* NAME is the id of a request for ZC_TRACE, and of anything that lines are
+   about for ZC_TIMELINE.  */
+struct zc_logs
+{
+  struct zp_str name;
+  const char *const *file;
+  size_t files;
+};
+
 struct zc_status
 {
   bool watch;
@@ -80,6 +91,7 @@
     struct zc_diff diff;
     struct zc_explain explain;
     struct zc_status status;
+    struct zc_logs logs;
   } u;
 };
 
@@ -99,6 +111,13 @@
                             const struct zc_command *cmd, struct zp_buf *out,
                             struct zp_buf *errors);
 
+enum zc_exit zc_run_logs (const struct zc_command *cmd);
+
+/* ZC_TRACE and ZC_TIMELINE with the text for standard output in OUT and for
+   standard error in ERRORS.  */
+enum zc_exit zc_logs_text (const struct zc_command *cmd, struct zp_buf *out,
+                           struct zp_buf *errors);
+
 enum zc_exit zc_run_pages (const struct zc_client *c,
                            const struct zc_command *cmd);
 
@@ -108,6 +127,9 @@
 
 struct json_object;
 
+/* JSON on one line, slashes as they are.  */
+#define ZC_JSON_PLAIN (JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE)
+
 /* Prints V on one line.  */
 void zc_print_json (struct json_object *v);
 
--- a/src/ctl/entry.c
+++ b/src/ctl/entry.c
@@ -5,7 +5,6 @@
 #include "ctl/table.h"
 #include "ticket/json.h"
 
-#define PLAIN (JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE)
 #define COLUMNS(c) (c), sizeof (c) / sizeof (c)[0]
 
 /* Why a request to the entry daemon has no result.  */
@@ -149,7 +148,8 @@
 static void
 put_json (struct zp_buf *out, struct json_object *v)
 {
-  zp_buf_put (out, zp_str_from (json_object_to_json_string_ext (v, PLAIN)));
+  zp_buf_put (out,
+              zp_str_from (json_object_to_json_string_ext (v, ZC_JSON_PLAIN)));
   zp_buf_put (out, ZP_STR ("\n"));
 }
 
--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -10,7 +10,9 @@
 #include "ticket/ticket.h"
 
 #define SERVERS_MAX 16
-#define WORDS_MAX 3
+/* A command, a name and the log files of a deployment of some hundred
+   daemons.  */
+#define WORDS_MAX 1024
 #define KEY_COUNT 256 /* an option without a short name */
 #define WATCH_PERIOD ZP_SEC
 #define LIMIT_DEFAULT_S 15 /* covers an election, which takes up to 9 s */
@@ -128,13 +130,17 @@
   .options = options,
   .parser = parse_option,
   .args_doc = "submit FILE\nreview DIGEST\nnumber DIGEST\nstatus\nconfig\n"
-              "diff N M\nexplain SERVICE\nentries",
+              "diff N M\nexplain SERVICE\nentries\ntrace REQUEST FILE...\n"
+              "timeline NAME FILE...",
   .doc
   = "Operator tool of zinniapost: changes the configuration by tickets, and "
     "shows what the daemons do."
     "\vA ticket is submitted, reviewed by another operator than its "
     "author, and then numbered.  Every command may be given again when "
     "its answer was lost.\n\n"
+    "trace and timeline read log files: trace names the cause of a failed "
+    "request by its id; timeline shows the lines about a server, daemon, "
+    "failure domain, service, ticket or number of a configuration.\n\n"
     "Exit status: 0 done, 1 refused or in conflict, 2 wrong usage, 3 no "
     "server could be reached.",
 };
@@ -151,13 +157,14 @@
 wrong_options (const struct options *o, enum zc_command_kind kind)
 {
   bool asks_entry = kind == ZC_EXPLAIN || kind == ZC_ENTRIES;
+  bool reads_files = kind == ZC_TRACE || kind == ZC_TIMELINE;
   struct in_addr address;
 
   if (asks_entry && !o->entry)
     return "no entry daemon; give --entry IP:PORT";
   if (!asks_entry && o->entry)
     return "--entry belongs to the commands \"explain\" and \"entries\"";
-  if (!asks_entry && o->servers == 0)
+  if (!asks_entry && !reads_files && o->servers == 0)
     return "no server; give --server IP:PORT or set ZPCTL_SERVERS";
   if (o->caller && kind != ZC_EXPLAIN)
     return "--caller belongs to the command \"explain\"";
@@ -179,11 +186,13 @@
     const char *name;
     enum zc_command_kind kind;
     size_t words;
+    bool more; /* more words may follow */
   } commands[] = {
-    { "submit", ZC_SUBMIT, 2 },   { "review", ZC_REVIEW, 2 },
-    { "number", ZC_NUMBER, 2 },   { "status", ZC_STATUS, 1 },
-    { "config", ZC_CONFIG, 1 },   { "diff", ZC_DIFF, 3 },
-    { "explain", ZC_EXPLAIN, 2 }, { "entries", ZC_ENTRIES, 1 },
+    { "submit", ZC_SUBMIT, 2, false },   { "review", ZC_REVIEW, 2, false },
+    { "number", ZC_NUMBER, 2, false },   { "status", ZC_STATUS, 1, false },
+    { "config", ZC_CONFIG, 1, false },   { "diff", ZC_DIFF, 3, false },
+    { "explain", ZC_EXPLAIN, 2, false }, { "entries", ZC_ENTRIES, 1, false },
+    { "trace", ZC_TRACE, 3, true },      { "timeline", ZC_TIMELINE, 3, true },
   };
   size_t i = 0, n = sizeof commands / sizeof commands[0];
   struct ti_digest digest;
@@ -195,8 +204,9 @@
     i++;
   if (i == n)
     return "unknown command; allowed: submit, review, number, status, config, "
-           "diff, explain, entries";
-  if (o->words != commands[i].words)
+           "diff, explain, entries, trace, timeline";
+  if (o->words < commands[i].words
+      || (o->words > commands[i].words && !commands[i].more))
     return "wrong number of arguments for this command";
   if (o->number > 0 && commands[i].kind != ZC_NUMBER)
     return "--number belongs to the command \"number\"";
@@ -244,6 +254,12 @@
                                           .count = o->count,
                                           .period = WATCH_PERIOD };
       return NULL;
+    case ZC_TRACE:
+    case ZC_TIMELINE:
+      out->u.logs = (struct zc_logs){ .name = zp_str_from (o->word[1]),
+                                      .file = o->word + 2,
+                                      .files = o->words - 2 };
+      return out->u.logs.name.len > 0 ? NULL : "the name is empty";
     case ZC_CONFIG:
     case ZC_ENTRIES:
       return NULL;
--- a/src/ctl/pages.c
+++ b/src/ctl/pages.c
@@ -5,8 +5,6 @@
 
 #include "ctl/command.h"
 
-#define PLAIN (JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE)
-
 /* A configuration that changes between two pages is read again.  */
 #define ATTEMPTS 5
 
@@ -116,10 +114,11 @@
     json_object_object_get_ex (value, "number", &changed);
     json_object_object_get_ex (value, "object", &object);
     printf ("%s %s (changed by %" PRId64, key,
-            json_object_to_json_string_ext (object, PLAIN),
+            json_object_to_json_string_ext (object, ZC_JSON_PLAIN),
             json_object_get_int64 (changed));
     if (json_object_object_get_ex (value, "moved", &moved))
-      printf (", moved %s", json_object_to_json_string_ext (moved, PLAIN));
+      printf (", moved %s",
+              json_object_to_json_string_ext (moved, ZC_JSON_PLAIN));
     puts (")");
   }
 }
@@ -137,9 +136,10 @@
     json_object_object_get_ex (value, "after", &after);
     if (before)
       printf ("- %s %s\n", key,
-              json_object_to_json_string_ext (before, PLAIN));
+              json_object_to_json_string_ext (before, ZC_JSON_PLAIN));
     if (after)
-      printf ("+ %s %s\n", key, json_object_to_json_string_ext (after, PLAIN));
+      printf ("+ %s %s\n", key,
+              json_object_to_json_string_ext (after, ZC_JSON_PLAIN));
   }
 }
 
--- a/src/ctl/ticket.c
+++ b/src/ctl/ticket.c
@@ -94,6 +94,8 @@
     case ZC_DIFF:
     case ZC_EXPLAIN:
     case ZC_ENTRIES:
+    case ZC_TRACE:
+    case ZC_TIMELINE:
       break;
     }
 }
@@ -232,6 +234,8 @@
     case ZC_DIFF:
     case ZC_EXPLAIN:
     case ZC_ENTRIES:
+    case ZC_TRACE:
+    case ZC_TIMELINE:
       break;
     }
   zp_buf_free (&body);
--- a/src/entry/announce.c
+++ b/src/entry/announce.c
@@ -104,17 +104,19 @@
 
   if (!s)
     {
-      zp_log (ZP_LOG_WARNING, PART, "server %.*s: %s", ZP_ARG (x->a.id),
-              err.text);
+      ZP_EVENT (ZP_LOG_WARNING, PART, "refused a server",
+                ZP_F_TEXT (ZP_KEY_SERVER, x->a.id),
+                ZP_F_TEXT (ZP_KEY_REASON, zp_str_from (err.text)));
       zp_count (zp_counter ("zp_announce_refused_total", ""), 1);
       st_grants_free (&g);
       return;
     }
   en_drains_apply (r);
   if (!known)
-    zp_log (ZP_LOG_NOTICE, PART,
-            "server %.*s of service %.*s with %u slots announces here",
-            ZP_ARG (x->a.id), ZP_ARG (x->a.service), x->a.slots);
+    ZP_EVENT (ZP_LOG_NOTICE, PART, "a server announces here",
+              ZP_F_TEXT (ZP_KEY_SERVER, x->a.id),
+              ZP_F_TEXT (ZP_KEY_SERVICE, x->a.service),
+              ZP_F_INT (ZP_KEY_SLOTS, x->a.slots));
   en_capacity_grants (r, &g);
 }
 
--- a/src/entry/config.c
+++ b/src/entry/config.c
@@ -219,8 +219,9 @@
     {
       /* A newer version of the control daemons may know objects that this
          daemon does not: it goes on with what it has.  */
-      zp_log (ZP_LOG_ERR, PART, "cannot bring version %llu in force: %s",
-              (unsigned long long) c->version, err.text);
+      ZP_EVENT (ZP_LOG_ERR, PART, "a configuration cannot be used",
+                ZP_F_INT (ZP_KEY_VERSION, c->version),
+                ZP_F_TEXT (ZP_KEY_REASON, zp_str_from (err.text)));
       zp_count (zp_counter ("zp_config_failed_total", ""), 1);
       ti_config_free (next);
       return;
@@ -239,8 +240,9 @@
   en_members_changed (r);
   hand_over_if_drained (r);
   zp_gauge (zp_counter ("zp_config_number", ""), (int64_t) c->number);
-  zp_log (ZP_LOG_NOTICE, PART, "version %llu, number %llu is in force",
-          (unsigned long long) c->version, (unsigned long long) c->number);
+  ZP_EVENT (ZP_LOG_NOTICE, PART, "a configuration is in force",
+            ZP_F_INT (ZP_KEY_CONFIGURATION, c->number),
+            ZP_F_INT (ZP_KEY_VERSION, c->version));
   en_config_report (r);
   pass_on (r, c);
 }
--- a/src/entry/dispatch.c
+++ b/src/entry/dispatch.c
@@ -56,21 +56,6 @@
                       + h->body.len);
 }
 
-static void
-log_placement (const struct en_request *q, const struct st_placement *p,
-               const char *server)
-{
-  struct zp_buf why = { .ptr = NULL };
-
-  if (!zp_log_enabled (ZP_LOG_INFO))
-    return;
-  st_placement_text (p, &why);
-  zp_log (ZP_LOG_INFO, PART, "request %llx of service %s -> server %s: %.*s",
-          (unsigned long long) q->id, q->service->name, server,
-          ZP_ARG (zp_str_of (&why)));
-  zp_buf_free (&why);
-}
-
 /* Hands Q to the server of SEAT.  Returns false when its slot or its claim is
    gone.  */
 static bool
@@ -117,7 +102,7 @@
   s->running++;
   s->reserved = q->alone;
   q->service->running++;
-  log_placement (q, p, q->server);
+  q->placement = *p;
   send_forward (r, q, address);
   return true;
 }
@@ -433,9 +418,7 @@
       if (!youngest)
         return;
       youngest->lease_lost = true;
-      zp_log (ZP_LOG_NOTICE, PART,
-              "request %llx is cancelled: its lease on server %.*s has ended",
-              (unsigned long long) youngest->id, ZP_ARG (server));
+      en_record_lease_lost (youngest);
       zp_count (zp_counter ("zp_lease_cancelled_total", ""), 1);
       struct tk_msg *m = tk_msg_new (TK_FORWARD_CANCEL);
       m->u.cancel.id = youngest->id;
--- a/src/entry/request.c
+++ b/src/entry/request.c
@@ -43,9 +43,7 @@
   q->answered = true;
   zp_count (verdict == ZP_NOT_RUN ? q->service->refused : q->service->maybe,
             1);
-  zp_log (ZP_LOG_INFO, PART, "request %llx of service %s refused: %s, %s",
-          (unsigned long long) q->id, q->service->name, reason,
-          zp_verdict_name (verdict));
+  en_record_refusal (r, q, verdict, reason, retry_after_s);
   en_refuse (r->front, q->http, status, verdict, reason, retry_after_s);
 }
 
@@ -273,17 +271,15 @@
   switch (e.kind)
     {
     case ST_EVENT_EJECTED:
-      zp_log (ZP_LOG_WARNING, PART, "server %s is ejected for %lld ms: %s",
-              q->server, (long long) ((e.until - now) / ZP_MS),
-              st_end_name (end));
+      en_record_health (q, "a server is ejected", end, e.until - now);
       zp_count (zp_counter ("zp_ejections_total", ""), 1);
       return;
     case ST_EVENT_RETURNED:
-      zp_log (ZP_LOG_NOTICE, PART, "server %s returned", q->server);
+      en_record_health (q, "a server has returned", end, 0);
       return;
     case ST_EVENT_SHARE:
-      zp_log (ZP_LOG_WARNING, PART,
-              "server %s fails but stays: too many are ejected", q->server);
+      en_record_health (q, "a server fails but stays: too many are ejected",
+                        end, 0);
       return;
     case ST_EVENT_DOUBT:
     case ST_EVENT_NONE:
@@ -331,9 +327,7 @@
   if (q->retry)
     st_budget_retried (&q->service->budget, end);
   q->phase = EN_ENDING;
-  zp_log (ZP_LOG_DEBUG, PART, "request %llx at server %s ended: %s, %s",
-          (unsigned long long) q->id, q->server, st_end_name (end),
-          zp_verdict_name (d->verdict));
+  en_record_attempt (r, q, d, end, now);
   return end;
 }
 
--- a/src/entry/request.h
+++ b/src/entry/request.h
@@ -54,6 +54,7 @@
   char server[ZP_NAME_MAX];
   char region[ZP_NAME_MAX]; /* of the server */
   uint64_t server_hash;
+  struct st_placement placement; /* why that server */
   zp_time started;
   bool fresh;
   struct en_link_use link;
@@ -102,6 +103,17 @@
    is.  NULL when no lease is left.  */
 const struct st_member *en_seat_owner (const struct en_router *r, size_t at);
 
+/* record.c */
+void en_record_refusal (const struct en_router *r, const struct en_request *q,
+                        enum zp_verdict verdict, const char *reason,
+                        unsigned retry_after_s);
+void en_record_attempt (const struct en_router *r, const struct en_request *q,
+                        const struct tk_forward_done *d, enum st_end end,
+                        zp_time now);
+void en_record_health (const struct en_request *q, const char *text,
+                       enum st_end end, zp_time pause);
+void en_record_lease_lost (const struct en_request *q);
+
 /* Whether a server that Q has not tried could take it.  */
 bool en_dispatch_other (struct en_router *r, struct en_request *q);
 
--- a/src/entry/suspects.c
+++ b/src/entry/suspects.c
@@ -13,10 +13,9 @@
   struct zp_buf b = { .ptr = NULL };
 
   if (s->report.kind == ST_POISON_MARK)
-    zp_log (ZP_LOG_WARNING, PART,
-            "request %016llx%016llx was in flight on %u lost servers",
-            (unsigned long long) s->report.fp.hi,
-            (unsigned long long) s->report.fp.lo, s->report.losses);
+    ZP_EVENT (ZP_LOG_WARNING, PART, "a request was in flight on lost servers",
+              ZP_F_INT (ZP_KEY_FINGERPRINT, s->report.fp.lo),
+              ZP_F_INT (ZP_KEY_LOSSES, s->report.losses));
   pe_put_poison (&b, &s->report);
   if (s->to != 0)
     {
--- a/src/follow/follower.c
+++ b/src/follow/follower.c
@@ -115,9 +115,10 @@
 static void
 take (struct fo_follower *f, const struct tk_config *c)
 {
-  zp_log (ZP_LOG_NOTICE, PART, "takes %s, version %llu, number %llu",
-          c->whole ? "a whole configuration" : "a change",
-          (unsigned long long) c->version, (unsigned long long) c->number);
+  ZP_EVENT (ZP_LOG_NOTICE, PART,
+            c->whole ? "takes a whole configuration" : "takes a change",
+            ZP_F_INT (ZP_KEY_VERSION, c->version),
+            ZP_F_INT (ZP_KEY_TICKET_NUMBER, c->number));
   put_in_force (f, c);
   write_cache (f, c);
 }
@@ -129,8 +130,9 @@
 {
   /* A source that cannot be reached is tried again several times a second.  */
   if (f->conn)
-    zp_log (wi_conn_ready (f->conn) ? ZP_LOG_NOTICE : ZP_LOG_DEBUG, PART,
-            "leaves its source: %s", why);
+    ZP_EVENT (wi_conn_ready (f->conn) ? ZP_LOG_NOTICE : ZP_LOG_DEBUG, PART,
+              "leaves its source",
+              ZP_F_TEXT (ZP_KEY_REASON, zp_str_from (why)));
   wi_conn_free (f->conn);
   f->conn = NULL;
   fo_state_restart (&f->state);
--- a/src/gate/config.c
+++ b/src/gate/config.c
@@ -62,7 +62,7 @@
 }
 
 static void
-use_site (struct gt_gate *g, struct si_site *site)
+use_site (struct gt_gate *g, struct si_site *site, uint64_t version)
 {
   drop_site (g);
   g->site = site;
@@ -77,9 +77,10 @@
       struct zp_str name = zp_str_of (&site->service[i].name);
       gt_service_get (g, name)->settings = &site->service[i];
     }
-  zp_log (ZP_LOG_NOTICE, PART,
-          "configuration %llu is in force: %zu routes, %zu services",
-          (unsigned long long) site->number, site->routes, site->services);
+  ZP_EVENT (ZP_LOG_NOTICE, PART, "a configuration is in force",
+            ZP_F_INT (ZP_KEY_CONFIGURATION, site->number),
+            ZP_F_INT (ZP_KEY_VERSION, version),
+            ZP_F_INT (ZP_KEY_ROUTES, site->routes));
 }
 
 static const struct ti_document *
@@ -93,7 +94,8 @@
 }
 
 static void
-read_document (struct gt_gate *g, const struct ti_document *d)
+read_document (struct gt_gate *g, const struct ti_document *d,
+               uint64_t version)
 {
   struct zp_buf text = { .ptr = NULL };
   struct zp_err err = { .text = "damaged" };
@@ -103,10 +105,12 @@
     site = g->interface->decode (zp_str_of (&text), &err);
   zp_buf_free (&text);
   if (site)
-    use_site (g, site);
+    use_site (g, site, version);
   else
-    zp_log (ZP_LOG_ERR, PART, "configuration %llu cannot be used: %s",
-            (unsigned long long) d->number, err.text);
+    ZP_EVENT (ZP_LOG_ERR, PART, "a configuration cannot be used",
+              ZP_F_INT (ZP_KEY_CONFIGURATION, d->number),
+              ZP_F_INT (ZP_KEY_VERSION, version),
+              ZP_F_TEXT (ZP_KEY_REASON, zp_str_from (err.text)));
 }
 
 /* Evacuations.  */
@@ -144,6 +148,24 @@
     }
 }
 
+/* Writes TEXT for each failure domain that is evacuated by A and not by B.  */
+static void
+record_evacuations (const struct ti_config *a, const struct ti_config *b,
+                    const char *text, uint64_t version)
+{
+  const struct ti_slot *slot;
+
+  for (size_t at = 0; a && (slot = ti_config_next (a, TI_DRAIN, &at));)
+    {
+      char name[ZP_NAME_MAX];
+      zp_str_copy (name, sizeof name, ti_text_str (&slot->key.name));
+      if (drained (a, name) && !drained (b, name))
+        ZP_EVENT (ZP_LOG_NOTICE, PART, text,
+                  ZP_F_TEXT (ZP_KEY_FAILURE_DOMAIN, zp_str_from (name)),
+                  ZP_F_INT (ZP_KEY_VERSION, version));
+    }
+}
+
 static size_t
 count_drains (const struct ti_config *c)
 {
@@ -165,16 +187,19 @@
 
   if (!next)
     {
-      zp_log (ZP_LOG_ERR, PART, "version %llu cannot be used: %s",
-              (unsigned long long) c->version, err.text);
+      ZP_EVENT (ZP_LOG_ERR, PART, "a change cannot be used",
+                ZP_F_INT (ZP_KEY_VERSION, c->version),
+                ZP_F_TEXT (ZP_KEY_REASON, zp_str_from (err.text)));
       return;
     }
   struct ti_config *old = g->config;
   g->config = next;
   const struct ti_document *d = document_of (next);
   if (d && (!g->site || d->number > g->site->number))
-    read_document (g, d);
+    read_document (g, d, c->version);
   find_taken_back (g, old);
+  record_evacuations (old, next, "a failure domain is taken back", c->version);
+  record_evacuations (next, old, "a failure domain is evacuated", c->version);
   if (count_drains (next) > count_drains (old))
     gt_server_lost (g);
   ti_config_free (old);
--- a/src/gate/dispatch.c
+++ b/src/gate/dispatch.c
@@ -338,12 +338,23 @@
     note_time (s, q, d);
   struct st_health_event e
       = st_health_outcome (&s->health, &s->service->group, &o, now, &g->rng);
-  if (e.kind == ST_EVENT_EJECTED)
-    gt_server_lost (g);
-  if (e.kind == ST_EVENT_EJECTED)
-    zp_log (ZP_LOG_NOTICE, PART, "server %s of %s is ejected for %lld ms: %s",
-            s->report.id, s->service->name,
-            (long long) ((e.until - now) / ZP_MS), st_end_name (end));
+  switch (e.kind)
+    {
+    case ST_EVENT_EJECTED:
+      gt_server_lost (g);
+      gt_record_health (s, "a server is ejected", end, e.until - now);
+      return;
+    case ST_EVENT_SHARE:
+      gt_record_health (s, "a server fails but stays: too many are ejected",
+                        end, 0);
+      return;
+    case ST_EVENT_RETURNED:
+      gt_record_health (s, "a server has returned", end, 0);
+      return;
+    case ST_EVENT_DOUBT:
+    case ST_EVENT_NONE:
+      return;
+    }
 }
 
 static struct st_retry
--- a/src/gate/record.c
+++ b/src/gate/record.c
@@ -5,23 +5,12 @@
 
 #define PART "request"
 
-/* Every request that is refused or fails has its lines.  Of the others, one in
-   SAMPLE has them, chosen by its id, so that the volume is bounded under load.
- */
-#define SAMPLE 32
-
 static struct zp_str
 id_of (const struct gt_request *q)
 {
   return zp_str_of (&q->msg->u.request.request_id);
 }
 
-static bool
-sampled (const struct gt_request *q)
-{
-  return zp_str_hash (id_of (q), 0) % SAMPLE == 0;
-}
-
 static int64_t
 ms (zp_time t)
 {
@@ -53,25 +42,26 @@
 {
   const struct gt_choice *c = &q->choice;
 
-  if (end == ST_END_ANSWER && !sampled (q))
+  if (end == ST_END_ANSWER && !zp_log_sampled (id_of (q)))
     return;
-  ZP_EVENT (ZP_LOG_INFO, PART, "an attempt at a server has ended",
-            ZP_F_TEXT ("request", id_of (q)),
-            ZP_F_TEXT ("service", zp_str_from (q->service->name)),
-            ZP_F_INT ("configuration", g->site ? g->site->number : 0),
-            ZP_F_TEXT ("server", zp_str_from (c->server)),
-            ZP_F_INT ("attempt", q->attempts),
-            ZP_F_TEXT ("end", zp_str_from (st_end_name (end))),
-            ZP_F_INT ("status", d->status),
-            ZP_F_TEXT ("verdict", zp_str_from (zp_verdict_name (d->verdict))),
-            ZP_F_INT ("elapsed_ms", ms (d->elapsed)),
-            ZP_F_INT ("reused_connection", d->reused),
-            ZP_F_INT ("expected_ms", ms (c->finish)),
-            ZP_F_INT ("expected_wait_ms", ms (c->wait)),
-            ZP_F_INT ("way_ms", ms (c->way)), ZP_F_INT ("work", c->work),
-            ZP_F_INT ("slots", c->slots),
-            ZP_F_INT ("load_age_ms", ms (c->load_age)),
-            ZP_F_INT ("warm", q->warm), ZP_F_INT ("cold", c->cold));
+  ZP_EVENT (
+      ZP_LOG_INFO, PART, "an attempt at a server has ended",
+      ZP_F_TEXT (ZP_KEY_REQUEST, id_of (q)),
+      ZP_F_TEXT (ZP_KEY_SERVICE, zp_str_from (q->service->name)),
+      ZP_F_INT (ZP_KEY_CONFIGURATION, g->site ? g->site->number : 0),
+      ZP_F_TEXT (ZP_KEY_SERVER, zp_str_from (c->server)),
+      ZP_F_INT (ZP_KEY_ATTEMPT, q->attempts),
+      ZP_F_TEXT (ZP_KEY_END, zp_str_from (st_end_name (end))),
+      ZP_F_INT (ZP_KEY_STATUS, d->status),
+      ZP_F_TEXT (ZP_KEY_VERDICT, zp_str_from (zp_verdict_name (d->verdict))),
+      ZP_F_INT (ZP_KEY_ELAPSED_MS, ms (d->elapsed)),
+      ZP_F_INT (ZP_KEY_REUSED_CONNECTION, d->reused),
+      ZP_F_INT (ZP_KEY_EXPECTED_MS, ms (c->finish)),
+      ZP_F_INT (ZP_KEY_EXPECTED_WAIT_MS, ms (c->wait)),
+      ZP_F_INT (ZP_KEY_WAY_MS, ms (c->way)), ZP_F_INT (ZP_KEY_WORK, c->work),
+      ZP_F_INT (ZP_KEY_SLOTS, c->slots),
+      ZP_F_INT (ZP_KEY_LOAD_AGE_MS, ms (c->load_age)),
+      ZP_F_INT (ZP_KEY_WARM, q->warm), ZP_F_INT (ZP_KEY_COLD, c->cold));
 }
 
 void
@@ -80,30 +70,42 @@
 {
   const struct gt_choice *c = &q->choice;
 
-  ZP_EVENT (ZP_LOG_INFO, PART, "a request is refused",
-            ZP_F_TEXT ("request", id_of (q)),
-            ZP_F_TEXT ("service", zp_str_from (q->service->name)),
-            ZP_F_INT ("configuration", g->site ? g->site->number : 0),
-            ZP_F_TEXT ("reason", zp_str_from (reason)),
-            ZP_F_TEXT ("verdict", zp_str_from (zp_verdict_name (q->furthest))),
-            ZP_F_INT ("held_ms", ms (now - q->arrived)),
-            ZP_F_INT ("left_ms", ms (q->deadline - now)),
-            ZP_F_INT ("attempts", q->attempts),
-            ZP_F_INT ("retry_after_ms", ms (again)),
-            ZP_F_INT ("queue", st_queue_len (q->service->queue)),
-            ZP_F_TEXT ("best_server", zp_str_from (c->server)),
-            ZP_F_INT ("expected_wait_ms", ms (c->wait)),
-            ZP_F_INT ("patience_ms", ms (c->patience)),
-            ZP_F_INT ("work", c->work), ZP_F_INT ("slots", c->slots),
-            ZP_F_INT ("load_age_ms", ms (c->load_age)));
+  ZP_EVENT (
+      ZP_LOG_INFO, PART, "a request is refused",
+      ZP_F_TEXT (ZP_KEY_REQUEST, id_of (q)),
+      ZP_F_TEXT (ZP_KEY_SERVICE, zp_str_from (q->service->name)),
+      ZP_F_INT (ZP_KEY_CONFIGURATION, g->site ? g->site->number : 0),
+      ZP_F_TEXT (ZP_KEY_REASON, zp_str_from (reason)),
+      ZP_F_TEXT (ZP_KEY_VERDICT, zp_str_from (zp_verdict_name (q->furthest))),
+      ZP_F_INT (ZP_KEY_HELD_MS, ms (now - q->arrived)),
+      ZP_F_INT (ZP_KEY_LEFT_MS, ms (q->deadline - now)),
+      ZP_F_INT (ZP_KEY_ATTEMPTS, q->attempts),
+      ZP_F_INT (ZP_KEY_RETRY_AFTER_MS, ms (again)),
+      ZP_F_INT (ZP_KEY_QUEUE, st_queue_len (q->service->queue)),
+      ZP_F_TEXT (ZP_KEY_BEST_SERVER, zp_str_from (c->server)),
+      ZP_F_INT (ZP_KEY_EXPECTED_WAIT_MS, ms (c->wait)),
+      ZP_F_INT (ZP_KEY_PATIENCE_MS, ms (c->patience)),
+      ZP_F_INT (ZP_KEY_WORK, c->work), ZP_F_INT (ZP_KEY_SLOTS, c->slots),
+      ZP_F_INT (ZP_KEY_LOAD_AGE_MS, ms (c->load_age)));
+}
+
+void
+gt_record_health (const struct gt_server *s, const char *text, enum st_end end,
+                  zp_time pause)
+{
+  ZP_EVENT (ZP_LOG_NOTICE, "server", text,
+            ZP_F_TEXT (ZP_KEY_SERVER, zp_str_from (s->report.id)),
+            ZP_F_TEXT (ZP_KEY_SERVICE, zp_str_from (s->service->name)),
+            ZP_F_TEXT (ZP_KEY_END, zp_str_from (st_end_name (end))),
+            ZP_F_INT (ZP_KEY_PAUSE_MS, ms (pause)));
 }
 
 void
 gt_record_no_route (const struct gt_gate *g, const struct tk_http_request *h)
 {
   ZP_EVENT (ZP_LOG_INFO, PART, "a request has no route",
-            ZP_F_TEXT ("request", zp_str_of (&h->request_id)),
-            ZP_F_INT ("configuration", g->site->number),
-            ZP_F_TEXT ("host", zp_str_of (&h->host)),
-            ZP_F_TEXT ("path", zp_str_of (&h->path)));
+            ZP_F_TEXT (ZP_KEY_REQUEST, zp_str_of (&h->request_id)),
+            ZP_F_INT (ZP_KEY_CONFIGURATION, g->site->number),
+            ZP_F_TEXT (ZP_KEY_HOST, zp_str_of (&h->host)),
+            ZP_F_TEXT (ZP_KEY_PATH, zp_str_of (&h->path)));
 }
--- a/src/gate/servers.c
+++ b/src/gate/servers.c
@@ -146,8 +146,9 @@
   s->domain_way = way_of (g, x->report.failure_domain)->way;
   if (s->load.slots == 0 || s->report.state != TK_SERVER_GONE)
     return;
-  zp_log (ZP_LOG_NOTICE, PART, "server %s of %s is gone", s->report.id,
-          s->service->name);
+  ZP_EVENT (ZP_LOG_NOTICE, PART, "a server is gone",
+            ZP_F_TEXT (ZP_KEY_SERVER, zp_str_from (s->report.id)),
+            ZP_F_TEXT (ZP_KEY_SERVICE, zp_str_from (s->service->name)));
 }
 
 void
@@ -183,8 +184,10 @@
 {
   struct ro_server *x = ro_table_find (&g->table, zp_str_from (s->report.id));
 
-  zp_log (ZP_LOG_NOTICE, PART, "server %s of %s is no longer at %s",
-          s->report.id, s->service->name, s->report.address);
+  ZP_EVENT (ZP_LOG_NOTICE, PART, "another server is at the address",
+            ZP_F_TEXT (ZP_KEY_SERVER, zp_str_from (s->report.id)),
+            ZP_F_TEXT (ZP_KEY_SERVICE, zp_str_from (s->service->name)),
+            ZP_F_TEXT (ZP_KEY_ADDRESS, zp_str_from (s->report.address)));
   s->report.state = TK_SERVER_GONE;
   gt_server_lost (g);
   if (!x)
--- a/src/peer/mesh.c
+++ b/src/peer/mesh.c
@@ -72,12 +72,15 @@
   zp_str_copy (c->failure_domain, sizeof c->failure_domain,
                zp_str_from (p->failure_domain));
   zp_str_copy (c->region, sizeof c->region, zp_str_from (p->region));
-  zp_log (ZP_LOG_NOTICE, PART, "member %llu in %s/%s is %s",
-          (unsigned long long) p->id, p->region, p->failure_domain,
-          e == PE_WENT_DOWN ? "down"
-          : p->leaving      ? "leaving"
-          : e == PE_CAME_UP ? "up"
-                            : "up again");
+  const char *state = e == PE_WENT_DOWN ? "down"
+                      : p->leaving      ? "leaving"
+                      : e == PE_CAME_UP ? "up"
+                                        : "up again";
+  ZP_EVENT (
+      ZP_LOG_NOTICE, PART, "the state of an entry daemon has changed",
+      ZP_F_INT (ZP_KEY_MEMBER, p->id),
+      ZP_F_TEXT (ZP_KEY_STATE, zp_str_from (state)),
+      ZP_F_TEXT (ZP_KEY_FAILURE_DOMAIN, zp_str_from (p->failure_domain)));
   tk_send (m->decider, out);
 }
 
--- a/src/roster/client.c
+++ b/src/roster/client.c
@@ -164,8 +164,9 @@
 hang_up (struct control *x, const char *why)
 {
   if (x->conn && wi_conn_ready (x->conn))
-    zp_log (ZP_LOG_NOTICE, PART, "lost control daemon %s: %s", x->address,
-            why);
+    ZP_EVENT (ZP_LOG_NOTICE, PART, "a control daemon is lost",
+              ZP_F_TEXT (ZP_KEY_ADDRESS, zp_str_from (x->address)),
+              ZP_F_TEXT (ZP_KEY_REASON, zp_str_from (why)));
   wi_conn_free (x->conn);
   x->conn = NULL;
   x->dial_at = zp_clock_mono () + REDIAL;
--- a/src/roster/source.c
+++ b/src/roster/source.c
@@ -203,16 +203,43 @@
 {
   struct ro_source *s = self;
 
-  zp_log (ZP_LOG_NOTICE, PART,
-          "server %s of %s is gone: no report since %d "
-          "periods",
-          x->report.id, x->report.service, MISSED_REPORTS);
+  ZP_EVENT (ZP_LOG_NOTICE, PART, "a server is gone",
+            ZP_F_TEXT (ZP_KEY_SERVER, zp_str_from (x->report.id)),
+            ZP_F_TEXT (ZP_KEY_SERVICE, zp_str_from (x->report.service)),
+            ZP_F_TEXT (ZP_KEY_REASON, ZP_STR ("no report in time")));
   changed (s);
   x->number = s->number;
 }
 
 /* Servers.  */
 
+static const char *
+state_name (enum tk_server_state state)
+{
+  switch (state)
+    {
+    case TK_SERVER_READY:
+      return "ready";
+    case TK_SERVER_DRAINING:
+      return "draining";
+    case TK_SERVER_GONE:
+      return "gone";
+    }
+  return "";
+}
+
+static void
+record_report (const struct tk_server *x)
+{
+  ZP_EVENT (ZP_LOG_NOTICE, PART, "a server has reported a change",
+            ZP_F_TEXT (ZP_KEY_SERVER, zp_str_from (x->id)),
+            ZP_F_TEXT (ZP_KEY_SERVICE, zp_str_from (x->service)),
+            ZP_F_TEXT (ZP_KEY_STATE, zp_str_from (state_name (x->state))),
+            ZP_F_TEXT (ZP_KEY_ADDRESS, zp_str_from (x->address)),
+            ZP_F_INT (ZP_KEY_SLOTS, x->slots),
+            ZP_F_INT (ZP_KEY_COLD_MS, x->cold / ZP_MS));
+}
+
 static void
 take_server (struct ro_source *s, const struct tk_server *report)
 {
@@ -237,10 +264,7 @@
       break;
     case RO_CHANGED:
     case RO_STARTED:
-      zp_log (ZP_LOG_NOTICE, PART,
-              "server %s of %s at %s, %u slots: state %d, cold for %lld ms",
-              report->id, report->service, report->address, report->slots,
-              (int) report->state, (long long) (report->cold / ZP_MS));
+      record_report (report);
       changed (s);
       x->number = s->number;
       x->repeated = now;
@@ -297,7 +321,9 @@
 
   if (l->known && !has_other (l))
     {
-      zp_log (ZP_LOG_NOTICE, PART, "lost daemon %s: %s", l->daemon.name, why);
+      ZP_EVENT (ZP_LOG_NOTICE, PART, "a daemon is lost",
+                ZP_F_TEXT (ZP_KEY_DAEMON, zp_str_from (l->daemon.name)),
+                ZP_F_TEXT (ZP_KEY_REASON, zp_str_from (why)));
       tell_daemon (l, true);
       ro_work_drop (&s->work, l->daemon.id);
     }
@@ -334,7 +360,8 @@
   zp_buf_clear (&l->hello);
   zp_buf_put (&l->hello, payload);
   if (first)
-    zp_log (ZP_LOG_NOTICE, PART, "daemon %s connected", d.name);
+    ZP_EVENT (ZP_LOG_NOTICE, PART, "a daemon has connected",
+              ZP_F_TEXT (ZP_KEY_DAEMON, zp_str_from (d.name)));
   if (!same)
     tell_daemon (l, false);
   if (!first)
--- a/tests/test-log.c
+++ b/tests/test-log.c
@@ -58,16 +58,16 @@
   struct json_object *v = NULL;
 
   open_pipe ();
-  ZP_EVENT (ZP_LOG_NOTICE, "part", "it \"happened\"", ZP_F_TEXT ("odd", odd),
-            ZP_F_INT ("count", -4));
+  ZP_EVENT (ZP_LOG_NOTICE, "part", "it \"happened\"",
+            ZP_F_TEXT (ZP_KEY_PATH, odd), ZP_F_INT (ZP_KEY_LEFT_MS, -4));
   zp_log (ZP_LOG_DEBUG, "part", "not written");
   read_all (text, sizeof text);
   CU_ASSERT_EQUAL (count_lines (text), 1);
   struct json_object *line = json_tokener_parse (text);
   CU_ASSERT_PTR_NOT_NULL_FATAL (line);
-  CU_ASSERT (json_object_object_get_ex (line, "odd", &v));
+  CU_ASSERT (json_object_object_get_ex (line, "path", &v));
   CU_ASSERT_EQUAL (json_object_get_string (v)[0], 'a');
-  CU_ASSERT (json_object_object_get_ex (line, "count", &v));
+  CU_ASSERT (json_object_object_get_ex (line, "left_ms", &v));
   CU_ASSERT_EQUAL (json_object_get_int64 (v), -4);
   CU_ASSERT (json_object_object_get_ex (line, "text", &v));
   CU_ASSERT_STRING_EQUAL (json_object_get_string (v), "it \"happened\"");
@@ -86,8 +86,8 @@
 
   open_pipe ();
   memset (in, '"', sizeof in);
-  ZP_EVENT (ZP_LOG_NOTICE, "part", "long", ZP_F_TEXT ("a", s),
-            ZP_F_TEXT ("b", s));
+  ZP_EVENT (ZP_LOG_NOTICE, "part", "long", ZP_F_TEXT (ZP_KEY_HOST, s),
+            ZP_F_TEXT (ZP_KEY_PATH, s));
   read_all (text, sizeof text);
   struct json_object *line = json_tokener_parse (text);
   CU_ASSERT_PTR_NOT_NULL (line);
