entry: refuse at once what waits for servers that do not answer

Two reasons: copies of a request that is not proven yet are parked for the server of the first copy, without any limit but the deadline; and the queue takes the mean of answered requests for the service time, which stays small while servers have become slow or silent and none answers.

Ruled out: counting timeouts as samples of the mean (they come a deadline later); the oldest request in progress as the bound (one silent server would refuse the work of all the others).

Change: the queue expects at least the mean age of the requests in progress. A parked copy is refused when its turn would come too late, by the copies before it and by how long those that run have gone without an answer.

--- a/src/entry/dispatch.c
+++ b/src/entry/dispatch.c
@@ -210,6 +210,31 @@
     }
 }
 
+/* Parks Q, which may run only where its copies run, or alone.  It is refused
+   at once when its turn would come too late: the copies that were parked
+   before it go first, as many at a time as run now, and each takes at least as
+   long as those that run now have taken without an answer.  */
+static void
+park_or_refuse (struct en_router *r, struct en_request *q, zp_time now)
+{
+  zp_time one = st_queue_service_time (q->service->queue), ahead = 0;
+  zp_time parallel = q->copies > 0 ? q->copies : 1;
+
+  if (q->copies > 0 && now - q->copies_since > one)
+    one = now - q->copies_since;
+  for (const struct en_request *x = q->service->parked; x; x = x->next_parked)
+    ahead += x->fingerprint.hi == q->fingerprint.hi
+             && x->fingerprint.lo == q->fingerprint.lo
+             && x->arrived < q->arrived;
+  /* Without copies it waits for the votes of other daemons.  */
+  if (q->copies == 0 || now + (ahead / parallel + 2) * one <= q->deadline)
+    {
+      en_dispatch_park (q->service, q);
+      return;
+    }
+  en_request_refuse (r, q, 503, "no-capacity-in-time", 1);
+}
+
 /* Applies what the poison table allows to Q.  Returns false when Q was parked
    or refused.  */
 static bool
@@ -217,6 +242,9 @@
 {
   struct st_admit a = st_poison_admit (r->poison, q->fingerprint, now);
 
+  q->copies = a.runs;
+  q->copies_since = a.since;
+
   en_suspects_flush (r);
   q->only = 0;
   q->alone = false;
@@ -231,7 +259,7 @@
       q->alone = true;
       return true;
     case ST_ADMIT_WAIT:
-      en_dispatch_park (q->service, q);
+      park_or_refuse (r, q, now);
       return false;
     case ST_ADMIT_REFUSE:
       /* Its earlier copies may have run before they crashed a server.  */
@@ -260,7 +288,7 @@
   if ((own_condition || st_queue_len (s->queue) == 0) && try_run (r, q, now))
     return;
   if (own_condition)
-    en_dispatch_park (s, q);
+    park_or_refuse (r, q, now);
   else
     enqueue (r, q, now);
   /* Leases on servers of this daemon are granted within the call.  */
@@ -323,7 +351,7 @@
       if (!admit_fingerprint (r, q, now))
         continue;
       if (q->alone || q->only != 0)
-        en_dispatch_park (s, q);
+        park_or_refuse (r, q, now);
       else if (!run (r, q, &p, seat, now))
         {
           if (q->once)
@@ -385,11 +413,33 @@
     }
 }
 
+/* Tells the queues how long the requests in progress have run.  */
+static void
+measure_running (struct en_router *r, zp_time now)
+{
+  struct en_request *q;
+  uint32_t at = 0;
+
+  for (size_t i = 0; i < r->services; i++)
+    r->service[i]->running_age = 0;
+  while ((q = zp_slots_next (&r->requests, &at)))
+    if (q->phase == EN_RUNNING)
+      q->service->running_age += now - q->started;
+  for (size_t i = 0; i < r->services; i++)
+    {
+      struct en_service *s = r->service[i];
+      st_queue_running (s->queue, s->running > 0
+                                      ? s->running_age / (zp_time) s->running
+                                      : 0);
+    }
+}
+
 void
 en_dispatch_tick (struct en_router *r)
 {
   zp_time now = zp_clock_mono ();
 
+  measure_running (r, now);
   look_for_lost_servers (r, now);
   st_poison_tick (r->poison, now);
   en_suspects_flush (r);
--- a/src/entry/request.h
+++ b/src/entry/request.h
@@ -37,8 +37,10 @@
   /* Poison.  */
   struct st_fp fingerprint;
   struct st_run_ref run;
-  bool alone;    /* a suspect request */
-  uint64_t only; /* 0: any; else the one server it may use */
+  bool alone;           /* a suspect request */
+  uint64_t only;        /* 0: any; else the one server it may use */
+  uint32_t copies;      /* in flight or open */
+  zp_time copies_since; /* none of them was answered since */
 
   /* Queue.  */
   struct st_queue_ref ref;
--- a/src/entry/router.h
+++ b/src/entry/router.h
@@ -66,6 +66,7 @@
   struct en_request *parked; /* wait for a condition of their own */
   size_t parked_len;
   size_t running;
+  zp_time running_age;  /* sum over them, at the last tick */
   int64_t answer_bytes; /* usual size of an answer */
   struct zp_counter *requests, *answered, *refused, *maybe, *retries;
 };
--- a/src/steer/mark.h
+++ b/src/steer/mark.h
@@ -29,6 +29,7 @@
   enum st_mark_kind kind;
   uint32_t next;   /* in its bucket, or in the list of free entries */
   uint32_t runs;   /* in flight or open */
+  zp_time since;   /* when RUNS was 0 last; an answer proves the mark */
   uint32_t trial;  /* of this daemon, or ST_NONE */
   uint64_t server; /* of the last run */
   zp_time until;   /* not read for ST_MARK_NEW */
--- a/src/steer/poison.c
+++ b/src/steer/poison.c
@@ -222,7 +222,8 @@
       if (t)
         t->running = true;
     }
-  e->runs++;
+  if (e->runs++ == 0)
+    e->since = now;
   e->server = server;
   return (struct st_run_ref){ .slot = slot, .generation = r->generation };
 }
@@ -330,6 +331,8 @@
     return wait;
   if (!e)
     return run;
+  wait.runs = e->runs;
+  wait.since = e->since;
   switch (e->kind)
     {
     case ST_MARK_FREE:
@@ -338,7 +341,10 @@
     case ST_MARK_NEW:
       if (e->runs == 0)
         return run;
-      return (struct st_admit){ .kind = ST_ADMIT_SAME, .u.server = e->server };
+      return (struct st_admit){ .kind = ST_ADMIT_SAME,
+                                .runs = e->runs,
+                                .since = e->since,
+                                .u.server = e->server };
     case ST_MARK_SUSPECT:
       if (e->runs > 0 || !may_try (p, e, now))
         return wait;
--- a/src/steer/poison.h
+++ b/src/steer/poison.h
@@ -135,9 +135,12 @@
   ST_ADMIT_REFUSE, /* poison until UNTIL */
 };
 
+/* RUNS copies are in flight or open, and none was answered since SINCE.  */
 struct st_admit
 {
   enum st_admit_kind kind;
+  uint32_t runs;
+  zp_time since; /* not read while RUNS is 0 */
   union
   {
     uint64_t server;
--- a/src/steer/queue.c
+++ b/src/steer/queue.c
@@ -31,7 +31,8 @@
   size_t max;
   size_t len;
   uint64_t arrivals;
-  zp_time service;
+  zp_time service; /* mean of the requests that were served */
+  zp_time running; /* mean age of those in progress */
   bool measured;
   struct slot *slots;
   uint32_t *free; /* MAX - LEN unused slots */
@@ -83,10 +84,16 @@
   q->measured = true;
 }
 
+void
+st_queue_running (struct st_queue *q, zp_time age)
+{
+  q->running = age;
+}
+
 zp_time
 st_queue_service_time (const struct st_queue *q)
 {
-  return q->service;
+  return q->service > q->running ? q->service : q->running;
 }
 
 /* Heaps.  */
@@ -227,16 +234,16 @@
 can_finish (struct st_queue *q, const struct slot *new, uint32_t slots,
             zp_time now, zp_time *wait)
 {
-  zp_time left = new->e.deadline - now;
+  zp_time left = new->e.deadline - now, service = st_queue_service_time (q);
 
   *wait = 0;
   if (slots == 0)
     return true;
-  zp_time allowed = left - q->service;
+  zp_time allowed = left - service;
   uint64_t limit
-      = allowed > 0 ? (uint64_t) (allowed / q->service + 1) * slots : 0;
+      = allowed > 0 ? (uint64_t) (allowed / service + 1) * slots : 0;
   uint64_t ahead = count_ahead (q, 0, new, limit);
-  *wait = (zp_time) (ahead + 1) * q->service / (zp_time) slots;
+  *wait = (zp_time) (ahead + 1) * service / (zp_time) slots;
   if (*wait <= allowed)
     return true;
   /* With nothing ahead the service time alone refuses.  It is lowered a
@@ -287,7 +294,7 @@
 too_late (const struct st_queue *q, const struct st_queue_entry *e,
           zp_time now)
 {
-  return e->deadline - now < q->service || e->deadline <= now;
+  return e->deadline - now < st_queue_service_time (q) || e->deadline <= now;
 }
 
 struct st_pop
--- a/src/steer/queue.h
+++ b/src/steer/queue.h
@@ -13,7 +13,9 @@
      A request is refused at once when its deadline cannot be met: the entries
      that go first, and the request itself, need (ahead + 1) * service time /
      slots until a slot is free for it, and one service time more.  The
-     service time is a moving mean of what st_queue_served reports.  While no
+     service time is a moving mean of what st_queue_served reports, and at
+     least what st_queue_running reports: servers that become slow show it in
+     the work in progress before the first slow answer.  While no
      slot is usable the wait is not known, and the request waits until its
      deadline; a lease or a returning server may bring slots.
 
@@ -98,6 +100,12 @@
 
 /* A request of the service took ELAPSED on its server.  */
 void st_queue_served (struct st_queue *q, zp_time elapsed);
+
+/* AGE is how long the requests in progress have run on average, 0 while there
+   are none.  To be called as often as st_queue_expire.  */
+void st_queue_running (struct st_queue *q, zp_time age);
+
+/* The service time that is expected now.  */
 zp_time st_queue_service_time (const struct st_queue *q);
 
 struct st_push st_queue_push (struct st_queue *q,
--- a/tests/test-queue.c
+++ b/tests/test-queue.c
@@ -222,8 +222,27 @@
   st_queue_free (q);
 }
 
+/* Guards against a wait that is worked out from fast answers while all work in
+   progress has become slow, and against a stale age that refuses for ever.  */
+static void
+test_work_in_progress_is_slow (void)
+{
+  struct st_queue *q = st_queue_new (8, 20 * ZP_MS);
+  struct st_queue_entry e = { .id = 1, .deadline = 100 * ZP_MS }, out;
+
+  CU_ASSERT_EQUAL (st_queue_push (q, &e, 4, 0).kind, ST_PUSH_ADDED);
+  st_queue_running (q, 150 * ZP_MS);
+  CU_ASSERT_EQUAL (st_queue_push (q, &e, 4, 0).kind, ST_PUSH_WAIT);
+  CU_ASSERT (st_queue_expire (q, 0, &out));
+  /* The answers say 20 ms again, and nothing is in progress.  */
+  st_queue_running (q, 0);
+  CU_ASSERT_EQUAL (st_queue_push (q, &e, 4, 0).kind, ST_PUSH_ADDED);
+  st_queue_free (q);
+}
+
 static const struct zp_test tests[]
-    = { { "order against reference", test_order_against_reference },
+    = { { "work in progress is slow", test_work_in_progress_is_slow },
+        { "order against reference", test_order_against_reference },
         { "expired entries are refused", test_expired_entries_are_refused },
         { "early refusal", test_early_refusal },
         { "goodput at twice the capacity",
--- a/tests/test-router.c
+++ b/tests/test-router.c
@@ -259,6 +259,77 @@
   fixture_close (&f);
 }
 
+/* Asks for PATH with T left.  */
+static uint64_t
+ask_within (struct fixture *f, const char *path, zp_time t)
+{
+  struct tk_msg *m = fixture_http (f, "GET", path, "");
+
+  m->u.request.deadline = zp_clock_mono () + t;
+  return fixture_send (f, m);
+}
+
+static bool
+has_answer (const struct fixture *f, uint64_t id)
+{
+  for (size_t i = 0; i < f->front.len; i++)
+    if (f->front.msg[i]->u.answer.id == id)
+      return true;
+  return false;
+}
+
+/* Guards against copies of a request that are held to their deadline: they may
+   run only where the first copy runs, and that server does not answer.  */
+static void
+test_copies_at_a_silent_server_are_refused_at_once (void)
+{
+  struct fixture f;
+
+  fixture_open (&f);
+  for (int i = 0; i < 2; i++)
+    ask_within (&f, "/board/hot", 2 * ZP_SEC);
+  fixture_forward (&f, 2);
+  fixture_wait (&f, 300 * ZP_MS);
+  uint64_t id = ask_within (&f, "/board/hot", 400 * ZP_MS);
+  fixture_wait (&f, 100 * ZP_MS);
+  CU_ASSERT_EQUAL (f.forward.len, 2);
+  CU_ASSERT_FATAL (has_answer (&f, id));
+  const struct tk_http_answer *a = fixture_answer (&f, id);
+  CU_ASSERT (body_has (a, "no-capacity-in-time"));
+  CU_ASSERT_EQUAL (a->verdict, ZP_NOT_RUN);
+  CU_ASSERT (a->retry_after_s > 0);
+  fixture_close (&f);
+}
+
+/* Guards against requests that wait to their deadline for servers which have
+   become slow: before the first slow answer, only the work in progress shows
+   it.  */
+static void
+test_slow_servers_are_noticed_before_they_answer (void)
+{
+  struct fixture f;
+  char path[32];
+
+  fixture_open (&f);
+  /* What the service took so far.  */
+  uint64_t quick = ask_within (&f, "/board/quick", 2 * ZP_SEC);
+  fixture_done (&f, fixture_forward (&f, 1), TK_END_ANSWER, ZP_RAN, 200);
+  fixture_answer (&f, quick);
+  for (int i = 0; i < 4; i++)
+    {
+      snprintf (path, sizeof path, "/board/%d", i);
+      ask_within (&f, path, 2 * ZP_SEC);
+    }
+  fixture_forward (&f, 5);
+  uint64_t waits = ask_within (&f, "/board/waits", 600 * ZP_MS);
+  fixture_wait (&f, 400 * ZP_MS);
+  uint64_t late = ask_within (&f, "/board/late", 300 * ZP_MS);
+  fixture_wait (&f, 100 * ZP_MS);
+  CU_ASSERT (has_answer (&f, waits));
+  CU_ASSERT (has_answer (&f, late));
+  fixture_close (&f);
+}
+
 /* Guards P6: no new work for servers that do not announce any more.  */
 static void
 test_servers_without_announcements_are_dropped (void)
@@ -322,6 +393,10 @@
   { "at most once: a refusal is sealed", test_once_refusal_is_sealed },
   { "the caller leaves", test_caller_leaves },
   { "a poison request is refused", test_poison_request_is_refused },
+  { "copies at a silent server are refused at once",
+    test_copies_at_a_silent_server_are_refused_at_once },
+  { "slow servers are noticed before they answer",
+    test_slow_servers_are_noticed_before_they_answer },
   { "servers without announcements are dropped",
     test_servers_without_announcements_are_dropped },
 };
