steer, gate: each daemon its part of the retries that operators allow

Cause: routed requests used the retry budget of 10% and 20 saved tokens a daemon. Operators allow 20% and a fixed number for all daemons together. The budget was too small for the largest service, and, with 22 daemons that had all saved 20 tokens, too large for the smallest: 563 retries in 10 s where 402 are allowed.

Ruled out: no capacity (25 refusals), the deadline (29).

Change: st_budget_share gives one daemon its part of ratio and slack, from the settings, by the number of daemons that may send; it starts empty, since a restarted daemon may have used its part, and saved tokens shrink with it. A retry that a server refuses unrun costs no second token there. zp-entry keeps its budget.

test-retry fails with the old budget in both ways.

--- a/src/gate/config.c
+++ b/src/gate/config.c
@@ -19,7 +19,7 @@
 /* Services.  */
 
 static struct gt_service *
-service_new (struct zp_str name)
+service_new (struct gt_gate *g, struct zp_str name)
 {
   struct gt_service *s = zp_alloc (sizeof *s);
   char labels[ZP_NAME_MAX + 16];
@@ -27,7 +27,7 @@
   zp_str_copy (s->name, sizeof s->name, name);
   snprintf (labels, sizeof labels, "service=\"%s\"", s->name);
   s->queue = st_queue_new (QUEUE_MAX, SERVICE_TIME_FIRST);
-  st_budget_init (&s->budget);
+  st_budget_init (&s->budget, &g->retry_terms);
   s->requests = zp_counter ("zp_requests_total", labels);
   s->answered = zp_counter ("zp_answered_total", labels);
   s->refused = zp_counter ("zp_refused_not_run_total", labels);
@@ -45,7 +45,7 @@
     if (zp_str_eq (zp_str_from (g->service[i]->name), name))
       return g->service[i];
   g->service = zp_realloc (g->service, (g->services + 1) * sizeof (void *));
-  return g->service[g->services++] = service_new (name);
+  return g->service[g->services++] = service_new (g, name);
 }
 
 /* The site in force.  */
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -170,6 +170,13 @@
   tk_msg_free (m);
 }
 
+static void
+share_retries (struct gt_gate *g)
+{
+  g->retry_terms = st_budget_share (g->settings->retry_ratio,
+                                    g->settings->retry_slack, g->daemons);
+}
+
 static void
 take_census (struct gt_gate *g, unsigned entries)
 {
@@ -179,6 +186,7 @@
     return;
   g->daemons = entries;
   g->daemons_at = now;
+  share_retries (g);
 }
 
 static void
@@ -262,6 +270,7 @@
   g->settings = s;
   g->interface = i;
   g->daemons = 1;
+  share_retries (g);
   st_egress_init (&g->egress, s->link_mbps);
   zp_rng_seed_os (&g->rng);
   tk_task_init (&g->task, l, on_message, g);
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -188,7 +188,8 @@
   size_t regions;
   zp_time lost_at; /* servers were lost last; 0: never */
 
-  unsigned daemons; /* entry daemons that may send */
+  unsigned daemons;                   /* entry daemons that may send */
+  struct st_budget_terms retry_terms; /* the part of this one */
   zp_time daemons_at;
 
   struct gt_service **service;
--- a/src/gate/settings.c
+++ b/src/gate/settings.c
@@ -9,6 +9,7 @@
 
 #define FIELD(f) offsetof (struct gt_settings, f)
 #define PORT_MAX 65535
+#define RETRY_SLACK_MAX 1000000 /* refuses a typing error */
 
 static const struct zp_setting table[] = {
   { .key = "name",
@@ -53,6 +54,18 @@
     .kind = ZP_SETTING_DURATION,
     .required = true,
     .offset = FIELD (grace) },
+  { .key = "retry_ratio",
+    .kind = ZP_SETTING_REAL,
+    .required = true,
+    .offset = FIELD (retry_ratio),
+    .min = 0,
+    .max = 1 },
+  { .key = "retry_slack",
+    .kind = ZP_SETTING_REAL,
+    .required = true,
+    .offset = FIELD (retry_slack),
+    .min = 0,
+    .max = RETRY_SLACK_MAX },
   { .key = "link_mbps",
     .kind = ZP_SETTING_REAL,
     .offset = FIELD (link_mbps),
--- a/src/gate/settings.h
+++ b/src/gate/settings.h
@@ -9,6 +9,9 @@
        inner_port     first port of the inner protocols (enum wi_port)
        regions        "FAILURE_DOMAIN=REGION" of all failure domains
        lookup_ttl     how long callers keep the address of this daemon
+       retry_ratio    retries that all entry daemons together may send to a
+                      service, as a part of its requests in 10 s
+       retry_slack    and so many more
        link_mbps      rate of this machine's link; 0: not bounded
        grace          time between the request to stop and the kill  */
 
@@ -25,7 +28,7 @@
   struct zp_strs seeds, regions;
   int64_t inner_port;
   zp_time lookup_ttl, grace;
-  double link_mbps;
+  double link_mbps, retry_ratio, retry_slack;
   int64_t log_level;
   uint64_t id; /* number of the front's IPv4 address */
 };
--- a/src/steer/retry.c
+++ b/src/steer/retry.c
@@ -2,36 +2,66 @@
 
 #include <assert.h>
 
-#define TOKEN 10
-
 /* Budget.  */
 
+const struct st_budget_terms st_budget_usual
+    = { .earn = ST_BUDGET_TOKEN / 10,
+        .advance = ST_BUDGET_FLOOR * ST_BUDGET_TOKEN,
+        .most = ST_BUDGET_MAX * ST_BUDGET_TOKEN,
+        .failed = ST_BUDGET_TOKEN,
+        .shed = ST_BUDGET_TOKEN };
+
+struct st_budget_terms
+st_budget_share (double ratio, double slack, unsigned daemons)
+{
+  assert (ratio >= 0 && slack >= 0 && daemons > 0);
+  return (struct st_budget_terms){
+    .earn = (int64_t) (ratio * ST_BUDGET_SHARE * ST_BUDGET_TOKEN),
+    .most = (int64_t) (slack * ST_BUDGET_SHARE * ST_BUDGET_TOKEN / daemons),
+    .failed = ST_BUDGET_TOKEN,
+  };
+}
+
 void
-st_budget_init (struct st_budget *b)
+st_budget_init (struct st_budget *b, const struct st_budget_terms *terms)
+{
+  *b = (struct st_budget){ .terms = terms,
+                           .tokens = terms->advance,
+                           .advance = terms->advance };
+}
+
+/* Saved tokens above a bound that was lowered are lost.  */
+static void
+cap (struct st_budget *b)
 {
-  *b = (struct st_budget){ .tenths = ST_BUDGET_FLOOR * TOKEN,
-                           .advance = ST_BUDGET_FLOOR * TOKEN };
+  if (b->tokens > b->terms->most)
+    b->tokens = b->terms->most;
 }
 
 void
 st_budget_first (struct st_budget *b)
 {
   if (b->advance > 0)
-    b->advance--;
-  else if (b->tenths < ST_BUDGET_MAX * TOKEN)
-    b->tenths++;
+    {
+      b->advance -= b->terms->earn;
+      return;
+    }
+  b->tokens += b->terms->earn;
+  cap (b);
 }
 
 /* Returns false when the budget does not hold a whole token.  */
 static bool
 spend (struct st_budget *b)
 {
-  if (b->tenths < TOKEN)
+  cap (b);
+  if (b->tokens < ST_BUDGET_TOKEN)
     return false;
-  b->tenths -= TOKEN;
+  b->tokens -= ST_BUDGET_TOKEN;
   return true;
 }
 
+/* May go below zero: retries that run at once all fail.  */
 void
 st_budget_retried (struct st_budget *b, enum st_end end)
 {
@@ -41,13 +71,14 @@
     case ST_END_LATE:
     case ST_END_CANCELLED:
       return;
-    case ST_END_STATUS:
     case ST_END_SHED:
     case ST_END_REFUSED:
+      b->tokens -= b->terms->shed;
+      return;
+    case ST_END_STATUS:
     case ST_END_LOST:
     case ST_END_TIMEOUT:
-      /* May go below zero: retries that run at once all fail.  */
-      b->tenths -= TOKEN;
+      b->tokens -= b->terms->failed;
       return;
     }
 }
--- a/src/steer/retry.h
+++ b/src/steer/retry.h
@@ -2,21 +2,31 @@
      retry - retry budget of a service, and what follows an outcome
 
    SYNOPSIS
-     st_budget_init (&budget);
+     st_budget_init (&budget, &st_budget_usual);
      st_budget_first (&budget);
      d = st_retry_decide (&request, &outcome, &budget);
 
    DESCRIPTION
-     Every first try of a service earns a tenth of a token, and a retry spends
-     one.  The budget starts with ST_BUDGET_FLOOR tokens, so that a service
-     with few requests can retry; these are an advance that the first tries
-     pay back before they earn more.  So the retries of N first tries are at
-     most max (ST_BUDGET_FLOOR, N / 10), from the first request on.
-
-     A retry that fails spends a second token.  When every server fails, the
-     tokens saved before (at most ST_BUDGET_MAX) and those earned then pay for
-     half as many retries, and the amplification is at most 1.1 over any 200
-     or more first tries, and below 1.1 over longer times.
+     Every first try of a service earns a part of a token, and a retry spends
+     one.  At most MOST tokens are saved, so that N first tries in any span of
+     time allow at most MOST + EARN * N retries in it.
+
+     By st_budget_usual a first try earns a tenth.  The budget starts with
+     ST_BUDGET_FLOOR tokens, so that a service with few requests can retry;
+     these are an advance that the first tries pay back before they earn more.
+     So the retries of N first tries are at most max (ST_BUDGET_FLOOR, N / 10),
+     from the first request on.  A retry that fails spends a second token.
+     When every server fails, the tokens saved before (at most ST_BUDGET_MAX)
+     and those earned then pay for half as many retries, and the amplification
+     is at most 1.1 over any 200 or more first tries, and below 1.1 over longer
+     times.
+
+     Where operators bound the retries of all daemons together, to RATIO of the
+     first tries and SLACK more in a window, st_budget_share gives the part of
+     one daemon, which it may use also while it is cut off.  A daemon starts
+     without tokens then: it may have used its part just before its restart.
+     A server that refuses a request without running it spends little on it,
+     so that such a retry costs no second token.
 
      An idempotent request is retried on another server after every failure.
      An at-most-once request is retried only when the outcome proves that it
@@ -35,12 +45,27 @@
 
 #define ST_BUDGET_FLOOR 2
 #define ST_BUDGET_MAX 20
+#define ST_BUDGET_TOKEN                                                       \
+  1000 /* amounts are thousandths, so that sums are exact */
+
+/* Part of the operators' bound that is used.  The rest is for retries that
+   arrive in a later window than the first tries that allowed them.  */
+#define ST_BUDGET_SHARE 0.9
 #define ST_RETRY_ATTEMPTS 3 /* first try included */
 
-/* Amounts are tenths of a token, so that sums are exact.  */
+struct st_budget_terms
+{
+  int64_t earn;    /* of each first try */
+  int64_t advance; /* at the start */
+  int64_t most;    /* that is saved */
+  int64_t failed;  /* spent more by a retry that fails */
+  int64_t shed;    /* the same when the server did not run it */
+};
+
 struct st_budget
 {
-  int64_t tenths;
+  const struct st_budget_terms *terms; /* may change at any time */
+  int64_t tokens;
   int64_t advance; /* not yet paid back */
 };
 
@@ -90,7 +115,14 @@
   } u;
 };
 
-void st_budget_init (struct st_budget *b);
+extern const struct st_budget_terms st_budget_usual;
+
+/* The part of one of DAEMONS.  */
+struct st_budget_terms st_budget_share (double ratio, double slack,
+                                        unsigned daemons);
+
+/* TERMS has to live as long as B.  */
+void st_budget_init (struct st_budget *b, const struct st_budget_terms *terms);
 void st_budget_first (struct st_budget *b);
 
 /* The end of a retry that st_retry_decide has started.  */
--- a/tests/test-retry.c
+++ b/tests/test-retry.c
@@ -39,8 +39,8 @@
   struct st_budget fresh, saved;
   unsigned long a = 0, s = 0;
 
-  st_budget_init (&fresh);
-  st_budget_init (&saved);
+  st_budget_init (&fresh, &st_budget_usual);
+  st_budget_init (&saved, &st_budget_usual);
   for (int i = 0; i < 100000; i++)
     st_budget_first (&saved);
   for (unsigned long n = 1; n <= 100000; n++)
@@ -66,7 +66,7 @@
       struct st_retry_request r = request (true);
       unsigned long first = 0, retries = 0, running = 0;
       double failing = zp_rng_unit (&rng);
-      st_budget_init (&b);
+      st_budget_init (&b, &st_budget_usual);
       for (int i = 0; i < 2000; i++)
         {
           st_budget_first (&b);
@@ -100,7 +100,7 @@
       {
         struct st_budget b;
         struct st_retry_request r = request (false);
-        st_budget_init (&b);
+        st_budget_init (&b, &st_budget_usual);
         struct st_retry d
             = st_retry_decide (&r, (enum st_end) end, (enum zp_verdict) v, &b);
         if (v != ZP_NOT_RUN)
@@ -109,7 +109,7 @@
       }
   struct st_budget b;
   struct st_retry_request r = request (false);
-  st_budget_init (&b);
+  st_budget_init (&b, &st_budget_usual);
   CU_ASSERT_EQUAL (st_retry_decide (&r, ST_END_REFUSED, ZP_NOT_RUN, &b).kind,
                    ST_RETRY_NOW);
 }
@@ -122,7 +122,7 @@
   struct st_budget b;
   struct st_retry_request r = request (true);
 
-  st_budget_init (&b);
+  st_budget_init (&b, &st_budget_usual);
   r.attempts = ST_RETRY_ATTEMPTS;
   r.earlier = ZP_MAY_HAVE_RUN;
   struct st_retry d = st_retry_decide (&r, ST_END_REFUSED, ZP_NOT_RUN, &b);
@@ -148,7 +148,7 @@
   struct st_budget b;
   struct st_retry_request r;
 
-  st_budget_init (&b);
+  st_budget_init (&b, &st_budget_usual);
   struct st_budget before = b;
   r = request (true);
   r.now = r.deadline - r.expected;
@@ -169,7 +169,7 @@
   CU_ASSERT_EQUAL (
       st_retry_decide (&r, ST_END_CANCELLED, ZP_MAY_HAVE_RUN, &b).u.refuse,
       ST_REFUSE_CANCELLED);
-  CU_ASSERT_EQUAL (b.tenths, before.tenths);
+  CU_ASSERT_EQUAL (b.tokens, before.tokens);
   for (int i = 0; i < ST_BUDGET_FLOOR; i++)
     st_retry_decide (&r, ST_END_LOST, ZP_MAY_HAVE_RUN, &b);
   CU_ASSERT_EQUAL (
@@ -177,10 +177,127 @@
       ST_REFUSE_BUDGET);
 }
 
+#define DAEMONS 22
+#define RATIO 0.2
+#define SLACK 156
+#define WINDOW_S 10
+
+/* Retries that 22 daemons send to a service in each of SECONDS.  First tries
+   come at RATE a second; those of the last WINDOW_S fail with FIRST, and their
+   retries end with AGAIN.  */
+static void
+play_outage (const struct st_budget_terms *terms, enum st_end first,
+             enum st_end again, unsigned seconds, unsigned rate,
+             unsigned *retries)
+{
+  struct st_budget b[DAEMONS];
+
+  for (int d = 0; d < DAEMONS; d++)
+    st_budget_init (&b[d], terms);
+  for (unsigned t = 0; t < seconds; t++)
+    {
+      retries[t] = 0;
+      for (unsigned i = 0; i < rate; i++)
+        {
+          struct st_budget *x = &b[i % DAEMONS];
+          struct st_retry_request r = request (true);
+          st_budget_first (x);
+          if (t + WINDOW_S >= seconds
+              && st_retry_decide (&r, first, ZP_NOT_RUN, x).kind
+                     == ST_RETRY_NOW)
+            {
+              retries[t]++;
+              st_budget_retried (x, again);
+            }
+        }
+    }
+}
+
+/* Guards against daemons that together send more retries than operators allow:
+   after a calm time each of them has saved as much as it may, and all servers
+   of a service fail at once.  Rates of the smallest and the largest service of
+   a deployment with 22 entry VMs.  */
+static void
+test_share_of_all_daemons (void)
+{
+  static const enum st_end ends[] = { ST_END_SHED, ST_END_REFUSED, ST_END_LOST,
+                                      ST_END_TIMEOUT, ST_END_ANSWER };
+  static const unsigned rates[] = { 20, 123, 343, 1169 };
+  struct st_budget_terms terms = st_budget_share (RATIO, SLACK, DAEMONS);
+  unsigned retries[60];
+
+  for (size_t e = 0; e < sizeof ends / sizeof ends[0]; e++)
+    for (size_t k = 0; k < sizeof rates / sizeof rates[0]; k++)
+      {
+        unsigned sum = 0;
+        play_outage (&terms, ST_END_LOST, ends[e], 60, rates[k], retries);
+        for (unsigned t = 50; t < 60; t++)
+          sum += retries[t];
+        CU_ASSERT (sum <= RATIO * rates[k] * WINDOW_S + SLACK);
+        CU_ASSERT (sum > 0);
+      }
+}
+
+/* Guards against requests that are refused while operators allow retries: half
+   of all servers' answers are refusals, and a retry of each fails with them.
+   Three quarters of the bound have to be used.  */
+static void
+test_shedding_servers_are_tried_again (void)
+{
+  struct st_budget_terms terms = st_budget_share (RATIO, SLACK, DAEMONS);
+  struct st_budget b;
+  struct zp_rng rng;
+  unsigned first = 10000, retried = 0;
+
+  zp_rng_seed (&rng, 1);
+  st_budget_init (&b, &terms);
+  for (unsigned i = 0; i < first; i++)
+    {
+      struct st_retry_request r = request (true);
+      st_budget_first (&b);
+      if (zp_rng_below (&rng, 2) == 0
+          && st_retry_decide (&r, ST_END_SHED, ZP_NOT_RUN, &b).kind
+                 == ST_RETRY_NOW)
+        {
+          retried++;
+          st_budget_retried (&b, zp_rng_below (&rng, 2) ? ST_END_SHED
+                                                        : ST_END_ANSWER);
+        }
+    }
+  CU_ASSERT (retried >= 0.75 * RATIO * first);
+}
+
+/* Guards against a daemon that spends its part twice by a restart, and one
+   that keeps what it saved when its part becomes smaller.  */
+static void
+test_share_begins_empty_and_shrinks (void)
+{
+  struct st_budget_terms terms = st_budget_share (RATIO, SLACK, 1);
+  struct st_retry_request r = request (true);
+  struct st_budget b;
+  unsigned retries = 0;
+
+  st_budget_init (&b, &terms);
+  CU_ASSERT_EQUAL (st_retry_decide (&r, ST_END_REFUSED, ZP_NOT_RUN, &b).kind,
+                   ST_RETRY_REFUSE);
+  for (int i = 0; i < 1000; i++)
+    st_budget_first (&b);
+  terms = st_budget_share (RATIO, SLACK, DAEMONS);
+  while (st_retry_decide (&r, ST_END_REFUSED, ZP_NOT_RUN, &b).kind
+         == ST_RETRY_NOW)
+    retries++;
+  CU_ASSERT (retries > 0 && retries <= SLACK / DAEMONS);
+}
+
 static const struct zp_test tests[]
     = { { "amplification with every server failing",
           test_amplification_with_every_server_failing },
         { "budget with random failures", test_budget_with_random_failures },
+        { "share of all daemons", test_share_of_all_daemons },
+        { "shedding servers are tried again",
+          test_shedding_servers_are_tried_again },
+        { "a share begins empty and shrinks",
+          test_share_begins_empty_and_shrinks },
         { "at most once needs a proof", test_at_most_once_needs_a_proof },
         { "verdict covers all attempts", test_verdict_covers_all_attempts },
         { "reasons not to retry", test_reasons_not_to_retry } };
