soak: a seeded fault soak of the real programs; fix the ticket of a log line

soak/soak starts a small deployment on loopback, plays the plan of a seed and checks what callers, backend servers and operators were promised.

The first plan showed a byte behind the digest in "a command to a ticket is applied": the digest has no terminator, and the line that was changed in read past it.

--- a/Makefile
+++ b/Makefile
@@ -84,6 +84,23 @@
 	@mkdir -p $(@D)
 	$(CC) $(CPPFLAGS) -Iplatform $(CFLAGS) -MMD -MP -o $@ $< $(PLATFORM_LIB) $(LIB) $(LDLIBS) -lgsl -lgslcblas -lcunit
 
+# The fault soak: its proxy, and what misbehaves inside control daemons.
+$(BUILD)/zp-proxy: soak/proxy.c $(LIB)
+	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -o $@ $< $(LIB) $(LDLIBS)
+
+$(BUILD)/soak-shim.so: soak/shim.c
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS) $(CFLAGS) -shared -fPIC -o $@ $< -ldl
+
+.PHONY: soak soak-programs
+soak-programs: all $(BUILD)/zp-proxy $(BUILD)/soak-shim.so
+
+# SEEDS: numbers of the plans to run; without them, those that once failed and
+# new ones for SOAK_SECONDS.
+soak: deps
+	$(MAKE) --no-print-directory -j$$(nproc) soak-programs
+	@soak/soak $(SEEDS)
+
 $(BUILD)/bench/%: bench/%.c $(LIB)
 	@mkdir -p $(@D)
 	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -o $@ $< $(LIB) $(LDLIBS)
--- /dev/null
+++ b/soak/shim.c
@@ -0,0 +1,105 @@
+/* Loaded by LD_PRELOAD into control daemons of the soak: a clock and a disk
+   that misbehave.  The file that ZP_SOAK_SHIM names holds "CLOCK_MS SYNC_MS
+   FULL": the time of day is off by CLOCK_MS, each sync takes SYNC_MS longer,
+   and with FULL 1 writes to files fail for lack of room.  It is read again at
+   each call, so that faults come and go while the process runs.  */
+
+#include <dlfcn.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/stat.h>
+#include <time.h>
+#include <unistd.h>
+
+struct faults
+{
+  long clock_ms, sync_ms;
+  int full;
+};
+
+typedef int clock_fn (clockid_t, struct timespec *);
+typedef int sync_fn (int);
+typedef ssize_t write_fn (int, const void *, size_t);
+
+static void *
+next (const char *name)
+{
+  return dlsym (RTLD_NEXT, name);
+}
+
+static struct faults
+read_faults (void)
+{
+  struct faults f = { 0 };
+  const char *path = getenv ("ZP_SOAK_SHIM");
+  char text[64] = "";
+  int fd = path ? open (path, O_RDONLY | O_CLOEXEC) : -1;
+
+  if (fd < 0)
+    return f;
+  ssize_t n = read (fd, text, sizeof text - 1);
+  close (fd);
+  if (n > 0)
+    sscanf (text, "%ld %ld %d", &f.clock_ms, &f.sync_ms, &f.full);
+  return f;
+}
+
+int
+clock_gettime (clockid_t id, struct timespec *out)
+{
+  static clock_fn *real;
+
+  if (!real)
+    real = (clock_fn *) next ("clock_gettime");
+  int r = real (id, out);
+  if (r != 0 || id != CLOCK_REALTIME)
+    return r;
+  long ms = read_faults ().clock_ms;
+  out->tv_sec += ms / 1000;
+  return 0;
+}
+
+static int
+slow_sync (const char *name, int fd)
+{
+  sync_fn *real = (sync_fn *) next (name);
+  struct faults f = read_faults ();
+
+  usleep ((useconds_t) f.sync_ms * 1000);
+  if (!f.full)
+    return real (fd);
+  errno = ENOSPC;
+  return -1;
+}
+
+int
+fsync (int fd)
+{
+  return slow_sync ("fsync", fd);
+}
+
+int
+fdatasync (int fd)
+{
+  return slow_sync ("fdatasync", fd);
+}
+
+ssize_t
+write (int fd, const void *p, size_t n)
+{
+  static write_fn *real;
+  struct stat st;
+
+  if (!real)
+    real = (write_fn *) next ("write");
+  /* Log lines go to a regular file too, which is standard output.  */
+  if (fd > STDERR_FILENO && fstat (fd, &st) == 0 && S_ISREG (st.st_mode)
+      && read_faults ().full)
+    {
+      errno = ENOSPC;
+      return -1;
+    }
+  return real (fd, p, n);
+}
--- a/src/control/control.c
+++ b/src/control/control.c
@@ -228,9 +228,12 @@
 static void
 log_result (uint64_t index, const struct ti_result *r)
 {
+  struct zp_str ticket
+      = r->digest.hex[0] ? ti_digest_str (&r->digest) : ZP_STR ("");
+
   ZP_EVENT (ZP_LOG_NOTICE, PART, "a command to a ticket is applied",
             ZP_F_INT (ZP_KEY_VERSION, index),
-            ZP_F_TEXT (ZP_KEY_TICKET, zp_str_from (r->digest.hex)),
+            ZP_F_TEXT (ZP_KEY_TICKET, ticket),
             ZP_F_TEXT (ZP_KEY_STATE, zp_str_from (ti_state_name (r->state))),
             ZP_F_INT (ZP_KEY_TICKET_NUMBER, r->number),
             ZP_F_INT (ZP_KEY_MISTAKES, r->errors.count),
