roster: a source that was just connected to is kept for a second

Control daemons have a new leader 1.4 s after their start and apply the configuration at 33.60 s. Entry daemons leave their source at 33.66 s, because another control daemon has heard of the leader a few milliseconds earlier, and have the configuration at 33.98 s: the new connection costs three round trips.

Change: src/roster/rank.h ranks control daemons.

--- a/src/roster/client.c
+++ b/src/roster/client.c
@@ -6,6 +6,7 @@
 
 #include "base/log.h"
 #include "roster/codec.h"
+#include "roster/rank.h"
 #include "wire/conn.h"
 #include "wire/frame.h"
 
@@ -31,8 +32,8 @@
   bool seed;
   zp_time named; /* last heard of */
   struct wi_conn *conn;
-  bool known;               /* it has answered on this connection */
-  bool fresh;               /* it is in contact with the leader of the log */
+  struct ro_standing standing;
+  bool waits;               /* its rank falls when RO_RANK_PATIENCE is over */
   char region[ZP_NAME_MAX]; /* empty: not known yet */
   zp_time dialed, dial_at;
   unsigned entries;
@@ -66,26 +67,25 @@
   zp_buf_printf (out, "%.*s%u", (int) n, address.ptr ? address.ptr : "", port);
 }
 
-/* Control daemons that are current go before those that are only connected. */
-static unsigned
-worth_following (const struct control *x)
-{
-  return x->known ? 1 + x->fresh : 0;
-}
-
 static void
 tell_follower (struct ro_client *c)
 {
   if (!c->follower)
     return;
   struct tk_msg *m = tk_msg_new (TK_SOURCES);
-  unsigned best = 0;
+  enum ro_rank rank[CONTROLS_MAX], best = RO_RANK_NONE;
+  zp_time now = zp_clock_mono ();
   for (size_t i = 0; i < c->controls; i++)
-    if (worth_following (c->control[i]) > best)
-      best = worth_following (c->control[i]);
+    {
+      struct control *x = c->control[i];
+      rank[i] = ro_rank (&x->standing, now);
+      x->waits = rank[i] == RO_RANK_CURRENT && !x->standing.current;
+      if (rank[i] > best)
+        best = rank[i];
+    }
   for (size_t i = 0; i < c->controls; i++)
     {
-      if (worth_following (c->control[i]) < best)
+      if (rank[i] < best)
         continue;
       with_port (zp_str_from (c->control[i]->address), c->follow_port,
                  &m->u.addresses.lines);
@@ -170,9 +170,9 @@
   wi_conn_free (x->conn);
   x->conn = NULL;
   x->dial_at = zp_clock_mono () + REDIAL;
-  if (!x->known)
+  if (!x->standing.known)
     return;
-  x->known = x->fresh = false;
+  x->standing = (struct ro_standing){ .known = false };
   tell_follower (x->client);
 }
 
@@ -225,9 +225,11 @@
     }
   for (size_t i = 0; i < u.controls; i++)
     more = name_control (c, u.control[i], false) || more;
-  if (more || !x->known)
+  if (more || !x->standing.known)
     {
-      x->known = true;
+      if (!x->standing.known)
+        x->standing.known_at = zp_clock_mono ();
+      x->standing.known = true;
       tell_follower (c);
     }
   x->entries = u.entries;
@@ -242,16 +244,17 @@
 static void
 take_ping (struct control *x, struct zp_str payload)
 {
-  bool fresh;
+  bool current;
 
-  if (!ro_get_ping (payload, &fresh, x->region))
+  if (!ro_get_ping (payload, &current, x->region))
     {
       hang_up (x, "a ping that cannot be read");
       return;
     }
-  if (fresh == x->fresh)
+  if (current == x->standing.current)
     return;
-  x->fresh = fresh;
+  x->standing.current = current;
+  x->standing.was_current = x->standing.was_current || current;
   tell_follower (x->client);
 }
 
@@ -387,6 +390,8 @@
           continue;
         }
       check (x, ping, now);
+      if (x->waits && ro_rank (&x->standing, now) != RO_RANK_CURRENT)
+        tell_follower (c);
       i++;
     }
 }
@@ -413,7 +418,7 @@
   for (size_t i = 0; i < c->controls; i++)
     {
       struct control *x = c->control[i];
-      if (x->known && strcmp (x->region, c->self.region) == 0
+      if (x->standing.known && strcmp (x->region, c->self.region) == 0
           && (!best || strcmp (x->address, best->address) < 0))
         best = x;
     }
@@ -442,7 +447,7 @@
 
   ro_put_loss (&b, l);
   for (size_t i = 0; i < c->controls && sent < 2; i++)
-    if (c->control[i]->known)
+    if (c->control[i]->standing.known)
       sent += wi_conn_send (c->control[i]->conn, WI_ROSTER_LOSS,
                             zp_str_of (&b));
   zp_buf_free (&b);
