gate: choose a server in linear time; control: split control.c

Change: one pass keeps the first of each region; servers hold the number of their region and whether they are evacuated; the rank is a hash of two numbers; the arrays of candidates are kept. What is chosen stays the same but for the order of ranks.

--- /dev/null
+++ b/src/control/control-http.c
@@ -0,0 +1,177 @@
+#include "control/control-state.h"
+
+#include <assert.h>
+#include <stdlib.h>
+
+#include "base/log.h"
+#include "control/calls.h"
+
+#define PART "control"
+
+static void
+send_answer (struct tk_task *to, uint64_t http, const struct tk_http_answer *a)
+{
+  struct tk_msg *m = tk_msg_new (TK_HTTP_ANSWER);
+
+  m->u.answer = *a;
+  m->u.answer.id = http;
+  tk_send (to, m);
+}
+
+static void
+send_reply (struct ct_control *c, const struct tk_http_request *r,
+            const struct ct_reply *reply)
+{
+  struct tk_http_answer a = { .status = 0 };
+
+  c->interface->encode (r, reply, &a);
+  send_answer (r->from, r->id, &a);
+}
+
+static void
+propose (struct ct_control *c, const struct tk_http_request *r,
+         struct zp_buf *command)
+{
+  struct tk_http_answer a = { .status = 0 };
+
+  if (ct_waiting_add (&c->waiting, c->proposals + 1, r))
+    ct_replica_propose (c->replica, ++c->proposals, zp_str_of (command));
+  else
+    {
+      ct_answer_error (&a, 503,
+                       "too many requests wait; nothing was done; "
+                       "send the same request again");
+      a.retry_after_s = 1;
+      send_answer (r->from, r->id, &a);
+    }
+  zp_buf_free (command);
+}
+
+/* A call of another interface than the product's own.  */
+static void
+on_call (struct ct_control *c, const struct tk_http_request *r)
+{
+  const struct ct_calls_view v = { .store = c->store,
+                                   .standing = ct_control_standing (c),
+                                   .daemons = &c->roster.daemons,
+                                   .lookup_ttl = c->settings->lookup_ttl,
+                                   .wall = zp_clock_wall () };
+  const struct ct_reply done = { .kind = CT_REPLY_DONE };
+  struct ct_call call;
+  struct ct_step *step = zp_alloc (sizeof *step);
+
+  c->interface->decode (r, &call);
+  ct_calls_decide (&call, &v, step);
+  switch (step->kind)
+    {
+    case CT_STEP_REPLY:
+      send_reply (c, r, &step->u.reply);
+      break;
+    case CT_STEP_PROPOSE:
+      propose (c, r, &step->u.command);
+      break;
+    case CT_STEP_SERVER:
+      if (ct_roster_report (&c->roster, &step->u.server, r))
+        send_reply (c, r, &done);
+      break;
+    }
+  zp_buf_free (&step->document);
+  free (step);
+}
+
+void
+ct_control_answer_reports (struct ct_control *c)
+{
+  const struct lg_status s = ct_replica_status (c->replica);
+  struct ct_report_wait w;
+  bool acknowledged;
+
+  while (ct_roster_take (&c->roster, s.contact, zp_clock_mono (), &w,
+                         &acknowledged))
+    {
+      const struct tk_http_request r = { .id = w.http, .from = w.from };
+      const struct ct_reply reply
+          = { .kind = acknowledged ? CT_REPLY_DONE : CT_REPLY_UNAVAILABLE };
+      if (!acknowledged)
+        zp_log (ZP_LOG_WARNING, PART,
+                "a server that leaves is not acknowledged: %s",
+                w.settled ? "no contact with a majority"
+                          : "entry daemons have not taken it");
+      send_reply (c, &r, &reply);
+    }
+}
+
+void
+ct_control_request (struct ct_control *c, const struct tk_http_request *r)
+{
+  if (c->interface)
+    {
+      on_call (c, r);
+      return;
+    }
+  struct lg_status s = ct_replica_status (c->replica);
+  const struct ct_standing now = ct_control_standing (c);
+  struct ct_member member[LG_MEMBERS_MAX];
+  struct ct_report report = ct_report_of (
+      &s, c->settings, ct_replica_members (c->replica), member);
+  struct ct_decision d;
+
+  ct_reports_count (&c->reports, zp_clock_mono (),
+                    ti_store_config (c->store)->index, &report.followers,
+                    &report.current);
+  report.shifts = &c->shifts;
+  ct_decide (c->store, &now, &report, zp_clock_wall (), r, &d);
+  switch (d.kind)
+    {
+    case CT_ANSWER:
+      send_answer (r->from, r->id, &d.u.answer);
+      break;
+    case CT_PROPOSE:
+      propose (c, r, &d.u.command);
+      break;
+    }
+}
+
+void
+ct_control_end_waiting (struct ct_control *c, struct ct_waiting *w,
+                        const struct lg_reply *reply)
+{
+  struct ct_standing now = ct_control_standing (c);
+  struct tk_http_answer a = { .status = 0 };
+  struct tk_http_request q = { .id = w->http, .from = w->from };
+
+  switch (reply->kind)
+    {
+    case LG_REPLY_ACCEPTED:
+      w->index = reply->index;
+      return;
+    case LG_REPLY_COMMITTED:
+      assert (w->answer);
+      tk_send (w->from, w->answer);
+      w->answer = NULL;
+      break;
+    case LG_REPLY_REFUSED:
+      if (c->interface)
+        {
+          struct ct_reply refused = ct_calls_refused (&now);
+          q.path = w->path;
+          send_reply (c, &q, &refused);
+          break;
+        }
+      ct_answer_not_leader (&a, &now, zp_str_of (&w->path),
+                            zp_str_of (&w->query));
+      send_answer (w->from, w->http, &a);
+      break;
+    case LG_REPLY_LOST:
+      if (c->interface)
+        {
+          struct ct_reply lost = { .kind = CT_REPLY_UNAVAILABLE };
+          send_reply (c, &q, &lost);
+          break;
+        }
+      ct_answer_lost (&a);
+      send_answer (w->from, w->http, &a);
+      break;
+    }
+  ct_waiting_drop (&c->waiting, w);
+}
--- a/src/control/control.c
+++ b/src/control/control.c
@@ -1,23 +1,12 @@
-#include "control/control.h"
+#include "control/control-state.h"
 
 #include <assert.h>
-#include <inttypes.h>
 #include <stdlib.h>
-#include <string.h>
 
-#include "base/counter.h"
 #include "base/log.h"
 #include "control/calls.h"
 #include "control/publish.h"
 #include "control/reconcile.h"
-#include "control/replica.h"
-#include "control/reports.h"
-#include "control/roster.h"
-#include "control/shifts.h"
-#include "control/standing.h"
-#include "control/waiting.h"
-#include "follow/source.h"
-#include "front/server.h"
 
 #define PART "control"
 
@@ -33,34 +22,8 @@
 #define RECONCILE_PERIOD (1 * ZP_SEC)
 #define SHIFT_PERIOD (1 * ZP_SEC)
 
-struct ct_control
-{
-  const struct ct_settings *settings;
-  struct tk_loop *loop;
-  struct tk_task task;
-  struct ti_store *store;
-  struct ct_replica *replica;
-  struct fr_server *front;
-  struct fr_server *directory;          /* NULL: none */
-  const struct ct_interface *interface; /* NULL: the product's own */
-  struct ct_roster roster;
-  struct fo_source *source; /* NULL: no "follow" in the settings */
-  struct ct_reports reports;
-  struct ct_shifts shifts;
-  struct ct_waitings waiting;
-  uint64_t proposals; /* numbers given so far */
-  uint64_t change;    /* proposal of a change of members; 0: none */
-  uint64_t term;      /* of the last entry applied */
-  bool fresh;         /* as last told to the source */
-  char leader_http[ZP_ADDRESS_MAX];
-  ev_timer tick;
-  zp_time reconciled;
-  zp_time shifts_at; /* next decisions on shifts */
-  zp_time stop_at;   /* 0: not stopping */
-};
-
-static struct ct_standing
-standing (struct ct_control *c)
+struct ct_standing
+ct_control_standing (struct ct_control *c)
 {
   struct lg_status s = ct_replica_status (c->replica);
 
@@ -71,139 +34,10 @@
   return ct_standing_of (&s, c->settings, ti_store_config (c->store));
 }
 
-/* HTTP.  */
-
-static void
-send_answer (struct tk_task *to, uint64_t http, const struct tk_http_answer *a)
-{
-  struct tk_msg *m = tk_msg_new (TK_HTTP_ANSWER);
-
-  m->u.answer = *a;
-  m->u.answer.id = http;
-  tk_send (to, m);
-}
-
-static void
-send_reply (struct ct_control *c, const struct tk_http_request *r,
-            const struct ct_reply *reply)
-{
-  struct tk_http_answer a = { .status = 0 };
-
-  c->interface->encode (r, reply, &a);
-  send_answer (r->from, r->id, &a);
-}
-
-static void
-propose (struct ct_control *c, const struct tk_http_request *r,
-         struct zp_buf *command)
-{
-  struct tk_http_answer a = { .status = 0 };
-
-  if (ct_waiting_add (&c->waiting, c->proposals + 1, r))
-    ct_replica_propose (c->replica, ++c->proposals, zp_str_of (command));
-  else
-    {
-      ct_answer_error (&a, 503,
-                       "too many requests wait; nothing was done; "
-                       "send the same request again");
-      a.retry_after_s = 1;
-      send_answer (r->from, r->id, &a);
-    }
-  zp_buf_free (command);
-}
-
-/* A call of another interface than the product's own.  */
-static void
-on_call (struct ct_control *c, const struct tk_http_request *r)
-{
-  const struct ct_calls_view v = { .store = c->store,
-                                   .standing = standing (c),
-                                   .daemons = &c->roster.daemons,
-                                   .lookup_ttl = c->settings->lookup_ttl,
-                                   .wall = zp_clock_wall () };
-  const struct ct_reply done = { .kind = CT_REPLY_DONE };
-  struct ct_call call;
-  struct ct_step *step = zp_alloc (sizeof *step);
-
-  c->interface->decode (r, &call);
-  ct_calls_decide (&call, &v, step);
-  switch (step->kind)
-    {
-    case CT_STEP_REPLY:
-      send_reply (c, r, &step->u.reply);
-      break;
-    case CT_STEP_PROPOSE:
-      propose (c, r, &step->u.command);
-      break;
-    case CT_STEP_SERVER:
-      if (ct_roster_report (&c->roster, &step->u.server, r))
-        send_reply (c, r, &done);
-      break;
-    }
-  zp_buf_free (&step->document);
-  free (step);
-}
-
-/* Answers the reports of servers whose outcome is known.  */
-static void
-answer_reports (struct ct_control *c)
-{
-  const struct lg_status s = ct_replica_status (c->replica);
-  struct ct_report_wait w;
-  bool acknowledged;
-
-  while (ct_roster_take (&c->roster, s.contact, zp_clock_mono (), &w,
-                         &acknowledged))
-    {
-      const struct tk_http_request r = { .id = w.http, .from = w.from };
-      const struct ct_reply reply
-          = { .kind = acknowledged ? CT_REPLY_DONE : CT_REPLY_UNAVAILABLE };
-      if (!acknowledged)
-        zp_log (ZP_LOG_WARNING, PART,
-                "a server that leaves is not acknowledged: %s",
-                w.settled ? "no contact with a majority"
-                          : "entry daemons have not taken it");
-      send_reply (c, &r, &reply);
-    }
-}
-
-static void
-on_request (struct ct_control *c, const struct tk_http_request *r)
-{
-  if (c->interface)
-    {
-      on_call (c, r);
-      return;
-    }
-  struct lg_status s = ct_replica_status (c->replica);
-  const struct ct_standing now = standing (c);
-  struct ct_member member[LG_MEMBERS_MAX];
-  struct ct_report report = ct_report_of (
-      &s, c->settings, ct_replica_members (c->replica), member);
-  struct ct_decision d;
-
-  ct_reports_count (&c->reports, zp_clock_mono (),
-                    ti_store_config (c->store)->index, &report.followers,
-                    &report.current);
-  report.shifts = &c->shifts;
-  ct_decide (c->store, &now, &report, zp_clock_wall (), r, &d);
-  switch (d.kind)
-    {
-    case CT_ANSWER:
-      send_answer (r->from, r->id, &d.u.answer);
-      break;
-    case CT_PROPOSE:
-      propose (c, r, &d.u.command);
-      break;
-    }
-}
-
 /* The configuration for entry daemons.  */
 
-/* Tells the source whether this member can call its configuration current: it
-   leads, or hears from the leader.  */
-static void
-update_fresh (struct ct_control *c)
+void
+ct_control_update_fresh (struct ct_control *c)
 {
   struct lg_status s = ct_replica_status (c->replica);
   bool fresh = ct_replica_lease (c->replica)
@@ -223,172 +57,6 @@
   tk_send (ro_source_task (c->roster.source), m);
 }
 
-/* Callbacks of the log.  */
-
-static void
-log_result (uint64_t index, const struct ti_result *r)
-{
-  struct zp_str ticket
-      = r->digest.hex[0] ? ti_digest_str (&r->digest) : ZP_STR ("");
-
-  ZP_EVENT (ZP_LOG_NOTICE, PART, "a command to a ticket is applied",
-            ZP_F_INT (ZP_KEY_VERSION, index),
-            ZP_F_TEXT (ZP_KEY_TICKET, ticket),
-            ZP_F_TEXT (ZP_KEY_STATE, zp_str_from (ti_state_name (r->state))),
-            ZP_F_INT (ZP_KEY_TICKET_NUMBER, r->number),
-            ZP_F_INT (ZP_KEY_MISTAKES, r->errors.count),
-            ZP_F_INT (ZP_KEY_CONFLICTS, r->conflict.objects.len));
-}
-
-static void
-on_apply (void *self, uint64_t index, uint64_t term, struct zp_str bytes)
-{
-  struct ct_control *c = self;
-  struct ct_waiting *w = ct_waiting_by_index (&c->waiting, index);
-  uint64_t from = ti_store_config (c->store)->index;
-  struct ti_result r;
-
-  c->term = term;
-  ti_store_apply (c->store, index, bytes, &r);
-  log_result (index, &r);
-  if (r.change)
-    {
-      ct_shifts_applied (&c->shifts, r.change, term, zp_clock_mono ());
-      ct_publish_change (c->source, ti_store_config (c->store), term, from,
-                         r.change);
-    }
-  if (w)
-    {
-      assert (!w->answer);
-      w->answer = tk_msg_new (TK_HTTP_ANSWER);
-      const struct tk_http_request q = { .id = w->http, .from = w->from };
-      const struct ct_reply done = { .kind = CT_REPLY_DONE };
-      if (c->interface)
-        c->interface->encode (&q, &done, &w->answer->u.answer);
-      else
-        ct_answer_result (&w->answer->u.answer, &r);
-      w->answer->u.answer.id = w->http;
-    }
-  ti_result_free (&r);
-}
-
-static void
-on_snapshot (void *self, struct zp_buf *out)
-{
-  struct ct_control *c = self;
-
-  ti_store_snapshot (c->store, out);
-}
-
-static bool
-on_restore (void *self, uint64_t index, uint64_t term, struct zp_str state,
-            struct zp_err *err)
-{
-  struct ct_control *c = self;
-  struct ti_store *s = ti_store_restore (state, TI_CONFLICT_BY_OBJECT, err);
-
-  if (!s)
-    return false;
-  ti_store_free (c->store);
-  c->store = s;
-  c->term = term;
-  ct_shifts_restored (&c->shifts, ti_store_config (s), term, zp_clock_mono ());
-  zp_log (ZP_LOG_NOTICE, PART,
-          "restored the state of entry %" PRIu64 ", configuration %" PRIu64,
-          index, ti_store_config (s)->number);
-  ct_publish_whole (c->source, ti_store_config (c->store), c->term);
-  return true;
-}
-
-static void
-on_role (void *self, const struct lg_role_change *change)
-{
-  struct ct_control *c = self;
-  const char *stopped = ct_stop_reason (change->stop);
-
-  zp_log (ZP_LOG_NOTICE, PART, "%s in term %" PRIu64 ", leader %" PRIu64,
-          ct_role_name (change->role), change->term, change->leader);
-  if (stopped)
-    zp_log (ZP_LOG_ERR, PART, "this member has stopped: %s%s%s", stopped,
-            change->error ? ": " : "",
-            change->error ? strerror (change->error) : "");
-  zp_gauge (zp_counter ("zp_control_leader", ""), change->role == LG_LEADER);
-  zp_gauge (zp_counter ("zp_control_stopped", ""), stopped != NULL);
-  update_fresh (c);
-}
-
-static void
-end_waiting (struct ct_control *c, struct ct_waiting *w,
-             const struct lg_reply *reply)
-{
-  struct ct_standing now = standing (c);
-  struct tk_http_answer a = { .status = 0 };
-  struct tk_http_request q = { .id = w->http, .from = w->from };
-
-  switch (reply->kind)
-    {
-    case LG_REPLY_ACCEPTED:
-      w->index = reply->index;
-      return;
-    case LG_REPLY_COMMITTED:
-      assert (w->answer);
-      tk_send (w->from, w->answer);
-      w->answer = NULL;
-      break;
-    case LG_REPLY_REFUSED:
-      if (c->interface)
-        {
-          struct ct_reply refused = ct_calls_refused (&now);
-          q.path = w->path;
-          send_reply (c, &q, &refused);
-          break;
-        }
-      ct_answer_not_leader (&a, &now, zp_str_of (&w->path),
-                            zp_str_of (&w->query));
-      send_answer (w->from, w->http, &a);
-      break;
-    case LG_REPLY_LOST:
-      if (c->interface)
-        {
-          struct ct_reply lost = { .kind = CT_REPLY_UNAVAILABLE };
-          send_reply (c, &q, &lost);
-          break;
-        }
-      ct_answer_lost (&a);
-      send_answer (w->from, w->http, &a);
-      break;
-    }
-  ct_waiting_drop (&c->waiting, w);
-}
-
-static void
-on_answered (void *self, const struct lg_reply *reply)
-{
-  struct ct_control *c = self;
-  struct ct_waiting *w = ct_waiting_by_proposal (&c->waiting, reply->proposal);
-
-  if (w)
-    end_waiting (c, w, reply);
-  else if (reply->kind != LG_REPLY_ACCEPTED
-           && ct_shifts_answered (&c->shifts, reply->proposal))
-    return;
-  else if (reply->proposal == c->change && reply->kind != LG_REPLY_ACCEPTED)
-    {
-      c->change = 0;
-      if (reply->kind == LG_REPLY_REFUSED)
-        zp_log (ZP_LOG_INFO, PART, "change of members put off: %s",
-                reply->reason ? reply->reason : "");
-    }
-}
-
-static void
-on_members (void *self, const struct lg_members *members)
-{
-  (void) self;
-  zp_log (ZP_LOG_NOTICE, PART, "the log has %zu members, %zu of them voters",
-          members->len, lg_members_voters (members));
-}
-
 /* Timer.  */
 
 /* The leader changes the members of the log one at a time until they are what
@@ -421,15 +89,6 @@
   ct_replica_change (c->replica, c->change, &change);
 }
 
-static void
-on_report (void *self, struct zp_str payload)
-{
-  struct ct_control *c = self;
-
-  if (!ct_reports_read (&c->reports, zp_clock_mono (), payload))
-    zp_log (ZP_LOG_WARNING, PART, "a report that cannot be read");
-}
-
 /* Reports of daemons that follow this member, for the leader.  */
 static void
 pass_reports (struct ct_control *c, zp_time now)
@@ -493,8 +152,8 @@
 
   (void) ev;
   (void) events;
-  update_fresh (c);
-  answer_reports (c);
+  ct_control_update_fresh (c);
+  ct_control_answer_reports (c);
   reconcile (c, now);
   pass_reports (c, now);
   move_shifts (c, now);
@@ -533,7 +192,7 @@
       on_stop (c);
       break;
     case TK_HTTP_REQUEST:
-      on_request (c, &m->u.request);
+      ct_control_request (c, &m->u.request);
       break;
     case TK_HTTP_GONE:
       /* The entry is decided all the same; the server drops the answer.  */
@@ -549,7 +208,7 @@
       break;
     case TK_SERVER_SETTLED:
       ct_roster_settled (&c->roster, m->u.settled.ticket);
-      answer_reports (c);
+      ct_control_answer_reports (c);
       break;
     case TK_CENSUS:
       break;
@@ -588,13 +247,7 @@
     .id = (uint64_t) s->id,
     .folder = s->data,
     .address = s->address,
-    .callbacks = { .apply = on_apply,
-                   .take_snapshot = on_snapshot,
-                   .restore = on_restore,
-                   .role = on_role,
-                   .answered = on_answered,
-                   .members = on_members,
-                   .report = on_report },
+    .callbacks = ct_control_callbacks,
     .self = c,
   };
 
--- a/src/gate/choose.c
+++ b/src/gate/choose.c
@@ -1,73 +1,61 @@
-#include <stdlib.h>
+#include <stdint.h>
 
 #include "gate/gate.h"
 
 /* Choice.  */
 
-/* Servers of one region that an object may go to.  All daemons choose the same
-   one, which then knows the object; the next one follows when it is tried,
-   cold, ejected or gone.  */
-#define SERVERS_OF_OBJECT 1
-
 /* The candidates for one request, with the server of each.  */
 struct choices
 {
   struct st_pool_candidate *candidate;
   struct gt_server **server;
-  struct zp_str *region;
   size_t len;
 };
 
 static uint64_t
 rank_of (const struct gt_request *q, const struct gt_server *s)
 {
-  uint64_t object = q->object != 0 ? q->object : q->id;
-
-  return zp_str_hash (zp_str_from (s->report.id), object);
-}
-
-/* How many candidates of the same region rank before candidate AT.  */
-static unsigned
-place_in_region (const struct choices *x, size_t at)
-{
-  unsigned n = 0;
+  const uint64_t pair[] = { s->hash, q->object != 0 ? q->object : q->id };
 
-  for (size_t i = 0; i < x->len; i++)
-    n += x->candidate[i].rank < x->candidate[at].rank
-         && zp_str_eq (x->region[i], x->region[at]);
-  return n;
+  return zp_str_hash (
+      (struct zp_str){ .ptr = (const char *) pair, .len = sizeof pair }, 0);
 }
 
-/* Keeps the servers of the object, if the request concerns one.  */
+/* Keeps in each region the candidate that ranks first.  All daemons choose the
+   same one for an object, so that it knows the object; the next one follows
+   when it is tried, cold, ejected or gone.  */
 static void
 keep_servers_of_object (struct choices *x)
 {
-  size_t kept = 0;
-  unsigned *place = zp_alloc (x->len * sizeof *place);
+  size_t first[ST_MIX_REGIONS], kept = 0;
 
+  for (size_t i = 0; i < ST_MIX_REGIONS; i++)
+    first[i] = SIZE_MAX;
   for (size_t i = 0; i < x->len; i++)
-    place[i] = place_in_region (x, i);
+    {
+      size_t *f = &first[x->server[i]->region];
+      if (*f == SIZE_MAX || x->candidate[i].rank < x->candidate[*f].rank)
+        *f = i;
+    }
   for (size_t i = 0; i < x->len; i++)
     {
-      if (place[i] >= SERVERS_OF_OBJECT)
+      if (first[x->server[i]->region] != i)
         continue;
       x->candidate[kept] = x->candidate[i];
-      x->region[kept] = x->region[i];
       x->server[kept++] = x->server[i];
     }
   x->len = kept;
-  free (place);
 }
 
-/* The time of Q at S.  The first server of its region is expected to know the
-   object from other daemons.  */
+/* The time of Q at S.  A server that an object is kept at is expected to know
+   it, if not from this daemon then from others.  */
 static zp_time
-expected (const struct gt_request *q, const struct gt_server *s, bool warm)
+expected (const struct gt_request *q, const struct gt_server *s)
 {
   zp_time usual = gt_service_usual (s->service);
   zp_time t = q->object == 0
                   ? usual
-                  : st_times_expect (&s->service->times, warm, usual);
+                  : st_times_expect (&s->service->times, true, usual);
   zp_time own = gt_server_usual (s);
 
   /* A slow server is slow with every object.  */
@@ -88,32 +76,25 @@
                                         .way = s->domain_way,
                                         .usual = gt_server_usual (s),
                                         .rank = rank_of (q, s) };
-      x->region[x->len] = gt_server_region (g, s);
       x->server[x->len++] = s;
     }
   if (q->object != 0)
     keep_servers_of_object (x);
   for (size_t i = 0; i < x->len; i++)
-    {
-      struct gt_server *s = x->server[i];
-      bool warm = place_in_region (x, i) == 0
-                  || st_warm_has (&s->warm, q->object, now);
-      x->candidate[i].service = expected (q, s, warm);
-    }
+    x->candidate[i].service = expected (q, x->server[i]);
 }
 
 /* Keeps the candidates of the region with number REGION.  */
 static void
-keep_region (struct gt_gate *g, struct choices *x, size_t region)
+keep_region (struct choices *x, size_t region)
 {
   size_t kept = 0;
 
   for (size_t i = 0; i < x->len; i++)
     {
-      if (gt_region_number (g, x->region[i]) != region)
+      if (x->server[i]->region != region)
         continue;
       x->candidate[kept] = x->candidate[i];
-      x->region[kept] = x->region[i];
       x->server[kept++] = x->server[i];
     }
   x->len = kept;
@@ -125,7 +106,7 @@
 bound_move (struct gt_gate *g, struct choices *x, struct st_pool_choice choice,
             zp_time now)
 {
-  size_t wanted = gt_region_number (g, x->region[choice.at]);
+  size_t wanted = x->server[choice.at]->region;
   double least = st_mix_change (&g->mix, wanted, now);
   size_t region = wanted;
 
@@ -134,7 +115,7 @@
     return choice;
   for (size_t i = 0; i < x->len; i++)
     {
-      size_t other = gt_region_number (g, x->region[i]);
+      size_t other = x->server[i]->region;
       double change = st_mix_change (&g->mix, other, now);
       if (change >= least)
         continue;
@@ -143,7 +124,7 @@
     }
   if (region == wanted)
     return choice;
-  keep_region (g, x, region);
+  keep_region (x, region);
   return st_pool_choose (x->candidate, x->len, now);
 }
 
@@ -152,9 +133,7 @@
            struct gt_server **out)
 {
   struct choices x
-      = { .candidate = zp_alloc (g->servers * sizeof *x.candidate),
-          .server = zp_alloc (g->servers * sizeof (void *)),
-          .region = zp_alloc (g->servers * sizeof *x.region) };
+      = { .candidate = g->choice_candidate, .server = g->choice_server };
 
   fill (g, q, now, &x);
   struct st_pool_choice choice = st_pool_choose (x.candidate, x.len, now);
@@ -162,8 +141,5 @@
     choice = bound_move (g, &x, choice, now);
   if (choice.kind == ST_POOL_SEND)
     *out = x.server[choice.at];
-  free (x.candidate);
-  free (x.server);
-  free (x.region);
   return choice;
 }
--- a/src/gate/config.c
+++ b/src/gate/config.c
@@ -197,6 +197,7 @@
   const struct ti_document *d = document_of (next);
   if (d && (!g->site || d->number > g->site->number))
     read_document (g, d, c->version);
+  gt_server_note_evacuations (g);
   find_taken_back (g, old);
   record_evacuations (old, next, "a failure domain is taken back", c->version);
   record_evacuations (next, old, "a failure domain is evacuated", c->version);
--- a/src/gate/dispatch.c
+++ b/src/gate/dispatch.c
@@ -59,7 +59,7 @@
     q->tried[q->attempts] = s->hash;
   q->attempts++;
   q->phase = GT_RUNNING;
-  st_mix_note (&g->mix, gt_region_number (g, gt_server_region (g, s)), now);
+  st_mix_note (&g->mix, s->region, now);
   q->warm = st_warm_has (&s->warm, q->object, now);
   if (q->object != 0)
     st_warm_note (&s->warm, q->object, now);
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -322,6 +322,8 @@
   for (size_t i = 0; i < g->servers; i++)
     free (g->server[i]);
   free (g->server);
+  free (g->choice_server);
+  free (g->choice_candidate);
   free (g->way);
   zp_places_free (&g->by_http);
   ro_table_free (&g->table);
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -98,6 +98,8 @@
   struct tk_server report;
   zp_time cold_until;
   zp_time domain_way; /* there and back to its failure domain */
+  size_t region;      /* its number */
+  bool evacuated;     /* its failure domain */
   struct st_pool_load load;
   struct st_health health;
   struct st_pace pace;
@@ -179,6 +181,9 @@
   struct ro_table table;
   struct gt_server **server;
   size_t servers;
+  /* For gt_choose, with room for every server.  */
+  struct st_pool_candidate *choice_candidate;
+  struct gt_server **choice_server;
   struct gt_way *way;
   size_t ways;
   struct st_mix mix;
@@ -241,8 +246,9 @@
 
 /* The number of a region; the last one stands for all that have none.  */
 size_t gt_region_number (struct gt_gate *g, struct zp_str region);
-struct zp_str gt_server_region (const struct gt_gate *g,
-                                const struct gt_server *s);
+
+/* Notes at every server whether its failure domain is evacuated now.  */
+void gt_server_note_evacuations (struct gt_gate *g);
 
 /* request.c */
 void gt_request_start (struct gt_gate *g, struct tk_msg *m);
--- a/src/gate/servers.c
+++ b/src/gate/servers.c
@@ -79,7 +79,11 @@
   s->hash = hash;
   s->service = gt_service_get (g, zp_str_from (report->service));
   st_health_add (&s->health, &s->service->group, now);
-  g->server = zp_realloc (g->server, (g->servers + 1) * sizeof (void *));
+  size_t n = g->servers + 1;
+  g->server = zp_realloc (g->server, n * sizeof (void *));
+  g->choice_server = zp_realloc (g->choice_server, n * sizeof (void *));
+  g->choice_candidate
+      = zp_realloc (g->choice_candidate, n * sizeof *g->choice_candidate);
   return g->server[g->servers++] = s;
 }
 
@@ -144,6 +148,10 @@
   s->load.slots = x->report.slots;
   cold_until (g, s, x->cold_until, zp_clock_mono ());
   s->domain_way = way_of (g, x->report.failure_domain)->way;
+  s->region = gt_region_number (
+      g, gt_settings_region (g->settings,
+                             zp_str_from (x->report.failure_domain)));
+  s->evacuated = gt_config_evacuated (g, x->report.failure_domain);
   if (s->load.slots == 0 || s->report.state != TK_SERVER_GONE)
     return;
   ZP_EVENT (ZP_LOG_NOTICE, PART, "a server is gone",
@@ -271,11 +279,12 @@
   return false;
 }
 
-struct zp_str
-gt_server_region (const struct gt_gate *g, const struct gt_server *s)
+void
+gt_server_note_evacuations (struct gt_gate *g)
 {
-  return gt_settings_region (g->settings,
-                             zp_str_from (s->report.failure_domain));
+  for (size_t i = 0; i < g->servers; i++)
+    g->server[i]->evacuated
+        = gt_config_evacuated (g, g->server[i]->report.failure_domain);
 }
 
 size_t
@@ -301,10 +310,11 @@
          const struct gt_server *s)
 {
   struct zp_str rest = zp_str_of (&q->homes), home;
-  struct zp_str region = gt_server_region (g, s);
 
   if (rest.len == 0)
     return true;
+  struct zp_str region = gt_settings_region (
+      g->settings, zp_str_from (s->report.failure_domain));
   while (rest.len > 0)
     {
       zp_str_split (rest, '\n', &home, &rest);
@@ -320,7 +330,7 @@
 {
   return s->service == q->service && s->report.state == TK_SERVER_READY
          && s->report.slots > 0 && !tried (q, s->hash) && at_home (g, q, s)
-         && !gt_config_evacuated (g, s->report.failure_domain);
+         && !s->evacuated;
 }
 
 bool
--- a/tests/test-gate.c
+++ b/tests/test-gate.c
@@ -208,6 +208,8 @@
                                      .ready = zp_str_from (ready),
                                      .regions = { f.regions, 1 },
                                      .lookup_ttl = 100 * ZP_MS,
+                                     .retry_ratio = 0.2,
+                                     .retry_slack = 60,
                                      .grace = 3 * ZP_SEC };
   tk_loop_init (&f.loop);
   tk_task_init (&f.forward, &f.loop, on_forward, &f);
@@ -220,6 +222,10 @@
   f.gate->forward = &f.forward;
   f.gate->roster = &f.roster;
   f.gate->stopped = on_stopped;
+  /* Requests before the test have earned retries.  */
+  struct gt_service *s = gt_service_get (f.gate, ZP_STR ("svc"));
+  for (int i = 0; i < 100; i++)
+    st_budget_first (&s->budget);
   ev_timer_init (&f.guard, on_guard, PATIENCE_S, 0.0);
   ev_timer_start (f.loop.ev, &f.guard);
   if (document)
--- a/tests/test-platform-day.c
+++ b/tests/test-platform-day.c
@@ -104,6 +104,8 @@
   replace (&text, "{{heartbeat|json}}", "\"1500ms\"");
   replace (&text, "{{bounds.grace|json}}", "\"6s\"");
   replace (&text, "{{limits.linkMbps|json}}", "1000.0");
+  replace (&text, "{{bounds.retryRatio|json}}", "0.2");
+  replace (&text, "{{bounds.retrySlack|json}}", "60");
   replace (&text, "{{#zones}}\"{{@}}={{.}}\"{{,}}{{/zones}}", "\"a-1=a\"");
   replace_f (&text, "{{seeds|json}}", "[\"%s:%d\",\"%s:%d\",\"%s:%d\"]",
              ip (0), PORT_CONTROL, ip (1), PORT_CONTROL, ip (2), PORT_CONTROL);
