--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -18,7 +18,7 @@
   struct zp_str http;
   struct zp_str wire;
   struct zp_str wire_listen; /* empty: at WIRE */
-  struct zp_str relay; /* empty: this daemon is no relay */
+  struct zp_str relay;       /* empty: this daemon is no relay */
   struct zp_strs seeds;
   struct zp_strs follow;
   struct zp_str data; /* empty: no disk */
