--- a/tests/test-follow.c
+++ b/tests/test-follow.c
@@ -1,3 +1,4 @@
+#include "guard.h"
 #include "harness.h"
 
 #include <stdlib.h>
@@ -33,8 +34,7 @@
   struct tk_loop loop;
   struct provider p[2];
   struct daemon d[2];
-  ev_timer guard;
-  bool timed_out;
+  struct test_guard guard;
 };
 
 static void
@@ -87,16 +87,6 @@
   tk_msg_free (m);
 }
 
-static void
-on_guard (struct ev_loop *ev, ev_timer *w, int events)
-{
-  struct fixture *f = w->data;
-
-  (void) events;
-  f->timed_out = true;
-  ev_break (ev, EVBREAK_ALL);
-}
-
 static void
 open_provider (struct fixture *f, int i, uint64_t version, bool fresh)
 {
@@ -132,17 +122,15 @@
 static void
 open_fixture (struct fixture *f)
 {
-  *f = (struct fixture){ .timed_out = false };
+  *f = (struct fixture){ .guard.fired = false };
   tk_loop_init (&f->loop);
-  ev_timer_init (&f->guard, on_guard, 20.0, 0.0);
-  f->guard.data = f;
-  ev_timer_start (f->loop.ev, &f->guard);
+  test_guard_start (&f->guard, f->loop.ev, 20.0);
 }
 
 static void
 close_fixture (struct fixture *f)
 {
-  CU_ASSERT (!f->timed_out);
+  CU_ASSERT (!f->guard.fired);
   for (int i = 0; i < 2; i++)
     {
       CU_ASSERT_EQUAL (f->d[i].went_back, 0);
@@ -157,14 +145,14 @@
           tk_task_free (&f->p[i].task);
         }
     }
-  ev_timer_stop (f->loop.ev, &f->guard);
+  test_guard_stop (&f->guard, f->loop.ev);
   tk_loop_free (&f->loop);
 }
 
 static void
 run_until (struct fixture *f, const uint64_t *value, uint64_t want)
 {
-  while (!f->timed_out && *value < want)
+  while (!f->guard.fired && *value < want)
     ev_run (f->loop.ev, EVRUN_ONCE);
 }
 
@@ -203,7 +191,7 @@
   open_follower (&f, 0);
   run_until (&f, &f.d[0].version, 510);
   CU_ASSERT_EQUAL (f.d[0].version, 510);
-  while (!f.timed_out && !f.d[0].fresh)
+  while (!f.guard.fired && !f.d[0].fresh)
     ev_run (f.loop.ev, EVRUN_ONCE);
   CU_ASSERT (f.d[0].fresh);
   close_fixture (&f);
@@ -218,12 +206,12 @@
   open_provider (&f, 0, 500, true);
   open_follower (&f, 0);
   run_until (&f, &f.d[0].version, 500);
-  while (!f.timed_out && !f.d[0].fresh)
+  while (!f.guard.fired && !f.d[0].fresh)
     ev_run (f.loop.ev, EVRUN_ONCE);
   fo_source_close (f.p[0].source);
   tk_task_free (&f.p[0].task);
   f.p[0].source = NULL;
-  while (!f.timed_out && f.d[0].fresh)
+  while (!f.guard.fired && f.d[0].fresh)
     ev_run (f.loop.ev, EVRUN_ONCE);
   CU_ASSERT_EQUAL (f.d[0].version, 500);
   open_provider (&f, 0, 501, true);
--- a/tests/test-forward.c
+++ b/tests/test-forward.c
@@ -1,3 +1,4 @@
+#include "guard.h"
 #include "harness.h"
 
 #include <stdlib.h>
@@ -28,7 +29,7 @@
   struct fake_server server;
   char address[ZP_ADDRESS_MAX];
   struct tk_msg *done;
-  ev_timer guard;
+  struct test_guard guard;
 };
 
 static void
@@ -81,16 +82,6 @@
   ev_break (f->loop.ev, EVBREAK_ALL);
 }
 
-/* A test that hangs fails instead.  */
-static void
-on_guard (struct ev_loop *ev, ev_timer *w, int events)
-{
-  (void) w;
-  (void) events;
-  CU_FAIL ("no TK_FORWARD_DONE arrived");
-  ev_break (ev, EVBREAK_ALL);
-}
-
 static void
 open_fixture (struct fixture *f, const char *const *script)
 {
@@ -116,8 +107,7 @@
   f->server.accepting.data = &f->server;
   if (script)
     ev_io_start (f->loop.ev, &f->server.accepting);
-  ev_timer_init (&f->guard, on_guard, 10.0, 0.0);
-  ev_timer_start (f->loop.ev, &f->guard);
+  test_guard_start (&f->guard, f->loop.ev, 10.0);
 }
 
 static void
@@ -132,7 +122,7 @@
       ev_io_stop (f->loop.ev, &f->server.reading);
       close (f->server.reading.fd);
     }
-  ev_timer_stop (f->loop.ev, &f->guard);
+  test_guard_stop (&f->guard, f->loop.ev);
   close (f->server.listener);
   tk_task_free (&f->task);
   tk_loop_free (&f->loop);
--- a/tests/test-front.c
+++ b/tests/test-front.c
@@ -1,3 +1,4 @@
+#include "guard.h"
 #include "harness.h"
 
 #include <stdlib.h>
@@ -21,7 +22,7 @@
   char answer[65536];
   size_t answer_len;
   ev_io reading;
-  ev_timer guard;
+  struct test_guard guard;
 };
 
 static void
@@ -74,15 +75,6 @@
   ev_break (ev, EVBREAK_ALL);
 }
 
-static void
-on_guard (struct ev_loop *ev, ev_timer *w, int events)
-{
-  (void) w;
-  (void) events;
-  CU_FAIL ("nothing happened within 10 s");
-  ev_break (ev, EVBREAK_ALL);
-}
-
 static void
 open_fixture (struct fixture *f)
 {
@@ -103,15 +95,14 @@
   ev_io_init (&f->reading, on_answer, f->fd, EV_READ);
   f->reading.data = f;
   ev_io_start (f->loop.ev, &f->reading);
-  ev_timer_init (&f->guard, on_guard, 10.0, 0.0);
-  ev_timer_start (f->loop.ev, &f->guard);
+  test_guard_start (&f->guard, f->loop.ev, 10.0);
 }
 
 static void
 close_fixture (struct fixture *f)
 {
   ev_io_stop (f->loop.ev, &f->reading);
-  ev_timer_stop (f->loop.ev, &f->guard);
+  test_guard_stop (&f->guard, f->loop.ev);
   close (f->fd);
   fr_server_close (f->server);
   if (f->request)
--- a/tests/test-gate.c
+++ b/tests/test-gate.c
@@ -1,6 +1,7 @@
 /* The deciding task of an entry daemon, with the forward task and the callers
    played by the test.  */
 
+#include "guard.h"
 #include "harness.h"
 
 #include <stdlib.h>
@@ -27,8 +28,8 @@
   struct tk_daemon said;
   struct ti_store *store;
   uint64_t version;
-  ev_timer guard;
-  bool timed_out, stopped;
+  struct test_guard guard;
+  bool stopped;
 };
 
 static struct fixture f;
@@ -63,14 +64,29 @@
 }
 
 static void
-on_guard (struct ev_loop *ev, ev_timer *w, int events)
+on_pause (struct ev_loop *ev, ev_timer *w, int events)
 {
-  (void) w;
+  bool *over = w->data;
+
   (void) events;
-  f.timed_out = true;
+  *over = true;
   ev_break (ev, EVBREAK_ALL);
 }
 
+/* Lets the loop run for SECONDS.  */
+static void
+pause_for (double seconds)
+{
+  bool over = false;
+  ev_timer wait;
+
+  ev_timer_init (&wait, on_pause, seconds, 0.0);
+  wait.data = &over;
+  ev_timer_start (f.loop.ev, &wait);
+  while (!over)
+    ev_run (f.loop.ev, EVRUN_ONCE);
+}
+
 static void
 on_stopped (void *self)
 {
@@ -163,9 +179,9 @@
 }
 
 #define RUN_UNTIL(condition)                                                  \
-  while (!(condition) && !f.timed_out)                                        \
+  while (!(condition) && !f.guard.fired)                                      \
     ev_run (f.loop.ev, EVRUN_ONCE);                                           \
-  CU_ASSERT_FATAL (!f.timed_out)
+  CU_ASSERT_FATAL (!f.guard.fired)
 
 /* Lets everything that is on its way arrive.  */
 static void
@@ -226,8 +242,7 @@
   struct gt_service *s = gt_service_get (f.gate, ZP_STR ("svc"));
   for (int i = 0; i < 100; i++)
     st_budget_first (&s->budget);
-  ev_timer_init (&f.guard, on_guard, PATIENCE_S, 0.0);
-  ev_timer_start (f.loop.ev, &f.guard);
+  test_guard_start (&f.guard, f.loop.ev, PATIENCE_S);
   if (document)
     put_document (document, 7);
 }
@@ -239,7 +254,7 @@
     tk_msg_free (f.sent[i]);
   for (size_t i = 0; i < f.answers; i++)
     tk_msg_free (f.answer[i]);
-  ev_timer_stop (f.loop.ev, &f.guard);
+  test_guard_stop (&f.guard, f.loop.ev);
   gt_gate_close (f.gate);
   ti_store_free (f.store);
   tk_task_free (&f.forward);
@@ -478,13 +493,7 @@
   tk_send (&f.gate->task, tk_msg_new (TK_STOP));
   RUN_UNTIL (f.said.leaving);
   CU_ASSERT (!f.said.ready);
-  ev_timer wait;
-  ev_timer_init (&wait, on_guard, 0.4, 0.0);
-  ev_timer_start (f.loop.ev, &wait);
-  while (!f.timed_out)
-    ev_run (f.loop.ev, EVRUN_ONCE);
-  ev_timer_stop (f.loop.ev, &wait);
-  f.timed_out = false;
+  pause_for (0.4);
   CU_ASSERT (!f.stopped);
   done (0, TK_END_ANSWER, 200, ZP_RAN, true);
   RUN_UNTIL (f.answers == 1 && f.stopped);
--- a/tests/test-mesh.c
+++ b/tests/test-mesh.c
@@ -1,3 +1,4 @@
+#include "guard.h"
 #include "harness.h"
 
 #include <stdlib.h>
@@ -24,8 +25,7 @@
 {
   struct tk_loop loop;
   struct daemon d[DAEMONS];
-  ev_timer guard;
-  bool timed_out;
+  struct test_guard guard;
 };
 
 static void
@@ -52,16 +52,6 @@
   tk_msg_free (m);
 }
 
-static void
-on_guard (struct ev_loop *ev, ev_timer *w, int events)
-{
-  struct fixture *f = w->data;
-
-  (void) events;
-  f->timed_out = true;
-  ev_break (ev, EVBREAK_ALL);
-}
-
 /* Only daemon 0 is a seed: the others have to learn of each other.  */
 static void
 open_daemon (struct fixture *f, int i, uint64_t incarnation)
@@ -83,7 +73,7 @@
 static void
 open_fixture (struct fixture *f)
 {
-  *f = (struct fixture){ .timed_out = false };
+  *f = (struct fixture){ .guard.fired = false };
   tk_loop_init (&f->loop);
   for (int i = 0; i < DAEMONS; i++)
     {
@@ -92,21 +82,19 @@
       tk_task_init (&f->d[i].task, &f->loop, on_message, &f->d[i]);
       open_daemon (f, i, 100);
     }
-  ev_timer_init (&f->guard, on_guard, 20.0, 0.0);
-  f->guard.data = f;
-  ev_timer_start (f->loop.ev, &f->guard);
+  test_guard_start (&f->guard, f->loop.ev, 20.0);
 }
 
 static void
 close_fixture (struct fixture *f)
 {
-  CU_ASSERT (!f->timed_out);
+  CU_ASSERT (!f->guard.fired);
   for (int i = 0; i < DAEMONS; i++)
     {
       pe_mesh_close (f->d[i].mesh);
       tk_task_free (&f->d[i].task);
     }
-  ev_timer_stop (f->loop.ev, &f->guard);
+  test_guard_stop (&f->guard, f->loop.ev);
   tk_loop_free (&f->loop);
 }
 
@@ -115,7 +103,7 @@
 run_until_up (struct fixture *f, int count)
 {
   for (int i = 0; i < DAEMONS; i++)
-    while (!f->timed_out && f->d[i].mesh && f->d[i].up < count)
+    while (!f->guard.fired && f->d[i].mesh && f->d[i].up < count)
       ev_run (f->loop.ev, EVRUN_ONCE);
 }
 
@@ -131,7 +119,7 @@
   m->u.frame.kind = WI_SERVER_VIEW;
   zp_buf_put (&m->u.frame.payload, ZP_STR ("free 5"));
   tk_send (pe_mesh_task (f.d[1].mesh), m);
-  while (!f.timed_out && f.d[2].frames == 0)
+  while (!f.guard.fired && f.d[2].frames == 0)
     ev_run (f.loop.ev, EVRUN_ONCE);
   CU_ASSERT_STRING_EQUAL (f.d[2].last, "free 5");
   CU_ASSERT_EQUAL (f.d[0].frames, 0);
@@ -147,7 +135,7 @@
   run_until_up (&f, DAEMONS - 1);
   pe_mesh_close (f.d[2].mesh);
   f.d[2].mesh = NULL;
-  while (!f.timed_out && (f.d[0].down == 0 || f.d[1].down == 0))
+  while (!f.guard.fired && (f.d[0].down == 0 || f.d[1].down == 0))
     ev_run (f.loop.ev, EVRUN_ONCE);
   open_daemon (&f, 2, 101);
   run_until_up (&f, DAEMONS);
@@ -163,7 +151,7 @@
   open_fixture (&f);
   run_until_up (&f, DAEMONS - 1);
   tk_send (pe_mesh_task (f.d[1].mesh), tk_msg_new (TK_STOP));
-  while (!f.timed_out && (f.d[0].leaving == 0 || f.d[2].leaving == 0))
+  while (!f.guard.fired && (f.d[0].leaving == 0 || f.d[2].leaving == 0))
     ev_run (f.loop.ev, EVRUN_ONCE);
   CU_ASSERT_EQUAL (f.d[0].down + f.d[2].down, 0);
   close_fixture (&f);
@@ -174,15 +162,13 @@
 static void
 test_links_that_are_not_wanted_are_closed (void)
 {
-  struct fixture f = { .timed_out = false };
+  struct fixture f = { .guard.fired = false };
   struct daemon far[FAR], near = { .up = 0 };
   struct zp_str seeds[FAR];
   struct zp_strs all = { .item = seeds, .len = FAR }, none = { .len = 0 };
 
   tk_loop_init (&f.loop);
-  ev_timer_init (&f.guard, on_guard, 20.0, 0.0);
-  f.guard.data = &f;
-  ev_timer_start (f.loop.ev, &f.guard);
+  test_guard_start (&f.guard, f.loop.ev, 20.0);
   for (int i = 0; i <= FAR; i++)
     {
       struct daemon *d = i < FAR ? &far[i] : &near;
@@ -203,17 +189,17 @@
                               &d->task, NULL);
       CU_ASSERT_FATAL (d->mesh != NULL);
     }
-  while (!f.timed_out
+  while (!f.guard.fired
          && (near.up < FAR || pe_mesh_links (near.mesh) != ZP_REMOTE_LINKS))
     ev_run (f.loop.ev, EVRUN_ONCE);
-  CU_ASSERT (!f.timed_out);
+  CU_ASSERT (!f.guard.fired);
   for (int i = 0; i <= FAR; i++)
     {
       struct daemon *d = i < FAR ? &far[i] : &near;
       pe_mesh_close (d->mesh);
       tk_task_free (&d->task);
     }
-  ev_timer_stop (f.loop.ev, &f.guard);
+  test_guard_stop (&f.guard, f.loop.ev);
   tk_loop_free (&f.loop);
 }
 
--- a/tests/test-roster.c
+++ b/tests/test-roster.c
@@ -1,3 +1,4 @@
+#include "guard.h"
 #include "harness.h"
 
 #include <stdlib.h>
@@ -33,8 +34,7 @@
 
   /* A daemon that takes updates and never acknowledges them.  */
   struct wi_conn *mute;
-  ev_timer guard;
-  bool timed_out;
+  struct test_guard guard;
 };
 
 static void
@@ -81,16 +81,6 @@
   tk_msg_free (m);
 }
 
-static void
-on_guard (struct ev_loop *ev, ev_timer *w, int events)
-{
-  struct fixture *f = w->data;
-
-  (void) events;
-  f->timed_out = true;
-  ev_break (ev, EVBREAK_ALL);
-}
-
 static void
 open_source (struct fixture *f)
 {
@@ -107,15 +97,13 @@
 static void
 open_fixture (struct fixture *f)
 {
-  *f = (struct fixture){ .timed_out = false };
+  *f = (struct fixture){ .guard.fired = false };
   snprintf (f->address, sizeof f->address, "%s", test_address (ROSTER_PORT));
   snprintf (f->http, sizeof f->http, "%s", test_address (HTTP_PORT));
   tk_loop_init (&f->loop);
   tk_task_init (&f->control, &f->loop, on_control, f);
   tk_task_init (&f->entry, &f->loop, on_entry, f);
-  ev_timer_init (&f->guard, on_guard, 15.0, 0.0);
-  f->guard.data = f;
-  ev_timer_start (f->loop.ev, &f->guard);
+  test_guard_start (&f->guard, f->loop.ev, 15.0);
   open_source (f);
 }
 
@@ -141,16 +129,16 @@
   wi_conn_free (f->mute);
   ro_client_close (f->client);
   ro_source_close (f->source);
-  ev_timer_stop (f->loop.ev, &f->guard);
+  test_guard_stop (&f->guard, f->loop.ev);
   tk_task_free (&f->control);
   tk_task_free (&f->entry);
   tk_loop_free (&f->loop);
 }
 
 #define RUN_UNTIL(f, condition)                                               \
-  while (!(condition) && !(f)->timed_out)                                     \
+  while (!(condition) && !(f)->guard.fired)                                   \
     ev_run ((f)->loop.ev, EVRUN_ONCE);                                        \
-  CU_ASSERT_FATAL (!(f)->timed_out)
+  CU_ASSERT_FATAL (!(f)->guard.fired)
 
 static void
 report (struct fixture *f, const char *id, enum tk_server_state state,
