--- a/src/steer/egress.h
+++ b/src/steer/egress.h
@@ -16,7 +16,7 @@
 
 #include "base/clock.h"
 
-/* Half of the shortest latency objective of the sheets is 125 ms.  */
+/* Six tenths of the shortest latency objective of the deployments, 250 ms.  */
 #define ST_EGRESS_WAIT (150 * ZP_MS)
 
 struct st_egress
--- a/src/steer/patience.h
+++ b/src/steer/patience.h
@@ -3,8 +3,8 @@
      caller may return
 
    DESCRIPTION
-     Pure.  Answers the load of the sheets: at the height of a wave, and while
-     servers are cold, more requests arrive than can be answered within their
+     Pure.  Answers the load of the deployments in docs/platform.md: at the
+     height of a wave, and while servers are cold, more requests arrive than can be answered within their
      latency objective.  An answer behind the objective is worth a fifth of one
      in time, and every request that waits makes those behind it late too.  So
      a request waits only as long as it can still be answered within its
@@ -22,10 +22,12 @@
 #include "base/clock.h"
 #include "base/rng.h"
 
-/* Share of the objective that a request may wait when it is late anyway.  */
+/* Share of the objective that a request may wait when it is late anyway: of
+   400 ms, less than a third of the time that it then takes at its server.  */
 #define ST_PATIENCE_LATE 0.25
 
-/* Share of the time left that a request without an objective may wait.  */
+/* Share of the time left that a request without an objective may wait; the
+   other half is for the server.  */
 #define ST_PATIENCE_NONE 0.5
 
 /* Bounds of the time after which a refused caller returns.  Callers wait at
--- a/src/steer/pool.h
+++ b/src/steer/pool.h
@@ -16,7 +16,7 @@
      back, the wait for a slot, and the service time.  On an object that a
      server knows, the service time is a third of the usual one, so that
      waiting for that server beats a free one.  This answers the load of the
-     sheets, where all requests need less than the slots when they meet servers
+     deployments, where all requests need less than the slots when they meet servers
      that know their objects, and twice the slots when they do not: a daemon
      that sends to any free server under load keeps the load up.
 
@@ -35,6 +35,8 @@
 
 #include "base/clock.h"
 
+/* Two to four usual service times, 250 to 480 ms: what ran at the time of a
+   sample has ended then.  */
 #define ST_POOL_HALF_LIFE (1000 * ZP_MS)
 
 /* Daemons tell each other every 200 ms.  */
--- a/src/trace/cause.c
+++ b/src/trace/cause.c
@@ -86,63 +86,53 @@
   return "";
 }
 
-/* The end of an attempt as the line has it; see st_end_name.  */
-static enum tr_cause_kind
-of_end (struct zp_str end)
+struct word
 {
-  static const struct
-  {
-    const char *end;
-    enum tr_cause_kind kind;
-  } ends[] = {
-    { "answer", TR_CAUSE_NONE },
-    { "failure-status", TR_CAUSE_SERVER_FAILED },
-    { "shed", TR_CAUSE_SERVER_REFUSED },
-    { "connection-refused", TR_CAUSE_SERVER_LOST },
-    { "connection-lost", TR_CAUSE_ANSWER_LOST },
-    { "timeout", TR_CAUSE_SERVER_SILENT },
-    { "late", TR_CAUSE_SERVER_SILENT },
-    { "cancelled", TR_CAUSE_CALLER },
-  };
+  const char *text;
+  enum tr_cause_kind kind;
+};
 
-  for (size_t i = 0; i < sizeof ends / sizeof ends[0]; i++)
-    if (zp_str_eq (end, zp_str_from (ends[i].end)))
-      return ends[i].kind;
-  return TR_CAUSE_OTHER;
-}
+/* The ends of attempts; see st_end_name.  */
+static const struct word ends[] = {
+  { "answer", TR_CAUSE_NONE },
+  { "failure-status", TR_CAUSE_SERVER_FAILED },
+  { "shed", TR_CAUSE_SERVER_REFUSED },
+  { "connection-refused", TR_CAUSE_SERVER_LOST },
+  { "connection-lost", TR_CAUSE_ANSWER_LOST },
+  { "timeout", TR_CAUSE_SERVER_SILENT },
+  { "late", TR_CAUSE_SERVER_SILENT },
+  { "cancelled", TR_CAUSE_CALLER },
+  { NULL, TR_CAUSE_OTHER },
+};
+
+/* The reasons of refusals; see docs/operators/logs.md.  */
+static const struct word reasons[] = {
+  { "queue-full", TR_CAUSE_OVERLOAD },
+  { "no-capacity-in-time", TR_CAUSE_OVERLOAD },
+  { "deadline", TR_CAUSE_OVERLOAD },
+  { "link-full", TR_CAUSE_LINK_FULL },
+  { "no-server", TR_CAUSE_NO_SERVER },
+  { "no-server-in-time", TR_CAUSE_NO_SERVER },
+  { "server-full", TR_CAUSE_SERVER_REFUSED },
+  { "crashes-servers", TR_CAUSE_CRASHES },
+  { "poison", TR_CAUSE_CRASHES },
+  { "caller-left", TR_CAUSE_CALLER },
+  { "unknown-path", TR_CAUSE_CALLER },
+  { "unknown-service", TR_CAUSE_CALLER },
+  { "key-required", TR_CAUSE_CALLER },
+  { "bad-key", TR_CAUSE_CALLER },
+  { "key-taken", TR_CAUSE_CALLER },
+  { "body-too-large", TR_CAUSE_CALLER },
+  { "bad-header", TR_CAUSE_CALLER },
+  { NULL, TR_CAUSE_OTHER },
+};
 
-/* The reason of a refusal; see docs/operators/logs.md.  */
 static enum tr_cause_kind
-of_reason (struct zp_str reason)
+find_word (const struct word *words, struct zp_str text)
 {
-  static const struct
-  {
-    const char *reason;
-    enum tr_cause_kind kind;
-  } reasons[] = {
-    { "queue-full", TR_CAUSE_OVERLOAD },
-    { "no-capacity-in-time", TR_CAUSE_OVERLOAD },
-    { "deadline", TR_CAUSE_OVERLOAD },
-    { "link-full", TR_CAUSE_LINK_FULL },
-    { "no-server", TR_CAUSE_NO_SERVER },
-    { "no-server-in-time", TR_CAUSE_NO_SERVER },
-    { "server-full", TR_CAUSE_SERVER_REFUSED },
-    { "crashes-servers", TR_CAUSE_CRASHES },
-    { "poison", TR_CAUSE_CRASHES },
-    { "caller-left", TR_CAUSE_CALLER },
-    { "unknown-path", TR_CAUSE_CALLER },
-    { "unknown-service", TR_CAUSE_CALLER },
-    { "key-required", TR_CAUSE_CALLER },
-    { "bad-key", TR_CAUSE_CALLER },
-    { "key-taken", TR_CAUSE_CALLER },
-    { "body-too-large", TR_CAUSE_CALLER },
-    { "bad-header", TR_CAUSE_CALLER },
-  };
-
-  for (size_t i = 0; i < sizeof reasons / sizeof reasons[0]; i++)
-    if (zp_str_eq (reason, zp_str_from (reasons[i].reason)))
-      return reasons[i].kind;
-  return TR_CAUSE_OTHER;
+  while (words->text && !zp_str_eq (text, zp_str_from (words->text)))
+    words++;
+  return words->kind;
 }
 
 static bool
@@ -181,7 +171,8 @@
         continue;
       struct tr_attempts *a = same ? &c->here : &c->elsewhere;
       a->all++;
-      a->failed += of_end (tr_line_text (x, ZP_KEY_END)) != TR_CAUSE_NONE;
+      a->failed
+          += find_word (ends, tr_line_text (x, ZP_KEY_END)) != TR_CAUSE_NONE;
     }
 }
 
@@ -212,9 +203,9 @@
   else if (lease_lost)
     c.kind = TR_CAUSE_LEASE_LOST;
   else if (attempt)
-    c.kind = of_end (tr_line_text (attempt, ZP_KEY_END));
+    c.kind = find_word (ends, tr_line_text (attempt, ZP_KEY_END));
   else
-    c.kind = of_reason (tr_line_text (c.decision, ZP_KEY_REASON));
+    c.kind = find_word (reasons, tr_line_text (c.decision, ZP_KEY_REASON));
   c.server = attempt ? tr_line_text (attempt, ZP_KEY_SERVER)
                      : tr_line_text (c.decision, ZP_KEY_BEST_SERVER);
   look_around (l, &c);
--- a/tests/test-egress.c
+++ b/tests/test-egress.c
@@ -2,7 +2,7 @@
 
 #include "steer/egress.h"
 
-/* The load of the grown sheets at one entry VM in a burst: a link of 4.7
+/* The load of the larger deployments at one entry VM in a burst: a link of 4.7
    Mbit/s, and 200 requests/s whose answers have 5,000 bytes, 8 Mbit/s. Returns
    the longest wait of an answer, and how many were answered.  */
 static zp_time
--- a/tests/test-pool.c
+++ b/tests/test-pool.c
@@ -16,7 +16,7 @@
 
 /* Guards against sending a request to a free server that does not know its
    object while the one that does is busy for a moment only: under the load of
-   the sheets this doubles the work and keeps the overload up.  */
+   the deployments this doubles the work and keeps the overload up.  */
 static void
 test_waits_for_the_warm_server (void)
 {
@@ -89,7 +89,7 @@
   CU_ASSERT_DOUBLE_EQUAL (st_pool_work (&m, ZP_SEC), 2.0, 0.001);
 }
 
-/* The load of the sheets at one service of a region: 6 servers of 6 slots, 39
+/* The load of a deployment at one service of a region: 6 servers of 6 slots, 39
    objects, 100 requests/s.  A server answers in 110 ms when it knows the
    object and in 360 ms when it does not, and knows the last 40 objects.  Plays
    it with SERVERS candidates for each object and returns the share that met a
@@ -150,7 +150,7 @@
 
 /* Guards against spreading the requests on one object over all servers.  */
 static void
-test_load_of_the_sheets (void)
+test_load_of_a_deployment (void)
 {
   CU_ASSERT (play (2) >= 0.95);
 }
@@ -160,6 +160,6 @@
         { "near before far", test_near_before_far },
         { "equal ones by rank", test_rank },
         { "work of other daemons", test_others },
-        { "load of the sheets", test_load_of_the_sheets } };
+        { "load of a deployment", test_load_of_a_deployment } };
 
 TEST_MAIN ("pool", tests)
