--- a/Makefile
+++ b/Makefile
@@ -84,16 +84,16 @@
 	@mkdir -p $(@D)
 	$(CC) $(CPPFLAGS) -Iplatform $(CFLAGS) -MMD -MP -o $@ $< $(PLATFORM_LIB) $(LIB) $(LDLIBS) -lgsl -lgslcblas -lcunit
 
-# The fault soak: its proxy, and what misbehaves inside control daemons.
+# The fault soak: its proxy.
 $(BUILD)/zp-proxy: soak/proxy.c $(LIB)
 	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -o $@ $< $(LIB) $(LDLIBS)
 
-$(BUILD)/soak-shim.so: soak/shim.c
-	@mkdir -p $(@D)
-	$(CC) $(CPPFLAGS) $(CFLAGS) -shared -fPIC -o $@ $< -ldl
+# The control daemon, with a clock and a disk that misbehave on command.
+$(BUILD)/zp-control-soak: soak/shim.c $(call objs,control) $(LIB)
+	$(CC) $(CPPFLAGS) $(CFLAGS) -o $@ $^ $(LDLIBS) -ldl
 
 .PHONY: soak soak-programs
-soak-programs: all $(BUILD)/zp-proxy $(BUILD)/soak-shim.so
+soak-programs: all $(BUILD)/zp-proxy $(BUILD)/zp-control-soak
 
 # SEEDS: numbers of the plans to run; without them, those that once failed and
 # new ones for SOAK_SECONDS.
--- a/soak/shim.c
+++ b/soak/shim.c
@@ -1,5 +1,5 @@
-/* Loaded by LD_PRELOAD into control daemons of the soak: a clock and a disk
-   that misbehave.  The file that ZP_SOAK_SHIM names holds "CLOCK_MS SYNC_MS
+/* Linked into zp-control-soak before the C library: a clock and a disk that
+   misbehave.  The file that ZP_SOAK_SHIM names holds "CLOCK_MS SYNC_MS
    FULL": the time of day is off by CLOCK_MS, each sync takes SYNC_MS longer,
    and with FULL 1 writes to files fail for lack of room.  It is read again at
    each call, so that faults come and go while the process runs.  */
