gate: callers return to a daemon that starts when it can serve them

Entry daemons are back after 1.3 s and have a configuration 1.8 s later, because control daemons elect a leader first.

Change: st_return_after_start. A daemon without a configuration names the time at which it expects one, spread over 0.3 s: a moment when it is connected to a control daemon that knows the leader (TK_CENSUS says so now), else the rest of the 1.8 s.

Ruled out: holding these requests until the configuration comes; nobody knows that it will.

test-patience and test-gate check the time.

--- a/src/gate/request.c
+++ b/src/gate/request.c
@@ -171,8 +171,9 @@
 
   if (!g->site)
     {
+      zp_time up = zp_clock_mono () - g->opened;
       send_refusal (h->from, h->id, 503, ZP_NOT_RUN, "no-configuration",
-                    ST_RETURN_MAX);
+                    st_return_after_start (up, g->current, &g->rng));
       tk_msg_free (m);
       return;
     }
--- a/src/task/msg.h
+++ b/src/task/msg.h
@@ -265,7 +265,8 @@
 
 struct tk_census
 {
-  unsigned entries;
+  unsigned entries; /* 0: not known yet */
+  bool current;     /* a control daemon that knows the leader is connected */
 };
 
 /* Requests at servers, which are named by the hash of their id.  To the
