--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -222,9 +222,7 @@
       gt_server_take (g, &m->u.server);
       break;
     case TK_CENSUS:
-      g->current = m->u.census.current;
-      if (m->u.census.entries > 0)
-        take_census (g, m->u.census.entries);
+      take_census (g, m->u.census.entries);
       break;
     case TK_LOSS:
       st_blame_lost (&g->blame, m->u.loss.fingerprint, m->u.loss.server,
@@ -272,7 +270,6 @@
   g->settings = s;
   g->interface = i;
   g->daemons = 1;
-  g->opened = zp_clock_mono ();
   share_retries (g);
   st_egress_init (&g->egress, s->link_mbps);
   zp_rng_seed_os (&g->rng);
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -203,8 +203,6 @@
   struct zp_places by_http; /* by the front's id */
 
   struct fr_server *front, *ready;
-  zp_time opened;
-  bool current; /* connected to a control daemon that knows the leader */
   bool leaving;
   zp_time leaving_since;
   void (*stopped) (void *self);
--- a/src/gate/request.c
+++ b/src/gate/request.c
@@ -171,9 +171,8 @@
 
   if (!g->site)
     {
-      zp_time up = zp_clock_mono () - g->opened;
       send_refusal (h->from, h->id, 503, ZP_NOT_RUN, "no-configuration",
-                    st_return_after_start (up, g->current, &g->rng));
+                    ST_RETURN_MAX);
       tk_msg_free (m);
       return;
     }
--- a/src/roster/client.c
+++ b/src/roster/client.c
@@ -49,8 +49,7 @@
   unsigned roster_port, follow_port;
   struct control *control[CONTROLS_MAX];
   size_t controls;
-  unsigned entries; /* as last told, like CURRENT */
-  bool current;
+  unsigned entries; /* as last told */
   zp_time ping_at;
   ev_timer timer;
 };
@@ -161,31 +160,6 @@
 
 /* Connections.  */
 
-static void
-tell_census (struct ro_client *c)
-{
-  unsigned most = 0;
-  bool current = false;
-
-  for (size_t i = 0; i < c->controls; i++)
-    {
-      const struct control *x = c->control[i];
-      current = current || x->standing.current;
-      if (x->conn && x->entries > most)
-        most = x->entries;
-    }
-  /* Without a connection, the last number still counts.  */
-  if (most == 0)
-    most = c->entries;
-  if (most == c->entries && current == c->current)
-    return;
-  c->entries = most;
-  c->current = current;
-  struct tk_msg *m = tk_msg_new (TK_CENSUS);
-  m->u.census = (struct tk_census){ .entries = most, .current = current };
-  tk_send (c->decider, m);
-}
-
 static void
 hang_up (struct control *x, const char *why)
 {
@@ -200,7 +174,6 @@
     return;
   x->standing = (struct ro_standing){ .known = false };
   tell_follower (x->client);
-  tell_census (x->client);
 }
 
 static void
@@ -213,6 +186,22 @@
   zp_buf_free (&b);
 }
 
+static void
+tell_census (struct ro_client *c)
+{
+  unsigned most = 0;
+
+  for (size_t i = 0; i < c->controls; i++)
+    if (c->control[i]->conn && c->control[i]->entries > most)
+      most = c->control[i]->entries;
+  if (most == c->entries || most == 0)
+    return;
+  c->entries = most;
+  struct tk_msg *m = tk_msg_new (TK_CENSUS);
+  m->u.census.entries = most;
+  tk_send (c->decider, m);
+}
+
 static void
 take_update (struct control *x, struct zp_str payload)
 {
@@ -267,7 +256,6 @@
   x->standing.current = current;
   x->standing.was_current = x->standing.was_current || current;
   tell_follower (x->client);
-  tell_census (x->client);
 }
 
 static void
--- a/src/steer/patience.c
+++ b/src/steer/patience.c
@@ -34,13 +34,3 @@
     t = ST_RETURN_MAX;
   return t < ST_RETURN_MIN ? ST_RETURN_MIN : t;
 }
-
-zp_time
-st_return_after_start (zp_time up, bool current, struct zp_rng *rng)
-{
-  zp_time spread = (zp_time) (zp_rng_unit (rng) * ST_RETURN_SPREAD);
-
-  if (current || up > ST_RETURN_START - ST_RETURN_SOON)
-    return ST_RETURN_SOON + spread;
-  return ST_RETURN_START - up + spread;
-}
--- a/src/steer/patience.h
+++ b/src/steer/patience.h
@@ -19,8 +19,6 @@
 #ifndef ZP_STEER_PATIENCE_H
 #define ZP_STEER_PATIENCE_H
 
-#include <stdbool.h>
-
 #include "base/clock.h"
 #include "base/rng.h"
 
@@ -37,18 +35,6 @@
 #define ST_RETURN_MIN (50 * ZP_MS)
 #define ST_RETURN_MAX (1000 * ZP_MS)
 
-/* When a daemon that starts together with all control daemons has its
-   configuration: they have a leader after 1.4 s at 99 of 100
-   (test-election-time), and it reaches the daemons in 0.4 s.  */
-#define ST_RETURN_START (1800 * ZP_MS)
-
-/* The same with a control daemon that knows the leader: some round trips
-   between regions.  */
-#define ST_RETURN_SOON (200 * ZP_MS)
-
-/* Callers who were refused for the same reason return spread over this.  */
-#define ST_RETURN_SPREAD (300 * ZP_MS)
-
 struct st_patience
 {
   zp_time now;
@@ -65,8 +51,4 @@
 /* Time after which a refused caller may return.  */
 zp_time st_return_after (zp_time service, zp_time left, struct zp_rng *rng);
 
-/* The same for a daemon that started UP ago and has no configuration yet.
-   CURRENT: it is connected to a control daemon that knows the leader.  */
-zp_time st_return_after_start (zp_time up, bool current, struct zp_rng *rng);
-
 #endif
--- a/src/task/msg.h
+++ b/src/task/msg.h
@@ -265,8 +265,7 @@
 
 struct tk_census
 {
-  unsigned entries; /* 0: not known yet */
-  bool current;     /* a control daemon that knows the leader is connected */
+  unsigned entries;
 };
 
 /* Requests at servers, which are named by the hash of their id.  To the
