--- a/src/steer/patience.h
+++ b/src/steer/patience.h
@@ -4,13 +4,14 @@
 
    DESCRIPTION
      Pure.  Answers the load of the deployments in docs/platform.md: at the
-     height of a wave, and while servers are cold, more requests arrive than can be answered within their
-     latency objective.  An answer behind the objective is worth a fifth of one
-     in time, and every request that waits makes those behind it late too.  So
-     a request waits only as long as it can still be answered within its
-     objective.  One that will be late without any wait, because the server
-     does not know its object yet, may wait for ST_PATIENCE_LATE of the
-     objective: it warms the server for those that follow.
+     height of a wave, and while servers are cold, more requests arrive than
+     can be answered within their latency objective.  An answer behind the
+     objective is worth a fifth of one in time, and every request that waits
+     makes those behind it late too.  So a request waits only as long as it can
+     still be answered within its objective.  One that will be late without any
+     wait, because the server does not know its object yet, may wait for
+     ST_PATIENCE_LATE of the objective: it warms the server for those that
+     follow.
 
      What cannot be served so is refused at once, and the caller is told to
      return when a part of those that run now have ended.  The time is spread,
