--- a/src/ctl/trace.c
+++ b/src/ctl/trace.c
@@ -3,10 +3,14 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "base/settings.h"
 #include "ctl/command.h"
 #include "ctl/table.h"
 #include "trace/cause.h"
 
+/* A daemon writes at most 300 lines of some 500 bytes a second: an hour.  */
+#define LOG_FILE_MAX ((size_t) 1 << 29)
+
 /* Members that a line of text shows at its begin, or not at all.  */
 static bool
 is_head (const char *key)
@@ -22,29 +26,13 @@
 
 /* Reading.  */
 
-static bool
-read_file (const char *name, struct zp_buf *out, struct zp_err *err)
-{
-  FILE *f = fopen (name, "r");
-  char part[65536];
-  size_t n;
-
-  if (!f)
-    return zp_fail (err, ZP_EIO, "%s: %m", name);
-  while ((n = fread (part, 1, sizeof part, f)) > 0)
-    zp_buf_put_bytes (out, part, n);
-  bool ok = !ferror (f);
-  fclose (f);
-  return ok || zp_fail (err, ZP_EIO, "%s: cannot be read", name);
-}
-
 static bool
 read_logs (const struct zc_logs *x, struct tr_log *out, struct zp_err *err)
 {
   for (size_t i = 0; i < x->files; i++)
     {
       struct zp_buf b = { .ptr = NULL };
-      bool ok = read_file (x->file[i], &b, err);
+      bool ok = zp_file_read (x->file[i], &b, LOG_FILE_MAX, err);
       if (ok)
         tr_log_add (out, zp_str_from (x->file[i]), zp_str_of (&b));
       zp_buf_free (&b);
--- a/src/steer/pool.h
+++ b/src/steer/pool.h
@@ -16,9 +16,9 @@
      back, the wait for a slot, and the service time.  On an object that a
      server knows, the service time is a third of the usual one, so that
      waiting for that server beats a free one.  This answers the load of the
-     deployments, where all requests need less than the slots when they meet servers
-     that know their objects, and twice the slots when they do not: a daemon
-     that sends to any free server under load keeps the load up.
+     deployments, where all requests need less than the slots when they meet
+     servers that know their objects, and twice the slots when they do not: a
+     daemon that sends to any free server under load keeps the load up.
 
      Candidates whose finish differs by less than ST_POOL_NEAR count as equal;
      of these the one with the lowest rank is chosen.
