--- a/src/trace/log.c
+++ b/src/trace/log.c
@@ -130,13 +130,6 @@
   return json_object_get_int64 (v);
 }
 
-bool
-tr_line_is (const struct tr_line *l, const char *part, const char *text)
-{
-  return zp_str_eq (l->part, zp_str_from (part))
-         && zp_str_eq (l->text, zp_str_from (text));
-}
-
 /* Order.  */
 
 /* A line that says where a change has come to, by the version that it makes. */
--- a/src/trace/log.h
+++ b/src/trace/log.h
@@ -63,7 +63,4 @@
 int64_t tr_line_number (const struct tr_line *l, enum zp_field_key key,
                         int64_t none);
 
-/* Whether the line is of PART and has TEXT.  */
-bool tr_line_is (const struct tr_line *l, const char *part, const char *text);
-
 #endif
