forward: copies of earlier answers, answers without end, what servers say

Cause: an answer with the request id of another request was dropped, but its connection was kept, so that the next request got the answer to this one and all later requests on it were shifted by one. An answer without an id was taken for the answer to the request that waits, also a late copy of a refusal on a connection in use again: its request may run although the caller is told that it has not. A body could take 8 MiB for each request in progress, which is more than the memory of an entry VM. Ruled out: bytes glued to an answer (libcurl closes the connection) and heads without end (libcurl ends a single line of 100 KB); both have tests now. Change: src/forward/answer.c reads the head as a module of its own. An answer that is not the request's ends the transfer while its head is read, so that libcurl closes the connection. Where all answers repeat the request id, one without counts only on a connection without an earlier request. Heads are limited to 32 KiB; all bodies together to 64 MiB, the longest is ended first. Server-Leaving and Retry-After become fields of the answer.

--- a/src/base/limits.h
+++ b/src/base/limits.h
@@ -19,6 +19,9 @@
 #define ZP_BODY_MAX (256 * 1024) /* body of a request, or a daemon's answer */
 /* Body of a backend server's answer.  */
 #define ZP_ANSWER_BODY_MAX (8 * 1024 * 1024)
+/* Bodies of all answers that an entry daemon receives at a time; the smallest
+   entry VMs have 260 MB.  */
+#define ZP_ANSWER_BODIES_MAX (64 * 1024 * 1024)
 #define ZP_HEADERS_MAX (16 * 1024)    /* all headers of one message */
 #define ZP_KEY_MAX 256                /* idempotency key */
 #define ZP_SETTINGS_MAX (1024 * 1024) /* settings file */
--- /dev/null
+++ b/src/forward/answer.c
@@ -0,0 +1,173 @@
+#include "forward/answer.h"
+
+#include "base/log.h"
+
+#define PART "forward"
+
+/* Digits of a fraction that are read: microseconds.  */
+#define FRACTION_DIGITS 6
+
+/* Parses "running,waiting,slots".  A malformed value leaves OUT unchanged.  */
+static void
+read_load (struct zp_str value, struct tk_server_load *out)
+{
+  struct zp_str part[3], rest = value;
+  uint64_t n[3];
+
+  for (int i = 0; i < 3; i++)
+    {
+      zp_str_split (rest, ',', &part[i], &rest);
+      if (!zp_str_u64 (part[i], &n[i]) || n[i] > ZP_SERVER_SLOTS_MAX)
+        return;
+    }
+  *out = (struct tk_server_load){ .known = true,
+                                  .running = (unsigned) n[0],
+                                  .waiting = (unsigned) n[1],
+                                  .slots = (unsigned) n[2] };
+}
+
+static bool
+only_digits (struct zp_str s)
+{
+  for (size_t i = 0; i < s.len; i++)
+    if (s.ptr[i] < '0' || s.ptr[i] > '9')
+      return false;
+  return s.len > 0;
+}
+
+/* The digits S after the decimal point as a duration.  */
+static zp_time
+fraction_of (struct zp_str s)
+{
+  zp_time unit = ZP_SEC, t = 0;
+
+  for (size_t i = 0; i < s.len && i < FRACTION_DIGITS; i++)
+    {
+      unit /= 10;
+      t += (s.ptr[i] - '0') * unit;
+    }
+  return t;
+}
+
+bool
+fw_retry_after_parse (struct zp_str value, zp_time *out)
+{
+  struct zp_str whole, fraction;
+  uint64_t seconds;
+  bool has_point = zp_str_split (value, '.', &whole, &fraction);
+
+  if (!only_digits (whole) || (has_point && !only_digits (fraction)))
+    return false;
+  if (!zp_str_u64 (whole, &seconds)
+      || seconds >= (uint64_t) (FW_RETRY_AFTER_MAX / ZP_SEC))
+    *out = FW_RETRY_AFTER_MAX;
+  else
+    *out = (zp_time) seconds * ZP_SEC + fraction_of (fraction);
+  return true;
+}
+
+static void
+read_retry_after (struct zp_str value, struct tk_forward_done *out)
+{
+  if (!fw_retry_after_parse (value, &out->retry_after))
+    zp_log (ZP_LOG_INFO, PART, "ignored a Retry-After of a server: \"%.*s\"",
+            ZP_ARG (value));
+  else if (out->retry_after == FW_RETRY_AFTER_MAX)
+    zp_log (ZP_LOG_NOTICE, PART,
+            "reduced a Retry-After of a server, \"%.*s\", to %d s",
+            ZP_ARG (value), (int) (FW_RETRY_AFTER_MAX / ZP_SEC));
+}
+
+/* Whether LINE is the status line of an interim answer: "HTTP/1.1 100 ...".  */
+static bool
+is_interim (struct zp_str line)
+{
+  struct zp_str version, rest;
+
+  zp_str_split (line, ' ', &version, &rest);
+  return rest.len > 0 && rest.ptr[0] == '1';
+}
+
+/* Forgets the headers of an interim answer.  */
+static void
+begin_answer (struct fw_answer *a, struct zp_str line,
+              struct tk_forward_done *out)
+{
+  a->interim = is_interim (line);
+  zp_buf_clear (&out->headers);
+  zp_buf_clear (&out->content_type);
+  a->has_id = false;
+  a->has_verdict = false;
+  a->not_run = false;
+  out->stamped = false;
+  out->leaving = false;
+  out->retry_after = 0;
+}
+
+bool
+fw_answer_line (struct fw_answer *a, struct zp_str line,
+                struct tk_forward_done *out)
+{
+  const struct fr_header_names *names = a->names;
+  struct zp_str name, value;
+
+  a->head_bytes += line.len;
+  if (a->head_bytes > FW_HEAD_MAX)
+    return false;
+  if (zp_str_starts (line, ZP_STR ("HTTP/")))
+    {
+      begin_answer (a, line, out);
+      return true;
+    }
+  if (zp_str_eq (line, ZP_STR ("\r\n")) || zp_str_eq (line, ZP_STR ("\n")))
+    return a->interim || fw_answer_is_own (a);
+  if (!fr_header_next (&line, &name, &value) || name.len == 0)
+    return true;
+  if (fr_header_is (name, "Content-Type"))
+    {
+      zp_buf_clear (&out->content_type);
+      zp_buf_put (&out->content_type, value);
+    }
+  else if (fr_header_is (name, names->verdict))
+    a->has_verdict = zp_verdict_parse (value, &a->verdict);
+  else if (fr_header_is (name, names->request_id))
+    {
+      a->has_id = true;
+      a->foreign_id = a->foreign_id || !zp_str_eq (value, a->request_id);
+    }
+  else if (fr_header_is (name, names->leaving))
+    out->leaving = true;
+  else if (fr_header_is (name, "Retry-After"))
+    read_retry_after (value, out);
+  else
+    {
+      if (fr_header_is (name, names->not_run))
+        a->not_run = true;
+      else if (fr_header_is (name, names->stamp))
+        out->stamped = true;
+      else if (fr_header_is (name, names->load))
+        read_load (value, &out->load);
+      fr_header_put (names, &out->headers, name, value);
+    }
+  return !a->foreign_id;
+}
+
+bool
+fw_answer_is_own (const struct fw_answer *a)
+{
+  if (a->foreign_id)
+    return false;
+  return a->has_id || !a->reused || !a->names->answers_have_id;
+}
+
+enum zp_verdict
+fw_answer_verdict (const struct fw_answer *a, unsigned status)
+{
+  if (status == 503 && a->has_verdict && a->verdict == ZP_NOT_RUN)
+    return ZP_NOT_RUN;
+  if (a->not_run || (status == 421 && a->expects_instance))
+    return ZP_NOT_RUN;
+  if (a->has_verdict && a->verdict == ZP_MAY_HAVE_RUN)
+    return ZP_MAY_HAVE_RUN;
+  return ZP_RAN;
+}
--- /dev/null
+++ b/src/forward/answer.h
@@ -0,0 +1,66 @@
+/* NAME
+     answer - the head of a backend server's answer
+
+   DESCRIPTION
+     Pure.  Reads the header lines of the answer to one request and tells what
+     the answer says about it.
+
+     A connection that is used again can deliver a late copy of an earlier
+     answer where the answer to the next request is due.  An answer with the
+     request id of another request is never the answer to this one.  With
+     fr_header_names.answers_have_id, an answer without a request id counts
+     only on a connection that has carried no request before: no late copy can
+     arrive there.
+
+     Retry-After has the form of RFC 9110, delay-seconds, and may have a
+     fraction.  A date is not read.  */
+
+#ifndef ZP_FORWARD_ANSWER_H
+#define ZP_FORWARD_ANSWER_H
+
+#include "base/clock.h"
+#include "front/header.h"
+#include "task/msg.h"
+
+/* Bytes of the head of an answer, with those of its interim (1xx) answers.  */
+#define FW_HEAD_MAX (32 * 1024)
+
+/* Longest time for which a server is left alone because of Retry-After.  */
+#define FW_RETRY_AFTER_MAX (600 * ZP_SEC)
+
+struct fw_answer
+{
+  const struct fr_header_names *names;
+  struct zp_str request_id; /* of the request */
+  bool expects_instance;    /* the request names the server that may run it */
+  bool reused;              /* the connection has carried an earlier request */
+
+  size_t head_bytes;
+  bool interim;    /* the status is 1xx: another answer follows */
+  bool has_id;     /* the answer repeats a request id */
+  bool foreign_id; /* that of another request */
+  bool has_verdict;
+  enum zp_verdict verdict; /* as the answer states it */
+  bool not_run;            /* the answer has the not_run header */
+};
+
+/* Reads LINE: the status line, a header line or the empty line after them.
+   Sets the fields of OUT that the header states.  Returns false, so that the
+   connection is closed, when the head exceeds FW_HEAD_MAX or this is not the
+   answer to the request.  The connection has to be closed, because the answer
+   to the request may follow where the one to the next request is due.  */
+bool fw_answer_line (struct fw_answer *a, struct zp_str line,
+                     struct tk_forward_done *out);
+
+/* Whether this is the answer to the request, as far as its head is read.  */
+bool fw_answer_is_own (const struct fw_answer *a);
+
+/* The verdict of a whole answer with STATUS.  A verdict of not-run that the
+   answer states counts only with status 503.  */
+enum zp_verdict fw_answer_verdict (const struct fw_answer *a, unsigned status);
+
+/* Reads the value of Retry-After.  A value above FW_RETRY_AFTER_MAX is reduced
+   to it.  Returns false when VALUE is no number of seconds.  */
+bool fw_retry_after_parse (struct zp_str value, zp_time *out);
+
+#endif
--- a/src/forward/client.c
+++ b/src/forward/client.c
@@ -12,7 +12,7 @@
 #include "base/counter.h"
 #include "base/limits.h"
 #include "base/log.h"
-#include "front/header.h"
+#include "forward/answer.h"
 
 #define PART "forward"
 
@@ -39,10 +39,8 @@
   struct tk_msg *done; /* TK_FORWARD_DONE, filled while the answer arrives */
   zp_time start;
   unsigned sends; /* times the request was handed to a connection; at most 1 */
-  bool wrong_id;  /* the answer has the Request-Id of another request */
-  bool has_verdict;
-  enum zp_verdict verdict;
-  bool not_run; /* the answer has the not_run header */
+  struct fw_answer answer;
+  bool crowded_out; /* its body was dropped, see ZP_ANSWER_BODIES_MAX */
 };
 
 struct fw_client
@@ -54,6 +52,7 @@
   CURLM *multi;
   ev_timer timer;
   struct transfer active; /* list head */
+  size_t body_bytes;      /* of all answers that arrive */
 };
 
 /* Callbacks of one transfer.  */
@@ -76,76 +75,59 @@
   return CURL_PREREQFUNC_OK;
 }
 
+/* Drops the body that T has received.  */
+static void
+drop_body (struct transfer *t)
+{
+  struct zp_buf *body = &t->done->u.done.body;
+
+  t->client->body_bytes -= body->len;
+  zp_buf_free (body);
+}
+
+/* Drops the longest body, so that an answer without end is ended and not those
+   of other servers.  Its transfer ends with its next byte or at its
+   deadline.  */
+static void
+crowd_out (struct fw_client *c)
+{
+  struct transfer *longest = c->active.next;
+
+  for (struct transfer *t = c->active.next; t != &c->active; t = t->next)
+    if (t->done->u.done.body.len > longest->done->u.done.body.len)
+      longest = t;
+  longest->crowded_out = true;
+  drop_body (longest);
+}
+
 static size_t
 on_body (char *bytes, size_t size, size_t n, void *self)
 {
   struct transfer *t = self;
+  struct fw_client *c = t->client;
   struct zp_buf *body = &t->done->u.done.body;
 
   if (body->len + size * n > ZP_ANSWER_BODY_MAX)
     return 0;
+  while (c->body_bytes + size * n > ZP_ANSWER_BODIES_MAX && !t->crowded_out)
+    crowd_out (c);
+  if (t->crowded_out)
+    return 0;
   zp_buf_put_bytes (body, bytes, size * n);
+  c->body_bytes += size * n;
   return size * n;
 }
 
-/* Parses "running,waiting,slots".  A malformed value leaves OUT unchanged.  */
-static void
-read_load (struct zp_str value, struct tk_server_load *out)
-{
-  struct zp_str part[3], rest = value;
-  uint64_t n[3];
-
-  for (int i = 0; i < 3; i++)
-    {
-      zp_str_split (rest, ',', &part[i], &rest);
-      if (!zp_str_u64 (part[i], &n[i]) || n[i] > ZP_SERVER_SLOTS_MAX)
-        return;
-    }
-  *out = (struct tk_server_load){ .known = true,
-                                  .running = (unsigned) n[0],
-                                  .waiting = (unsigned) n[1],
-                                  .slots = (unsigned) n[2] };
-}
-
 static size_t
 on_header (char *bytes, size_t size, size_t n, void *self)
 {
   struct transfer *t = self;
-  struct tk_forward_done *d = &t->done->u.done;
-  const struct fr_header_names *names = t->client->names;
   struct zp_str line = { .ptr = bytes, .len = size * n };
-  struct zp_str name, value;
+  long connects = 0;
 
-  if (zp_str_starts (line, ZP_STR ("HTTP/")))
-    {
-      /* Forget the headers of an interim (1xx) answer.  */
-      zp_buf_clear (&d->headers);
-      zp_buf_clear (&d->content_type);
-      t->has_verdict = false;
-      t->not_run = false;
-      d->stamped = false;
-      return size * n;
-    }
-  if (!fr_header_next (&line, &name, &value) || name.len == 0)
-    return size * n;
-  if (fr_header_is (name, "Content-Type"))
-    zp_buf_put (&d->content_type, value);
-  else if (fr_header_is (name, names->verdict))
-    t->has_verdict = zp_verdict_parse (value, &t->verdict);
-  else if (fr_header_is (name, names->request_id))
-    t->wrong_id
-        = !zp_str_eq (value, zp_str_of (&t->request->u.forward.request_id));
-  else
-    {
-      if (fr_header_is (name, names->not_run))
-        t->not_run = true;
-      else if (fr_header_is (name, names->stamp))
-        d->stamped = true;
-      else if (fr_header_is (name, names->load))
-        read_load (value, &d->load);
-      fr_header_put (names, &d->headers, name, value);
-    }
-  return size * n;
+  curl_easy_getinfo (t->easy, CURLINFO_NUM_CONNECTS, &connects);
+  t->answer.reused = connects == 0;
+  return fw_answer_line (&t->answer, line, &t->done->u.done) ? size * n : 0;
 }
 
 /* Transfers.  */
@@ -167,11 +149,15 @@
   transfer_unlink (t);
   tk_msg_free (t->request);
   if (t->done)
-    tk_msg_free (t->done);
+    {
+      drop_body (t);
+      tk_msg_free (t->done);
+    }
   free (t);
 }
 
-/* Sends TK_FORWARD_DONE and frees T.  */
+/* Sends TK_FORWARD_DONE and frees T.  Of an answer that is not whole nothing
+   is passed on.  */
 static void
 finish (struct transfer *t, enum tk_forward_end end, enum zp_verdict verdict)
 {
@@ -179,61 +165,60 @@
   struct tk_msg *m = t->done;
   struct tk_forward_done *d = &m->u.done;
 
-  t->done = NULL;
-  d->end = end;
-  d->verdict = verdict;
-  d->elapsed = zp_clock_mono () - t->start;
   if (end != TK_END_ANSWER)
     {
-      zp_buf_clear (&d->body);
+      drop_body (t);
       zp_buf_clear (&d->headers);
       zp_buf_clear (&d->content_type);
       d->status = 0;
+      d->leaving = false;
     }
+  c->body_bytes -= d->body.len;
+  if (d->status != 503)
+    d->retry_after = 0;
+  t->done = NULL;
+  d->end = end;
+  d->verdict = verdict;
+  d->elapsed = zp_clock_mono () - t->start;
   transfer_free (t);
   tk_send (c->reply_to, m);
 }
 
-/* The verdict of a whole answer.  A Run-Verdict of not-run counts only with
-   status 503.  */
-static enum zp_verdict
-answer_verdict (const struct transfer *t, unsigned status)
+/* Finishes T, whose answer has arrived whole.  */
+static void
+finish_answer (struct transfer *t)
 {
-  if (status == 503 && t->has_verdict && t->verdict == ZP_NOT_RUN)
-    return ZP_NOT_RUN;
-  if (t->not_run || (status == 421 && t->request->u.forward.expect[0]))
-    return ZP_NOT_RUN;
-  if (t->has_verdict && t->verdict == ZP_MAY_HAVE_RUN)
-    return ZP_MAY_HAVE_RUN;
-  return ZP_RAN;
+  struct tk_forward_done *d = &t->done->u.done;
+  long status = 0;
+  curl_off_t us = 0;
+
+  curl_easy_getinfo (t->easy, CURLINFO_RESPONSE_CODE, &status);
+  d->status = (unsigned) status;
+  d->reused = t->answer.reused;
+  if (!d->reused)
+    {
+      curl_easy_getinfo (t->easy, CURLINFO_CONNECT_TIME_T, &us);
+      d->connect = (zp_time) us;
+    }
+  finish (t, TK_END_ANSWER, fw_answer_verdict (&t->answer, d->status));
 }
 
 static void
 finish_by_result (struct transfer *t, CURLcode result)
 {
-  long status = 0, connects = 0;
+  bool own = fw_answer_is_own (&t->answer);
 
-  if (result == CURLE_OK && !t->wrong_id)
+  if (result == CURLE_OK && own && !t->crowded_out)
     {
-      curl_easy_getinfo (t->easy, CURLINFO_RESPONSE_CODE, &status);
-      t->done->u.done.status = (unsigned) status;
-      curl_easy_getinfo (t->easy, CURLINFO_NUM_CONNECTS, &connects);
-      t->done->u.done.reused = connects == 0;
-      if (connects > 0)
-        {
-          curl_off_t us = 0;
-          curl_easy_getinfo (t->easy, CURLINFO_CONNECT_TIME_T, &us);
-          t->done->u.done.connect = (zp_time) us;
-        }
-      finish (t, TK_END_ANSWER, answer_verdict (t, (unsigned) status));
+      finish_answer (t);
       return;
     }
-  if (t->wrong_id)
+  if (result == CURLE_WRITE_ERROR && !own)
     {
       zp_count (zp_counter ("zp_forward_crossed_answers_total", ""), 1);
       zp_log (ZP_LOG_WARNING, PART,
-              "dropped an answer from %s: it has the request id of another "
-              "request",
+              "dropped an answer from %s: it is not the answer to the request "
+              "that was sent",
               t->request->u.forward.address);
     }
   if (t->sends == 0)
@@ -398,6 +383,11 @@
   t->start = zp_clock_mono ();
   t->done = tk_msg_new (TK_FORWARD_DONE);
   t->done->u.done.id = m->u.forward.id;
+  t->answer = (struct fw_answer){
+    .names = c->names,
+    .request_id = zp_str_of (&m->u.forward.request_id),
+    .expects_instance = m->u.forward.expect[0] != '\0',
+  };
   t->next = c->active.next;
   t->prev = &c->active;
   t->next->prev = t;
--- a/src/forward/client.h
+++ b/src/forward/client.h
@@ -17,7 +17,12 @@
      task aborts the transfer instead.
 
      A connection whose answer was not read to its end is closed, never reused.
-     An answer whose Request-Id differs from that of the request is dropped.
+     An answer that is not the answer to the request (answer.h) is dropped, and
+     its connection is closed.
+
+     A server can send bytes without end.  An answer ends as lost when its head
+     exceeds FW_HEAD_MAX or its body ZP_ANSWER_BODY_MAX, and while all bodies
+     together exceed ZP_ANSWER_BODIES_MAX, the longest one.
  */
 
 #ifndef ZP_FORWARD_CLIENT_H
--- a/src/front/header.c
+++ b/src/front/header.c
@@ -45,7 +45,8 @@
   if (fr_header_is (name, names->deadline_ms)
       || fr_header_is (name, names->request_id)
       || fr_header_is (name, names->verdict) || fr_header_is (name, names->key)
-      || fr_header_is (name, names->expect))
+      || fr_header_is (name, names->expect)
+      || fr_header_is (name, names->leaving))
     return false;
   for (size_t i = 0; i < sizeof not_forwarded / sizeof not_forwarded[0]; i++)
     if (fr_header_is (name, not_forwarded[i]))
--- a/src/front/header.h
+++ b/src/front/header.h
@@ -21,6 +21,8 @@
   const char *verdict; /* enum zp_verdict: whether the request ran */
   const char *key;     /* idempotency key */
   const char *expect;  /* id of the only server that may run the request */
+  const char
+      *leaving; /* present: the server leaves and takes no new request */
 
   const char *affinity; /* requests with equal values use the same object */
   const char *stamp;    /* present: made by the server itself */
@@ -28,6 +30,11 @@
   const char *load;     /* "running,waiting,slots" of the server */
   const char *cold_ms;  /* milliseconds until the server is warm */
   const char *instance; /* id of the server */
+
+  /* Every answer of a backend server repeats the request id.  Without this,
+     an answer that has none is taken for the answer to the request that
+     waits.  */
+  bool answers_have_id;
 };
 
 /* The names of zinniapost's native interface.  */
--- a/src/task/msg.h
+++ b/src/task/msg.h
@@ -144,8 +144,10 @@
   enum zp_verdict verdict;
   unsigned status;
   bool stamped; /* the answer has the stamp header of a server */
+  bool leaving; /* the server leaves and takes no new request */
   bool reused;  /* the connection was used for an earlier request */
   struct tk_server_load load;
+  zp_time retry_after; /* a 503 asks for no request for so long; 0: none */
   zp_time elapsed;
   zp_time connect; /* time to establish the connection; 0: reused */
   struct zp_buf content_type;
--- a/tests/test-forward.c
+++ b/tests/test-forward.c
@@ -1,16 +1,23 @@
 #include "guard.h"
 #include "harness.h"
 
+#include <fcntl.h>
+#include <malloc.h>
 #include <stdlib.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "forward/answer.h"
 #include "forward/client.h"
 #include "wire/address.h"
 
+#define FLOODS_MAX 48
+
 /* A backend server that answers each request with the next text of its script.
    It does not answer when the text is "silence", and closes the connection
-   when the text is empty or the script has ended.  */
+   when the text is empty or the script has ended.  With FLOOD set, it answers
+   each request with FLOOD_HEAD and then FLOOD again and again, until the other
+   side closes the connection.  */
 struct fake_server
 {
   struct ev_loop *ev;
@@ -18,10 +25,58 @@
   ev_io accepting;
   ev_io reading;
   const char *const *script;
+  const char *flood_head;
+  struct zp_str flood;
+  ev_io flooding[FLOODS_MAX];
+  size_t floods;      /* connections that were flooded */
+  size_t flooded;     /* bytes that were sent after the head */
+  size_t memory_most; /* largest heap while floods were sent */
+  int connections;    /* accepted */
   int requests;
   char last[4096]; /* request */
 };
 
+/* Bytes that the program has allocated.  */
+static size_t
+heap_bytes (void)
+{
+  struct mallinfo2 m = mallinfo2 ();
+
+  return m.uordblks + m.hblkhd;
+}
+
+static void
+on_flood (struct ev_loop *ev, ev_io *w, int events)
+{
+  struct fake_server *s = w->data;
+  ssize_t n = send (w->fd, s->flood.ptr, s->flood.len, MSG_NOSIGNAL);
+  size_t heap = heap_bytes ();
+
+  (void) events;
+  s->memory_most = heap > s->memory_most ? heap : s->memory_most;
+  if (n > 0)
+    {
+      s->flooded += (size_t) n;
+      return;
+    }
+  ev_io_stop (ev, w);
+  close (w->fd);
+}
+
+/* Answers the request on FD with a flood.  */
+static void
+start_flood (struct fake_server *s, int fd)
+{
+  ev_io *w = &s->flooding[s->floods++];
+
+  CU_ASSERT_FATAL (s->floods <= FLOODS_MAX);
+  CU_ASSERT (send (fd, s->flood_head, strlen (s->flood_head), 0) > 0);
+  fcntl (fd, F_SETFL, O_NONBLOCK);
+  ev_io_init (w, on_flood, fd, EV_WRITE);
+  w->data = s;
+  ev_io_start (s->ev, w);
+}
+
 struct fixture
 {
   struct tk_loop loop;
@@ -29,7 +84,10 @@
   struct fw_client *client;
   struct fake_server server;
   char address[ZP_ADDRESS_MAX];
-  struct tk_msg *done;
+  struct tk_msg *done; /* the last one */
+  int dones;
+  const char *request_id;
+  uint64_t last_id;
   struct test_guard guard;
 };
 
@@ -48,6 +106,13 @@
     }
   s->last[n] = '\0';
   s->requests++;
+  if (s->flood.len > 0)
+    {
+      ev_io_stop (ev, w);
+      start_flood (s, w->fd);
+      free (w);
+      return;
+    }
   const char *text = *s->script ? *s->script++ : "";
   if (text[0] == '\0')
     {
@@ -66,6 +131,15 @@
   int fd = accept (w->fd, NULL, NULL);
 
   (void) events;
+  s->connections++;
+  if (s->flood.len > 0)
+    {
+      ev_io *x = zp_alloc (sizeof *x);
+      ev_io_init (x, on_request, fd, EV_READ);
+      x->data = s;
+      ev_io_start (ev, x);
+      return;
+    }
   ev_io_stop (ev, &s->reading);
   ev_io_init (&s->reading, on_request, fd, EV_READ);
   s->reading.data = s;
@@ -78,23 +152,26 @@
   struct fixture *f = self;
 
   CU_ASSERT_EQUAL (m->kind, TK_FORWARD_DONE);
-  CU_ASSERT_PTR_NULL (f->done);
+  if (f->done)
+    tk_msg_free (f->done);
   f->done = m;
+  f->dones++;
   ev_break (f->loop.ev, EVBREAK_ALL);
 }
 
 static void
-open_fixture (struct fixture *f, const char *const *script)
+open_fixture_with (struct fixture *f, const char *const *script,
+                   const struct fr_header_names *names)
 {
   struct sockaddr_storage sa;
   socklen_t len;
   int one = 1;
 
-  *f = (struct fixture){ .done = NULL };
+  *f = (struct fixture){ .request_id = "r7" };
   snprintf (f->address, sizeof f->address, "%s", test_address (19281));
   tk_loop_init (&f->loop);
   tk_task_init (&f->task, &f->loop, on_done, f);
-  f->client = fw_client_open (&f->loop, &f->task);
+  f->client = fw_client_open_with (&f->loop, &f->task, names);
   CU_ASSERT_FATAL (
       wi_address_parse (zp_str_from (f->address), &sa, &len, NULL));
   f->server = (struct fake_server){ .ev = f->loop.ev, .script = script };
@@ -103,7 +180,7 @@
   CU_ASSERT_FATAL (bind (f->server.listener, (struct sockaddr *) &sa, len)
                    == 0);
   if (script)
-    CU_ASSERT_FATAL (listen (f->server.listener, 8) == 0);
+    CU_ASSERT_FATAL (listen (f->server.listener, FLOODS_MAX) == 0);
   ev_io_init (&f->server.accepting, on_accept, f->server.listener, EV_READ);
   f->server.accepting.data = &f->server;
   if (script)
@@ -111,6 +188,12 @@
   test_guard_start (&f->guard, f->loop.ev, 10.0);
 }
 
+static void
+open_fixture (struct fixture *f, const char *const *script)
+{
+  open_fixture_with (f, script, &fr_header_names_default);
+}
+
 static void
 close_fixture (struct fixture *f)
 {
@@ -118,6 +201,12 @@
     tk_msg_free (f->done);
   fw_client_close (f->client);
   ev_io_stop (f->loop.ev, &f->server.accepting);
+  for (size_t i = 0; i < f->server.floods; i++)
+    if (ev_is_active (&f->server.flooding[i]))
+      {
+        ev_io_stop (f->loop.ev, &f->server.flooding[i]);
+        close (f->server.flooding[i].fd);
+      }
   if (ev_is_active (&f->server.reading))
     {
       ev_io_stop (f->loop.ev, &f->server.reading);
@@ -137,14 +226,14 @@
   if (f->done)
     tk_msg_free (f->done);
   f->done = NULL;
-  m->u.forward.id = 7;
+  m->u.forward.id = f->last_id = 7 + f->last_id;
   snprintf (m->u.forward.address, sizeof m->u.forward.address, "%s",
             f->address);
   zp_buf_put (&m->u.forward.method, ZP_STR ("POST"));
   zp_buf_put (&m->u.forward.target, ZP_STR ("/x?a=b"));
   zp_buf_put (&m->u.forward.body, ZP_STR ("body"));
   zp_buf_put (&m->u.forward.headers, ZP_STR ("X-Partner: mend\n"));
-  zp_buf_put (&m->u.forward.request_id, ZP_STR ("r7"));
+  zp_buf_put (&m->u.forward.request_id, zp_str_from (f->request_id));
   m->u.forward.deadline = zp_clock_mono () + timeout;
   tk_send (fw_client_task (f->client), m);
 }
@@ -293,7 +382,7 @@
   open_fixture (&f, script);
   send_request (&f, 5 * ZP_SEC);
   struct tk_msg *m = tk_msg_new (TK_FORWARD_CANCEL);
-  m->u.cancel.id = 7;
+  m->u.cancel.id = f.last_id;
   tk_send (fw_client_task (f.client), m);
   ev_run (f.loop.ev, 0);
   CU_ASSERT_FATAL (f.done != NULL);
@@ -303,7 +392,211 @@
   close_fixture (&f);
 }
 
+/* Header names of an interface whose answers all repeat the request id.  */
+static const struct fr_header_names strict = {
+  .deadline_ms = "Deadline-Ms",
+  .request_id = "Request-Id",
+  .stamp = "Stamp",
+  .not_run = "Not-Run",
+  .leaving = "Leaving",
+  .answers_have_id = true,
+};
+
+/* Guards against a late second copy of an answer on a connection in use again:
+   it is not the answer to the next request, and the connection is closed,
+   since the answer to that request follows where a third one expects its
+   own.  */
+static void
+test_copy_of_an_earlier_answer (void)
+{
+  static const char *const script[]
+      = { OK "Request-Id: r7\r\n\r\nhi", OK "Request-Id: r7\r\n\r\nhi",
+          OK "Request-Id: r9\r\n\r\nyo", NULL };
+  struct fixture f;
+
+  open_fixture_with (&f, script, &strict);
+  CU_ASSERT_EQUAL (exchange (&f, 5 * ZP_SEC)->end, TK_END_ANSWER);
+  f.request_id = "r8";
+  const struct tk_forward_done *d = exchange (&f, 5 * ZP_SEC);
+  CU_ASSERT_EQUAL (d->end, TK_END_LOST);
+  CU_ASSERT_EQUAL (d->verdict, ZP_MAY_HAVE_RUN);
+  CU_ASSERT_EQUAL (f.server.connections, 1);
+  f.request_id = "r9";
+  d = exchange (&f, 5 * ZP_SEC);
+  CU_ASSERT_EQUAL (d->end, TK_END_ANSWER);
+  CU_ASSERT (zp_str_eq (zp_str_of (&d->body), ZP_STR ("yo")));
+  CU_ASSERT_EQUAL (f.server.connections, 2);
+  close_fixture (&f);
+}
+
+/* Guards against a copy of an earlier refusal without a request id that is
+   taken for the answer to the next request, which then runs although its
+   caller was told that it has not (P4).  On a connection without an earlier
+   request such an answer is the server's.  */
+static void
+test_refusal_without_id (void)
+{
+  static const char *const script[]
+      = { "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+          "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+          NULL };
+  struct fixture f;
+
+  open_fixture_with (&f, script, &strict);
+  CU_ASSERT_EQUAL (exchange (&f, 5 * ZP_SEC)->verdict, ZP_NOT_RUN);
+  const struct tk_forward_done *d = exchange (&f, 5 * ZP_SEC);
+  CU_ASSERT_EQUAL (d->end, TK_END_LOST);
+  CU_ASSERT_EQUAL (d->verdict, ZP_MAY_HAVE_RUN);
+  close_fixture (&f);
+}
+
+/* Guards against bytes after a whole answer, in the same packet, that are
+   taken for the answer to the next request.  */
+static void
+test_copy_glued_to_the_answer (void)
+{
+  static const char *const script[]
+      = { OK "Request-Id: r7\r\n\r\nhi" OK "Request-Id: r7\r\n\r\nhi",
+          OK "Request-Id: r8\r\n\r\nyo", NULL };
+  struct fixture f;
+
+  open_fixture_with (&f, script, &strict);
+  CU_ASSERT_EQUAL (exchange (&f, 5 * ZP_SEC)->end, TK_END_ANSWER);
+  f.request_id = "r8";
+  const struct tk_forward_done *d = exchange (&f, 5 * ZP_SEC);
+  CU_ASSERT_EQUAL (d->end, TK_END_ANSWER);
+  CU_ASSERT (zp_str_eq (zp_str_of (&d->body), ZP_STR ("yo")));
+  CU_ASSERT_EQUAL (f.server.connections, 2);
+  close_fixture (&f);
+}
+
+/* Guards against an interim answer to another request whose headers are
+   forgotten, and against an interim answer without an id that ends the
+   request.  */
+static void
+test_interim_answers (void)
+{
+  static const char *const script[]
+      = { OK "Request-Id: r7\r\n\r\nhi",
+          "HTTP/1.1 103 Early\r\n\r\n" OK "Request-Id: r7\r\n\r\nhi",
+          "HTTP/1.1 103 Early\r\nRequest-Id: r6\r\n\r\n" OK
+          "Request-Id: r7\r\n\r\nhi",
+          NULL };
+  struct fixture f;
+
+  open_fixture_with (&f, script, &strict);
+  CU_ASSERT_EQUAL (exchange (&f, 5 * ZP_SEC)->end, TK_END_ANSWER);
+  CU_ASSERT_EQUAL (exchange (&f, 5 * ZP_SEC)->end, TK_END_ANSWER);
+  CU_ASSERT_EQUAL (exchange (&f, 5 * ZP_SEC)->end, TK_END_LOST);
+  close_fixture (&f);
+}
+
+/* Guards against losing what a server says of itself, and against passing it
+   on to the caller as if it were ours.  */
+static void
+test_leaving_and_retry_after (void)
+{
+  static const struct
+  {
+    const char *answer;
+    bool leaving;
+    zp_time retry_after;
+  } cases[] = {
+    { OK "Request-Id: r7\r\nLeaving: 1\r\n\r\nhi", true, 0 },
+    { OK "Request-Id: r7\r\nRetry-After: 3\r\n\r\nhi", false, 0 },
+    { "HTTP/1.1 503 Busy\r\nRequest-Id: r7\r\nRetry-After: 1.25\r\n"
+      "Content-Length: 0\r\n\r\n",
+      false, 1250 * ZP_MS },
+    { "HTTP/1.1 503 Busy\r\nRequest-Id: r7\r\nLeaving: 1\r\n"
+      "Retry-After: 99999999999999999999\r\nContent-Length: 0\r\n\r\n",
+      true, FW_RETRY_AFTER_MAX },
+    { "HTTP/1.1 503 Busy\r\nRequest-Id: r7\r\nRetry-After: -1\r\n"
+      "Content-Length: 0\r\n\r\n",
+      false, 0 },
+    { "HTTP/1.1 503 Busy\r\nRequest-Id: r7\r\nRetry-After: "
+      "Sun, 06 Nov 1994 08:49:37 GMT\r\nContent-Length: 0\r\n\r\n",
+      false, 0 },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      const char *const script[] = { cases[i].answer, NULL };
+      struct fixture f;
+      open_fixture_with (&f, script, &strict);
+      const struct tk_forward_done *d = exchange (&f, 5 * ZP_SEC);
+      CU_ASSERT_EQUAL (d->end, TK_END_ANSWER);
+      CU_ASSERT_EQUAL (d->leaving, cases[i].leaving);
+      CU_ASSERT_EQUAL (d->retry_after, cases[i].retry_after);
+      CU_ASSERT_EQUAL (d->headers.len, 0);
+      close_fixture (&f);
+    }
+}
+
+/* Guards against a head without end that is read until the deadline: the
+   connection is closed after a bounded number of bytes.  */
+static void
+test_endless_head (void)
+{
+  static const char *const heads[][2]
+      = { { "HTTP/1.1 200 OK\r\n", "X-Pad: 0123456789abcdef\r\n" },
+          { "HTTP/1.1 200 OK\r\nX-Pad: ", "0123456789abcdef" },
+          { "", "HTTP/1.1 103 Early\r\nX-Pad: 01234\r\n\r\n" },
+          { "x", "0123456789abcdef" } };
+
+  for (size_t i = 0; i < sizeof heads / sizeof heads[0]; i++)
+    {
+      static const char *const none[] = { NULL };
+      struct fixture f;
+      open_fixture_with (&f, none, &strict);
+      f.server.flood_head = heads[i][0][0] ? heads[i][0] : heads[i][1];
+      f.server.flood = zp_str_from (heads[i][1]);
+      const struct tk_forward_done *d = exchange (&f, 8 * ZP_SEC);
+      CU_ASSERT_EQUAL (d->end, TK_END_LOST);
+      CU_ASSERT_EQUAL (d->verdict, ZP_MAY_HAVE_RUN);
+      CU_ASSERT (d->elapsed < 4 * ZP_SEC);
+      close_fixture (&f);
+    }
+}
+
+/* Guards against a daemon that is killed for its memory while many servers
+   send bodies without end.  A buffer can have twice the size of what it
+   holds, and half as much again while it grows.  */
+static void
+test_endless_bodies (void)
+{
+  enum
+  {
+    REQUESTS = 40
+  };
+  static const char *const none[] = { NULL };
+  static char chunk[64 * 1024];
+  struct fixture f;
+
+  open_fixture_with (&f, none, &strict);
+  f.server.flood_head = "HTTP/1.1 200 OK\r\nRequest-Id: r7\r\n\r\n";
+  f.server.flood = (struct zp_str){ .ptr = chunk, .len = sizeof chunk };
+  size_t before = heap_bytes ();
+  for (int i = 0; i < REQUESTS; i++)
+    send_request (&f, 8 * ZP_SEC);
+  while (f.dones < REQUESTS && !f.guard.fired)
+    {
+      ev_run (f.loop.ev, 0);
+      CU_ASSERT_FATAL (f.done != NULL);
+      CU_ASSERT_EQUAL (f.done->u.done.end, TK_END_LOST);
+      CU_ASSERT_EQUAL (f.done->u.done.verdict, ZP_MAY_HAVE_RUN);
+    }
+  CU_ASSERT (f.server.memory_most < before + 3 * ZP_ANSWER_BODIES_MAX);
+  close_fixture (&f);
+}
+
 static const struct zp_test tests[] = {
+  { "a copy of an earlier answer", test_copy_of_an_earlier_answer },
+  { "a refusal without id", test_refusal_without_id },
+  { "a copy glued to the answer", test_copy_glued_to_the_answer },
+  { "interim answers", test_interim_answers },
+  { "what a server says of itself", test_leaving_and_retry_after },
+  { "an endless head", test_endless_head },
+  { "endless bodies", test_endless_bodies },
   { "a whole answer", test_whole_answer },
   { "a refused connection is not-run", test_refused_connection_is_not_run },
   { "no resend after a reused connection is lost",
