gate, roster: servers that leave by their answers, pauses, odd entries

Cause: a server says in its answers that it leaves, and with a 503 that it wants no request for some time; both were ignored. One entry of a roster update that cannot be used (a state that a newer sender knows, a port out of range) made the entry daemon drop the connection, connect again, get the same entry, and so on: it stopped following the list. Change: ro_table_leave marks a start that no later report makes ready again. A paused server gets nothing until its time has passed; a request whose deadline comes first does not wait for it. Entries that cannot be used are left out, counted and logged; the others hold.

--- a/src/gate/dispatch.c
+++ b/src/gate/dispatch.c
@@ -58,7 +58,10 @@
                       now);
   q->server_hash = s->hash;
   q->attempt_started = now;
-  q->fresh_connection = st_health_wants_fresh (&s->health);
+  /* A server that is tried again, because the list of tried ones is full, can
+     still send a copy of its earlier answer to Q on the same connection.  */
+  q->fresh_connection
+      = st_health_wants_fresh (&s->health) || q->attempts >= GT_TRIED_MAX;
   if (q->attempts < GT_TRIED_MAX)
     q->tried[q->attempts] = s->hash;
   q->attempts++;
@@ -343,6 +346,10 @@
   if (d->load.known)
     st_balance_sample (&s->load, d->load.running, d->load.waiting, s->load.own,
                        now);
+  if (d->leaving)
+    gt_server_note_leaving (g, s);
+  if (d->retry_after > 0 && now + d->retry_after > s->paused_until)
+    s->paused_until = now + d->retry_after;
   if (d->end == TK_END_ANSWER && d->status == 421 && d->verdict == ZP_NOT_RUN)
     {
       gt_server_replaced (g, s);
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -106,9 +106,10 @@
   struct gt_service *service;
   struct tk_server report; /* the newest one */
   zp_time cold_until;
-  zp_time rtt;    /* estimated round-trip time to its failure domain */
-  size_t region;  /* see gt_region_number */
-  bool evacuated; /* its failure domain is evacuated */
+  zp_time rtt;          /* estimated round-trip time to its failure domain */
+  size_t region;        /* see gt_region_number */
+  bool evacuated;       /* its failure domain is evacuated */
+  zp_time paused_until; /* it asked for no request until then */
   struct st_balance_load load;
   struct st_health health;
   struct st_throttle cold_limit; /* rate limit while the server is cold */
@@ -246,6 +247,10 @@
    answered 421 at its address.  */
 void gt_server_replaced (struct gt_gate *g, struct gt_server *s);
 
+/* Notes that an answer of S says that it leaves: this start gets no request any
+   more.  */
+void gt_server_note_leaving (struct gt_gate *g, struct gt_server *s);
+
 /* Marks the servers of a failure domain cold for the warm-up time of their
    service.  */
 void gt_domain_mark_cold (struct gt_gate *g, const char *failure_domain,
@@ -262,8 +267,9 @@
 bool gt_server_usable (const struct gt_gate *g, const struct gt_server *s,
                        const struct gt_request *q, zp_time now);
 
-/* Like gt_server_usable, but without conditions that pass by themselves:
-   ejection and the rate limit of a cold server.  */
+/* Like gt_server_usable, but without conditions that can pass while Q waits:
+   ejection, the rate limit of a cold server, and a pause that it asked for and
+   that ends before the deadline of Q.  */
 bool gt_server_eligible (const struct gt_gate *g, const struct gt_server *s,
                          const struct gt_request *q);
 
--- a/src/gate/servers.c
+++ b/src/gate/servers.c
@@ -133,6 +133,7 @@
   st_health_add (&s->health, &s->service->group, zp_clock_mono ());
   s->load = (struct st_balance_load){ .own = own };
   s->mean_time = 0;
+  s->paused_until = 0;
   st_warm_clear (&s->recent_objects);
   s->answers = 0;
 }
@@ -209,6 +210,22 @@
   x->report.expired = false;
 }
 
+void
+gt_server_note_leaving (struct gt_gate *g, struct gt_server *s)
+{
+  struct ro_server *x = ro_table_find (&g->table, zp_str_from (s->report.id));
+
+  if (s->report.state != TK_SERVER_READY)
+    return;
+  ZP_EVENT (ZP_LOG_NOTICE, PART, "an answer says that its server leaves",
+            ZP_F_TEXT (ZP_KEY_SERVER, zp_str_from (s->report.id)),
+            ZP_F_TEXT (ZP_KEY_SERVICE, zp_str_from (s->service->name)));
+  s->report.state = TK_SERVER_DRAINING;
+  gt_server_note_loss (g);
+  if (x)
+    ro_table_leave (x);
+}
+
 /* Requests in progress at the servers.  */
 
 void
@@ -337,14 +354,15 @@
 {
   return s->service == q->service && s->report.state == TK_SERVER_READY
          && s->report.slots > 0 && !was_tried (q, s->hash)
-         && in_home_region (g, q, s) && !s->evacuated;
+         && in_home_region (g, q, s) && !s->evacuated
+         && s->paused_until < q->deadline;
 }
 
 bool
 gt_server_usable (const struct gt_gate *g, const struct gt_server *s,
                   const struct gt_request *q, zp_time now)
 {
-  if (!gt_server_eligible (g, s, q))
+  if (!gt_server_eligible (g, s, q) || now < s->paused_until)
     return false;
   if (gt_server_is_cold (s, now)
       && !st_throttle_allows (&s->cold_limit, gt_server_cold_rate (s),
--- a/src/roster/client.c
+++ b/src/roster/client.c
@@ -223,6 +223,11 @@
       disconnect (x, "a malformed update");
       return;
     }
+  if (u.unreadable > 0)
+    zp_log (ZP_LOG_WARNING, PART,
+            "control daemon %s: ignored %zu entries of servers that cannot be "
+            "used",
+            x->address, u.unreadable);
   for (size_t i = 0; i < u.servers; i++)
     {
       struct tk_msg *m = tk_msg_new (TK_SERVER);
--- a/src/roster/codec.c
+++ b/src/roster/codec.c
@@ -2,6 +2,7 @@
 
 #include <stdlib.h>
 
+#include "wire/address.h"
 #include "wire/bytes.h"
 #include "wire/roster.pb-c.h"
 
@@ -103,6 +104,20 @@
   free (item);
 }
 
+/* Whether the fields of S that a request needs are usable.  A server that is
+   gone, and an entry that repeats an earlier one, need none.  */
+static bool
+has_usable_fields (const struct tk_server *s)
+{
+  struct sockaddr_storage sa;
+  socklen_t len;
+
+  return s->same || s->state == TK_SERVER_GONE
+         || (s->slots <= ZP_SERVER_SLOTS_MAX
+             && wi_address_parse (zp_str_from (s->address), &sa, &len, NULL)
+             && wi_address_is_host (&sa));
+}
+
 static bool
 get_server (const Wire__RosterServer *w, struct tk_server *s)
 {
@@ -118,7 +133,8 @@
          && zp_str_copy (s->service, sizeof s->service, wi_view (w->service))
          && zp_str_copy (s->address, sizeof s->address, wi_view (w->address))
          && zp_str_copy (s->failure_domain, sizeof s->failure_domain,
-                         wi_view (w->failure_domain));
+                         wi_view (w->failure_domain))
+         && has_usable_fields (s);
 }
 
 bool
@@ -138,8 +154,10 @@
   out->server = server;
   out->control = control;
   for (size_t i = 0; i < w->n_servers; i++)
-    if (!get_server (w->servers[i], &server[out->servers++]))
-      return false;
+    if (get_server (w->servers[i], &server[out->servers]))
+      out->servers++;
+    else
+      out->unreadable++;
   for (size_t i = 0; i < w->n_controls; i++)
     control[out->controls++] = wi_view (w->controls[i]);
   return true;
--- a/src/roster/codec.h
+++ b/src/roster/codec.h
@@ -26,6 +26,11 @@
   const struct zp_str *control; /* "IP:port" */
   size_t controls;
   unsigned entries; /* entry daemons connected to the sender */
+
+  /* Entries that ro_get_update left out, because a field is out of range or
+     unknown, such as a state that a newer sender knows.  They name no server
+     to use; the others hold.  */
+  size_t unreadable;
 };
 
 void ro_put_update (struct zp_buf *out, const struct ro_update *u);
--- a/src/roster/table.c
+++ b/src/roster/table.c
@@ -70,6 +70,21 @@
   return x;
 }
 
+/* The state that a report of the start of X can give it.  */
+static enum tk_server_state
+allowed_state (const struct ro_server *x, enum tk_server_state state)
+{
+  return x->leaving && state == TK_SERVER_READY ? TK_SERVER_DRAINING : state;
+}
+
+void
+ro_table_leave (struct ro_server *x)
+{
+  x->leaving = true;
+  x->own_state = allowed_state (x, x->own_state);
+  x->report.state = allowed_state (x, x->report.state);
+}
+
 /* Applies a report that repeats the one before.  It brings back a server that
    was marked gone because of silence.  */
 static enum ro_table_result
@@ -146,8 +161,11 @@
         *replaced = &t->item[index];
     }
   x->report = *s;
+  if (result == RO_STARTED)
+    x->leaving = false;
+  x->report.state = allowed_state (x, s->state);
   if (!s->expired)
-    x->own_state = s->state;
+    x->own_state = x->report.state;
   x->cold_until = s->cold > 0 ? now + s->cold : 0;
   x->updated_at = now;
   *at = x;
--- a/src/roster/table.h
+++ b/src/roster/table.h
@@ -15,7 +15,11 @@
      is gone stays in the table for RO_GONE_TTL, so that a late report does not
      bring it back.  A server that is gone because it was silent comes back
      with a newer report.  A leave report is a report of the server itself with
-     the state TK_SERVER_GONE.  */
+     the state TK_SERVER_GONE.
+
+     A server can also say in its answers that it leaves, before or after its
+     reports say so (ro_table_leave).  That start is then never ready again,
+     whatever its reports say.  */
 
 #ifndef ZP_ROSTER_TABLE_H
 #define ZP_ROSTER_TABLE_H
@@ -41,6 +45,7 @@
 {
   struct tk_server report;        /* the newest one */
   enum tk_server_state own_state; /* as the server itself reported it last */
+  bool leaving;                   /* see ro_table_leave */
   zp_time cold_until;
   zp_time updated_at; /* last accepted report, or when it became gone */
 
@@ -77,6 +82,9 @@
                                       struct ro_server **at,
                                       struct ro_server **replaced);
 
+/* Notes that the present start of X leaves, as its answers say.  */
+void ro_table_leave (struct ro_server *x);
+
 /* Returns NULL when ID is not known.  */
 struct ro_server *ro_table_find (const struct ro_table *t, struct zp_str id);
 
--- a/src/wire/address.c
+++ b/src/wire/address.c
@@ -50,6 +50,19 @@
   return zp_fail (err, ZP_EINVAL, "\"%s\" is not an IP address", ip);
 }
 
+bool
+wi_address_is_host (const struct sockaddr_storage *sa)
+{
+  if (sa->ss_family == AF_INET6)
+    {
+      const struct in6_addr *a
+          = &((const struct sockaddr_in6 *) sa)->sin6_addr;
+      return !IN6_IS_ADDR_UNSPECIFIED (a) && !IN6_IS_ADDR_MULTICAST (a);
+    }
+  in_addr_t a = ntohl (((const struct sockaddr_in *) sa)->sin_addr.s_addr);
+  return a != INADDR_ANY && a != INADDR_BROADCAST && !IN_MULTICAST (a);
+}
+
 void
 wi_address_check (struct zp_str text, const char *path, const char *key,
                   struct zp_report *report)
--- a/src/wire/address.h
+++ b/src/wire/address.h
@@ -25,6 +25,10 @@
 bool wi_address_parse (struct zp_str text, struct sockaddr_storage *out,
                        socklen_t *len, struct zp_err *err);
 
+/* Whether SA can be the address of one host: not the unspecified address, a
+   multicast address or the broadcast address.  */
+bool wi_address_is_host (const struct sockaddr_storage *sa);
+
 /* Checks the value TEXT of the setting KEY in the file PATH.  Adds a line to
    REPORT when TEXT is not an address.  */
 void wi_address_check (struct zp_str text, const char *path, const char *key,
--- a/tests/test-gate.c
+++ b/tests/test-gate.c
@@ -210,6 +210,24 @@
   tk_send (&f.gate->task, m);
 }
 
+/* Ends the attempt with index AT by an answer of the server with STATUS, which
+   says that the server leaves, or that it wants no request for RETRY_AFTER.
+   A 503 has not run.  */
+static void
+answer_attempt (size_t at, unsigned status, bool leaving, zp_time retry_after)
+{
+  struct tk_msg *m = tk_msg_new (TK_FORWARD_DONE);
+
+  m->u.done.id = f.sent[at]->u.forward.id;
+  m->u.done.end = TK_END_ANSWER;
+  m->u.done.status = status;
+  m->u.done.verdict = status == 503 ? ZP_NOT_RUN : ZP_RAN;
+  m->u.done.stamped = true;
+  m->u.done.leaving = leaving;
+  m->u.done.retry_after = retry_after;
+  tk_send (&f.gate->task, m);
+}
+
 static void
 set_up (const char *document)
 {
@@ -469,6 +487,76 @@
   tear_down ();
 }
 
+/* Guards against requests to a server whose answers say that it leaves: not
+   while its reports still say that it is ready, and not after a late one.  The
+   answer itself reaches the caller, and a new start gets requests.  */
+static void
+test_server_leaving_by_answer (void)
+{
+  struct tk_msg *m;
+
+  set_up ("7");
+  report_server ("i-1", "10.0.0.1:80", TK_SERVER_READY, 1);
+  send_request (1);
+  RUN_UNTIL (f.sends == 1);
+  answer_attempt (0, 200, true, 0);
+  RUN_UNTIL (f.answers == 1);
+  CU_ASSERT_EQUAL (answer_status (0), 200);
+  send_request (2);
+  RUN_UNTIL (f.answers == 2);
+  CU_ASSERT_EQUAL (answer_status (1), 503);
+  report_server ("i-1", "10.0.0.1:80", TK_SERVER_READY, 2);
+  send_request (3);
+  RUN_UNTIL (f.answers == 3);
+  CU_ASSERT_EQUAL (answer_status (2), 503);
+  CU_ASSERT_EQUAL (f.sends, 1);
+  m = tk_msg_new (TK_SERVER);
+  m->u.server = f.gate->server[0]->report;
+  m->u.server.state = TK_SERVER_READY;
+  m->u.server.born_ms = 2000;
+  m->u.server.seq = 1;
+  tk_send (&f.gate->task, m);
+  send_request (4);
+  RUN_UNTIL (f.sends == 2);
+  tear_down ();
+}
+
+/* Guards against requests to a server within the time that its 503 asks for,
+   against a request that waits for the end of a pause that comes after its
+   deadline, and against a pause that never ends or that a new start has.  */
+static void
+test_server_pause (void)
+{
+  set_up ("7");
+  report_server ("i-1", "10.0.0.1:80", TK_SERVER_READY, 1);
+  send_request (1);
+  RUN_UNTIL (f.sends == 1);
+  answer_attempt (0, 503, false, 300 * ZP_MS);
+  RUN_UNTIL (f.answers == 1);
+  zp_time paused = zp_clock_mono ();
+  send_request (2);
+  run_for (0.15);
+  CU_ASSERT_EQUAL (f.sends, 1);
+  RUN_UNTIL (f.answers == 2 || f.sends == 2);
+  if (f.sends == 2)
+    CU_ASSERT (zp_clock_mono () - paused >= 250 * ZP_MS);
+  run_for (0.3);
+  send_request (3);
+  run_pending ();
+  size_t sends = f.sends;
+  CU_ASSERT (sends >= 2);
+  answer_attempt (sends - 1, 503, false, 60 * ZP_SEC);
+  run_pending ();
+  size_t answers = f.answers;
+  zp_time asked = zp_clock_mono ();
+  send_request (4);
+  RUN_UNTIL (f.answers == answers + 1);
+  CU_ASSERT (zp_clock_mono () - asked < 100 * ZP_MS);
+  CU_ASSERT_EQUAL (answer_status (answers), 503);
+  CU_ASSERT_EQUAL (f.sends, sends);
+  tear_down ();
+}
+
 /* Guards against an unreadable configuration that removes the routes in
    force.  */
 static void
@@ -516,6 +604,9 @@
         { "a request that crashes servers is refused", test_crashes_servers },
         { "the caller leaves", test_caller_leaves },
         { "draining and replaced servers", test_servers_that_leave },
+        { "a server that leaves by its answers",
+          test_server_leaving_by_answer },
+        { "a pause that a server asks for", test_server_pause },
         { "an unreadable configuration", test_configurations },
         { "graceful shutdown", test_stop } };
 
--- a/tests/test-roster-table.c
+++ b/tests/test-roster-table.c
@@ -121,6 +121,32 @@
   ++*(unsigned *) self;
 }
 
+/* Guards against a late report that makes a server ready again whose answers
+   say that it leaves, also after it was silent.  A new start is ready.  */
+static void
+test_leaving_by_answer (void)
+{
+  struct tk_server same = { .id = "a", .born_ms = 1000, .seq = 12 };
+  unsigned expired = 0;
+
+  same.same = true;
+  update (report ("a", "10.0.0.1:80", 1000, 9), 1);
+  ro_table_leave (ro_table_find (&table, ZP_STR ("a")));
+  CU_ASSERT_EQUAL (state_of ("a"), TK_SERVER_DRAINING);
+  update (report ("a", "10.0.0.1:80", 1000, 10), 2);
+  CU_ASSERT_EQUAL (state_of ("a"), TK_SERVER_DRAINING);
+  ro_table_expire (&table, 3, 4, count, &expired);
+  CU_ASSERT_EQUAL (state_of ("a"), TK_SERVER_GONE);
+  update (report ("a", "10.0.0.1:80", 1000, 11), 5);
+  CU_ASSERT_EQUAL (state_of ("a"), TK_SERVER_DRAINING);
+  ro_table_expire (&table, 6, 7, count, &expired);
+  update (same, 8);
+  CU_ASSERT_EQUAL (state_of ("a"), TK_SERVER_DRAINING);
+  update (report ("a", "10.0.0.1:80", 2000, 1), 9);
+  CU_ASSERT_EQUAL (state_of ("a"), TK_SERVER_READY);
+  ro_table_free (&table);
+}
+
 /* Guards against a server that stays in the table for ever after a crash, and
    against one that was cut off and does not come back.  */
 static void
@@ -215,6 +241,7 @@
         { "a restart under the same id", test_restart },
         { "a reused address", test_reused_address },
         { "a server that leaves", test_leave },
+        { "a server that leaves by its answers", test_leaving_by_answer },
         { "silent servers", test_silence },
         { "an unchanged report", test_unchanged_report },
         { "a server that becomes cold again", test_cold_again } };
