--- a/tests/test-platform-calls.c
+++ b/tests/test-platform-calls.c
@@ -54,7 +54,26 @@
     { "\"service\":\"huvo\"", "\"service\":[\"huvo\"]" },
     { "\"10.128.0.9:8080\"", "\"server.example:8080\"" },
     { "\"10.128.0.9:8080\"", "\"10.128.0.9\"" },
+    { "\"10.128.0.9:8080\"", "\"10.128.0.9:0\"" },
+    { "\"10.128.0.9:8080\"", "\"10.128.0.9:65536\"" },
+    { "\"10.128.0.9:8080\"", "\"10.128.0.9:18446744073709551696\"" },
+    { "\"10.128.0.9:8080\"", "\"10.128.0.9:-1\"" },
+    { "\"10.128.0.9:8080\"", "\"0.0.0.0:8080\"" },
+    { "\"10.128.0.9:8080\"", "\"255.255.255.255:8080\"" },
+    { "\"10.128.0.9:8080\"", "\"224.0.0.1:8080\"" },
+    { "\"10.128.0.9:8080\"", "[\"10.128.0.9:8080\"]" },
     { "\"capacity\":6", "\"capacity\":\"6\"" },
+    { "\"capacity\":6", "\"capacity\":1e400" },
+    { "\"capacity\":6", "\"capacity\":99999999999999999999" },
+    { "\"capacity\":6", "\"capacity\":-99999999999999999999" },
+    { "\"service\":\"huvo\"", "\"service\":\"hu\\u0000vo\"" },
+    { "\"warmupLeft\":\"1500ms\"", "\"warmupLeft\":\"1e400ms\"" },
+    { "\"warmupLeft\":\"1500ms\"", "\"warmupLeft\":\"9e15s\"" },
+    { "\"seq\":4", "\"seq\":99999999999999999999" },
+    { "\"seq\":4", "\"seq\":9223372036854775806" },
+    { "\"born\":1700000000123", "\"born\":9223372036854775806" },
+    { "\"born\":1700000000123", "\"born\":-1700000000123" },
+    { "\"born\":1700000000123", "\"born\":1e300" },
     { "\"capacity\":6", "\"capacity\":-6" },
     { "\"capacity\":6", "\"capacity\":6000000" },
     { "\"state\":\"ready\"", "\"state\":\"sleeping\"" },
@@ -93,6 +112,29 @@
   CU_ASSERT_EQUAL (call.kind, CT_CALL_BAD);
 }
 
+/* Guards against a report that ends the control daemon, because its nesting
+   takes all of the stack.  */
+static void
+test_deeply_nested_report (void)
+{
+  enum
+  {
+    DEPTH = 100000
+  };
+  static char text[2 * DEPTH + 64];
+  size_t n = (size_t) snprintf (text, sizeof text, "{\"service\":");
+
+  memset (text + n, '[', DEPTH);
+  memset (text + n + DEPTH, ']', DEPTH);
+  text[n + 2 * DEPTH] = '}';
+  decode ("POST", "/Instances.Heartbeat/i-1", "", text);
+  CU_ASSERT_EQUAL (call.kind, CT_CALL_BAD);
+  decode ("POST", "/Instances.Deregister/i-1", "", text);
+  CU_ASSERT_EQUAL (call.kind, CT_CALL_BAD);
+  decode ("POST", "/Config.Put", "", text);
+  CU_ASSERT_EQUAL (call.kind, CT_CALL_BAD);
+}
+
 /* Guards against a deregistration that removes another instance of the server:
    "born", when given, has to reach the control daemon.  */
 static void
@@ -216,6 +258,7 @@
 static const struct zp_test tests[]
     = { { "server reports", test_server_report },
         { "invalid server reports", test_invalid_reports },
+        { "a deeply nested report", test_deeply_nested_report },
         { "servers that deregister", test_deregistration },
         { "calls of operators", test_operators },
         { "look-ups", test_resolve },
--- a/tests/test-platform-document.c
+++ b/tests/test-platform-document.c
@@ -76,6 +76,37 @@
   return ok;
 }
 
+/* Guards against downloads that are given up after the first server failed,
+   and against an unknown kind of request that runs twice.  */
+static void
+test_kinds (void)
+{
+  static const struct
+  {
+    const char *type;
+    enum si_class class;
+  } kinds[] = { { "\"type\":\"safe\"", SI_IDEMPOTENT },
+                { "\"type\":\"download\"", SI_IDEMPOTENT },
+                { "\"type\":\"downloads\"", SI_ONCE },
+                { "\"type\":\"\"", SI_ONCE } };
+  struct zp_err err = { .text = "" };
+  const char *from = "\"type\":\"safe\"", *at = strstr (good, from);
+  char text[sizeof good + 64];
+
+  for (size_t i = 0; i < sizeof kinds / sizeof kinds[0]; i++)
+    {
+      snprintf (text, sizeof text, "%.*s%s%s", (int) (at - good), good,
+                kinds[i].type, at + strlen (from));
+      struct si_site *s = pf_document_decode (zp_str_from (text), &err);
+      CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+      CU_ASSERT_EQUAL (
+          si_site_route (s, ZP_STR ("hulo84.example"), ZP_STR ("/leny/"))
+              ->class,
+          kinds[i].class);
+      si_site_free (s);
+    }
+}
+
 /* Guards against invalid documents that are accepted and come into force.  */
 static void
 test_invalid (void)
@@ -91,7 +122,13 @@
     { "\"timeout\":\"1500ms\",", "" },
     { "\"timeout\":\"1500ms\"", "\"timeout\":1500" },
     { "\"timeout\":\"1500ms\"", "\"timeout\":\"soon\"" },
+    { "\"timeout\":\"1500ms\"", "\"timeout\":\"9e15s\"" },
     { "\"attempts\":2", "\"attempts\":\"2\"" },
+    { "\"attempts\":2", "\"attempts\":99999999999999999999" },
+    { "\"warmupPerS\":13.0", "\"warmupPerS\":1e400" },
+    { "\"warmupPerS\":13.0", "\"warmupPerS\":-1" },
+    { "\"maxConns\":360", "\"maxConns\":99999999999999999999" },
+    { "\"service\":\"wuno\"", "\"service\":\"wuno\\u0000\"" },
     { "\"weight\":90", "\"weights\":90" },
     { "\"weight\":90", "\"weight\":-90" },
     { "\"type\":\"unsafe\",", "" },
@@ -148,6 +185,7 @@
     = { { "fields", test_fields },
         { "invalid content", test_invalid },
         { "truncated documents", test_truncated },
-        { "a route of unknown type", test_unknown_type } };
+        { "a route of unknown type", test_unknown_type },
+        { "kinds of requests", test_kinds } };
 
 TEST_MAIN ("platform-document", tests)
