front, gate, forward: nothing is cut off by a planned stop, nothing sent after a pause

Cause: at a planned stop the listening socket was closed with connections in its queue; their callers got a reset instead of an answer. A request could be sent after its deadline by a process that had been paused between the begin of the transfer and the connection: the server got more time than was left. Tests: test-front (60 callers in the queue, all of them lost before), test-gate (a request under way), test-forward (a pause before sending); the first and the last were seen to fail without the change.

--- a/src/forward/client.c
+++ b/src/forward/client.c
@@ -58,7 +58,8 @@
 /* Callbacks of one transfer.  */
 
 /* libcurl calls this when a connection is ready, before the first byte of the
-   request is sent.  Prevents a second send.  */
+   request is sent.  Prevents a second send, and one after the deadline: the
+   process can have been paused since the transfer began.  */
 static int
 on_send (void *self, char *primary_ip, char *local_ip, int primary_port,
          int local_port)
@@ -69,7 +70,7 @@
   (void) local_ip;
   (void) primary_port;
   (void) local_port;
-  if (t->sends > 0)
+  if (t->sends > 0 || zp_clock_mono () >= t->request->u.forward.deadline)
     return CURL_PREREQFUNC_ABORT;
   t->sends++;
   return CURL_PREREQFUNC_OK;
@@ -223,8 +224,7 @@
     }
   if (t->sends == 0)
     finish (t,
-            result == CURLE_OPERATION_TIMEDOUT
-                    && zp_clock_mono () >= t->request->u.forward.deadline
+            zp_clock_mono () >= t->request->u.forward.deadline
                 ? TK_END_TIMEOUT
                 : TK_END_NO_CONNECT,
             ZP_NOT_RUN);
--- a/src/front/server.c
+++ b/src/front/server.c
@@ -3,6 +3,7 @@
 #include <assert.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -18,6 +19,9 @@
 
 #define PART "front"
 
+/* Connections that wait to be accepted.  */
+#define LISTEN_BACKLOG 1024
+
 enum request_state
 {
   REQUEST_NEW,
@@ -491,8 +495,8 @@
       on_completed, s, MHD_OPTION_CONNECTION_LIMIT,
       (unsigned) ZP_CALLER_CONNECTIONS, MHD_OPTION_CONNECTION_TIMEOUT,
       (unsigned) (o->idle_max / ZP_SEC), MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-      (size_t) (2 * ZP_HEADERS_MAX), MHD_OPTION_LISTEN_BACKLOG_SIZE, 1024u,
-      MHD_OPTION_END);
+      (size_t) (2 * ZP_HEADERS_MAX), MHD_OPTION_LISTEN_BACKLOG_SIZE,
+      (unsigned) LISTEN_BACKLOG, MHD_OPTION_END);
   const union MHD_DaemonInfo *i
       = s->daemon ? MHD_get_daemon_info (s->daemon, MHD_DAEMON_INFO_EPOLL_FD)
                   : NULL;
@@ -525,11 +529,25 @@
   s->draining = true;
 }
 
+/* Accepts the connections in the queue of the listening socket, which would be
+   reset when it is closed.  */
+static void
+accept_pending (struct fr_server *s)
+{
+  const union MHD_DaemonInfo *i
+      = MHD_get_daemon_info (s->daemon, MHD_DAEMON_INFO_LISTEN_FD);
+  struct pollfd listener = { .fd = i ? i->listen_fd : -1, .events = POLLIN };
+
+  for (int k = 0; k < LISTEN_BACKLOG && poll (&listener, 1, 0) == 1; k++)
+    run_daemon (s);
+}
+
 void
 fr_server_quiesce (struct fr_server *s)
 {
   if (s->quiescent)
     return;
+  accept_pending (s);
   s->quiescent = true;
   MHD_socket fd = MHD_quiesce_daemon (s->daemon);
   if (fd != MHD_INVALID_SOCKET)
--- a/tests/test-forward.c
+++ b/tests/test-forward.c
@@ -589,7 +589,28 @@
   close_fixture (&f);
 }
 
+/* Guards against a request that is sent after its deadline by a process that
+   was paused: the server would get more time than is left.  */
+static void
+test_pause_before_sending (void)
+{
+  static const char *const script[] = { "silence", NULL };
+  struct fixture f;
+
+  open_fixture (&f, script);
+  send_request (&f, 100 * ZP_MS);
+  ev_run (f.loop.ev, EVRUN_NOWAIT);
+  usleep (200000);
+  ev_run (f.loop.ev, 0);
+  CU_ASSERT_FATAL (f.done != NULL);
+  CU_ASSERT_EQUAL (f.done->u.done.end, TK_END_TIMEOUT);
+  CU_ASSERT_EQUAL (f.done->u.done.verdict, ZP_NOT_RUN);
+  CU_ASSERT_EQUAL (f.server.requests, 0);
+  close_fixture (&f);
+}
+
 static const struct zp_test tests[] = {
+  { "a pause before sending", test_pause_before_sending },
   { "a copy of an earlier answer", test_copy_of_an_earlier_answer },
   { "a refusal without id", test_refusal_without_id },
   { "a copy glued to the answer", test_copy_glued_to_the_answer },
--- a/tests/test-front.c
+++ b/tests/test-front.c
@@ -1,6 +1,7 @@
 #include "guard.h"
 #include "harness.h"
 
+#include <errno.h>
 #include <stdlib.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -239,12 +240,67 @@
   close_fixture (&f);
 }
 
+/* Reads the answer on FD while the loop runs.  Returns its length; 0 when the
+   connection has ended without one.  */
+static size_t
+read_answer (struct fixture *f, int fd, char *out, size_t size)
+{
+  zp_time end = zp_clock_mono () + 5 * ZP_SEC;
+  ssize_t n = -1;
+
+  while (n < 0 && zp_clock_mono () < end)
+    {
+      ev_run (f->loop.ev, EVRUN_NOWAIT);
+      n = recv (fd, out, size - 1, MSG_DONTWAIT);
+      if (n < 0 && errno != EAGAIN)
+        n = 0;
+    }
+  out[n > 0 ? n : 0] = '\0';
+  return n > 0 ? (size_t) n : 0;
+}
+
+/* Guards against requests that are cut off by a planned stop: callers that are
+   connected, but not accepted yet, get their answers.  */
+static void
+test_stop_with_callers_in_the_queue (void)
+{
+  enum
+  {
+    CALLERS = 60
+  };
+  static const char request[] = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+  struct sockaddr_storage sa;
+  socklen_t len;
+  int fd[CALLERS];
+  char text[512];
+  struct fixture f;
+
+  open_fixture (&f);
+  wi_address_parse (zp_str_from (f.address), &sa, &len, NULL);
+  for (int i = 0; i < CALLERS; i++)
+    {
+      fd[i] = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+      CU_ASSERT_FATAL (connect (fd[i], (struct sockaddr *) &sa, len) == 0);
+      CU_ASSERT (send (fd[i], request, sizeof request - 1, 0) > 0);
+    }
+  fr_server_quiesce (f.server);
+  for (int i = 0; i < CALLERS; i++)
+    {
+      CU_ASSERT (read_answer (&f, fd[i], text, sizeof text) > 0);
+      CU_ASSERT (HAS_TEXT (text, "HTTP/1.1 200"));
+      close (fd[i]);
+    }
+  close_fixture (&f);
+}
+
 static const struct zp_test tests[]
     = { { "request and answer", test_request_and_answer },
         { "invalid header values are refused",
           test_invalid_header_values_are_refused },
         { "body limit", test_body_limit },
         { "the caller leaves", test_caller_leaves },
-        { "a malformed request", test_malformed_request } };
+        { "a malformed request", test_malformed_request },
+        { "a stop with callers in the queue",
+          test_stop_with_callers_in_the_queue } };
 
 TEST_MAIN ("front", tests)
--- a/tests/test-gate.c
+++ b/tests/test-gate.c
@@ -596,6 +596,26 @@
   tear_down ();
 }
 
+/* Guards against a graceful shutdown that ends while a request of a caller is
+   under way to this daemon.  */
+static void
+test_stop_waits_for_requests_under_way (void)
+{
+  set_up ("7");
+  report_server ("i-1", "10.0.0.1:80", TK_SERVER_READY, 1);
+  tk_send (&f.gate->task, tk_msg_new (TK_STOP));
+  run_for (0.25);
+  CU_ASSERT (!f.stopped);
+  send_request (1);
+  RUN_UNTIL (f.sends == 1);
+  end_attempt (0, TK_END_ANSWER, 200, ZP_RAN, true);
+  RUN_UNTIL (f.answers == 1);
+  CU_ASSERT (!f.stopped);
+  RUN_UNTIL (f.stopped);
+  CU_ASSERT_EQUAL (answer_status (0), 200);
+  tear_down ();
+}
+
 static const struct zp_test tests[]
     = { { "refusals without configuration or servers", test_refusals },
         { "request and answer are passed on", test_answer },
@@ -608,6 +628,8 @@
           test_server_leaving_by_answer },
         { "a pause that a server asks for", test_server_pause },
         { "an unreadable configuration", test_configurations },
-        { "graceful shutdown", test_stop } };
+        { "graceful shutdown", test_stop },
+        { "graceful shutdown, a request under way",
+          test_stop_waits_for_requests_under_way } };
 
 TEST_MAIN ("gate", tests)
