peer: one link to a member that is reached at two addresses

Cause: the address of a seed at which a member answers, and which is not the member's own, stayed a member without an id. It was dialled again at each tick, and each answer added a link to the same member; heartbeats watched one of them, frames were sent on another, which could be silent. Change: such an address is noted as an alias and gets no link while its member is up; of several links to a member one is kept. Test: test-mesh (a member at two addresses), seen to fail without the change.

--- a/src/peer/members.c
+++ b/src/peer/members.c
@@ -170,12 +170,31 @@
   return zp_str_hash (zp_str_from (p->wire), m->self);
 }
 
+void
+pe_members_note_alias (struct pe_members *m, int index, uint64_t id)
+{
+  assert (index >= 0 && (size_t) index < m->len);
+  m->item[index].alias_of = id;
+}
+
+/* Whether P is another address of a member that is up.  */
+static bool
+is_alias (const struct pe_members *m, const struct pe_member *p)
+{
+  int i = p->id == 0 ? pe_members_find (m, p->alias_of) : -1;
+
+  return i >= 0 && m->item[i].state != PE_DOWN;
+}
+
 bool
 pe_members_wants_link (const struct pe_members *m, int index)
 {
   const struct pe_member *p = &m->item[index];
   int lower = 0;
 
+  if (is_alias (m, p))
+    return false;
+
   if (p->id == 0 || same_region (m, p))
     return true;
   for (size_t i = 0; i < m->len; i++)
--- a/src/peer/members.h
+++ b/src/peer/members.h
@@ -38,6 +38,9 @@
 
 struct pe_member
 {
+  /* The id of the member that answered at this address under another address
+     of its own; 0: none.  ID is then 0.  */
+  uint64_t alias_of;
   uint64_t id;          /* 0 until its hello arrives */
   uint64_t incarnation; /* higher at each start of the daemon */
   enum pe_state state;
@@ -98,6 +101,10 @@
 /* Applies the heartbeat time limits to one member.  */
 enum pe_event pe_members_tick (struct pe_members *m, int index, zp_time now);
 
+/* Notes that the member ID has answered at the address of INDEX, which is not
+   its own.  It needs no link to that address while it is up.  */
+void pe_members_note_alias (struct pe_members *m, int index, uint64_t id);
+
 /* Whether this daemon opens a connection to the member: to all members of its
    own region, to ZP_REMOTE_LINKS members of each other region, and to members
    whose region is not known yet.  */
--- a/src/peer/mesh.c
+++ b/src/peer/mesh.c
@@ -147,6 +147,17 @@
   zp_buf_free (&b);
 }
 
+/* Grows the dial table with the member table.  */
+static void
+grow_dials (struct pe_mesh *m)
+{
+  if (m->dial_count >= m->members.len)
+    return;
+  m->dials = zp_realloc (m->dials, m->members.len * sizeof *m->dials);
+  for (; m->dial_count < m->members.len; m->dial_count++)
+    m->dials[m->dial_count] = (struct dial){ .not_before = 0 };
+}
+
 static void
 on_hello (struct link *l, struct zp_str payload)
 {
@@ -165,6 +176,9 @@
     zp_log (ZP_LOG_WARNING, PART, "dropped a malformed hello");
   if (index >= 0)
     {
+      grow_dials (m);
+      if (l->opened_here && l->member != index)
+        pe_members_note_alias (&m->members, l->member, h.id);
       l->member = index;
       l->incarnation = h.incarnation;
       send_change (m, index, e);
@@ -192,7 +206,12 @@
   if (h.known.len > 0)
     learn_address (m, h.known);
   if (h.ack)
-    l->acked = h.seq > l->acked ? h.seq : l->acked;
+    {
+      l->acked = h.seq > l->acked ? h.seq : l->acked;
+      /* The connection works, so that the next one need not wait.  */
+      if (l->opened_here)
+        m->dials[l->member].backoff = 0;
+    }
   else
     send_heartbeat (l, &(struct pe_heartbeat){
                            .seq = h.seq, .ack = true, .leaving = m->leaving });
@@ -234,17 +253,6 @@
   d->not_before = zp_clock_mono () + d->backoff;
 }
 
-/* Grows the dial table with the member table.  */
-static void
-grow_dials (struct pe_mesh *m)
-{
-  if (m->dial_count >= m->members.len)
-    return;
-  m->dials = zp_realloc (m->dials, m->members.len * sizeof *m->dials);
-  for (; m->dial_count < m->members.len; m->dial_count++)
-    m->dials[m->dial_count] = (struct dial){ .not_before = 0 };
-}
-
 static void
 on_end (void *self, struct wi_conn *c, const struct zp_err *why)
 {
@@ -389,10 +397,27 @@
   return true;
 }
 
+/* Closes the links to the member of KEEP that were opened here, except KEEP: a
+   member that is reached at two addresses gets two, and only one of them is
+   watched.  */
+static void
+close_duplicates (struct pe_mesh *m, const struct link *keep)
+{
+  for (struct link *l = m->links, *next; l; l = next)
+    {
+      next = l->next;
+      if (l != keep && l->member == keep->member && l->opened_here)
+        link_free (l);
+    }
+}
+
 static void
 check_member (struct pe_mesh *m, int index, zp_time now)
 {
   struct link *l = link_opened_here (m, index);
+
+  if (l && l->incarnation != 0)
+    close_duplicates (m, l);
   enum pe_event e = pe_members_tick (&m->members, index, now);
 
   send_change (m, index, e);
--- a/tests/test-mesh.c
+++ b/tests/test-mesh.c
@@ -240,11 +240,61 @@
   close_fixture (&f);
 }
 
+/* Guards against a member that is reached at two addresses: each tick opened
+   another link to it, and frames were sent on links that are not watched, so
+   that they were lost when one of these went silent.  */
+static void
+test_member_at_two_addresses (void)
+{
+  struct fixture f = { .guard.fired = false };
+  struct daemon one = { .up = 0 }, two = { .up = 0 };
+  unsigned port = 19498;
+  char listen[ZP_ADDRESS_MAX], other[ZP_ADDRESS_MAX];
+
+  tk_loop_init (&f.loop);
+  test_guard_start (&f.guard, f.loop.ev, 20.0);
+  snprintf (listen, sizeof listen, "0.0.0.0:%u", port);
+  snprintf (one.wire, sizeof one.wire, "%s", test_address (port));
+  snprintf (two.wire, sizeof two.wire, "%s", test_address (port + 1));
+  /* Another loopback address of the machine.  */
+  snprintf (other, sizeof other, "127.0.0.1:%u", port);
+  struct zp_str seed = zp_str_from (other);
+  struct zp_strs seeds = { .item = &seed, .len = 1 }, none = { .len = 0 };
+  struct pe_hello h = { .id = 1,
+                        .incarnation = 100,
+                        .failure_domain = ZP_STR ("w1"),
+                        .region = ZP_STR ("west"),
+                        .http = ZP_STR ("127.0.0.1:80"),
+                        .wire = zp_str_from (one.wire) };
+  tk_task_init (&one.task, &f.loop, on_message, &one);
+  tk_task_init (&two.task, &f.loop, on_message, &two);
+  one.mesh = pe_mesh_open (&f.loop, &h, zp_str_from (listen), &none, &one.task,
+                           NULL);
+  h.id = 2;
+  h.wire = zp_str_from (two.wire);
+  two.mesh = pe_mesh_open (&f.loop, &h, h.wire, &seeds, &two.task, NULL);
+  CU_ASSERT_FATAL (one.mesh && two.mesh);
+  while (!f.guard.fired && two.up == 0)
+    ev_run (f.loop.ev, EVRUN_ONCE);
+  zp_time end = zp_clock_mono () + 2 * ZP_SEC;
+  while (!f.guard.fired && zp_clock_mono () < end)
+    ev_run (f.loop.ev, EVRUN_ONCE);
+  CU_ASSERT_EQUAL (pe_mesh_links (two.mesh), 1);
+  CU_ASSERT_EQUAL (two.down, 0);
+  pe_mesh_close (one.mesh);
+  pe_mesh_close (two.mesh);
+  tk_task_free (&one.task);
+  tk_task_free (&two.task);
+  test_guard_stop (&f.guard, f.loop.ev);
+  tk_loop_free (&f.loop);
+}
+
 static const struct zp_test tests[]
     = { { "discovery by one seed", test_discovery_by_one_seed },
         { "a lost and restarted daemon", test_lost_and_restarted_daemon },
         { "leaving is announced", test_leaving_is_announced },
         { "unwanted links are closed", test_unwanted_links_are_closed },
-        { "malformed frames", test_malformed_frames } };
+        { "malformed frames", test_malformed_frames },
+        { "a member at two addresses", test_member_at_two_addresses } };
 
 TEST_MAIN ("mesh", tests)
