--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -64,9 +64,11 @@
 #define GT_TRIED_MAX 8
 
 /* Interval at which the entry daemons of a region report to each other how
-   many requests they have in progress at each server.  It is below the 250 ms
-   that a server takes for a request whose affinity key is new to it.  */
-#define GT_WORK_PERIOD (200 * ZP_MS)
+   many requests they have in progress at each server.  What a daemon knows of
+   another is up to two periods and RELAY_PERIOD (src/roster) old, which is
+   about the 250 ms that a server takes for a request whose affinity key is new
+   to it.  */
+#define GT_WORK_PERIOD (125 * ZP_MS)
 
 /* Estimated bytes of HTTP, TCP and IP headers of one message.  */
 #define GT_HEADER_BYTES 400
--- a/src/roster/source-state.h
+++ b/src/roster/source-state.h
@@ -55,8 +55,6 @@
   struct ro_link *links;
   struct ro_table table;
   struct ro_work work;
-  struct tk_work work_sum; /* of the region, as last computed */
-  zp_time work_summed_at;
   zp_time work_relayed_at;
   bool work_relayed_any; /* the last list for other daemons was not empty */
   struct zp_buf region;  /* of this daemon */
--- a/src/roster/source-work.c
+++ b/src/roster/source-work.c
@@ -5,24 +5,9 @@
 #include "roster/source-state.h"
 
 /* Interval at which a control daemon passes the sum of its entry daemons to the
-   others of the region.  */
-#define RELAY_PERIOD (200 * ZP_MS)
-
-/* A sum is used for the answers within this time.  */
-#define SUM_MAX_AGE (50 * ZP_MS)
-
-/* The sum over all daemons of the region of this daemon.  */
-static const struct tk_work *
-region_sum (struct ro_source *s, zp_time now)
-{
-  if (s->work_summed_at > 0 && now - s->work_summed_at < SUM_MAX_AGE)
-    return &s->work_sum;
-  free (s->work_sum.item);
-  ro_work_sum (&s->work, zp_str_of (&s->region), RO_WORK_ALL, now,
-               &s->work_sum);
-  s->work_summed_at = now;
-  return &s->work_sum;
-}
+   others of the region.  It adds to the age of what a daemon knows of the other
+   failure domains.  */
+#define RELAY_PERIOD (100 * ZP_MS)
 
 enum ro_work_kind
 ro_source_work_kind (const struct ro_link *l)
@@ -44,7 +29,7 @@
   enum ro_work_kind kind = ro_source_work_kind (l);
   zp_time now = zp_clock_mono ();
   struct zp_buf b = { .ptr = NULL };
-  struct tk_work work;
+  struct tk_work work, sum;
 
   if (!ro_get_work (payload, &work))
     {
@@ -56,15 +41,19 @@
                &work, now);
   if (kind == RO_WORK_RELAYED)
     return;
-  ro_put_work (&b, region_sum (s, now));
+  /* The sum has to hold the report that has just come, because its sender
+     subtracts it.  */
+  ro_work_sum (&s->work, zp_str_of (&s->region), RO_WORK_ALL, now, &sum);
+  ro_put_work (&b, &sum);
   wi_conn_send (l->conn, WI_ROSTER_WORK, zp_str_of (&b));
   zp_buf_free (&b);
+  free (sum.item);
 }
 
 void
 ro_source_relay_work (struct ro_source *s, zp_time now)
 {
-  if (!s->relay || now - s->work_relayed_at < RELAY_PERIOD)
+  if (!s->relay || now - s->work_relayed_at < RELAY_PERIOD - RELAY_PERIOD / 10)
     return;
   s->work_relayed_at = now;
   struct tk_msg *m = tk_msg_new (TK_WORK);
--- a/src/roster/source.c
+++ b/src/roster/source.c
@@ -425,7 +425,6 @@
   tk_task_free (&s->task);
   ro_table_free (&s->table);
   ro_work_free (&s->work);
-  free (s->work_sum.item);
   zp_buf_free (&s->region);
   zp_buf_free (&s->failure_domain);
   zp_buf_free (&s->controls);
--- a/src/roster/work.h
+++ b/src/roster/work.h
@@ -19,7 +19,7 @@
 
 #include "task/msg.h"
 
-/* Five periods of GT_WORK_PERIOD: a daemon that is silent for this long is
+/* Eight periods of GT_WORK_PERIOD: a daemon that is silent for this long is
    taken to be cut off.  */
 #define RO_WORK_TTL (1000 * ZP_MS)
 
--- a/src/steer/balance.h
+++ b/src/steer/balance.h
@@ -43,7 +43,7 @@
    ran at the time of a sample have ended by then.  */
 #define ST_BALANCE_HALF_LIFE (1000 * ZP_MS)
 
-/* Three periods of the reports between daemons, which are 200 ms.  */
+/* Almost five periods of the reports between daemons, which are 125 ms.  */
 #define ST_BALANCE_REPORT_TTL (600 * ZP_MS)
 
 /* Failure domains of one region are 1 to 3 ms apart; regions 40 ms or more. */
