slew: the limit of moves between regions holds from the begin and with many daemons

The limit was not active before a daemon had 20 requests in both windows of 2 s, which are 3 s after the begin with 24 daemons in the region, and never with 72. Change: six requests are enough; before there is an earlier window, the oldest requests take its place. A daemon that starts in a running deployment (setting first_start) has no limit for 5 s, as after a loss of servers. Tests: test-slew (the begin of the traffic, many daemons), seen to fail before.

--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -292,6 +292,8 @@
   g->interface = i;
   g->daemons = 1;
   update_retry_terms (g);
+  if (!s->first_start)
+    gt_server_note_loss (g);
   st_egress_init (&g->egress, s->link_mbps);
   zp_rng_seed_os (&g->rng);
   tk_task_init (&g->task, l, on_message, g);
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -73,8 +73,9 @@
 /* Estimated bytes of HTTP, TCP and IP headers of one message.  */
 #define GT_HEADER_BYTES 400
 
-/* For this long after a loss of servers, requests can shift between regions
-   without a limit, because answering callers matters more then.  */
+/* For this long after a loss of servers, and after a start of this daemon in a
+   deployment that was running, requests can shift between regions without a
+   limit, because answering callers matters more then.  */
 #define GT_LOSS_WINDOW (5 * ZP_SEC)
 
 /* What depends on the protocol of callers and operators.  */
--- a/src/gate/settings.c
+++ b/src/gate/settings.c
@@ -71,6 +71,9 @@
     .offset = FIELD (link_mbps),
     .min = 0,
     .max = 1000000 },
+  { .key = "first_start",
+    .kind = ZP_SETTING_BOOL,
+    .offset = FIELD (first_start) },
   { .key = "log_level",
     .kind = ZP_SETTING_INT,
     .offset = FIELD (log_level),
@@ -98,7 +101,7 @@
 {
   struct zp_str domain, region;
 
-  *s = (struct gt_settings){ .log_level = ZP_LOG_INFO };
+  *s = (struct gt_settings){ .first_start = true, .log_level = ZP_LOG_INFO };
   if (!zp_settings_load (&s->file, path, table, s, report))
     return false;
   wi_address_check (s->front, path, "front", report);
--- a/src/gate/settings.h
+++ b/src/gate/settings.h
@@ -15,6 +15,8 @@
        retry_slack    number of retries allowed in addition to that fraction
        link_mbps      rate of this machine's link in Mbit/s; 0: no limit
        grace          time between SIGTERM and the kill of the process
+       first_start    whether this daemon starts together with the whole
+                      deployment; default true
        log_level      accepted and not used  */
 
 #ifndef ZP_GATE_SETTINGS_H
@@ -31,6 +33,7 @@
   int64_t inner_port;
   zp_time lookup_ttl, grace;
   double link_mbps, retry_ratio, retry_slack;
+  bool first_start;
   int64_t log_level;
   uint64_t id; /* IPv4 address of FRONT as a number in host byte order */
 };
--- a/src/steer/slew.c
+++ b/src/steer/slew.c
@@ -29,39 +29,58 @@
   s->count[s->newest % ST_SLEW_BUCKETS][region]++;
 }
 
-/* Sets OUT to the requests of each region in the window that ends BACK buckets
-   before the newest one.  Returns the requests of all regions.  */
-static uint32_t
-sum (const struct st_slew *s, int64_t back, uint32_t *out)
+/* Requests of each region, and of all.  */
+struct requests
 {
-  uint32_t all = 0;
+  uint32_t region[ST_SLEW_REGIONS];
+  uint32_t all;
+};
 
-  memset (out, 0, ST_SLEW_REGIONS * sizeof *out);
-  for (int64_t b = s->newest - back;
-       b > s->newest - back - WINDOW_BUCKETS && b >= 0; b--)
-    for (size_t r = 0; r < ST_SLEW_REGIONS; r++)
-      {
-        out[r] += s->count[b % ST_SLEW_BUCKETS][r];
-        all += s->count[b % ST_SLEW_BUCKETS][r];
-      }
-  return all;
+static void
+add_bucket (const struct st_slew *s, int64_t bucket, struct requests *out)
+{
+  if (bucket < 0)
+    return;
+  for (size_t r = 0; r < ST_SLEW_REGIONS; r++)
+    {
+      uint32_t n = s->count[bucket % ST_SLEW_BUCKETS][r];
+      out->region[r] += n;
+      out->all += n;
+    }
+}
+
+/* Sets LAST to the requests of the newest window and BEFORE to those of the
+   window before.  With too few of the latter, at the begin of the traffic,
+   the oldest ST_SLEW_REQUESTS_MIN requests take their place.  */
+static void
+split (const struct st_slew *s, struct requests *before, struct requests *last)
+{
+  int64_t oldest = s->newest - ST_SLEW_BUCKETS + 1, bucket = oldest;
+
+  *before = *last = (struct requests){ .all = 0 };
+  while (bucket <= s->newest
+         && (bucket < oldest + WINDOW_BUCKETS
+             || before->all < ST_SLEW_REQUESTS_MIN))
+    add_bucket (s, bucket++, before);
+  while (bucket <= s->newest)
+    add_bucket (s, bucket++, last);
 }
 
 double
 st_slew_change (struct st_slew *s, size_t region, zp_time now)
 {
-  uint32_t before[ST_SLEW_REGIONS], last[ST_SLEW_REGIONS];
+  struct requests before, last;
   double moved = 0.0;
 
   assert (region < ST_SLEW_REGIONS);
   advance (s, now);
-  uint32_t earlier = sum (s, WINDOW_BUCKETS, before);
-  uint32_t latest = sum (s, 0, last);
-  if (earlier < ST_SLEW_REQUESTS_MIN || latest < ST_SLEW_REQUESTS_MIN)
+  split (s, &before, &last);
+  if (before.all < ST_SLEW_REQUESTS_MIN || last.all < ST_SLEW_REQUESTS_MIN)
     return 0.0;
-  last[region]++;
-  latest++;
+  last.region[region]++;
+  last.all++;
   for (size_t r = 0; r < ST_SLEW_REGIONS; r++)
-    moved += fabs ((double) last[r] / latest - (double) before[r] / earlier);
+    moved += fabs ((double) last.region[r] / last.all
+                   - (double) before.region[r] / before.all);
   return moved / 2;
 }
--- a/src/steer/slew.h
+++ b/src/steer/slew.h
@@ -11,8 +11,12 @@
      the requests that have moved.
 
      Regions are numbers that the caller assigns.  With fewer than
-     ST_SLEW_REQUESTS_MIN requests in either window the shares are unknown and
-     the change is 0.  */
+     ST_SLEW_REQUESTS_MIN requests the shares are unknown and the change is 0.
+     Before there are that many in the earlier window, the oldest ones count as
+     its requests: servers fill up within the first seconds of traffic, and
+     without a limit a quarter of a region's requests changed place then
+     (mendex-mid-large, 24 entry VMs in a region with 19 requests a second
+     each).  */
 
 #ifndef ZP_STEER_SLEW_H
 #define ZP_STEER_SLEW_H
@@ -28,8 +32,10 @@
 /* A deployment has at most 9 regions (docs/developers.md).  */
 #define ST_SLEW_REGIONS 16
 
-/* One request is then at most 0.05 of the requests in a window.  */
-#define ST_SLEW_REQUESTS_MIN 20
+/* In a large deployment a daemon has few requests: 12 in a window with 72
+   daemons in a region that gets 430 requests a second.  The shares of so few
+   are inexact, but the errors of many daemons cancel out.  */
+#define ST_SLEW_REQUESTS_MIN 6
 
 /* Largest change of one daemon.  Platforms allow 0.15 of a region's requests,
    which come from several daemons.  */
--- a/tests/test-gate.c
+++ b/tests/test-gate.c
@@ -245,6 +245,7 @@
                                      .ready = zp_str_from (ready),
                                      .regions = { f.regions, 1 },
                                      .lookup_ttl = 100 * ZP_MS,
+                                     .first_start = true,
                                      .retry_ratio = 0.2,
                                      .retry_slack = 60,
                                      .grace = 3 * ZP_SEC };
@@ -557,6 +558,23 @@
   tear_down ();
 }
 
+/* Guards against a daemon that limits moves between regions by what it has not
+   seen: the deployment was running before it started.  */
+static void
+test_rejoin (void)
+{
+  struct zp_err err = { .text = "" };
+
+  set_up ("7");
+  CU_ASSERT_EQUAL (f.gate->lost_at, 0);
+  gt_gate_close (f.gate);
+  f.settings.first_start = false;
+  f.gate = gt_gate_open (&f.loop, &f.settings, &interface, &err);
+  CU_ASSERT_FATAL (f.gate != NULL);
+  CU_ASSERT (f.gate->lost_at > 0);
+  tear_down ();
+}
+
 /* Guards against an unreadable configuration that removes the routes in
    force.  */
 static void
@@ -627,6 +645,7 @@
         { "a server that leaves by its answers",
           test_server_leaving_by_answer },
         { "a pause that a server asks for", test_server_pause },
+        { "a daemon that rejoins", test_rejoin },
         { "an unreadable configuration", test_configurations },
         { "graceful shutdown", test_stop },
         { "graceful shutdown, a request under way",
--- a/tests/test-slew.c
+++ b/tests/test-slew.c
@@ -1,8 +1,10 @@
 #include "harness.h"
 
 #include <math.h>
+#include <stdlib.h>
 
 #include "base/rng.h"
+#include "base/str.h"
 #include "steer/slew.h"
 
 enum
@@ -113,9 +115,96 @@
   CU_ASSERT_DOUBLE_EQUAL (st_slew_change (&s, FAR, 60 * ZP_SEC), 0, 0.001);
 }
 
+/* Simulates DAEMONS daemons of a region with RATE requests a second each, and
+   returns the largest change of all their requests together between two
+   successive windows.  */
+static double
+simulate_region (size_t daemons, double rate, double (*want) (zp_time))
+{
+  enum
+  {
+    STEPS = 900,
+    STEP_MS = 10,
+    WINDOW = 2000 / STEP_MS,
+  };
+  struct st_slew *s = zp_alloc (daemons * sizeof *s);
+  static double far[STEPS], all[STEPS];
+  struct zp_rng rng;
+  double largest = 0;
+
+  zp_rng_seed (&rng, 7);
+  for (int i = 0; i < STEPS; i++)
+    {
+      zp_time now = (zp_time) (i + 1) * STEP_MS * ZP_MS;
+      far[i] = all[i] = 0;
+      for (size_t d = 0; d < daemons; d++)
+        {
+          if (zp_rng_unit (&rng) > rate * STEP_MS / 1000)
+            continue;
+          size_t region = zp_rng_unit (&rng) < want (now) ? FAR : HOME;
+          if (st_slew_change (&s[d], region, now) > ST_SLEW_MAX
+              && st_slew_change (&s[d], 1 - region, now)
+                     < st_slew_change (&s[d], region, now))
+            region = 1 - region;
+          st_slew_note (&s[d], region, now);
+          far[i] += region == FAR;
+          all[i]++;
+        }
+    }
+  for (int i = 2 * WINDOW; i <= STEPS; i++)
+    {
+      double f[2] = { 0 }, n[2] = { 0 };
+      for (int k = 0; k < 2 * WINDOW; k++)
+        {
+          f[k / WINDOW] += far[i - 1 - k];
+          n[k / WINDOW] += all[i - 1 - k];
+        }
+      largest = fmax (largest, fabs (f[0] / n[0] - f[1] / n[1]));
+    }
+  free (s);
+  return largest;
+}
+
+/* The servers of the region are full after 0.7 s, and half of that passes when
+   their caches are filled.  */
+static double
+begin (zp_time now)
+{
+  if (now < 700 * ZP_MS)
+    return 0.02;
+  return now < 2500 * ZP_MS ? 0.6 : 0.3;
+}
+
+static double
+step (zp_time now)
+{
+  return now < 5 * ZP_SEC ? 0.05 : 0.55;
+}
+
+/* Guards against a limit that does not hold in the first seconds of traffic,
+   as on mendex-mid-large (disk-storm, --vary --seed 151291784063): 24 in 100
+   requests of a region with few servers changed their region.  The allowed
+   change is 0.15.  */
+static void
+test_begin_of_traffic (void)
+{
+  CU_ASSERT (simulate_region (24, 19, begin) <= 0.15);
+}
+
+/* Guards against a limit that holds with few daemons only: with many, each has
+   few requests of its own.  */
+static void
+test_many_daemons (void)
+{
+  CU_ASSERT (simulate_region (24, 19, step) <= 0.15);
+  CU_ASSERT (simulate_region (72, 6, step) <= 0.15);
+}
+
 static const struct zp_test tests[]
     = { { "burst", test_burst },
         { "steady share", test_steady },
-        { "too few requests", test_little_traffic } };
+        { "too few requests", test_little_traffic },
+        { "the begin of the traffic", test_begin_of_traffic },
+        { "many daemons", test_many_daemons } };
 
 TEST_MAIN ("slew", tests)
