gate: a silent server that leaves by its answers stays out

Cause: an answer that says that its server leaves was ignored while the server was gone because its reports were missing; the next report made it ready. Test: test-gate-servers (a silent server leaves), seen to fail before.

--- a/src/gate/servers.c
+++ b/src/gate/servers.c
@@ -230,6 +230,8 @@
 {
   struct ro_server *x = ro_table_find (&g->table, zp_str_from (s->report.id));
 
+  if (x)
+    ro_table_leave (x);
   if (s->report.state != TK_SERVER_READY)
     return;
   ZP_EVENT (ZP_LOG_NOTICE, PART, "an answer says that its server leaves",
@@ -237,8 +239,6 @@
             ZP_F_TEXT (ZP_KEY_SERVICE, zp_str_from (s->service->name)));
   s->report.state = TK_SERVER_DRAINING;
   gt_server_note_loss (g);
-  if (x)
-    ro_table_leave (x);
 }
 
 /* Requests in progress at the servers.  */
--- a/tests/test-gate-servers.c
+++ b/tests/test-gate-servers.c
@@ -99,10 +99,35 @@
   tear_down ();
 }
 
+/* Guards against a server that is used again after its reports were missing for
+   a while, although its last answer said that it leaves.  */
+static void
+test_silent_server_leaves (void)
+{
+  set_up ("7");
+  report_server ("i-1", "10.0.0.1:80", TK_SERVER_READY, 1);
+  send_request (1);
+  RUN_UNTIL (f.sends == 1);
+  struct tk_msg *m = tk_msg_new (TK_SERVER);
+  m->u.server = f.gate->server[0]->report;
+  m->u.server.state = TK_SERVER_GONE;
+  m->u.server.expired = true;
+  tk_send (&f.gate->task, m);
+  run_pending ();
+  answer_attempt (0, 200, true, 0);
+  RUN_UNTIL (f.answers == 1);
+  report_server ("i-1", "10.0.0.1:80", TK_SERVER_READY, 5);
+  send_request (2);
+  RUN_UNTIL (f.answers == 2 || f.sends == 2);
+  CU_ASSERT_EQUAL (f.sends, 1);
+  tear_down ();
+}
+
 static const struct zp_test tests[]
     = { { "draining and replaced servers", test_servers_that_leave },
         { "a server that leaves by its answers",
           test_server_leaving_by_answer },
+        { "a silent server leaves", test_silent_server_leaves },
         { "a pause that a server asks for", test_server_pause } };
 
 TEST_MAIN ("gate-servers", tests)
