--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,8 +1,9 @@
 #!/bin/bash
 # One of three servers breaks off one answer in 50 inside its head, after the
 # line with its receipt.  Does a client get a success that is not the server's
-# whole answer?
+# whole answer?  TROUBLE=0: no answer is broken off.
 here=$(cd "$(dirname "$0")" && pwd)
+trouble=${TROUBLE:-1} # 0: without the disruption
 . "$here/../standin/lib.sh"
 
 fault=none
@@ -17,7 +18,7 @@
 sleep 4
 
 mkfifo "$work/go"
-"$stand" client "$net.2.1:8080" shop.example /book/ "$record" 900 15 0 2500 < "$work/go" &
+"$stand" client "$net.21:8080" shop.example /book/ "$record" 900 5 0 2500 < "$work/go" &
 client=$!
 pids+=($client)
 echo go > "$work/go"
--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -2,7 +2,9 @@
 # An entry daemon is sent SIGTERM while its server works 1.8 s on each request.
 # Clients that have kept their connection, and whose look-up is still good, send
 # requests up to 4.6 s later.  Does each of them get a complete answer?
+# TROUBLE=0: without the SIGTERM.
 here=$(cd "$(dirname "$0")" && pwd)
+trouble=${TROUBLE:-1} # 0: without the disruption
 . "$here/../standin/lib.sh"
 
 for i in 0 1 2; do start_core $i; done
@@ -15,7 +17,7 @@
 
 # 23 requests, one each 0.2 s, from the SIGTERM to 4.4 s after it.
 mkfifo "$work/go"
-"$stand" client "$net.2.1:8080" shop.example /book/ "$record" 23 200 1 3000 < "$work/go" &
+"$stand" client "$net.21:8080" shop.example /book/ "$record" 23 200 1 3000 < "$work/go" &
 client=$!
 pids+=($client)
 exec 3> "$work/go"
--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,6 +4,7 @@
 # it sent before arrives.  Do entry daemons that are in touch send requests to
 # the server?  TROUBLE=0: without the loss of power.
 here=$(cd "$(dirname "$0")" && pwd)
+trouble=${TROUBLE:-1} # 0: without the disruption
 . "$here/../standin/lib.sh"
 
 contact=3000 # ms, of slanchevo-lb
@@ -12,7 +13,7 @@
 for i in 0 1; do start_edge $i; done
 manifest 1 /book/=bookdesk > "$work/manifest"
 until_true 20 order POST /Config.Put "$work/manifest" || cannot_run "no manifest in force"
-start_server s1 1 bookdesk 20 none "$net.1.1:8085,$net.1.1:8085"
+start_server s1 1 bookdesk 20 none "$net.11:8085,$net.11:8085"
 for i in 2 3; do start_server "s$i" $i bookdesk 20 none; done
 for i in 0 1; do until_true 20 edge_ready $i || cannot_run "entry daemon $i is not ready"; done
 sleep 5
@@ -38,7 +39,7 @@
 for i in 0 1; do until_true 10 edge_ready $i || cannot_run "entry daemon $i is not ready again"; done
 
 mkfifo "$work/go"
-"$stand" client "$net.2.1:8080" shop.example /book/ "$record" 160 50 0 3000 < "$work/go" &
+"$stand" client "$net.21:8080" shop.example /book/ "$record" 160 50 0 3000 < "$work/go" &
 client=$!
 pids+=($client)
 echo go > "$work/go"
