forward, ctl: an answer is whole only when its head and its body have ended

Cause: the forward task took CURLE_OK as "the answer is whole". libcurl reports it also when the connection ends inside the head after the status line, because no length is known yet.

Change: src/forward/framing reads the lines of the head and decides from them and the bytes received whether an answer is whole; malformed lines and lengths (1x0 was read as 1, 0x3 as 0), two lengths, and body bytes that a spoiled chunk size turns into trailer fields make it lost. zpctl uses the same decision: it told an operator that a ticket was accepted. A refusal without a request id on a connection in use again proves nothing any more, also on the product's own interface. Log lines and counters tell a cut, a malformed and a crossed answer apart.

--- a/src/ctl/client.c
+++ b/src/ctl/client.c
@@ -1,10 +1,12 @@
 #include "ctl/client.h"
 
 #include <curl/curl.h>
+#include <stdio.h>
 #include <string.h>
 #include <time.h>
 
 #include "base/limits.h"
+#include "forward/framing.h"
 
 #define CONNECT_TIMEOUT_MS 700L
 
@@ -20,10 +22,30 @@
    which is shorter; a longer answer comes from some other program.  */
 #define ANSWER_MAX (4 * ZP_BODY_MAX)
 
+/* An answer while it arrives.  */
+struct receipt
+{
+  struct fw_framing framing;
+  struct zp_buf *body;
+};
+
+static size_t
+on_header (char *bytes, size_t size, size_t n, void *self)
+{
+  struct receipt *x = self;
+  struct zp_str line = { .ptr = bytes, .len = size * n };
+
+  /* The answer after a redirect.  */
+  if (x->framing.state == FW_IN_BODY && zp_str_starts (line, ZP_STR ("HTTP/")))
+    x->framing = (struct fw_framing){ .state = FW_AT_STATUS_LINE };
+  return fw_framing_line (&x->framing, line) == FW_LINE_MALFORMED ? 0
+                                                                  : size * n;
+}
+
 static size_t
 on_body (char *bytes, size_t size, size_t n, void *self)
 {
-  struct zp_buf *out = self;
+  struct zp_buf *out = ((struct receipt *) self)->body;
 
   if (out->len + size * n > ANSWER_MAX)
     return 0;
@@ -37,6 +59,7 @@
 {
   /* To libcurl a timeout of 0 means no limit.  */
   long limit_ms = limit > ZP_MS ? (long) (limit / ZP_MS) : 1;
+  struct receipt x = { .body = &out->body };
 
   curl_easy_setopt (h, CURLOPT_ERRORBUFFER, error);
   curl_easy_setopt (h, CURLOPT_CUSTOMREQUEST, r->method);
@@ -53,10 +76,17 @@
   curl_easy_setopt (h, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
   curl_easy_setopt (h, CURLOPT_TIMEOUT_MS, limit_ms);
   curl_easy_setopt (h, CURLOPT_WRITEFUNCTION, on_body);
-  curl_easy_setopt (h, CURLOPT_WRITEDATA, &out->body);
+  curl_easy_setopt (h, CURLOPT_WRITEDATA, &x);
+  curl_easy_setopt (h, CURLOPT_HEADERFUNCTION, on_header);
+  curl_easy_setopt (h, CURLOPT_HEADERDATA, &x);
   if (curl_easy_perform (h) != CURLE_OK)
     return false;
-  curl_easy_getinfo (h, CURLINFO_RESPONSE_CODE, &out->status);
+  if (!fw_framing_is_whole (&x.framing, out->body.len))
+    {
+      snprintf (error, CURL_ERROR_SIZE, "the answer ended early");
+      return false;
+    }
+  out->status = x.framing.status;
   return true;
 }
 
--- a/src/forward/answer.c
+++ b/src/forward/answer.c
@@ -78,22 +78,10 @@
             ZP_ARG (value), (int) (FW_RETRY_AFTER_MAX / ZP_SEC));
 }
 
-/* Whether LINE is the status line of an interim answer: "HTTP/1.1 100 ...".  */
-static bool
-is_interim (struct zp_str line)
-{
-  struct zp_str version, rest;
-
-  zp_str_split (line, ' ', &version, &rest);
-  return rest.len > 0 && rest.ptr[0] == '1';
-}
-
 /* Forgets the headers of an interim answer.  */
 static void
-begin_answer (struct fw_answer *a, struct zp_str line,
-              struct tk_forward_done *out)
+begin_answer (struct fw_answer *a, struct tk_forward_done *out)
 {
-  a->interim = is_interim (line);
   zp_buf_clear (&out->headers);
   zp_buf_clear (&out->content_type);
   a->has_id = false;
@@ -104,24 +92,16 @@
   out->retry_after = 0;
 }
 
-bool
-fw_answer_line (struct fw_answer *a, struct zp_str line,
-                struct tk_forward_done *out)
+/* Returns false when the field shows that this is not the answer to the
+   request.  */
+static bool
+read_field (struct fw_answer *a, struct zp_str line,
+            struct tk_forward_done *out)
 {
   const struct fr_header_names *names = a->names;
   struct zp_str name, value;
 
-  a->head_bytes += line.len;
-  if (a->head_bytes > FW_HEAD_MAX)
-    return false;
-  if (zp_str_starts (line, ZP_STR ("HTTP/")))
-    {
-      begin_answer (a, line, out);
-      return true;
-    }
-  if (zp_str_eq (line, ZP_STR ("\r\n")) || zp_str_eq (line, ZP_STR ("\n")))
-    return a->interim || fw_answer_is_own (a);
-  if (!fr_header_next (&line, &name, &value) || name.len == 0)
+  if (!fr_header_next (&line, &name, &value))
     return true;
   if (fr_header_is (name, "Content-Type"))
     {
@@ -152,6 +132,46 @@
   return !a->foreign_id;
 }
 
+bool
+fw_answer_line (struct fw_answer *a, struct zp_str line,
+                struct tk_forward_done *out)
+{
+  a->head_bytes += line.len;
+  if (a->head_bytes > FW_HEAD_MAX)
+    {
+      a->framing.state = FW_MALFORMED;
+      return false;
+    }
+  switch (fw_framing_line (&a->framing, line))
+    {
+    case FW_LINE_STATUS:
+      begin_answer (a, out);
+      return true;
+    case FW_LINE_FIELD:
+      return read_field (a, line, out);
+    case FW_LINE_INTERIM_END:
+    case FW_LINE_TRAILER:
+      return true;
+    case FW_LINE_HEAD_END:
+      return fw_answer_is_own (a);
+    case FW_LINE_MALFORMED:
+      break;
+    }
+  return false;
+}
+
+enum fw_answer_state
+fw_answer_state (const struct fw_answer *a, bool ended, uint64_t received)
+{
+  if (a->framing.state == FW_MALFORMED)
+    return FW_ANSWER_MALFORMED;
+  if (a->foreign_id
+      || (a->framing.state == FW_IN_BODY && !fw_answer_is_own (a)))
+    return FW_ANSWER_FOREIGN;
+  return ended && fw_framing_is_whole (&a->framing, received) ? FW_ANSWER_WHOLE
+                                                              : FW_ANSWER_CUT;
+}
+
 bool
 fw_answer_is_own (const struct fw_answer *a)
 {
@@ -163,10 +183,13 @@
 enum zp_verdict
 fw_answer_verdict (const struct fw_answer *a, unsigned status)
 {
-  if (status == 503 && a->has_verdict && a->verdict == ZP_NOT_RUN)
-    return ZP_NOT_RUN;
-  if (a->not_run || (status == 421 && a->expects_instance))
-    return ZP_NOT_RUN;
+  bool says_not_run
+      = (status == 503 && a->has_verdict && a->verdict == ZP_NOT_RUN)
+        || a->not_run || (status == 421 && a->expects_instance);
+
+  /* Without an id this can be a copy of an earlier refusal.  */
+  if (says_not_run)
+    return a->has_id || !a->reused ? ZP_NOT_RUN : ZP_MAY_HAVE_RUN;
   if (a->has_verdict && a->verdict == ZP_MAY_HAVE_RUN)
     return ZP_MAY_HAVE_RUN;
   return ZP_RAN;
--- a/src/forward/answer.h
+++ b/src/forward/answer.h
@@ -3,14 +3,16 @@
 
    DESCRIPTION
      Pure.  Reads the header lines of the answer to one request and tells what
-     the answer says about it.
+     the answer says about it, and whether it is whole (framing.h) and the
+     answer to this request.
 
      A connection that is used again can deliver a late copy of an earlier
      answer where the answer to the next request is due.  An answer with the
      request id of another request is never the answer to this one.  With
      fr_header_names.answers_have_id, an answer without a request id counts
      only on a connection that has carried no request before: no late copy can
-     arrive there.
+     arrive there.  Without answers_have_id such an answer counts, but never as
+     a proof that the request has not run.
 
      Retry-After has the form of RFC 9110, delay-seconds, and may have a
      fraction.  A date is not read.  */
@@ -19,6 +21,7 @@
 #define ZP_FORWARD_ANSWER_H
 
 #include "base/clock.h"
+#include "forward/framing.h"
 #include "front/header.h"
 #include "task/msg.h"
 
@@ -35,8 +38,8 @@
   bool expects_instance;    /* the request names the server that may run it */
   bool reused;              /* the connection has carried an earlier request */
 
+  struct fw_framing framing;
   size_t head_bytes;
-  bool interim;    /* the status is 1xx: another answer follows */
   bool has_id;     /* the answer repeats a request id */
   bool foreign_id; /* that of another request */
   bool has_verdict;
@@ -44,10 +47,19 @@
   bool not_run;            /* the answer has the not_run header */
 };
 
+/* What an answer is worth when it has ended.  */
+enum fw_answer_state
+{
+  FW_ANSWER_WHOLE,
+  FW_ANSWER_FOREIGN,   /* not the answer to the request */
+  FW_ANSWER_MALFORMED, /* its head is not valid, or exceeds FW_HEAD_MAX */
+  FW_ANSWER_CUT,       /* it ended early; perhaps before its first byte */
+};
+
 /* Reads LINE: the status line, a header line or the empty line after them.
    Sets the fields of OUT that the header states.  Returns false, so that the
-   connection is closed, when the head exceeds FW_HEAD_MAX or this is not the
-   answer to the request.  The connection has to be closed, because the answer
+   connection is closed, when the head is malformed, exceeds FW_HEAD_MAX or
+   this is not the answer to the request.  The connection has to be closed, because the answer
    to the request may follow where the one to the next request is due.  */
 bool fw_answer_line (struct fw_answer *a, struct zp_str line,
                      struct tk_forward_done *out);
@@ -55,6 +67,11 @@
 /* Whether this is the answer to the request, as far as its head is read.  */
 bool fw_answer_is_own (const struct fw_answer *a);
 
+/* The state of the answer after its last byte.  ENDED: the HTTP library has
+   seen the end without an error.  RECEIVED: bytes of the body.  */
+enum fw_answer_state fw_answer_state (const struct fw_answer *a, bool ended,
+                                      uint64_t received);
+
 /* The verdict of a whole answer with STATUS.  A verdict of not-run that the
    answer states counts only with status 503.  */
 enum zp_verdict fw_answer_verdict (const struct fw_answer *a, unsigned status);
--- a/src/forward/client.c
+++ b/src/forward/client.c
@@ -190,11 +190,9 @@
 finish_answer (struct transfer *t)
 {
   struct tk_forward_done *d = &t->done->u.done;
-  long status = 0;
   curl_off_t us = 0;
 
-  curl_easy_getinfo (t->easy, CURLINFO_RESPONSE_CODE, &status);
-  d->status = (unsigned) status;
+  d->status = t->answer.framing.status;
   d->reused = t->answer.reused;
   if (!d->reused)
     {
@@ -204,24 +202,57 @@
   finish (t, TK_END_ANSWER, fw_answer_verdict (&t->answer, d->status));
 }
 
+/* Counts and logs why an answer that has begun is not passed on.  */
 static void
-finish_by_result (struct transfer *t, CURLcode result)
+note_unusable (const struct transfer *t, enum fw_answer_state state,
+               CURLcode result)
 {
-  bool own = fw_answer_is_own (&t->answer);
+  const char *address = t->request->u.forward.address;
+  struct zp_str id = zp_str_of (&t->request->u.forward.request_id);
 
-  if (result == CURLE_OK && own && !t->crowded_out)
+  switch (state)
     {
-      finish_answer (t);
+    case FW_ANSWER_WHOLE:
       return;
-    }
-  if (result == CURLE_WRITE_ERROR && !own)
-    {
+    case FW_ANSWER_FOREIGN:
       zp_count (zp_counter ("zp_forward_crossed_answers_total", ""), 1);
       zp_log (ZP_LOG_WARNING, PART,
-              "dropped an answer from %s: it is not the answer to the request "
-              "that was sent",
-              t->request->u.forward.address);
+              "dropped an answer from %s: it is not the answer to request "
+              "%.*s that was sent",
+              address, ZP_ARG (id));
+      return;
+    case FW_ANSWER_MALFORMED:
+      zp_count (zp_counter ("zp_forward_malformed_answers_total", ""), 1);
+      zp_log (ZP_LOG_WARNING, PART,
+              "dropped an answer from %s to request %.*s: its head is "
+              "malformed or too long",
+              address, ZP_ARG (id));
+      return;
+    case FW_ANSWER_CUT:
+      if (t->answer.head_bytes == 0)
+        return;
+      zp_count (zp_counter ("zp_forward_cut_answers_total", ""), 1);
+      zp_log (ZP_LOG_WARNING, PART,
+              "dropped an answer from %s to request %.*s: it ended early, "
+              "after %zu bytes of its head and %zu of its body: %s",
+              address, ZP_ARG (id), t->answer.head_bytes,
+              t->done->u.done.body.len, curl_easy_strerror (result));
+      return;
+    }
+}
+
+static void
+finish_by_result (struct transfer *t, CURLcode result)
+{
+  enum fw_answer_state state = fw_answer_state (&t->answer, result == CURLE_OK,
+                                                t->done->u.done.body.len);
+
+  if (state == FW_ANSWER_WHOLE && !t->crowded_out)
+    {
+      finish_answer (t);
+      return;
     }
+  note_unusable (t, state, result);
   if (t->sends == 0)
     finish (t,
             zp_clock_mono () >= t->request->u.forward.deadline
@@ -387,6 +418,8 @@
     .names = c->names,
     .request_id = zp_str_of (&m->u.forward.request_id),
     .expects_instance = m->u.forward.expect[0] != '\0',
+    .framing.head_request
+    = zp_str_eq (zp_str_of (&m->u.forward.method), ZP_STR ("HEAD")),
   };
   t->next = c->active.next;
   t->prev = &c->active;
--- /dev/null
+++ b/src/forward/framing.c
@@ -0,0 +1,181 @@
+#include "forward/framing.h"
+
+#include <string.h>
+
+#include "front/header.h"
+
+/* Removes the end of line.  Returns false when LINE has none.  */
+static bool
+strip_line_end (struct zp_str *line)
+{
+  if (line->len == 0 || line->ptr[line->len - 1] != '\n')
+    return false;
+  line->len--;
+  if (line->len > 0 && line->ptr[line->len - 1] == '\r')
+    line->len--;
+  return true;
+}
+
+static bool
+is_digit (char c)
+{
+  return c >= '0' && c <= '9';
+}
+
+/* Reads "HTTP/1.x NNN", with or without a reason after it.  */
+static bool
+read_status_line (struct zp_str line, unsigned *status)
+{
+  static const size_t prefix = sizeof "HTTP/1.x " - 1;
+  const char *p = line.ptr;
+
+  if (!zp_str_starts (line, ZP_STR ("HTTP/1.")) || line.len < prefix + 3
+      || !is_digit (p[prefix - 2]) || p[prefix - 1] != ' ')
+    return false;
+  p += prefix;
+  if (p[0] < '1' || p[0] > '5' || !is_digit (p[1]) || !is_digit (p[2])
+      || (line.len > prefix + 3 && p[3] != ' '))
+    return false;
+  *status = (unsigned) ((p[0] - '0') * 100 + (p[1] - '0') * 10 + p[2] - '0');
+  return true;
+}
+
+/* Characters of a field name: "token" of RFC 9110.  */
+static bool
+is_token_char (char c)
+{
+  return is_digit (c) || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z')
+         || (c != '\0' && strchr ("!#$%&'*+-.^_`|~", c));
+}
+
+static bool
+is_value_char (char c)
+{
+  return c == '\t' || ((unsigned char) c >= ' ' && c != 0x7f);
+}
+
+static bool
+is_field_line (struct zp_str line)
+{
+  size_t i = 0;
+
+  while (i < line.len && is_token_char (line.ptr[i]))
+    i++;
+  if (i == 0 || i == line.len || line.ptr[i] != ':')
+    return false;
+  while (++i < line.len)
+    if (!is_value_char (line.ptr[i]))
+      return false;
+  return true;
+}
+
+/* Two lengths are valid when they are equal; a length beside chunks is not.  */
+static bool
+read_length (struct fw_body *body, struct zp_str value)
+{
+  uint64_t n;
+
+  if (!zp_str_u64 (value, &n))
+    return false;
+  switch (body->kind)
+    {
+    case FW_BODY_TO_CLOSE:
+      *body = (struct fw_body){ .kind = FW_BODY_LENGTH, .u.length = n };
+      return true;
+    case FW_BODY_LENGTH:
+      return body->u.length == n;
+    case FW_BODY_CHUNKED:
+    case FW_BODY_NONE:
+      break;
+    }
+  return false;
+}
+
+static bool
+read_field (struct fw_framing *f, struct zp_str line)
+{
+  struct zp_str name, value;
+
+  if (!is_field_line (line) || !fr_header_next (&line, &name, &value))
+    return false;
+  if (fr_header_is (name, "Content-Length"))
+    return read_length (&f->body, value);
+  if (!fr_header_is (name, "Transfer-Encoding"))
+    return true;
+  if (!fr_header_is (value, "chunked") || f->body.kind != FW_BODY_TO_CLOSE)
+    return false;
+  f->body.kind = FW_BODY_CHUNKED;
+  return true;
+}
+
+static enum fw_line
+end_head (struct fw_framing *f)
+{
+  if (f->status < 200 && f->status != 101)
+    {
+      f->state = FW_AT_STATUS_LINE;
+      return FW_LINE_INTERIM_END;
+    }
+  f->state = FW_IN_BODY;
+  if (f->head_request || f->status == 204 || f->status == 304)
+    f->body.kind = FW_BODY_NONE;
+  return FW_LINE_HEAD_END;
+}
+
+static enum fw_line
+read_line (struct fw_framing *f, struct zp_str line)
+{
+  if (!strip_line_end (&line))
+    return FW_LINE_MALFORMED;
+  switch (f->state)
+    {
+    case FW_AT_STATUS_LINE:
+      f->body = (struct fw_body){ .kind = FW_BODY_TO_CLOSE };
+      if (!read_status_line (line, &f->status))
+        break;
+      f->state = FW_IN_HEAD;
+      return FW_LINE_STATUS;
+    case FW_IN_HEAD:
+      if (line.len == 0)
+        return end_head (f);
+      if (!read_field (f, line))
+        break;
+      return FW_LINE_FIELD;
+    case FW_IN_BODY:
+      if (f->body.kind != FW_BODY_CHUNKED
+          || (line.len > 0 && !is_field_line (line)))
+        break;
+      return FW_LINE_TRAILER;
+    case FW_MALFORMED:
+      break;
+    }
+  return FW_LINE_MALFORMED;
+}
+
+enum fw_line
+fw_framing_line (struct fw_framing *f, struct zp_str line)
+{
+  enum fw_line kind = read_line (f, line);
+
+  if (kind == FW_LINE_MALFORMED)
+    f->state = FW_MALFORMED;
+  return kind;
+}
+
+bool
+fw_framing_is_whole (const struct fw_framing *f, uint64_t received)
+{
+  if (f->state != FW_IN_BODY)
+    return false;
+  switch (f->body.kind)
+    {
+    case FW_BODY_LENGTH:
+      return received == f->body.u.length;
+    case FW_BODY_NONE:
+      return received == 0;
+    case FW_BODY_TO_CLOSE:
+    case FW_BODY_CHUNKED:
+      break;
+    }
+  return true;
+}
--- a/src/front/header.c
+++ b/src/front/header.c
@@ -64,6 +64,12 @@
   zp_buf_printf (block, "%.*s: %.*s\n", ZP_ARG (name), ZP_ARG (value));
 }
 
+static bool
+is_blank (char c)
+{
+  return c == ' ' || c == '\t';
+}
+
 bool
 fr_header_next (struct zp_str *rest, struct zp_str *name, struct zp_str *value)
 {
@@ -76,12 +82,12 @@
   if (line.len > 0 && line.ptr[line.len - 1] == '\r')
     line.len--;
   zp_str_split (line, ':', name, value);
-  while (value->len > 0 && value->ptr[0] == ' ')
+  while (value->len > 0 && is_blank (value->ptr[0]))
     {
       value->ptr++;
       value->len--;
     }
-  while (value->len > 0 && value->ptr[value->len - 1] == ' ')
+  while (value->len > 0 && is_blank (value->ptr[value->len - 1]))
     value->len--;
   return true;
 }
--- a/src/front/header.h
+++ b/src/front/header.h
@@ -50,7 +50,7 @@
                     struct zp_str name, struct zp_str value);
 
 /* Removes the first line of REST and splits it into NAME and VALUE, without
-   surrounding spaces.  Returns false when REST is empty.  */
+   surrounding spaces and tabs.  Returns false when REST is empty.  */
 bool fr_header_next (struct zp_str *rest, struct zp_str *name,
                      struct zp_str *value);
 
--- a/tests/test-ctl.c
+++ b/tests/test-ctl.c
@@ -2,7 +2,11 @@
 
 #include <stdlib.h>
 
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include "front/server.h"
+#include "wire/address.h"
 
 #include "ctl/command.h"
 
@@ -154,6 +158,81 @@
   CU_ASSERT_EQUAL (f.a.requests, 0);
 }
 
+/* A server that answers each request with TEXT and closes the connection.  */
+struct cutting_server
+{
+  char address[ZP_ADDRESS_MAX];
+  const char *text;
+  ev_io accepting, reading;
+};
+
+static void
+on_cut_request (struct ev_loop *ev, ev_io *w, int events)
+{
+  struct cutting_server *s = w->data;
+  char request[4096];
+
+  (void) events;
+  CU_ASSERT (recv (w->fd, request, sizeof request, 0) > 0);
+  CU_ASSERT (send (w->fd, s->text, strlen (s->text), 0) > 0);
+  ev_io_stop (ev, w);
+  close (w->fd);
+}
+
+static void
+on_cut_accept (struct ev_loop *ev, ev_io *w, int events)
+{
+  struct cutting_server *s = w->data;
+
+  (void) events;
+  ev_io_init (&s->reading, on_cut_request, accept (w->fd, NULL, NULL),
+              EV_READ);
+  s->reading.data = s;
+  ev_io_start (ev, &s->reading);
+}
+
+static void
+cutting_server_open (struct cutting_server *s, struct tk_loop *l)
+{
+  struct sockaddr_storage sa;
+  socklen_t len;
+  int one = 1, fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+  zp_str_copy (s->address, sizeof s->address,
+               zp_str_from (test_address (8303)));
+  CU_ASSERT_FATAL (
+      wi_address_parse (zp_str_from (s->address), &sa, &len, NULL));
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+  CU_ASSERT_FATAL (bind (fd, (struct sockaddr *) &sa, len) == 0);
+  CU_ASSERT_FATAL (listen (fd, 4) == 0);
+  ev_io_init (&s->accepting, on_cut_accept, fd, EV_READ);
+  s->accepting.data = s;
+  ev_io_start (l->ev, &s->accepting);
+}
+
+/* Guards against an answer that ends within its head or its body and tells the
+   operator that a ticket was accepted.  */
+static void
+test_cut_answers (void)
+{
+  static const char *const texts[]
+      = { "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nContent-Le",
+          "HTTP/1.1 200 OK\r\nContent-Length: 1x0\r\n\r\n{}",
+          "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n{}" };
+
+  for (size_t i = 0; i < sizeof texts / sizeof texts[0]; i++)
+    {
+      struct cutting_server s = { .text = texts[i] };
+      struct fixture f;
+      fixture_open (&f);
+      cutting_server_open (&s, &f.loop);
+      tk_loop_start (&f.loop);
+      check_answer (s.address, f.b.address, f.b.address);
+      fixture_close (&f);
+      close (s.accepting.fd);
+    }
+}
+
 /* Guards against a redirect that turns POST into GET or drops the body.  */
 static void
 test_redirect (void)
@@ -422,6 +501,7 @@
 
 static const struct zp_test tests[] = {
   { "the next server is tried when one is down", test_next_server },
+  { "answers that are cut", test_cut_answers },
   { "a redirect keeps method and body", test_redirect },
   { "a redirect to a dead leader", test_redirect_to_a_dead_leader },
   { "status 503: all servers are tried again", test_waits_for_a_leader },
--- a/tests/test-forward.c
+++ b/tests/test-forward.c
@@ -14,7 +14,9 @@
 
 /* A backend server that answers each request with the next text of its script.
    It does not answer when the text is "silence", and closes the connection
-   when the text is empty or the script has ended.  With FLOOD set, it answers
+   when the text is empty or the script has ended.  With LIMIT set, it sends
+   only so many bytes of a text and closes the connection, with RESET in such a
+   way that the client gets a reset.  With FLOOD set, it answers
    each request with FLOOD_HEAD and then FLOOD again and again, until the other
    side closes the connection.  */
 struct fake_server
@@ -24,6 +26,8 @@
   ev_io accepting;
   ev_io reading;
   const char *const *script;
+  size_t limit; /* bytes; 0: none */
+  bool reset;
   const char *flood_head;
   struct zp_str flood;
   ev_io flooding[FLOODS_MAX];
@@ -90,6 +94,20 @@
   struct test_guard guard;
 };
 
+/* Sends the first bytes of TEXT on FD and closes it.  */
+static void
+send_part (const struct fake_server *s, int fd, const char *text)
+{
+  const struct linger hard = { .l_onoff = 1 };
+  size_t n = strlen (text);
+
+  n = n < s->limit ? n : s->limit;
+  CU_ASSERT (send (fd, text, n, 0) == (ssize_t) n);
+  if (s->reset)
+    setsockopt (fd, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+  close (fd);
+}
+
 static void
 on_request (struct ev_loop *ev, ev_io *w, int events)
 {
@@ -118,6 +136,11 @@
       ev_io_stop (ev, w);
       close (w->fd);
     }
+  else if (s->limit > 0)
+    {
+      ev_io_stop (ev, w);
+      send_part (s, w->fd, text);
+    }
   else if (strcmp (text, "silence") != 0)
     CU_ASSERT (send (w->fd, text, strlen (text), 0)
                == (ssize_t) strlen (text));
@@ -247,6 +270,16 @@
   return &f->done->u.done;
 }
 
+/* Header names of an interface whose answers all repeat the request id.  */
+static const struct fr_header_names strict = {
+  .deadline_ms = "Deadline-Ms",
+  .request_id = "Request-Id",
+  .stamp = "Stamp",
+  .not_run = "Not-Run",
+  .leaving = "Leaving",
+  .answers_have_id = true,
+};
+
 #define OK "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
 
 static void
@@ -342,6 +375,145 @@
   close_fixture (&f);
 }
 
+/* The end of a request to a server that sends the first LIMIT bytes of TEXT and
+   closes the connection.  */
+static struct tk_forward_done
+exchange_part (const char *text, size_t limit, bool reset,
+               const struct fr_header_names *names)
+{
+  const char *const script[] = { text, NULL };
+  struct fixture f;
+
+  open_fixture_with (&f, script, names);
+  f.server.limit = limit;
+  f.server.reset = reset;
+  struct tk_forward_done d = *exchange (&f, 5 * ZP_SEC);
+  close_fixture (&f);
+  return d;
+}
+
+static void
+check_lost (const struct tk_forward_done *d)
+{
+  CU_ASSERT_EQUAL (d->end, TK_END_LOST);
+  CU_ASSERT_EQUAL (d->verdict, ZP_MAY_HAVE_RUN);
+  CU_ASSERT_EQUAL (d->body.len, 0);
+  CU_ASSERT_EQUAL (d->status, 0);
+}
+
+/* Guards against an answer that ends early, at any of its bytes, and is passed
+   on as a whole one or as a refusal (P3, P4).  */
+static void
+test_answers_cut_at_every_byte (void)
+{
+  static const char *const answers[]
+      = { "HTTP/1.1 200 OK\r\nRequest-Id: r7\r\nStamp: s\r\n"
+          "Content-Length: 12\r\n\r\nhello, world",
+          "HTTP/1.1 200 OK\r\nRequest-Id: r7\r\nStamp: s\r\n"
+          "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n"
+          "7\r\n, world\r\n0\r\n\r\n",
+          "HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\r\nRequest-Id: "
+          "r7\r\nContent-Length: 2\r\nStamp: s\r\n\r\nhi",
+          "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nRun-Verdict: not-run\r\n"
+          "Request-Id: r7\r\nContent-Length: 0\r\n\r\n" };
+  static const struct fr_header_names *const names[]
+      = { &strict, &fr_header_names_default };
+
+  for (size_t i = 0; i < sizeof answers / sizeof answers[0]; i++)
+    for (size_t k = 0; k < 2; k++)
+      {
+        size_t len = strlen (answers[i]);
+        /* The empty line after the last chunk may be missing.  */
+        size_t needed = i == 1 ? len - 2 : len;
+        for (size_t n = 1; n < needed; n++)
+          {
+            struct tk_forward_done d
+                = exchange_part (answers[i], n, n % 2 == 0, names[k]);
+            check_lost (&d);
+          }
+        struct tk_forward_done d
+            = exchange_part (answers[i], len, false, names[k]);
+        CU_ASSERT_EQUAL (d.end, TK_END_ANSWER);
+      }
+}
+
+/* Guards against an answer without a length that is passed on after a reset
+   within its body, and against one whose connection ends within its head.  */
+static void
+test_answer_that_ends_with_its_connection (void)
+{
+  static const char *const answer
+      = "HTTP/1.1 200 OK\r\nRequest-Id: r7\r\n\r\nhello, world";
+  size_t head = (size_t) (strstr (answer, "hello") - answer);
+
+  for (size_t n = 1; n < head; n++)
+    {
+      struct tk_forward_done d = exchange_part (answer, n, false, &strict);
+      check_lost (&d);
+    }
+  for (size_t n = head; n <= strlen (answer); n++)
+    {
+      struct tk_forward_done d = exchange_part (answer, n, true, &strict);
+      check_lost (&d);
+    }
+  struct tk_forward_done d
+      = exchange_part (answer, strlen (answer), false, &strict);
+  CU_ASSERT_EQUAL (d.end, TK_END_ANSWER);
+}
+
+/* Guards against a spoiled line in the head, or in the size of a chunk, that
+   makes libcurl take a part of the body for the whole.  */
+static void
+test_spoiled_answers (void)
+{
+#define BEGIN "HTTP/1.1 200 OK\r\nRequest-Id: r7\r\n"
+  static const char *const answers[]
+      = { BEGIN "Content-Length: 1x2\r\n\r\nhello, world",
+          BEGIN "Content-Length: 1 2\r\n\r\nhello, world",
+          BEGIN "Content-Length: 0x12\r\n\r\nhello, world",
+          BEGIN "Content-Length: -1\r\n\r\nhello, world",
+          BEGIN "Content-Length: 5\r\nContent-Length: 12\r\n\r\nhello, world",
+          BEGIN "Content-Length: 5, 12\r\n\r\nhello, world",
+          BEGIN "Content-Length\x01: 12\r\n\r\nhello, world",
+          BEGIN "Content-Length : 12\r\n\r\nhello, world",
+          BEGIN "Content-Length; 12\r\n\r\nhello, world",
+          BEGIN "Content-Length: 12\r\nTransfer-Encoding: "
+                "chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
+          BEGIN "Transfer-Encoding: chunkee\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
+          BEGIN "Transfer-Encoding: chunked\r\n\r\n0\r\nhello, "
+                "world\r\n\r\n0\r\n\r\n",
+          BEGIN "Cont\r\nent-Length: 12\r\n\r\nhello, world",
+          BEGIN BEGIN "Content-Length: 2\r\n\r\nhi" };
+
+  for (size_t i = 0; i < sizeof answers / sizeof answers[0]; i++)
+    {
+      struct tk_forward_done d
+          = exchange_part (answers[i], strlen (answers[i]), false, &strict);
+      CU_ASSERT_EQUAL (d.end, TK_END_LOST);
+      check_lost (&d);
+    }
+#undef BEGIN
+}
+
+/* Guards against a copy of an earlier refusal, on a connection in use again,
+   that is taken for the answer to a request that runs (P4): without an id it
+   proves nothing, also where answers need no id.  */
+static void
+test_copy_of_a_refusal (void)
+{
+#define REFUSAL                                                               \
+  "HTTP/1.1 503 Busy\r\nRun-Verdict: not-run\r\nContent-Length: 0\r\n\r\n"
+  static const char *const script[] = { REFUSAL, REFUSAL, NULL };
+  struct fixture f;
+
+  open_fixture (&f, script);
+  CU_ASSERT_EQUAL (exchange (&f, 5 * ZP_SEC)->verdict, ZP_NOT_RUN);
+  CU_ASSERT_EQUAL (exchange (&f, 5 * ZP_SEC)->verdict, ZP_MAY_HAVE_RUN);
+  CU_ASSERT_EQUAL (f.server.connections, 1);
+  close_fixture (&f);
+#undef REFUSAL
+}
+
 /* Guards against passing on the answer to another request (P3).  */
 static void
 test_answer_to_another_request_is_dropped (void)
@@ -391,16 +563,6 @@
   close_fixture (&f);
 }
 
-/* Header names of an interface whose answers all repeat the request id.  */
-static const struct fr_header_names strict = {
-  .deadline_ms = "Deadline-Ms",
-  .request_id = "Request-Id",
-  .stamp = "Stamp",
-  .not_run = "Not-Run",
-  .leaving = "Leaving",
-  .answers_have_id = true,
-};
-
 /* Guards against a late second copy of an answer on a connection in use again:
    it is not the answer to the next request, and the connection is closed,
    since the answer to that request follows where a third one expects its
@@ -608,6 +770,11 @@
     test_no_resend_after_a_reused_connection_is_lost },
   { "a not-run verdict needs status 503", test_not_run_verdict_needs_503 },
   { "a truncated answer is lost", test_truncated_answer_is_lost },
+  { "answers that are cut at every byte", test_answers_cut_at_every_byte },
+  { "an answer that ends with its connection",
+    test_answer_that_ends_with_its_connection },
+  { "spoiled answers", test_spoiled_answers },
+  { "a copy of a refusal", test_copy_of_a_refusal },
   { "an answer to another request is dropped",
     test_answer_to_another_request_is_dropped },
   { "a silent server ends at the deadline",
