gate, entry: a planned stop refuses the requests that it cannot finish

Cause: nothing compared a new request with the fixed end of the shutdown; the closed listening socket was taken for "no new requests". Evidence: the record has "server runs" and the cut for each, all cuts at the time of the log line "shutdown complete, 5 requests still in progress".

Ruled out: servers that break off (they answer 0.1 to 1 s later), deadlines (0.9 to 1.7 s of 3 s were used).

Change: src/steer/stop, pure, holds the phases of a shutdown and decides whether a request may still be sent to a server: always when its deadline lies before the end, otherwise only while callers can hold a valid look-up and when twice the expected time fits. It is asked for new requests, retries and queued requests; in the last 0.25 s queued requests are refused instead of cut. zp-entry had the same fault and uses the same decision. A refusal has the reason "stopping" and the shortest Retry-After, because another entry VM can take the request.

--- a/src/entry/announce.c
+++ b/src/entry/announce.c
@@ -144,7 +144,7 @@
   struct zp_str address = to ? zp_str_from (to->address) : r->settings->http;
   /* An entry VM that shuts down sends servers elsewhere and accepts no new
      ones.  */
-  if (!r->leaving || st_owner_find (&r->lessor.owner, x.a.id))
+  if (!r->stop.begun || st_owner_find (&r->lessor.owner, x.a.id))
     apply (r, &x);
   if (to)
     en_capacity_hand_over_server (r, x.a.id, to->id);
--- a/src/entry/dispatch.c
+++ b/src/entry/dispatch.c
@@ -120,6 +120,20 @@
   return forward (r, q, &p, index, now);
 }
 
+/* Whether a graceful shutdown leaves time to send Q to a server.  */
+static bool
+stop_allows (const struct en_router *r, const struct en_request *q,
+             zp_time now)
+{
+  const struct st_stop_request s
+      = { .now = now,
+          .arrived = q->arrived,
+          .deadline = q->deadline,
+          .expected = st_queue_service_time (q->service->queue) };
+
+  return st_stop_allows (&r->stop, &s);
+}
+
 /* Parked requests.  */
 
 void
@@ -288,6 +302,11 @@
       en_request_refuse (r, q, 504, "deadline", 0);
       return;
     }
+  if (!stop_allows (r, q, now))
+    {
+      en_request_refuse (r, q, 503, "stopping", 0);
+      return;
+    }
   if (!admit_fingerprint (r, q, now))
     return;
   bool own_condition = q->alone || q->only_server != 0;
@@ -355,6 +374,11 @@
           en_dispatch_park (s, q);
           continue;
         }
+      if (!stop_allows (r, q, now))
+        {
+          en_request_refuse (r, q, 503, "stopping", 0);
+          continue;
+        }
       /* The poison table may have changed while Q was queued.  */
       if (!admit_fingerprint (r, q, now))
         continue;
@@ -371,6 +395,30 @@
     }
 }
 
+void
+en_dispatch_refuse_waiting (struct en_router *r)
+{
+  struct en_request *q;
+  uint32_t at = 0;
+
+  while ((q = zp_slots_next (&r->requests, &at)))
+    switch (q->phase)
+      {
+      case EN_QUEUED:
+        st_queue_cancel (q->service->queue, q->ref);
+        q->phase = EN_DETACHED;
+        en_request_refuse (r, q, 503, "stopping", 0);
+        break;
+      case EN_PARKED:
+        en_request_refuse (r, q, 503, "stopping", 0);
+        break;
+      case EN_CLAIMING:
+      case EN_RUNNING:
+      case EN_DETACHED:
+        break;
+      }
+}
+
 static void
 admit_parked (struct en_router *r, struct en_service *s)
 {
--- a/src/entry/router.c
+++ b/src/entry/router.c
@@ -108,12 +108,11 @@
 static void
 start_shutdown (struct en_router *r)
 {
-  if (r->leaving)
+  if (r->stop.begun)
     return;
   zp_log (ZP_LOG_NOTICE, PART,
           "shutting down: look-ups no longer name this daemon");
-  r->leaving = true;
-  r->leaving_since = zp_clock_mono ();
+  st_stop_begin (&r->stop, zp_clock_mono (), ZP_LOOKUP_TTL, ZP_STOP_TIMEOUT);
   r->members.item[0].leaving = true;
   en_members_changed (r);
   tk_send (r->peers, tk_msg_new (TK_STOP));
@@ -188,23 +187,31 @@
 }
 
 /* Callers may use a cached look-up for ZP_LOOKUP_TTL, so the front task
-   accepts requests for that time.  Requests in progress may run until
+   accepts connections for that time.  Requests in progress may run until
    ZP_STOP_TIMEOUT.  Both times count from the start of the shutdown.  */
 static void
 shutdown_step (struct en_router *r, zp_time now)
 {
-  zp_time since = now - r->leaving_since;
-
-  if (since < ZP_LOOKUP_TTL)
-    return;
-  tk_send (r->front, tk_msg_new (TK_STOP));
   size_t left = count_unfinished (r);
-  if (left > 0 && since < ZP_STOP_TIMEOUT)
-    return;
+
+  switch (st_stop_step (&r->stop, now, left))
+    {
+    case ST_STOP_NOT_BEGUN:
+    case ST_STOP_LISTENING:
+      return;
+    case ST_STOP_DRAINING:
+      tk_send (r->front, tk_msg_new (TK_STOP));
+      return;
+    case ST_STOP_ANSWERING:
+      en_dispatch_refuse_waiting (r);
+      return;
+    case ST_STOP_OVER:
+      break;
+    }
   zp_log (ZP_LOG_NOTICE, PART,
           "shutdown complete, %zu requests still in progress", left);
   en_capacity_return_all (r);
-  r->leaving_since = ZP_NEVER;
+  r->complete = true;
   r->stopped (r->stopped_self);
 }
 
@@ -222,7 +229,7 @@
   en_shifts_tick (r);
   en_links_tick (r);
   en_capacity_send_summary (r, false);
-  if (r->leaving && r->leaving_since != ZP_NEVER)
+  if (!r->complete)
     shutdown_step (r, now);
 }
 
--- a/src/entry/router.h
+++ b/src/entry/router.h
@@ -42,6 +42,7 @@
 #include "steer/poison.h"
 #include "steer/queue.h"
 #include "steer/retry.h"
+#include "steer/stop.h"
 #include "steer/shift.h"
 #include "task/task.h"
 
@@ -153,9 +154,8 @@
   struct st_poison *poison;
   struct oc_member *claims;
 
-  /* Graceful shutdown.  */
-  bool leaving;
-  zp_time leaving_since;
+  struct st_stop stop;          /* graceful shutdown */
+  bool complete;                /* STOPPED was called */
   void (*stopped) (void *self); /* called when the shutdown is complete */
   void *stopped_self;
 };
@@ -204,6 +204,9 @@
 /* dispatch.c */
 void en_dispatch (struct en_router *r, struct en_service *s);
 void en_dispatch_tick (struct en_router *r);
+
+/* Refuses the requests that wait for a server, because the daemon ends.  */
+void en_dispatch_refuse_waiting (struct en_router *r);
 void en_dispatch_cancel (struct en_router *r, struct zp_str server,
                          unsigned count);
 
--- a/src/entry/status.c
+++ b/src/entry/status.c
@@ -103,7 +103,8 @@
   add_int (o, "number", r->config ? (int64_t) r->config->number : 0);
   add_int (o, "version", r->config ? (int64_t) r->config->index : 0);
   json_object_object_add (o, "current", json_object_new_boolean (r->fresh));
-  json_object_object_add (o, "leaving", json_object_new_boolean (r->leaving));
+  json_object_object_add (o, "leaving",
+                          json_object_new_boolean (r->stop.begun));
   add_int (o, "claims", (int64_t) oc_member_keys (r->claims));
   add_int (o, "claims_bytes", (int64_t) oc_member_bytes (r->claims));
   add_int (o, "suspects", (int64_t) st_poison_len (r->poison));
--- a/src/gate/dispatch.c
+++ b/src/gate/dispatch.c
@@ -94,6 +94,19 @@
   return choice->wait <= wait_max;
 }
 
+/* Whether a graceful shutdown leaves time to send Q to a server.  */
+static bool
+stop_allows (const struct gt_gate *g, const struct gt_request *q, zp_time now)
+{
+  const struct st_stop_request r
+      = { .now = now,
+          .arrived = q->arrived,
+          .deadline = q->deadline,
+          .expected = gt_service_mean_time (q->service) };
+
+  return st_stop_allows (&g->stop, &r);
+}
+
 /* Refuses the request ID, which has just left its queue.  */
 static void
 refuse_queued (struct gt_gate *g, uint64_t id, const char *reason)
@@ -166,6 +179,11 @@
       gt_request_refuse (g, q, "deadline", false);
       return;
     }
+  if (!stop_allows (g, q, now))
+    {
+      gt_request_refuse (g, q, "stopping", true);
+      return;
+    }
   if (st_crash_refuses (&g->crash_suspects, q->fingerprint, now))
     {
       gt_request_refuse (g, q, "crashes-servers", false);
@@ -211,13 +229,30 @@
       if (c.kind != ST_BALANCE_SEND)
         return;
       st_queue_cancel (s->queue, q->queue_ref);
-      if (can_wait (q, x, &c, now))
+      if (!stop_allows (g, q, now))
+        gt_request_refuse (g, q, "stopping", true);
+      else if (can_wait (q, x, &c, now))
         start_attempt (g, q, x, now);
       else
         gt_request_refuse (g, q, "no-capacity-in-time", true);
     }
 }
 
+void
+gt_dispatch_refuse_queues (struct gt_gate *g)
+{
+  struct st_queue_entry e;
+
+  for (size_t i = 0; i < g->services; i++)
+    while (st_queue_peek (g->service[i]->queue, &e))
+      {
+        struct gt_request *q = zp_slots_get (&g->requests, e.id);
+        assert (q && q->phase == GT_QUEUED);
+        st_queue_cancel (g->service[i]->queue, q->queue_ref);
+        gt_request_refuse (g, q, "stopping", true);
+      }
+}
+
 void
 gt_dispatch_tick (struct gt_gate *g)
 {
@@ -389,8 +424,9 @@
   struct st_balance_choice c = gt_choose (g, q, now, &other);
   const struct st_retry_request r
       = { .idempotent = q->idempotent,
-          .other_server
-          = c.kind == ST_BALANCE_SEND && can_wait (q, other, &c, now),
+          .other_server = c.kind == ST_BALANCE_SEND
+                          && can_wait (q, other, &c, now)
+                          && stop_allows (g, q, now),
           .attempts = q->attempts,
           .attempts_max = q->attempts_max,
           .has_answer = trusted && d->end == TK_END_ANSWER,
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -15,11 +15,6 @@
    connections.  */
 #define STOP_CHECK_PERIOD (50 * ZP_MS)
 
-/* The daemon stops when no request was in progress for this long: a request
-   that a caller has already sent can still be under way to it.  Callers are up
-   to 110 ms away.  */
-#define STOP_LINGER (300 * ZP_MS)
-
 /* The daemon stops at the latest this long before the process would be killed,
    even if requests are still in progress.  */
 #define STOP_RESERVE (700 * ZP_MS)
@@ -56,19 +51,24 @@
 static void
 check_stop (struct gt_gate *g, zp_time now)
 {
-  zp_time since = now - g->leaving_since;
-
-  if (since >= g->settings->lookup_ttl)
-    fr_server_quiesce (g->front);
-  bool late = since >= g->settings->grace - STOP_RESERVE;
-  if (since < g->settings->lookup_ttl || count_unfinished (g) > 0)
-    g->busy_at = now;
-  if (now - g->busy_at < STOP_LINGER && !late)
-    return;
+  switch (st_stop_step (&g->stop, now, count_unfinished (g)))
+    {
+    case ST_STOP_NOT_BEGUN:
+    case ST_STOP_LISTENING:
+      return;
+    case ST_STOP_DRAINING:
+      fr_server_quiesce (g->front);
+      return;
+    case ST_STOP_ANSWERING:
+      gt_dispatch_refuse_queues (g);
+      return;
+    case ST_STOP_OVER:
+      break;
+    }
   zp_log (ZP_LOG_NOTICE, PART,
           "shutdown complete, %zu requests still in progress",
           count_unfinished (g));
-  g->leaving_since = ZP_NEVER;
+  g->complete = true;
   g->stopped (g->stopped_self);
 }
 
@@ -80,7 +80,7 @@
   (void) ev;
   (void) events;
   gt_dispatch_tick (g);
-  if (!g->leaving || g->leaving_since == ZP_NEVER)
+  if (!g->stop.begun || g->complete)
     return;
   check_stop (g, zp_clock_mono ());
   if (!ev_is_active (&g->timer))
@@ -103,7 +103,7 @@
 static bool
 is_ready (const struct gt_gate *g)
 {
-  return g->site && !g->leaving;
+  return g->site && !g->stop.begun;
 }
 
 struct tk_daemon
@@ -113,7 +113,7 @@
   struct tk_daemon d = { .kind = TK_DAEMON_ENTRY,
                          .id = s->id,
                          .ready = is_ready (g),
-                         .leaving = g->leaving };
+                         .leaving = g->stop.begun };
 
   zp_str_copy (d.name, sizeof d.name, s->name);
   zp_str_copy (d.address, sizeof d.address, s->front);
@@ -134,12 +134,12 @@
 static void
 begin_shutdown (struct gt_gate *g)
 {
-  if (g->leaving)
+  if (g->stop.begun)
     return;
   zp_log (ZP_LOG_NOTICE, PART,
           "shutting down: look-ups no longer name this daemon");
-  g->leaving = true;
-  g->leaving_since = zp_clock_mono ();
+  st_stop_begin (&g->stop, zp_clock_mono (), g->settings->lookup_ttl,
+                 g->settings->grace - STOP_RESERVE);
   announce_self (g);
   fr_server_drain (g->front);
   gt_start_timer (g);
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -47,6 +47,7 @@
 #include "steer/balance.h"
 #include "steer/queue.h"
 #include "steer/retry.h"
+#include "steer/stop.h"
 #include "steer/warm.h"
 #include "task/task.h"
 #include "ticket/config.h"
@@ -224,9 +225,8 @@
 
   struct fr_server *front;      /* for callers */
   struct fr_server *ready;      /* for readiness checks and metrics */
-  bool leaving;                 /* a graceful shutdown is in progress */
-  zp_time leaving_since;        /* ZP_NEVER once STOPPED was called */
-  zp_time busy_at;              /* last time with requests in progress */
+  struct st_stop stop;          /* graceful shutdown */
+  bool complete;                /* STOPPED was called */
   void (*stopped) (void *self); /* called when the shutdown is complete */
   void *stopped_self;
 };
@@ -367,6 +367,9 @@
 /* Handles the end of an attempt, TK_FORWARD_DONE.  */
 void gt_dispatch_attempt_done (struct gt_gate *g, struct tk_msg *m);
 
+/* Refuses all queued requests, because the daemon ends.  */
+void gt_dispatch_refuse_queues (struct gt_gate *g);
+
 /* Checks all queues; refuses the requests whose wait has expired.  */
 void gt_dispatch_tick (struct gt_gate *g);
 
--- a/src/gate/request.c
+++ b/src/gate/request.c
@@ -74,9 +74,12 @@
     {
       bool not_run = q->verdict == ZP_NOT_RUN;
       if (not_run && retry_later)
+        /* Another entry VM can take the request at once.  */
         retry_after
-            = st_retry_after (st_queue_service_time (q->service->queue),
-                              q->deadline - now, &g->rng);
+            = g->stop.begun
+                  ? ST_RETRY_AFTER_MIN
+                  : st_retry_after (st_queue_service_time (q->service->queue),
+                                    q->deadline - now, &g->rng);
       zp_count (not_run ? q->service->refused_not_run
                         : q->service->refused_may_have_run,
                 1);
--- a/src/trace/cause.c
+++ b/src/trace/cause.c
@@ -33,6 +33,8 @@
       return "crashes-servers";
     case TR_CAUSE_LEASE_LOST:
       return "lease-lost";
+    case TR_CAUSE_STOPPING:
+      return "stopping";
     case TR_CAUSE_CALLER:
       return "caller";
     case TR_CAUSE_OTHER:
@@ -78,6 +80,8 @@
              "servers";
     case TR_CAUSE_LEASE_LOST:
       return "the lease of the entry daemon on the server ended";
+    case TR_CAUSE_STOPPING:
+      return "the entry daemon was stopping and had no time left for it";
     case TR_CAUSE_CALLER:
       return "the caller left, or its request was not valid";
     case TR_CAUSE_OTHER:
@@ -120,6 +124,7 @@
   { "server-full", TR_CAUSE_SERVER_REFUSED },
   { "crashes-servers", TR_CAUSE_CRASHES },
   { "poison", TR_CAUSE_CRASHES },
+  { "stopping", TR_CAUSE_STOPPING },
   { "caller-left", TR_CAUSE_CALLER },
   { "unknown-path", TR_CAUSE_CALLER },
   { "unknown-service", TR_CAUSE_CALLER },
--- a/src/trace/cause.h
+++ b/src/trace/cause.h
@@ -35,6 +35,7 @@
   TR_CAUSE_SERVER_REFUSED, /* the server answered that it did not run it */
   TR_CAUSE_CRASHES,        /* servers that ran it have crashed */
   TR_CAUSE_LEASE_LOST,     /* the lease on a slot of the server ended */
+  TR_CAUSE_STOPPING,       /* the entry daemon was about to end */
   TR_CAUSE_CALLER,         /* the request was not valid, or the caller left */
   TR_CAUSE_OTHER,          /* refused for the reason in the decision */
   TR_CAUSE_NONE,           /* it was answered */
--- a/tests/gate-fixture.h
+++ b/tests/gate-fixture.h
@@ -172,8 +172,9 @@
   tk_send (&f.gate->task, m);
 }
 
+/* Sends a request whose deadline is in TIME.  */
 static inline void
-send_request (uint64_t http)
+send_request_for (uint64_t http, zp_time time)
 {
   struct tk_msg *m = tk_msg_new (TK_HTTP_REQUEST);
   struct tk_http_request *r = &m->u.request;
@@ -184,10 +185,16 @@
   r->method = zp_buf_from (ZP_STR ("GET"));
   r->path = zp_buf_from (ZP_STR ("/x"));
   zp_buf_printf (&r->request_id, "r-%llu", (unsigned long long) http);
-  r->deadline = zp_clock_mono () + 2 * ZP_SEC;
+  r->deadline = zp_clock_mono () + time;
   tk_send (&f.gate->task, m);
 }
 
+static inline void
+send_request (uint64_t http)
+{
+  send_request_for (http, 2 * ZP_SEC);
+}
+
 #define RUN_UNTIL(condition)                                                  \
   while (!(condition) && !f.guard.fired)                                      \
     ev_run (f.loop.ev, EVRUN_ONCE);                                           \
--- a/tests/test-gate.c
+++ b/tests/test-gate.c
@@ -2,6 +2,8 @@
 
 #include "gate-fixture.h"
 
+#include "steer/maxwait.h"
+
 /* Guards against a status that makes the caller give up, and against requests
    that wait without a chance: without a configuration or servers, a request is
    refused at once with 503 and a time to retry.  */
@@ -249,6 +251,69 @@
   tear_down ();
 }
 
+/* Guards against requests on kept connections that are taken late in a graceful
+   shutdown and cut at its end: they are refused at once as not run, so that
+   their callers go to another entry VM.  One whose deadline comes before the
+   end is still taken.  */
+static void
+test_stop_late_requests (void)
+{
+  set_up ("7 once");
+  report_server ("i-1", "10.0.0.1:80", TK_SERVER_READY, 1);
+  send_request (1);
+  RUN_UNTIL (f.sends == 1);
+  tk_send (&f.gate->task, tk_msg_new (TK_STOP));
+  RUN_UNTIL (f.announced.leaving);
+  run_for (0.8);
+  send_request (2);
+  RUN_UNTIL (f.answers == 1);
+  CU_ASSERT_EQUAL (answer_status (0), 503);
+  CU_ASSERT_EQUAL (f.answer[0]->u.answer.verdict, ZP_NOT_RUN);
+  CU_ASSERT_EQUAL (f.answer[0]->u.answer.retry_after_ms,
+                   ST_RETRY_AFTER_MIN / ZP_MS);
+  CU_ASSERT_EQUAL (f.sends, 1);
+  send_request_for (3, ZP_SEC);
+  RUN_UNTIL (f.sends == 2);
+  end_attempt (0, TK_END_ANSWER, 200, ZP_RAN, true);
+  end_attempt (1, TK_END_ANSWER, 200, ZP_RAN, true);
+  RUN_UNTIL (f.answers == 3 && f.stopped);
+  CU_ASSERT_EQUAL (answer_status (1), 200);
+  CU_ASSERT_EQUAL (answer_status (2), 200);
+  tear_down ();
+}
+
+/* Guards against a queued request that is cut when the daemon ends, and against
+   one at a server that is ended sooner.  */
+static void
+test_stop_queued_requests (void)
+{
+  set_up ("7");
+  f.settings.grace = 2 * ZP_SEC;
+  report_server ("i-1", "10.0.0.1:80", TK_SERVER_READY, 1);
+  send_request (1);
+  RUN_UNTIL (f.sends == 1);
+  struct gt_server *s
+      = gt_server_find (f.gate, zp_str_hash (ZP_STR ("i-1"), 0));
+  CU_ASSERT_FATAL (s != NULL);
+  for (int i = 0; i < 100; i++)
+    st_queue_served (s->service->queue, 10 * ZP_MS);
+  s->health.kind = ST_HEALTH_EJECTED;
+  s->health.until = zp_clock_mono () + 10 * ZP_SEC;
+  tk_send (&f.gate->task, tk_msg_new (TK_STOP));
+  run_for (0.8);
+  send_request_for (2, 450 * ZP_MS);
+  run_pending ();
+  CU_ASSERT_EQUAL (f.answers, 0);
+  RUN_UNTIL (f.answers == 1);
+  CU_ASSERT_EQUAL (answer_status (0), 503);
+  CU_ASSERT (HAS_TEXT (f.answer[0]->u.answer.body.ptr, "stopping"));
+  CU_ASSERT (!f.stopped);
+  RUN_UNTIL (f.stopped);
+  CU_ASSERT_EQUAL (f.answers, 1);
+  CU_ASSERT_EQUAL (f.cancels, 0);
+  tear_down ();
+}
+
 static const struct zp_test tests[]
     = { { "refusals without configuration or servers", test_refusals },
         { "request and answer are passed on", test_answer },
@@ -260,6 +325,8 @@
         { "an unreadable configuration", test_configurations },
         { "graceful shutdown", test_stop },
         { "graceful shutdown, a request under way",
-          test_stop_waits_for_requests_under_way } };
+          test_stop_waits_for_requests_under_way },
+        { "graceful shutdown, late requests", test_stop_late_requests },
+        { "graceful shutdown, queued requests", test_stop_queued_requests } };
 
 TEST_MAIN ("gate", tests)
--- a/tests/test-router.c
+++ b/tests/test-router.c
@@ -406,7 +406,59 @@
   fixture_close (&f);
 }
 
+/* Guards against requests on kept connections that are taken late in a graceful
+   shutdown and cut at its end.  The key of an at-most-once request is sealed,
+   so that "not run" stays true.  */
+static void
+test_stop_late_requests (void)
+{
+  struct fixture f;
+
+  fixture_open (&f);
+  st_stop_begin (&f.router->stop, zp_clock_mono () - 8500 * ZP_MS,
+                 ZP_LOOKUP_TTL, ZP_STOP_TIMEOUT);
+  const struct tk_http_answer *a
+      = fixture_answer (&f, send_request (&f, "GET", "/board/late", ""));
+  CU_ASSERT_FATAL (a != NULL);
+  CU_ASSERT_EQUAL (a->status, 503);
+  CU_ASSERT_EQUAL (a->verdict, ZP_NOT_RUN);
+  CU_ASSERT (body_has (a, "stopping"));
+  CU_ASSERT_EQUAL (f.forward.len, 0);
+  send_with_timeout (&f, "/board/short", 500 * ZP_MS);
+  CU_ASSERT (fixture_forward (&f, 1) != NULL);
+  fixture_close (&f);
+}
+
+/* Guards against queued requests that are cut when the daemon ends.  */
+static void
+test_stop_queued_requests (void)
+{
+  struct fixture f;
+  char path[32];
+
+  fixture_open (&f);
+  for (int i = 0; i < 4; i++)
+    {
+      snprintf (path, sizeof path, "/board/%d", i);
+      send_with_timeout (&f, path, 30 * ZP_SEC);
+    }
+  fixture_forward (&f, 4);
+  uint64_t queued = send_with_timeout (&f, "/board/queued", 30 * ZP_SEC);
+  fixture_wait (&f, 100 * ZP_MS);
+  CU_ASSERT (!has_answer (&f, queued));
+  st_stop_begin (&f.router->stop,
+                 zp_clock_mono () - ZP_STOP_TIMEOUT + ST_STOP_ANSWER_TIME,
+                 ZP_LOOKUP_TTL, ZP_STOP_TIMEOUT);
+  fixture_wait (&f, 100 * ZP_MS);
+  CU_ASSERT_FATAL (has_answer (&f, queued));
+  CU_ASSERT_EQUAL (fixture_answer (&f, queued)->verdict, ZP_NOT_RUN);
+  CU_ASSERT_EQUAL (f.forward.len, 4);
+  fixture_close (&f);
+}
+
 static const struct zp_test tests[] = {
+  { "graceful shutdown, late requests", test_stop_late_requests },
+  { "graceful shutdown, queued requests", test_stop_queued_requests },
   { "configured limits are kept", test_limits_are_kept },
   { "a request reaches a server", test_request_reaches_a_server },
   { "unknown paths and services", test_unknown_paths_and_services },
