ledger, control, follow: a member whose disk was full goes on when it has room

Causes: the core stopped for good after a failed write, and the disk task refused every later one; and the leader kept a voter that is connected but answers nothing. Evidence: the log lines of the three members that stop, without any later one, and the other members' elections without a majority.

Ruled out: a fault of the election (two of five voters cannot elect), a missing spare (the leader removed nobody).

The disk task begins anew only with a replacement whose sender knows of the failure. Membership goes by answers too: a silent voter is replaced, a silent learner is not promoted. The cached configuration of an entry daemon had the same fault and is written whole again.

--- a/src/control/control.c
+++ b/src/control/control.c
@@ -67,12 +67,10 @@
 reconcile (struct ct_control *c, zp_time now)
 {
   struct lg_change change;
-  const struct lg_status s = ct_replica_status (c->replica);
 
   if (c->settings->seeds.len > 0)
     {
-      if (!ct_roster_step (&c->roster, c->settings, &s,
-                           ct_replica_members (c->replica), now, &change)
+      if (!ct_roster_step (&c->roster, c->settings, c->replica, now, &change)
           || c->member_change != 0)
         return;
       c->member_change = ++c->proposals;
--- a/src/control/membership.c
+++ b/src/control/membership.c
@@ -49,6 +49,22 @@
   return observed;
 }
 
+static bool
+is_healthy (const struct view *v, size_t member)
+{
+  return connected (v, v->members->item[member].id)
+         && v->self->silence[member] < CT_ANSWER_TIMEOUT;
+}
+
+/* How long a voter cannot have taken part in decisions; 0: it can.  */
+static zp_time
+unusable_for (const struct view *v, size_t member)
+{
+  if (!connected (v, v->members->item[member].id))
+    return lost_for (v, v->members->item[member].id);
+  return is_healthy (v, member) ? 0 : v->self->silence[member];
+}
+
 static struct zp_str
 region_of (const struct view *v, uint64_t id)
 {
@@ -108,7 +124,7 @@
   return false;
 }
 
-/* A connected learner that may become a voter, or NULL.  LEAVING is the id of
+/* A healthy learner that may become a voter, or NULL.  LEAVING is the id of
    the voter that it would replace, or 0.  */
 static const struct lg_member *
 find_promotable (const struct view *v, uint64_t leaving)
@@ -116,7 +132,7 @@
   for (size_t i = 0; i < v->members->len; i++)
     {
       const struct lg_member *m = &v->members->item[i];
-      if (m->voter || !connected (v, m->id))
+      if (m->voter || !is_healthy (v, i))
         continue;
       struct zp_str region = region_of (v, m->id);
       size_t there = voters_in (v, region);
@@ -154,8 +170,8 @@
       const struct lg_member *m = &v->members->item[i];
       if (!m->voter)
         continue;
-      present += connected (v, m->id);
-      if (!lost && lost_for (v, m->id) >= CT_VOTER_TIMEOUT)
+      present += is_healthy (v, i);
+      if (!lost && unusable_for (v, i) >= CT_VOTER_TIMEOUT)
         lost = m;
     }
   if (!lost || voters < 2 || present <= (voters - 1) / 2
--- a/src/control/membership.h
+++ b/src/control/membership.h
@@ -10,14 +10,18 @@
      1. A member whose address is used by a daemon with another id has lost its
         storage.  It is removed, because its vote must not be counted again.
      2. A connected control daemon that is not a member becomes a learner.
-     3. A connected learner becomes a voter while there are fewer than
+     3. A healthy learner becomes a voter while there are fewer than
         CT_VOTERS.  A region gets at most CT_VOTERS_IN_REGION voters, so that
         the loss of one region leaves a majority.
      4. A voter that has been lost for CT_VOTER_TIMEOUT is removed when a
-        connected learner can replace it and a majority of the other voters is
-        connected.
+        healthy learner can replace it and a majority of the other voters is
+        healthy.  A voter that is connected but answers no request of the
+        leader is lost too: its disk may be full.
      5. A learner that has been lost for CT_LEARNER_TIMEOUT is removed.
 
+     A member is healthy when it is connected and has answered a request of the
+     leader within CT_ANSWER_TIMEOUT.  Only a healthy learner is promoted.
+
      The log makes one change at a time, and refuses to promote a learner that
      does not hold the state yet.  */
 
@@ -36,12 +40,19 @@
 #define CT_VOTER_TIMEOUT (2500 * ZP_MS)
 #define CT_LEARNER_TIMEOUT (20 * ZP_SEC)
 
+/* Several heartbeats, and a sync on a slow disk.  */
+#define CT_ANSWER_TIMEOUT (1000 * ZP_MS)
+
 /* The leader that decides.  */
 struct ct_membership_self
 {
   uint64_t id;
   struct zp_str region;
   zp_time led_since; /* daemons connect to a new leader after this time */
+
+  /* By index of the member: how long it has answered no request of this
+     leader; see lg_core_silence.  */
+  zp_time silence[LG_MEMBERS_MAX];
 };
 
 /* Fills OUT with the next change.  Returns false when there is none.  The
--- a/src/control/replica.c
+++ b/src/control/replica.c
@@ -48,6 +48,7 @@
 
   m->u.write.id = w->number;
   m->u.write.truncate = -1;
+  m->u.write.retry = w->retry;
   switch (w->kind)
     {
     case LG_WRITE_APPEND:
@@ -84,7 +85,13 @@
       break;
     case LG_STOP_DISK:
       zp_log (ZP_LOG_ERR, "replica",
-              "the data folder cannot be used (%s); member %" PRIu64
+              "the data folder cannot be written (%s); member %" PRIu64
+              " stops voting and acknowledging until it can",
+              strerror (c->error), r->id);
+      break;
+    case LG_STOP_STATE:
+      zp_log (ZP_LOG_ERR, "replica",
+              "the state cannot be used (%s); member %" PRIu64
               " stops voting and acknowledging",
               strerror (c->error), r->id);
       break;
@@ -266,6 +273,12 @@
   return lg_core_members (r->core);
 }
 
+zp_time
+ct_replica_silence (const struct ct_replica *r, uint64_t id)
+{
+  return lg_core_silence (r->core, id, zp_clock_mono ());
+}
+
 bool
 ct_replica_has_lease (const struct ct_replica *r)
 {
--- a/src/control/replica.h
+++ b/src/control/replica.h
@@ -102,6 +102,9 @@
 struct lg_status ct_replica_status (const struct ct_replica *r);
 const struct lg_members *ct_replica_members (const struct ct_replica *r);
 
+/* See lg_core_silence.  */
+zp_time ct_replica_silence (const struct ct_replica *r, uint64_t id);
+
 /* Whether this member leads and holds its lease now.  */
 bool ct_replica_has_lease (const struct ct_replica *r);
 
--- a/src/control/roster.c
+++ b/src/control/roster.c
@@ -134,24 +134,27 @@
 
 bool
 ct_roster_step (struct ct_roster *r, const struct ct_settings *settings,
-                const struct lg_status *status,
-                const struct lg_members *members, zp_time now,
+                const struct ct_replica *replica, zp_time now,
                 struct lg_change *out)
 {
+  const struct lg_members *members = ct_replica_members (replica);
+
   if (!r->source)
     return false;
   ct_daemons_expire (&r->daemons, now);
   send_controls (r, settings);
-  if (!status->lease)
+  if (!ct_replica_has_lease (replica))
     {
       r->led_since = 0;
       return false;
     }
   if (r->led_since == 0)
     r->led_since = now;
-  const struct ct_membership_self self = { .id = (uint64_t) settings->id,
-                                           .region = settings->region,
-                                           .led_since = r->led_since };
+  struct ct_membership_self self = { .id = (uint64_t) settings->id,
+                                     .region = settings->region,
+                                     .led_since = r->led_since };
+  for (size_t i = 0; i < members->len; i++)
+    self.silence[i] = ct_replica_silence (replica, members->item[i].id);
   return ct_membership_decide (members, &r->daemons, &self, now, out);
 }
 
--- a/src/control/roster.h
+++ b/src/control/roster.h
@@ -17,6 +17,7 @@
 #define ZP_CONTROL_ROSTER_H
 
 #include "control/daemons.h"
+#include "control/replica.h"
 #include "control/settings.h"
 #include "ledger/core.h"
 #include "roster/client.h"
@@ -75,8 +76,7 @@
    Call it several times a second.  Returns true and fills OUT when this member
    leads and the members of the log should change.  */
 bool ct_roster_step (struct ct_roster *r, const struct ct_settings *settings,
-                     const struct lg_status *status,
-                     const struct lg_members *members, zp_time now,
+                     const struct ct_replica *replica, zp_time now,
                      struct lg_change *out);
 
 #endif
--- a/src/control/status.c
+++ b/src/control/status.c
@@ -30,7 +30,9 @@
     case LG_RUNNING:
       return NULL;
     case LG_STOP_DISK:
-      return "a write to the data folder failed; repair the disk and restart";
+      return "a write to the data folder failed; it is tried again";
+    case LG_STOP_STATE:
+      return "a snapshot cannot be read; restart the member";
     case LG_STOP_WIPED:
       return "the storage of this member is lost; join with a new member id";
     }
--- a/src/follow/follower.c
+++ b/src/follow/follower.c
@@ -13,6 +13,9 @@
 
 #define PART "follow"
 
+/* Time after a failed write of the cache until it is written again.  */
+#define CACHE_RETRY (1 * ZP_SEC)
+
 /* Queued reports: that of this daemon, and one of each daemon that follows it
    as a relay.  */
 #define REPORTS_MAX ZP_MEMBERS_MAX
@@ -38,6 +41,8 @@
   struct fo_state state;
   size_t changes_cached; /* records in the file of changes */
   uint64_t writes;       /* id of the last disk write */
+  bool cache_broken;     /* a write has failed: changes are not cached */
+  zp_time cache_retry_at;
 
   /* Reports to be sent to the source, one for each daemon.  Each is sent only
      once: every daemon makes a new report each second, and a repeated one
@@ -77,12 +82,14 @@
 static void
 write_cache (struct fo_follower *f, const struct tk_config *c)
 {
-  if (!f->disk)
+  if (!f->disk || (f->cache_broken && !c->whole))
     return;
   struct tk_msg *m = tk_msg_new (TK_DISK_WRITE);
   struct tk_disk_write *w = &m->u.write;
+  f->cache_broken = false;
   w->id = ++f->writes;
   w->replace = c->whole;
+  w->retry = c->whole;
   w->truncate = -1;
   zp_str_copy (w->file, sizeof w->file,
                c->whole ? ZP_STR (FO_CACHE_WHOLE) : ZP_STR (FO_CACHE_CHANGES));
@@ -311,6 +318,16 @@
   zp_buf_free (&b);
 }
 
+/* After a failed write, asks for a whole configuration to write anew.  */
+static void
+retry_cache (struct fo_follower *f, zp_time now)
+{
+  if (!f->cache_broken || now < f->cache_retry_at)
+    return;
+  f->cache_retry_at = now + CACHE_RETRY;
+  tk_send (f->decider, tk_msg_new (TK_CONFIG_REQUEST));
+}
+
 static void
 on_timer (struct ev_loop *ev, ev_timer *w, int events)
 {
@@ -319,6 +336,7 @@
 
   (void) ev;
   (void) events;
+  retry_cache (f, now);
   if (f->source_count == 0)
     return;
   /* The kernel repeats a lost SYN packet only after 1 s; a new attempt is
@@ -422,9 +440,11 @@
         {
           zp_log (ZP_LOG_ERR, PART,
                   "cannot write the configuration to disk, error %d; it stays "
-                  "in force in memory",
+                  "in force in memory and is written again",
                   m->u.disk.error);
           zp_count (zp_counter ("zp_follow_disk_errors_total", ""), 1);
+          f->cache_broken = true;
+          f->cache_retry_at = zp_clock_mono () + CACHE_RETRY;
         }
       break;
     default:
--- a/src/ledger/core-state.h
+++ b/src/ledger/core-state.h
@@ -130,6 +130,12 @@
   int error;
   struct lg_role_change reported_role; /* in the last LG_OUT_ROLE */
 
+  /* After a failed write.  */
+  zp_time retry_at;     /* next attempt; ZP_NEVER: none is due */
+  uint64_t retry_first; /* first and last write of the last attempt */
+  uint64_t retry_last;
+  bool restore_due; /* the caller lacks the state of SNAPSHOT */
+
   /* Durable state.  */
   bool dirty;               /* term or vote has changed since the last write */
   bool rewrite;             /* the next write replaces the log file */
@@ -215,7 +221,11 @@
 /* Removes the uncommitted entries from FROM on.  */
 void lg_truncate (struct lg_core *c, uint64_t from);
 
-/* Stops the member until a restart: it sends, writes and applies nothing.  */
+/* Writes the whole state anew after a failed write.  */
+void lg_retry_writes (struct lg_core *c);
+
+/* Stops the member: it sends and applies nothing.  With LG_STOP_DISK it goes on
+   once its state is written anew; else it stays stopped until a restart.  */
 void lg_stop (struct lg_core *c, enum lg_stop stop, int error);
 
 /* core.c  */
--- a/src/ledger/core-write.c
+++ b/src/ledger/core-write.c
@@ -114,6 +114,7 @@
       = (struct lg_pending_write){ .number = c->issued, .last_index = last };
   o->u.write.number = c->issued;
   o->u.write.kind = kind;
+  o->u.write.retry = c->role == LG_STOPPED && c->issued == c->retry_first;
   return &o->u.write;
 }
 
@@ -185,11 +186,67 @@
 }
 
 void
-lg_core_written (struct lg_core *c, zp_time now, uint64_t number, int error)
+lg_retry_writes (struct lg_core *c)
 {
-  if (c->role == LG_STOPPED)
+  assert (c->stop == LG_STOP_DISK);
+  c->retry_at = ZP_NEVER;
+  c->retry_first = c->issued + 1;
+  /* The log file may begin after the snapshot that is on the disk.  */
+  if (c->snapshot)
+    issue (c, LG_WRITE_SNAPSHOT, c->snapshot->index)->u.snapshot
+        = lg_snapshot_ref (c->snapshot);
+  lg_issue_rewrite (c);
+  c->retry_last = c->issued;
+}
+
+/* The whole state is synced.  The member goes on as after a restart: until now
+   it may have supported a leader.  */
+static void
+resume (struct lg_core *c, uint64_t number)
+{
+  c->role = LG_FOLLOWER;
+  c->stop = LG_RUNNING;
+  c->error = 0;
+  c->retry_at = ZP_NEVER;
+  c->pendings = 0;
+  c->synced = number;
+  c->durable = lg_log_last (&c->log);
+  c->last_contact = c->now;
+  lg_reset_deadline (c);
+  if (c->restore_due)
+    lg_emit (c, LG_OUT_RESTORE)->u.restore = lg_snapshot_ref (c->snapshot);
+  c->restore_due = false;
+  c->restore_write = 0;
+  lg_apply (c);
+}
+
+/* The result of a write while the member is stopped.  Writes that were issued
+   before the failure was known do not count.  */
+static void
+retry_written (struct lg_core *c, uint64_t number, int error)
+{
+  if (c->stop != LG_STOP_DISK || c->retry_at != ZP_NEVER
+      || number < c->retry_first)
     return;
+  if (error != 0)
+    {
+      c->error = error;
+      c->pendings = 0;
+      c->retry_at = c->now + LG_DISK_RETRY;
+    }
+  else if (number == c->retry_last)
+    resume (c, number);
+}
+
+void
+lg_core_written (struct lg_core *c, zp_time now, uint64_t number, int error)
+{
   c->now = now;
+  if (c->role == LG_STOPPED)
+    {
+      retry_written (c, number, error);
+      return;
+    }
   if (error != 0)
     {
       lg_stop (c, LG_STOP_DISK, error);
@@ -227,9 +284,15 @@
   c->role = LG_STOPPED;
   c->stop = stop;
   c->error = error;
+  c->retry_at = stop == LG_STOP_DISK ? c->now + LG_DISK_RETRY : ZP_NEVER;
+  c->restore_due = c->restore_due || c->synced < c->restore_write;
   c->dirty = false;
   c->send_entries = false;
   c->send_heartbeat = false;
   c->first_unwritten = lg_log_last (&c->log) + 1;
+  c->pendings = 0;
+  c->snapshot_due = false;
+  lg_snapshot_free (c->new_snapshot);
+  c->new_snapshot = NULL;
   lg_queue_free (&c->held);
 }
--- a/src/ledger/core.c
+++ b/src/ledger/core.c
@@ -143,8 +143,8 @@
 lg_core_fail (struct lg_core *c, zp_time now, int error)
 {
   c->now = now;
-  if (c->role != LG_STOPPED)
-    lg_stop (c, LG_STOP_DISK, error);
+  if (c->stop == LG_RUNNING || c->stop == LG_STOP_DISK)
+    lg_stop (c, LG_STOP_STATE, error);
 }
 
 static void
@@ -183,6 +183,8 @@
         lg_campaign (c, true);
       break;
     case LG_STOPPED:
+      if (now >= c->retry_at)
+        lg_retry_writes (c);
       break;
     }
 }
@@ -199,7 +201,7 @@
     case LG_CANDIDATE:
       return lg_may_campaign (c) ? c->deadline : ZP_NEVER;
     case LG_STOPPED:
-      break;
+      return c->retry_at;
     }
   return ZP_NEVER;
 }
@@ -214,6 +216,7 @@
                                     .leader = c->leader };
 
   if (c->reported_role.role == current.role
+      && c->reported_role.stop == current.stop
       && c->reported_role.term == current.term
       && c->reported_role.leader == current.leader)
     return;
@@ -311,6 +314,19 @@
   return c->role == LG_LEADER && now < lg_lease_until (c);
 }
 
+zp_time
+lg_core_silence (const struct lg_core *c, uint64_t id, zp_time now)
+{
+  if (c->role != LG_LEADER)
+    return 0;
+  for (size_t i = 0; i < c->peers; i++)
+    if (c->peer[i].id == id)
+      return now
+             - (c->peer[i].acked_sent > c->leader_since ? c->peer[i].acked_sent
+                                                        : c->leader_since);
+  return 0;
+}
+
 static zp_time
 contact_of (const struct lg_core *c, zp_time now)
 {
--- a/src/ledger/core.h
+++ b/src/ledger/core.h
@@ -18,7 +18,9 @@
      Disk writes are numbered from 1 and must be done in order.  A vote or an
      acknowledgement leaves the queue only after lg_core_written has reported
      every write that it depends on.  After a failed write the member stops: it
-     sends nothing more and reports LG_STOPPED.
+     sends nothing more and reports LG_STOPPED.  Every LG_DISK_RETRY it writes
+     its whole state anew; when that is synced, it goes on as a follower.  What
+     depended on the failed writes was never sent.
 
      A leader accepts proposals only while it holds its lease.  The lease is
      counted from the sending of requests, not from their answers: it ends
@@ -81,6 +83,9 @@
    time.  */
 #define LG_RESEND (500 * ZP_MS)
 
+/* Time after a failed write until the state is written anew.  */
+#define LG_DISK_RETRY (500 * ZP_MS)
+
 /* Limits in bytes of one entry, of the entries of one append message and of
    one snapshot chunk; each message has to fit into one frame.
    LG_BATCH_ENTRIES limits the number of entries of an append message.  */
@@ -251,8 +256,9 @@
 enum lg_stop
 {
   LG_RUNNING,
-  LG_STOP_DISK,  /* a write failed, or lg_core_fail was called */
-  LG_STOP_WIPED, /* empty storage under the id of a known voter */
+  LG_STOP_DISK,  /* a write failed; ends when the disk can be written again */
+  LG_STOP_WIPED, /* empty storage under the id of a known voter; final */
+  LG_STOP_STATE, /* lg_core_fail was called; final */
 };
 
 enum lg_write_kind
@@ -283,6 +289,7 @@
 {
   uint64_t number;
   enum lg_write_kind kind;
+  bool retry; /* the first write after a failed one */
   union
   {
     struct lg_write_log log;
@@ -311,7 +318,7 @@
 {
   enum lg_role role;
   enum lg_stop stop;
-  int error; /* errno value that caused LG_STOP_DISK */
+  int error; /* errno value that caused LG_STOP_DISK or LG_STOP_STATE */
   uint64_t term;
   uint64_t leader; /* 0: not known */
 };
@@ -394,7 +401,7 @@
                       int error);
 
 /* Reports an error of the caller, for example a snapshot that it cannot read.
-   The member stops as after a failed write.  */
+   The member stops for good.  */
 void lg_core_fail (struct lg_core *c, zp_time now, int error);
 
 /* Proposes BYTES as an entry.  The result follows as one or two LG_OUT_REPLY
@@ -452,6 +459,10 @@
 struct lg_status lg_core_status (const struct lg_core *c, zp_time now);
 const struct lg_members *lg_core_members (const struct lg_core *c);
 
+/* How long member ID has answered none of this leader's requests.  0: for ID
+   itself, for an id that is no member, and on a member that does not lead.  */
+zp_time lg_core_silence (const struct lg_core *c, uint64_t id, zp_time now);
+
 /* Whether C is the leader and its lease is valid at NOW.  */
 bool lg_core_has_lease (const struct lg_core *c, zp_time now);
 
--- a/src/task/disk.c
+++ b/src/task/disk.c
@@ -91,6 +91,9 @@
   close (fd);
   if (e == 0 && renameat (d->folder, temporary, d->folder, w->file) < 0)
     e = errno;
+  /* On a full disk, the part that was written takes the room of others.  */
+  if (e != 0)
+    unlinkat (d->folder, temporary, 0);
   if (e == 0)
     e = sync_fd (d, d->folder);
   close_append (d, w->file);
@@ -143,7 +146,7 @@
   struct tk_msg *m = first->next;
 
   while (m && !first->u.write.replace && !m->u.write.replace
-         && m->u.write.truncate < 0
+         && m->u.write.truncate < 0 && !m->u.write.retry
          && strcmp (m->u.write.file, first->u.write.file) == 0)
     m = m->next;
   return m;
@@ -156,6 +159,8 @@
     {
       struct tk_msg *first = d->head;
       struct tk_msg *end = batch_end (first);
+      if (first->u.write.retry && first->u.write.replace)
+        d->error = 0;
       if (d->error == 0)
         d->error = first->u.write.replace ? replace (d, &first->u.write)
                                           : append (d, first, end);
--- a/src/task/disk.h
+++ b/src/task/disk.h
@@ -11,9 +11,9 @@
 
    ERRORS
      After a failed sync the kernel may have dropped the dirty pages, so that a
-     second sync would succeed without them.  The first failure is therefore
-     final: the failed write and all later ones are answered with its errno
-     value.  */
+     second sync would succeed without them.  So the failed write and all later
+     ones are answered with its errno value, up to a replacement that has RETRY
+     set: its sender knows of the failure and writes the whole file anew.  */
 
 #ifndef ZP_TASK_DISK_H
 #define ZP_TASK_DISK_H
@@ -34,7 +34,7 @@
   struct tk_task task;
   struct tk_task *reply_to;
   int folder;           /* file descriptor */
-  int error;            /* errno value of the first failure; 0: none */
+  int error;            /* errno value of the last failure; 0: none */
   int (*sync) (int fd); /* fdatasync; replaced by tests */
   ev_prepare before_sleep;
   struct tk_msg *head, *tail; /* queue of writes */
--- a/src/task/msg.h
+++ b/src/task/msg.h
@@ -179,6 +179,8 @@
   uint64_t id;
   char file[ZP_NAME_MAX]; /* below the data folder */
   bool replace;           /* replace the file atomically, not append */
+  bool retry;             /* the sender knows that a write has failed, and what
+                             it writes from here on needs no lost bytes */
   int64_t truncate; /* first cut the file to this size; below 0: do not */
   struct zp_buf bytes;
 };
--- a/tests/test-follow.c
+++ b/tests/test-follow.c
@@ -29,6 +29,15 @@
   int whole, changes; /* configurations received */
   int backward;       /* those that were not newer */
   bool fresh;
+  int cache_requests; /* for a whole configuration to write to the disk */
+};
+
+/* A disk task that stores the writes that it gets.  */
+struct fake_disk
+{
+  struct tk_task task;
+  struct tk_disk_write last;
+  int writes;
 };
 
 struct fixture
@@ -73,6 +82,7 @@
 
   if (m->kind == TK_CONFIG_FRESH)
     d->fresh = m->u.config_fresh.fresh;
+  d->cache_requests += m->kind == TK_CONFIG_REQUEST;
   if (m->kind != TK_CONFIG)
     {
       tk_msg_free (m);
@@ -158,6 +168,63 @@
     ev_run (f->loop.ev, EVRUN_ONCE);
 }
 
+static void
+on_disk_write (void *self, struct tk_msg *m)
+{
+  struct fake_disk *d = self;
+
+  CU_ASSERT_EQUAL (m->kind, TK_DISK_WRITE);
+  d->writes++;
+  d->last = m->u.write;
+  d->last.bytes = (struct zp_buf){ .ptr = NULL };
+  tk_msg_free (m);
+}
+
+static void
+run_for (struct fixture *f, zp_time t)
+{
+  for (zp_time end = zp_clock_mono () + t; zp_clock_mono () < end;)
+    ev_run (f->loop.ev, EVRUN_ONCE);
+}
+
+/* Guards against a copy on the disk that stays old for good after one write has
+   failed: a restart would bring the old configuration back.  */
+static void
+test_cache_after_a_failed_write (void)
+{
+  struct fixture f;
+  struct fake_disk disk = { .writes = 0 };
+  struct zp_strs none = { .len = 0 };
+  struct tk_msg *m;
+
+  open_fixture (&f);
+  tk_task_init (&f.d[0].task, &f.loop, on_daemon_message, &f.d[0]);
+  tk_task_init (&disk.task, &f.loop, on_disk_write, &disk);
+  f.d[0].follower = fo_follower_open (
+      &f.loop, &(struct fo_follower_options){ .id = 1,
+                                              .sources = &none,
+                                              .decider = &f.d[0].task,
+                                              .data = ZP_STR ("/nowhere"),
+                                              .disk = &disk.task });
+  m = tk_msg_new (TK_DISK_DONE);
+  m->u.disk.error = 28;
+  tk_send (fo_follower_task (f.d[0].follower), m);
+  run_for (&f, 700 * ZP_MS);
+  CU_ASSERT_EQUAL (f.d[0].cache_requests, 0);
+  run_for (&f, 600 * ZP_MS);
+  CU_ASSERT_EQUAL (f.d[0].cache_requests, 1);
+  m = tk_msg_new (TK_CONFIG);
+  m->u.config.whole = true;
+  m->u.config.version = 5;
+  tk_send (fo_follower_task (f.d[0].follower), m);
+  run_for (&f, 1500 * ZP_MS);
+  CU_ASSERT_EQUAL (f.d[0].cache_requests, 1);
+  CU_ASSERT_EQUAL (disk.writes, 2);
+  CU_ASSERT_STRING_EQUAL (disk.last.file, "config.changes");
+  tk_task_free (&disk.task);
+  close_fixture (&f);
+}
+
 /* Guards against sending a whole configuration where a change is enough.  */
 static void
 test_whole_then_changes (void)
@@ -316,6 +383,7 @@
 
 static const struct zp_test tests[]
     = { { "a whole configuration, then changes", test_whole_then_changes },
+        { "the cache after a failed write", test_cache_after_a_failed_write },
         { "switches from a stale source", test_switches_from_stale_source },
         { "keeps the configuration without a source",
           test_keeps_configuration_without_source },
--- a/tests/test-replica.c
+++ b/tests/test-replica.c
@@ -1,6 +1,8 @@
 #include "harness.h"
 
+#include <signal.h>
 #include <stdlib.h>
+#include <sys/resource.h>
 
 #include "control/replica.h"
 #include "control/replica-links.h"
@@ -280,6 +282,92 @@
   tear_down ();
 }
 
+/* Makes every write to a file fail, or no longer: no file may grow.  */
+static void
+fill_disks (bool full)
+{
+  struct rlimit limit;
+
+  signal (SIGXFSZ, SIG_IGN);
+  getrlimit (RLIMIT_FSIZE, &limit);
+  limit.rlim_cur = full ? 1 : limit.rlim_max;
+  CU_ASSERT_EQUAL (setrlimit (RLIMIT_FSIZE, &limit), 0);
+}
+
+/* Whether N members have stopped because of their disk.  A member stops when it
+   writes; one that cannot be elected does not write.  */
+static bool
+have_stopped (uint64_t n)
+{
+  uint64_t stopped = 0;
+
+  for (int i = 0; i < MEMBERS; i++)
+    stopped
+        += ct_replica_status (group.member[i].replica).stop == LG_STOP_DISK;
+  return stopped >= n;
+}
+
+static bool
+has_no_leader (uint64_t n)
+{
+  (void) n;
+  return leader () == NULL;
+}
+
+static uint64_t
+lines_of (const struct member *m)
+{
+  uint64_t lines = 0;
+
+  for (size_t i = 0; i < m->state.len; i++)
+    lines += m->state.ptr[i] == '\n';
+  return lines;
+}
+
+/* Whether all members have the same proposals, and "y" as the last one.  */
+static bool
+all_end_with_y (uint64_t n)
+{
+  struct member *m = leader ();
+
+  (void) n;
+  return m && m->state.len > 2
+         && memcmp (m->state.ptr + m->state.len - 2, "y\n", 2) == 0
+         && all_have (lines_of (m));
+}
+
+/* Guards against a group that stays without a leader after the disks of all
+   members were full, against entries that are lost then, and against a log
+   that cannot be read after a restart.  */
+static void
+test_all_disks_full (void)
+{
+  set_up ();
+  for (int i = 0; i < MEMBERS; i++)
+    open_member (i);
+  commit (30);
+  for (int round = 0; round < 2; round++)
+    {
+      fill_disks (true);
+      ct_replica_propose (leader ()->replica, FIRST_CHANGE, ZP_STR ("x"));
+      wait_for (has_no_leader, 0);
+      wait_for (have_stopped, MEMBERS / 2 + 1);
+      fill_disks (false);
+      wait_for (has_leader, 0);
+      ct_replica_propose (leader ()->replica, FIRST_CHANGE, ZP_STR ("y"));
+      wait_for (all_end_with_y, 0);
+      /* The entry from before may have been committed or not.  */
+      group.proposals = lines_of (leader ());
+      commit (3);
+    }
+  for (int i = 0; i < MEMBERS; i++)
+    close_member (&group.member[i]);
+  for (int i = 0; i < MEMBERS; i++)
+    open_member (i);
+  commit (5);
+  tear_down ();
+}
+
 static bool
 member_is_voter (uint64_t id)
 {
@@ -474,6 +562,7 @@
 
 static const struct zp_test tests[]
     = { { "election, commits and recovery", test_elect_commit_recover },
+        { "all disks are full", test_all_disks_full },
         { "a member is replaced", test_replace_a_member },
         { "an unreadable snapshot stops the member",
           test_unreadable_snapshot_stops_the_member },
