roster: a leave covers the starts that were born before it

Cause: a deregistration does not tell the start that it is about. A daemon that holds none kept it with a birth of 0, so that any late report counted as a new start. Evidence: the control daemon's log, "gone" without a service, then "ready" for the same id.

Ruled out: a leave that was not passed on (the entry daemons have it before the acknowledgement), the table of another control daemon.

Change: a leave carries the time up to which it covers births; the bound travels with the entry of the server and only grows. A leave of a later start is no longer dropped because an earlier one has left.

Before: with the decision taken out, test-roster-table fails 4 of 13.

--- a/src/gate/servers.c
+++ b/src/gate/servers.c
@@ -219,10 +219,8 @@
             ZP_F_TEXT (ZP_KEY_ADDRESS, zp_str_from (s->report.address)));
   s->report.state = TK_SERVER_GONE;
   gt_server_note_loss (g);
-  if (!x)
-    return;
-  x->report.state = TK_SERVER_GONE;
-  x->report.expired = false;
+  if (x)
+    ro_table_mark_left (x, zp_clock_mono ());
 }
 
 void
--- a/src/roster/codec.c
+++ b/src/roster/codec.c
@@ -70,6 +70,7 @@
   w->state = (uint32_t) s->state;
   w->cold_us = s->cold > 0 ? (uint64_t) s->cold : 0;
   w->expired = s->expired;
+  w->left_ms = s->left_ms;
 }
 
 void
@@ -135,7 +136,8 @@
                            .cold = (zp_time) w->cold_us,
                            .born_ms = w->born_ms,
                            .seq = w->seq,
-                           .expired = w->expired };
+                           .expired = w->expired,
+                           .left_ms = w->left_ms };
   return w->state <= TK_SERVER_GONE && w->cold_us < (uint64_t) ZP_NEVER / 2
          && zp_str_copy (s->id, sizeof s->id, wi_view (w->id))
          && zp_str_copy (s->service, sizeof s->service, wi_view (w->service))
--- a/src/roster/source.c
+++ b/src/roster/source.c
@@ -89,10 +89,13 @@
 }
 
 static void
-on_server (struct ro_source *s, const struct tk_server *report)
+on_server (struct ro_source *s, struct tk_server *report)
 {
   zp_time now = zp_clock_mono ();
   struct ro_server *x, *replaced;
+
+  if (report->state == TK_SERVER_GONE)
+    report->left_ms = ro_leave_bound (&s->table, report, zp_clock_wall ());
   enum ro_table_result result
       = ro_table_update (&s->table, report, now, &x, &replaced);
 
--- a/src/roster/table.c
+++ b/src/roster/table.c
@@ -34,14 +34,33 @@
   return s->state == TK_SERVER_GONE && !s->expired;
 }
 
-/* Whether S is older than KNOWN, the report held.  A leave report counts as
-   the last report of its start, whatever its SEQ; with BORN_MS 0 it is about
-   the start held.  */
+/* The latest birth that S says has left.  KNOWN is the report held, or NULL; a
+   leave report that tells no time is about the start held.  */
+static uint64_t
+left_bound (const struct tk_server *s, const struct tk_server *known)
+{
+  if (!is_leave_report (s) || s->left_ms > s->born_ms)
+    return s->left_ms;
+  if (s->born_ms > 0)
+    return s->born_ms;
+  return known ? known->born_ms : 0;
+}
+
+/* Whether the start of S has left, as KNOWN says.  */
+static bool
+has_left (const struct tk_server *s, const struct tk_server *known)
+{
+  return s->born_ms <= known->left_ms
+         && (known->left_ms > 0 || is_leave_report (known));
+}
+
+/* Whether S, which is no leave report, is older than KNOWN, the report held.
+ */
 static bool
 is_older (const struct tk_server *s, const struct tk_server *known)
 {
-  if (is_leave_report (s) && (s->born_ms == 0 || s->born_ms == known->born_ms))
-    return is_leave_report (known);
+  if (has_left (s, known))
+    return true;
   if (s->born_ms != known->born_ms)
     return s->born_ms < known->born_ms;
   return s->expired ? s->seq < known->seq : s->seq <= known->seq;
@@ -77,6 +96,28 @@
   return x->leaving && state == TK_SERVER_READY ? TK_SERVER_DRAINING : state;
 }
 
+uint64_t
+ro_leave_bound (const struct ro_table *t, const struct tk_server *s,
+                zp_time wall)
+{
+  const struct ro_server *x = ro_table_find (t, zp_str_from (s->id));
+  uint64_t bound = (uint64_t) (wall / ZP_MS) + RO_LEAVE_MARGIN_MS;
+
+  if (s->born_ms > 0)
+    return s->born_ms;
+  return x && x->report.born_ms > bound ? x->report.born_ms : bound;
+}
+
+void
+ro_table_mark_left (struct ro_server *x, zp_time now)
+{
+  x->report.state = TK_SERVER_GONE;
+  x->report.expired = false;
+  if (x->report.left_ms < x->report.born_ms)
+    x->report.left_ms = x->report.born_ms;
+  x->updated_at = now;
+}
+
 void
 ro_table_leave (struct ro_server *x)
 {
@@ -125,26 +166,43 @@
   return RO_CHANGED;
 }
 
+/* Applies the leave report S to X, which is known.  */
+static enum ro_table_result
+apply_leave (struct ro_server *x, const struct tk_server *s, zp_time now)
+{
+  uint64_t bound = left_bound (s, &x->report);
+  bool known = bound <= x->report.left_ms && is_leave_report (&x->report);
+
+  if (bound > x->report.left_ms)
+    x->report.left_ms = bound;
+  if (known || bound < x->report.born_ms)
+    return RO_OLD;
+  ro_table_mark_left (x, now);
+  return RO_CHANGED;
+}
+
 enum ro_table_result
 ro_table_update (struct ro_table *t, const struct tk_server *s, zp_time now,
                  struct ro_server **at, struct ro_server **replaced)
 {
   struct ro_server *x = ro_table_find (t, zp_str_from (s->id));
   enum ro_table_result result = RO_UNCHANGED;
+  uint64_t left_ms;
 
   *at = NULL;
   if (replaced)
     *replaced = NULL;
-  if (x && is_older (s, &x->report))
-    return RO_OLD;
   if (x && is_leave_report (s))
     {
-      x->report.state = TK_SERVER_GONE;
-      x->report.expired = false;
-      x->updated_at = now;
-      *at = x;
-      return RO_CHANGED;
+      result = apply_leave (x, s, now);
+      *at = result == RO_OLD ? NULL : x;
+      return result;
     }
+  if (x && is_older (s, &x->report))
+    return RO_OLD;
+  left_ms = left_bound (s, NULL);
+  if (x && x->report.left_ms > left_ms)
+    left_ms = x->report.left_ms;
   if (s->state != TK_SERVER_GONE)
     {
       struct ro_server *other = find_address (t, s->address, x);
@@ -152,19 +210,13 @@
         return RO_OLD;
       if (other)
         {
-          other->report.state = TK_SERVER_GONE;
-          other->report.expired = false;
-          other->updated_at = now;
+          ro_table_mark_left (other, now);
           if (replaced)
             *replaced = other;
         }
     }
   if (!x || s->born_ms > x->report.born_ms)
     result = RO_STARTED;
-  /* A start that has sent a leave report does not come back.  */
-  else if (x->report.state == TK_SERVER_GONE && !x->report.expired
-           && s->state != TK_SERVER_GONE)
-    return RO_OLD;
   else if (differs (s, &x->report)
            || (s->cold > 0
                && x->cold_until + RO_COLD_TOLERANCE < now + s->cold))
@@ -180,6 +232,7 @@
         *replaced = &t->item[index];
     }
   x->report = *s;
+  x->report.left_ms = left_ms;
   x->start = ro_start_hash (zp_str_from (s->id), s->born_ms);
   if (result == RO_STARTED)
     x->leaving = false;
--- a/src/roster/table.h
+++ b/src/roster/table.h
@@ -17,6 +17,12 @@
      with a newer report.  A leave report is a report of the server itself with
      the state TK_SERVER_GONE.
 
+     A leave report covers every start that was born up to its LEFT_MS, also one
+     whose reports this daemon has not had yet: it may have just started.  A
+     report of a covered start never makes the server ready, whatever its SEQ.
+     A leave report need not tell the start; it covers the starts that were born
+     before it arrived (ro_leave_bound).
+
      A server can also say in its answers that it leaves, before or after its
      reports say so (ro_table_leave).  That start is then never ready again,
      whatever its reports say.  */
@@ -41,6 +47,11 @@
    so that it varies with the delay of delivery.  */
 #define RO_COLD_TOLERANCE (250 * ZP_MS)
 
+/* Added to the time at which a leave report arrives, for clocks that differ.  A
+   server that leaves serves on for seconds before it can start again under the
+   same id.  */
+#define RO_LEAVE_MARGIN_MS 1000
+
 struct ro_server
 {
   struct tk_server report;        /* the newest one */
@@ -94,6 +105,15 @@
                                      const struct tk_renewal *r, zp_time now,
                                      struct ro_server **at);
 
+/* The LEFT_MS of the leave report S, which arrives from the server itself at
+   the time WALL.  Also the start that T holds is covered, in case the clocks
+   differ by more than RO_LEAVE_MARGIN_MS.  */
+uint64_t ro_leave_bound (const struct ro_table *t, const struct tk_server *s,
+                         zp_time wall);
+
+/* Marks the present start of X as one that has left.  */
+void ro_table_mark_left (struct ro_server *x, zp_time now);
+
 /* Notes that the present start of X leaves, as its answers say.  */
 void ro_table_leave (struct ro_server *x);
 
--- a/src/task/msg.h
+++ b/src/task/msg.h
@@ -245,6 +245,10 @@
   uint64_t born_ms; /* start, by the server's wall clock: ms since 1970 */
   uint64_t seq;
   bool expired; /* gone because it was silent; a newer report undoes this */
+
+  /* Starts of this server that were born up to this time have left, by the
+     wall clock: ms since 1970; 0: none is known.  See roster/table.h.  */
+  uint64_t left_ms;
   uint64_t report_id; /* not 0: TK_SERVER_SETTLED is sent with it */
 };
 
--- a/src/wire/roster.pb-c.c
+++ b/src/wire/roster.pb-c.c
@@ -477,7 +477,7 @@
   (ProtobufCMessageInit) wire__roster_hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__roster_server__field_descriptors[10] =
+static const ProtobufCFieldDescriptor wire__roster_server__field_descriptors[11] =
 {
   {
     "id",
@@ -599,6 +599,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "left_ms",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RosterServer, left_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__roster_server__field_indices_by_name[] = {
   2,   /* field[2] = address */
@@ -607,15 +619,17 @@
   9,   /* field[9] = expired */
   3,   /* field[3] = failure_domain */
   0,   /* field[0] = id */
+  10,   /* field[10] = left_ms */
   8,   /* field[8] = seq */
   1,   /* field[1] = service */
   4,   /* field[4] = slots */
   5,   /* field[5] = state */
 };
-static const ProtobufCIntRange wire__roster_server__number_ranges[1 + 1] =
+static const ProtobufCIntRange wire__roster_server__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 12, 10 },
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor wire__roster_server__descriptor =
 {
@@ -625,10 +639,10 @@
   "Wire__RosterServer",
   "wire",
   sizeof(Wire__RosterServer),
-  10,
+  11,
   wire__roster_server__field_descriptors,
   wire__roster_server__field_indices_by_name,
-  1,  wire__roster_server__number_ranges,
+  2,  wire__roster_server__number_ranges,
   (ProtobufCMessageInit) wire__roster_server__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/wire/roster.pb-c.h
+++ b/src/wire/roster.pb-c.h
@@ -95,10 +95,14 @@
    * removed as silent; a newer report undoes this
    */
   protobuf_c_boolean expired;
+  /*
+   * Starts that were born up to this time have left: ms since 1970.
+   */
+  uint64_t left_ms;
 };
 #define WIRE__ROSTER_SERVER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__roster_server__descriptor) \
-    , {0,NULL}, {0,NULL}, {0,NULL}, {0,NULL}, 0, 0, 0, 0, 0, 0 }
+    , {0,NULL}, {0,NULL}, {0,NULL}, {0,NULL}, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/tests/test-roster-table.c
+++ b/tests/test-roster-table.c
@@ -122,6 +122,137 @@
   ro_table_free (&table);
 }
 
+/* A leave report that does not tell its start and arrived at LEFT.  */
+static struct tk_server
+leave_at (const char *id, uint64_t left)
+{
+  const struct ro_table none = { .item = NULL };
+  struct tk_server s = { .state = TK_SERVER_GONE };
+
+  zp_str_copy (s.id, sizeof s.id, zp_str_from (id));
+  s.left_ms = ro_leave_bound (&none, &s, (zp_time) left * ZP_MS);
+  return s;
+}
+
+/* Guards against a server that has left and is used again after all daemons
+   were restarted: a daemon that has just started gets the leave report before
+   the late reports of the start that it is about.  */
+static void
+test_leave_of_an_unknown_server (void)
+{
+  struct tk_renewal same
+      = { .start = ro_start_hash (ZP_STR ("a"), 1000), .seq = 12 };
+
+  CU_ASSERT_EQUAL (update (leave_at ("a", 60000), 1), RO_STARTED);
+  CU_ASSERT_EQUAL (update (report ("a", "10.0.0.1:80", 1000, 9), 2), RO_OLD);
+  CU_ASSERT_EQUAL (renew (same, 3), RO_OLD);
+  CU_ASSERT_EQUAL (update (report ("a", "10.0.0.1:80", 59000, 9), 4), RO_OLD);
+  CU_ASSERT_EQUAL (state_of ("a"), TK_SERVER_GONE);
+  CU_ASSERT_EQUAL (update (report ("a", "10.0.0.1:80", 63000, 1), 5),
+                   RO_STARTED);
+  CU_ASSERT_EQUAL (state_of ("a"), TK_SERVER_READY);
+  CU_ASSERT_EQUAL (update (report ("a", "10.0.0.1:80", 1000, 10), 6), RO_OLD);
+  CU_ASSERT_EQUAL (state_of ("a"), TK_SERVER_READY);
+  ro_table_free (&table);
+}
+
+/* Guards against a leave report that is ignored because an earlier start of the
+   server has left already: the daemon has had no report of the present
+   one.  */
+static void
+test_leave_of_a_later_start (void)
+{
+  update (report ("a", "10.0.0.1:80", 1000, 9), 1);
+  CU_ASSERT_EQUAL (update (leave_at ("a", 2000), 2), RO_CHANGED);
+  CU_ASSERT_EQUAL (update (leave_at ("a", 60000), 3), RO_CHANGED);
+  CU_ASSERT_EQUAL (update (report ("a", "10.0.0.1:80", 50000, 4), 4), RO_OLD);
+  CU_ASSERT_EQUAL (state_of ("a"), TK_SERVER_GONE);
+  ro_table_free (&table);
+}
+
+/* Guards against a leave report that is not applied because the clock of the
+   daemon is behind that of the server.  */
+static void
+test_leave_and_clocks (void)
+{
+  struct tk_server leave = { .state = TK_SERVER_GONE, .id = "a" };
+
+  update (report ("a", "10.0.0.1:80", 99000, 1), 1);
+  leave.left_ms = ro_leave_bound (&table, &leave, 60 * ZP_SEC);
+  CU_ASSERT_EQUAL (leave.left_ms, 99000);
+  CU_ASSERT_EQUAL (update (leave, 2), RO_CHANGED);
+  CU_ASSERT_EQUAL (state_of ("a"), TK_SERVER_GONE);
+  leave.id[0] = 'b';
+  CU_ASSERT_EQUAL (ro_leave_bound (&table, &leave, 60 * ZP_SEC),
+                   60000 + RO_LEAVE_MARGIN_MS);
+  leave.born_ms = 500;
+  CU_ASSERT_EQUAL (ro_leave_bound (&table, &leave, 60 * ZP_SEC), 500);
+  ro_table_free (&table);
+}
+
+/* Guards against a state that depends on the order in which reports arrive, at
+   daemons that hold other reports or none.  */
+static void
+test_any_order (void)
+{
+  enum
+  {
+    EVENTS = 6
+  };
+  const struct tk_server event[EVENTS]
+      = { report ("a", "10.0.0.1:80", 1000, 5),
+          report ("a", "10.0.0.1:80", 1000, 7),
+          leave_at ("a", 50000),
+          leave_at ("a", 50300),
+          report ("a", "10.0.0.1:80", 55000, 1),
+          report ("a", "10.0.0.1:80", 55000, 2) };
+
+  /* Each number with the digits 0 to 5 is a sequence of events.  */
+  for (int sequence = 0; sequence < 6 * 6 * 6 * 6 * 6 * 6; sequence++)
+    {
+      bool left = false, started = false;
+      int rest = sequence;
+      for (int i = 0; i < EVENTS; i++, rest /= EVENTS)
+        {
+          int k = rest % EVENTS;
+          update (event[k], i + 1);
+          left = left || k == 2 || k == 3;
+          started = started || k >= 4;
+          if (started)
+            CU_ASSERT_EQUAL (state_of ("a"), TK_SERVER_READY);
+          if (left && !started)
+            CU_ASSERT_EQUAL (state_of ("a"), TK_SERVER_GONE);
+        }
+      ro_table_free (&table);
+    }
+}
+
+/* Guards against tables that differ because of the way that a report took: a
+   daemon that gets the table of another holds what that one holds.  */
+static void
+test_table_of_another_daemon (void)
+{
+  struct tk_server held;
+
+  update (report ("a", "10.0.0.1:80", 1000, 9), 1);
+  update (leave_at ("a", 50000), 2);
+  update (report ("a", "10.0.0.1:80", 55000, 1), 3);
+  held = ro_table_find (&table, ZP_STR ("a"))->report;
+  ro_table_free (&table);
+  update (report ("a", "10.0.0.1:80", 1000, 8), 4);
+  CU_ASSERT_EQUAL (update (held, 5), RO_STARTED);
+  CU_ASSERT_EQUAL (state_of ("a"), TK_SERVER_READY);
+  ro_table_free (&table);
+
+  update (leave_at ("a", 50000), 6);
+  held = ro_table_find (&table, ZP_STR ("a"))->report;
+  ro_table_free (&table);
+  update (report ("a", "10.0.0.1:80", 1000, 8), 7);
+  CU_ASSERT_EQUAL (update (held, 8), RO_CHANGED);
+  CU_ASSERT_EQUAL (state_of ("a"), TK_SERVER_GONE);
+  ro_table_free (&table);
+}
+
 static void
 count (void *self, struct ro_server *s)
 {
@@ -249,6 +380,11 @@
         { "a restart under the same id", test_restart },
         { "a reused address", test_reused_address },
         { "a server that leaves", test_leave },
+        { "a leave of an unknown server", test_leave_of_an_unknown_server },
+        { "a leave of a later start", test_leave_of_a_later_start },
+        { "a leave and clocks that differ", test_leave_and_clocks },
+        { "reports in any order", test_any_order },
+        { "the table of another daemon", test_table_of_another_daemon },
         { "a server that leaves by its answers", test_leaving_by_answer },
         { "silent servers", test_silence },
         { "an unchanged report", test_unchanged_report },
