ledger, control: a leader answers once an entry of its term is committed

Cause: the lease was taken for "my state is the newest". Evidence: the log of the leader, restored at 930, leader, then commands 931 to 980, with the old answers in between.

Ruled out: lost entries (980 is read later), an answer of a follower (it redirects).

Change: lg_core_is_current, a decision of the core, replaces the lease for reads, orders, and changes of the members by tickets. The same belief made an evacuation "done" from an old state, and let control daemons call their configuration fresh after a restart, as leaders and as followers.

--- a/src/control/control.c
+++ b/src/control/control.c
@@ -41,9 +41,8 @@
 ct_control_update_fresh (struct ct_control *c)
 {
   struct lg_status s = ct_replica_status (c->replica);
-  bool fresh = ct_replica_has_lease (c->replica)
-               || (s.role == LG_FOLLOWER && s.leader != 0
-                   && zp_clock_mono () - s.contact < CONTACT_MAX_AGE);
+  bool fresh = s.current
+               && (s.lease || zp_clock_mono () - s.contact < CONTACT_MAX_AGE);
 
   if (!c->source || fresh == c->fresh)
     return;
@@ -78,7 +77,7 @@
       return;
     }
   if (c->member_change != 0 || now - c->reconciled_at < RECONCILE_PERIOD
-      || !ct_replica_has_lease (c->replica))
+      || ct_control_leadership (c).kind != CT_LEADER)
     return;
   c->reconciled_at = now;
   if (!ct_reconcile (ti_store_config (c->store),
--- a/src/control/status.c
+++ b/src/control/status.c
@@ -64,7 +64,7 @@
 {
   struct ct_leadership out = { .kind = CT_NO_LEADER };
 
-  if (s->lease)
+  if (s->current && s->lease)
     {
       out.kind = CT_LEADER;
       return out;
@@ -87,7 +87,7 @@
   const struct lg_member *m = lg_members_find (members, s->leader);
   struct zp_str host, port, rest;
 
-  if (s->lease)
+  if (s->current && s->lease)
     {
       out.kind = CT_LEADER;
       return out;
--- a/src/ledger/core-replication.c
+++ b/src/ledger/core-replication.c
@@ -294,6 +294,8 @@
         return;
       lg_become_follower (c, m->term, m->from);
       c->last_contact = c->now;
+      if (a->commit > c->leader_commit)
+        c->leader_commit = a->commit;
       lg_reset_deadline (c);
       answer.sent = a->sent;
       bool before_base = a->prev_index < c->log.base_index;
--- a/src/ledger/core-state.h
+++ b/src/ledger/core-state.h
@@ -151,6 +151,7 @@
   uint64_t vote_write;  /* the own vote counts once this write is synced */
 
   uint64_t commit;
+  uint64_t leader_commit; /* highest one that a leader has told */
   uint64_t applied;
   uint64_t durable; /* last entry that is synced */
 
--- a/src/ledger/core.c
+++ b/src/ledger/core.c
@@ -327,6 +327,27 @@
   return 0;
 }
 
+bool
+lg_core_is_current (const struct lg_core *c, zp_time now)
+{
+  /* The first entry of a term is appended after all that was committed before
+     it.  */
+  if (lg_log_term (&c->log, c->applied) != c->term)
+    return false;
+  switch (c->role)
+    {
+    case LG_LEADER:
+      return lg_core_has_lease (c, now);
+    case LG_FOLLOWER:
+      return c->leader != 0 && c->applied >= c->leader_commit;
+    case LG_PRE_CANDIDATE:
+    case LG_CANDIDATE:
+    case LG_STOPPED:
+      break;
+    }
+  return false;
+}
+
 static zp_time
 contact_of (const struct lg_core *c, zp_time now)
 {
@@ -343,6 +364,7 @@
                              .stop = c->stop,
                              .voter = lg_members_voter (&c->members, c->id),
                              .lease = lg_core_has_lease (c, now),
+                             .current = lg_core_is_current (c, now),
                              .contact = contact_of (c, now),
                              .term = c->term,
                              .leader = c->leader,
--- a/src/ledger/core.h
+++ b/src/ledger/core.h
@@ -442,7 +442,8 @@
   enum lg_role role;
   enum lg_stop stop;
   bool voter;
-  bool lease; /* leader with a valid lease */
+  bool lease;   /* leader with a valid lease */
+  bool current; /* see lg_core_is_current */
 
   /* Last known contact with a majority.  Leader: when the requests were sent
      that a majority has answered.  Follower: the last message from its
@@ -466,6 +467,13 @@
 /* Whether C is the leader and its lease is valid at NOW.  */
 bool lg_core_has_lease (const struct lg_core *c, zp_time now);
 
+/* Whether the committed entries that this member has emitted hold everything
+   that was committed before its newest contact with a majority: for a leader,
+   before NOW; for a follower, before its leader's last message.  A lease alone
+   does not show this.  After an election or a restart the commit index can be
+   that of an old snapshot, until an entry of the present term is committed.  */
+bool lg_core_is_current (const struct lg_core *c, zp_time now);
+
 /* Returns when the next lg_core_tick is due; ZP_NEVER when none is.  */
 zp_time lg_core_next_tick (const struct lg_core *c);
 
--- a/tests/ledger-sim.h
+++ b/tests/ledger-sim.h
@@ -104,6 +104,25 @@
   return (sim.reachable >> (id - 1)) & 1;
 }
 
+/* Delivers the oldest message.  Returns false when there is none.  */
+static inline bool
+deliver_one (void)
+{
+  if (sim.msgs == 0)
+    return false;
+  struct lg_out *o = sim.msg[0];
+  struct lg_msg *m = &o->u.msg;
+  memmove (sim.msg, sim.msg + 1, --sim.msgs * sizeof sim.msg[0]);
+  struct fake *to = &sim.member[m->to - 1];
+  if (to->core && is_reachable (m->from) && is_reachable (m->to))
+    {
+      lg_core_receive (to->core, sim.now, m);
+      drain (m->to - 1);
+    }
+  lg_out_free (o);
+  return true;
+}
+
 /* Delivers messages until none is left.  */
 static inline void
 deliver (void)
@@ -111,19 +130,8 @@
   for (size_t i = 0; i < SIM_MEMBERS; i++)
     if (sim.member[i].core)
       drain (i);
-  while (sim.msgs > 0)
-    {
-      struct lg_out *o = sim.msg[0];
-      struct lg_msg *m = &o->u.msg;
-      memmove (sim.msg, sim.msg + 1, --sim.msgs * sizeof sim.msg[0]);
-      struct fake *to = &sim.member[m->to - 1];
-      if (to->core && is_reachable (m->from) && is_reachable (m->to))
-        {
-          lg_core_receive (to->core, sim.now, m);
-          drain (m->to - 1);
-        }
-      lg_out_free (o);
-    }
+  while (deliver_one ())
+    ;
 }
 
 /* Runs the group for the time T.  */
--- a/tests/test-ledger-core.c
+++ b/tests/test-ledger-core.c
@@ -429,6 +429,60 @@
   tear_down ();
 }
 
+/* Reads.  */
+
+/* Guards against reads from an old state: a leader that was elected after a
+   restart of all has the state of its snapshot until an entry of its term is
+   committed, and its followers as well.  Its follower was down while the last
+   entries were committed.  */
+static void
+test_new_leader_is_not_current (void)
+{
+  set_up ();
+  size_t l = elect (), late = (l + 1) % 3, lost = (l + 2) % 3;
+  propose (l, 25);
+  CU_ASSERT (status (l).snapshot_index > 0);
+  advance (ZP_SEC);
+  fake_crash (&sim.member[late], 0, 0);
+  propose (l, 12);
+  uint64_t acked = sim.applied[l];
+  CU_ASSERT (status (l).current);
+  CU_ASSERT (status (l).snapshot_index < acked);
+  fake_crash (&sim.member[l], 0, 0);
+  fake_crash (&sim.member[lost], 0, 0);
+  start (l);
+  start (late);
+  bool old_with_lease = false, both = false;
+  for (int i = 0; i < 400 && !both; i++)
+    {
+      sim.now += 10 * ZP_MS;
+      for (size_t k = 0; k < 3; k++)
+        if (sim.member[k].core
+            && sim.now >= lg_core_next_tick (sim.member[k].core))
+          lg_core_tick (sim.member[k].core, sim.now);
+      /* One message at a time, so that each moment is seen.  */
+      for (bool more = true; more;)
+        {
+          for (size_t k = 0; k < 3; k++)
+            if (sim.member[k].core)
+              drain (k);
+          more = deliver_one ();
+          for (size_t k = 0; k < 3; k++)
+            if (sim.member[k].core)
+              {
+                old_with_lease
+                    = old_with_lease
+                      || (status (k).lease && sim.applied[k] < acked);
+                CU_ASSERT (!status (k).current || sim.applied[k] >= acked);
+              }
+        }
+      both = status (l).current && status (late).current;
+    }
+  CU_ASSERT (both);
+  CU_ASSERT (old_with_lease);
+  tear_down ();
+}
+
 /* Members.  */
 
 /* Guards against a learner that becomes a voter before it has received the
@@ -546,6 +600,7 @@
   { "a failed write stops the member", test_failed_write_stops_the_member },
   { "a member returns after a failed write",
     test_member_returns_after_a_failed_write },
+  { "a new leader is not current", test_new_leader_is_not_current },
   { "full disks, one after the other and all at once", test_full_disks },
   { "a full disk and snapshots", test_full_disk_and_snapshots },
   { "a learner becomes a voter", test_learner_becomes_voter },
--- a/tests/test-ledger-steps.c
+++ b/tests/test-ledger-steps.c
@@ -40,6 +40,7 @@
   bool faults, trace, failed, wiped, had_leader[4096]; /* by term */
   uint32_t disk_speed, restart_odds; /* differ from run to run */
   uint64_t proposals, last_committed, chain[20000]; /* by index */
+  uint64_t last_acked; /* highest index that a proposer was told */
 } sim;
 
 static uint32_t
@@ -167,8 +168,12 @@
                "BROKEN: one leader a term");
         sim.had_leader[o->u.role.term] = true;
         break;
-      case LG_OUT_MEMBERS:
       case LG_OUT_REPLY:
+        if (o->u.reply.kind == LG_REPLY_COMMITTED
+            && o->u.reply.index > sim.last_acked)
+          sim.last_acked = o->u.reply.index;
+        break;
+      case LG_OUT_MEMBERS:
         break;
       }
   zp_buf_free (&state);
@@ -289,9 +294,17 @@
               || !lg_core_has_lease (n->member.core, local_time (n)))
             continue;
           check (n, !leader, "BROKEN: one lease at a time");
+          check (n,
+                 !lg_core_is_current (n->member.core, local_time (n))
+                     || n->applied >= sim.last_acked,
+                 "BROKEN: a current leader has all that was acknowledged");
           leader = n;
         }
     }
+  check (sim.node,
+         leader
+             && lg_core_is_current (leader->member.core, local_time (leader)),
+         "BROKEN: the leader is current after the faults");
   check (sim.node, leader && leader->applied > committed + 50,
          "BROKEN: the group commits entries after the faults");
   for (struct node *n = sim.node; n < end; n++)
