forward: an answer that ends with its connection has to say so

Cause: the absence of a length was taken for the sign of such an answer.

Change: without a length and chunks, a head without "Connection: close" (or version 1.0) is malformed.

--- a/src/forward/framing.c
+++ b/src/forward/framing.c
@@ -24,7 +24,7 @@
 
 /* Reads "HTTP/1.x NNN", with or without a reason after it.  */
 static bool
-read_status_line (struct zp_str line, unsigned *status)
+read_status_line (struct fw_framing *f, struct zp_str line)
 {
   static const size_t prefix = sizeof "HTTP/1.x " - 1;
   const char *p = line.ptr;
@@ -36,7 +36,8 @@
   if (p[0] < '1' || p[0] > '5' || !is_digit (p[1]) || !is_digit (p[2])
       || (line.len > prefix + 3 && p[3] != ' '))
     return false;
-  *status = (unsigned) ((p[0] - '0') * 100 + (p[1] - '0') * 10 + p[2] - '0');
+  f->closes = zp_str_starts (line, ZP_STR ("HTTP/1.0"));
+  f->status = (unsigned) ((p[0] - '0') * 100 + (p[1] - '0') * 10 + p[2] - '0');
   return true;
 }
 
@@ -100,6 +101,8 @@
     return false;
   if (fr_header_is (name, "Content-Length"))
     return read_length (&f->body, value);
+  if (fr_header_is (name, "Connection"))
+    f->closes = f->closes || fr_header_has_token (value, "close");
   if (!fr_header_is (name, "Transfer-Encoding"))
     return true;
   if (!fr_header_is (value, "chunked") || f->body.kind != FW_BODY_TO_CLOSE)
@@ -119,6 +122,8 @@
   f->state = FW_IN_BODY;
   if (f->head_request || f->status == 204 || f->status == 304)
     f->body.kind = FW_BODY_NONE;
+  if (f->body.kind == FW_BODY_TO_CLOSE && !f->closes)
+    return FW_LINE_MALFORMED;
   return FW_LINE_HEAD_END;
 }
 
@@ -131,7 +136,7 @@
     {
     case FW_AT_STATUS_LINE:
       f->body = (struct fw_body){ .kind = FW_BODY_TO_CLOSE };
-      if (!read_status_line (line, &f->status))
+      if (!read_status_line (f, line))
         break;
       f->state = FW_IN_HEAD;
       return FW_LINE_STATUS;
--- a/src/forward/framing.h
+++ b/src/forward/framing.h
@@ -11,7 +11,10 @@
      RFC 9112 does not allow make the answer malformed, because the end of its
      body is then unknown.  Folded field lines are malformed too.
 
-     An answer with neither a length nor chunks ends with its connection.  */
+     An answer with neither a length nor chunks ends with its connection, and
+     has to say so with "Connection: close" or by its version, 1.0.  Without
+     that, the line with its framing has been spoiled: a server that keeps its
+     connections open has no other way to end an answer.  */
 
 #ifndef ZP_FORWARD_FRAMING_H
 #define ZP_FORWARD_FRAMING_H
@@ -51,6 +54,7 @@
 
   enum fw_framing_state state;
   unsigned status;
+  bool closes; /* the connection ends after the answer */
   struct fw_body body;
 };
 
--- a/src/front/header.c
+++ b/src/front/header.c
@@ -70,6 +70,19 @@
   return c == ' ' || c == '\t';
 }
 
+static struct zp_str
+trim (struct zp_str s)
+{
+  while (s.len > 0 && is_blank (s.ptr[0]))
+    {
+      s.ptr++;
+      s.len--;
+    }
+  while (s.len > 0 && is_blank (s.ptr[s.len - 1]))
+    s.len--;
+  return s;
+}
+
 bool
 fr_header_next (struct zp_str *rest, struct zp_str *name, struct zp_str *value)
 {
@@ -82,12 +95,20 @@
   if (line.len > 0 && line.ptr[line.len - 1] == '\r')
     line.len--;
   zp_str_split (line, ':', name, value);
-  while (value->len > 0 && is_blank (value->ptr[0]))
+  *value = trim (*value);
+  return true;
+}
+
+bool
+fr_header_has_token (struct zp_str list, const char *token)
+{
+  struct zp_str part;
+
+  while (list.len > 0)
     {
-      value->ptr++;
-      value->len--;
+      zp_str_split (list, ',', &part, &list);
+      if (fr_header_is (trim (part), token))
+        return true;
     }
-  while (value->len > 0 && is_blank (value->ptr[value->len - 1]))
-    value->len--;
-  return true;
+  return false;
 }
--- a/src/front/header.h
+++ b/src/front/header.h
@@ -54,6 +54,9 @@
 bool fr_header_next (struct zp_str *rest, struct zp_str *name,
                      struct zp_str *value);
 
+/* Whether the value LIST, elements with commas between them, has TOKEN.  */
+bool fr_header_has_token (struct zp_str list, const char *token);
+
 /* Compares without regard to case, as HTTP header names require.  Returns
    false when EXPECTED is NULL.  */
 bool fr_header_is (struct zp_str name, const char *expected);
--- a/tests/test-answer.c
+++ b/tests/test-answer.c
@@ -54,17 +54,20 @@
     const char *head;
     bool reused, own;
   } cases[] = {
-    { "HTTP/1.1 200 OK\r\nRequest-Id: r7\r\n\r\n", true, true },
-    { "HTTP/1.1 200 OK\r\nRequest-Id: r6\r\n\r\n", false, false },
-    { "HTTP/1.1 200 OK\r\nRequest-Id: r6\r\nRequest-Id: r7\r\n\r\n", false,
+    { "HTTP/1.1 200 OK\r\nRequest-Id: r7\r\nContent-Length: 0\r\n\r\n", true,
+      true },
+    { "HTTP/1.1 200 OK\r\nRequest-Id: r6\r\nContent-Length: 0\r\n\r\n", false,
       false },
-    { "HTTP/1.1 200 OK\r\n\r\n", false, true },
-    { "HTTP/1.1 200 OK\r\n\r\n", true, false },
+    { "HTTP/1.1 200 OK\r\nRequest-Id: r6\r\nRequest-Id: r7\r\nContent-Length: "
+      "0\r\n\r\n",
+      false, false },
+    { "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", false, true },
+    { "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", true, false },
     { "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nRequest-Id: "
-      "r7\r\n\r\n",
+      "r7\r\nContent-Length: 0\r\n\r\n",
       true, true },
     { "HTTP/1.1 103 Early\r\nRequest-Id: r7\r\n\r\nHTTP/1.1 200 "
-      "OK\r\n\r\n",
+      "OK\r\nContent-Length: 0\r\n\r\n",
       true, false },
   };
 
@@ -85,7 +88,8 @@
 
   CU_ASSERT (read_head (&a, "HTTP/1.1 503 Busy\r\nRequest-Id: r7\r\n"
                             "Leaving: 1\r\nRetry-After: 1.25\r\n"
-                            "Load: 3,1,6\r\nStamp: s\r\n\r\n"));
+                            "Load: 3,1,6\r\nStamp: s\r\n"
+                            "Content-Length: 0\r\n\r\n"));
   CU_ASSERT (done.leaving);
   CU_ASSERT (done.stamped);
   CU_ASSERT_EQUAL (done.retry_after, 1250 * ZP_MS);
--- a/tests/test-forward.c
+++ b/tests/test-forward.c
@@ -443,7 +443,8 @@
 test_answer_that_ends_with_its_connection (void)
 {
   static const char *const answer
-      = "HTTP/1.1 200 OK\r\nRequest-Id: r7\r\n\r\nhello, world";
+      = "HTTP/1.1 200 OK\r\nRequest-Id: r7\r\nConnection: close\r\n\r\n"
+        "hello, world";
   size_t head = (size_t) (strstr (answer, "hello") - answer);
 
   for (size_t n = 1; n < head; n++)
@@ -476,6 +477,8 @@
           BEGIN "Content-Length: 5, 12\r\n\r\nhello, world",
           BEGIN "Content-Length\x01: 12\r\n\r\nhello, world",
           BEGIN "Content-Length : 12\r\n\r\nhello, world",
+          BEGIN "Content-Lenxth: 12\r\n\r\nhello, world",
+          BEGIN "Tranzfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
           BEGIN "Content-Length; 12\r\n\r\nhello, world",
           BEGIN "Content-Length: 12\r\nTransfer-Encoding: "
                 "chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
@@ -719,7 +722,8 @@
   struct fixture f;
 
   open_fixture_with (&f, none, &strict);
-  f.server.flood_head = "HTTP/1.1 200 OK\r\nRequest-Id: r7\r\n\r\n";
+  f.server.flood_head = "HTTP/1.1 200 OK\r\nRequest-Id: r7\r\n"
+                        "Connection: close\r\n\r\n";
   f.server.flood = (struct zp_str){ .ptr = chunk, .len = sizeof chunk };
   size_t before = heap_bytes ();
   for (int i = 0; i < REQUESTS; i++)
