control, ticket, roster: an acknowledged leave is in the replicated log

Cause: leaves were in the memory of the control daemon that got them and of its entry daemons only. Evidence: the log of the restarted control daemon has the server as ready again, from the late report.

Ruled out: that leaves cover starts by birth is enough (a daemon that has never heard of the leave has no bound).

Change: the command TI_LEAVE. The control daemon that gets a deregistration proposes it or sends it to the leader, again after 0.3 s, and acknowledges when the entry daemons have applied it and it comes back from the log.

--- a/src/control/control-http.c
+++ b/src/control/control-http.c
@@ -79,6 +79,7 @@
     case CT_ACTION_SERVER:
       if (ct_roster_report (&c->roster, &action->u.server, r))
         send_reply (c, r, &done);
+      ct_control_propose_leaves (c);
       break;
     }
   zp_buf_free (&action->document);
@@ -101,8 +102,9 @@
       if (!acknowledged)
         zp_log (ZP_LOG_WARNING, PART,
                 "the report of a leaving server is not acknowledged: %s",
-                w.settled ? "no contact with a majority of the voters"
-                          : "not all entry daemons have applied it");
+                !w.settled   ? "not all entry daemons have applied it"
+                : !w.durable ? "it is not in the log"
+                             : "no contact with a majority of the voters");
       send_reply (c, &r, &reply);
     }
 }
--- a/src/control/control-log.c
+++ b/src/control/control-log.c
@@ -35,7 +35,13 @@
 
   c->term = term;
   ti_store_apply (c->store, index, bytes, &r);
-  log_result (index, &r);
+  if (r.leave.server[0] != '\0')
+    {
+      ct_roster_left (&c->roster, &r.leave);
+      ct_control_answer_reports (c);
+    }
+  else
+    log_result (index, &r);
   if (r.change)
     {
       ct_shifts_applied (&c->shifts, r.change, term, zp_clock_mono ());
@@ -83,6 +89,9 @@
           "restored the state of entry %" PRIu64 ", configuration %" PRIu64,
           index, ti_store_config (s)->number);
   ct_publish_whole (c->source, ti_store_config (c->store), c->term);
+  const struct ti_leaves *leaves = ti_store_leaves (s);
+  for (size_t i = 0; i < leaves->len; i++)
+    ct_roster_left (&c->roster, &leaves->item[i]);
   return true;
 }
 
@@ -145,6 +154,26 @@
             "dropped a malformed report of another member");
 }
 
+/* Another member has the leave of a server for the log.  A member that no
+   longer leads drops it; the sender sends it again.  */
+static void
+on_forwarded (void *self, struct zp_str command)
+{
+  struct ct_control *c = self;
+  struct ti_command x;
+  struct zp_err err;
+
+  if (!ti_command_decode (command, &x, &err))
+    {
+      zp_log (ZP_LOG_WARNING, PART,
+              "dropped a malformed command of another member: %s", err.text);
+      return;
+    }
+  if (x.kind == TI_LEAVE && ct_replica_status (c->replica).role == LG_LEADER)
+    ct_control_propose_leave (c, &x.u.leave.leave);
+  ti_command_clear (&x);
+}
+
 const struct ct_replica_callbacks ct_control_callbacks
     = { .apply = on_apply,
         .take_snapshot = on_snapshot,
@@ -152,4 +181,5 @@
         .role = on_role,
         .answered = on_answered,
         .members = on_members,
-        .report = on_report };
+        .report = on_report,
+        .forwarded = on_forwarded };
--- a/src/control/control-state.h
+++ b/src/control/control-state.h
@@ -56,6 +56,13 @@
    lease, or has been in contact with the leader within CONTACT_MAX_AGE.  */
 void ct_control_update_fresh (struct ct_control *c);
 
+/* Proposes the leaves of servers that wait for it, here or at the leader.  */
+void ct_control_propose_leaves (struct ct_control *c);
+
+/* Proposes LEAVE on the leader.  */
+void ct_control_propose_leave (struct ct_control *c,
+                               const struct ti_leave *leave);
+
 /* control-http.c */
 void ct_control_request (struct ct_control *c,
                          const struct tk_http_request *r);
--- a/src/control/control.c
+++ b/src/control/control.c
@@ -137,6 +137,48 @@
       propose_step (c, &step);
 }
 
+/* Leaves of servers.  */
+
+static void
+encode_leave (const struct ti_leave *leave, struct zp_buf *out)
+{
+  const struct ti_command command
+      = { .kind = TI_LEAVE, .now = zp_clock_wall (), .u.leave.leave = *leave };
+
+  ti_command_encode (&command, out);
+}
+
+void
+ct_control_propose_leave (struct ct_control *c, const struct ti_leave *leave)
+{
+  struct zp_buf bytes = { .ptr = NULL };
+
+  encode_leave (leave, &bytes);
+  ct_replica_propose (c->replica, ++c->proposals, zp_str_of (&bytes));
+  zp_buf_free (&bytes);
+}
+
+void
+ct_control_propose_leaves (struct ct_control *c)
+{
+  const struct lg_status s = ct_replica_status (c->replica);
+  struct ti_leave leave;
+
+  while (ct_roster_next_leave (&c->roster, zp_clock_mono (), &leave))
+    {
+      struct zp_buf bytes = { .ptr = NULL };
+      if (s.role == LG_LEADER)
+        {
+          ct_control_propose_leave (c, &leave);
+          continue;
+        }
+      encode_leave (&leave, &bytes);
+      if (s.leader != 0)
+        ct_replica_forward (c->replica, s.leader, zp_str_of (&bytes));
+      zp_buf_free (&bytes);
+    }
+}
+
 /* HTTP requests without an answer.  */
 static size_t
 pending_requests (const struct ct_control *c)
@@ -155,6 +197,7 @@
   (void) events;
   ct_control_update_fresh (c);
   ct_control_answer_reports (c);
+  ct_control_propose_leaves (c);
   reconcile (c, now);
   forward_reports (c, now);
   decide_shifts (c, now);
--- a/src/control/replica-links.c
+++ b/src/control/replica-links.c
@@ -240,13 +240,13 @@
   struct zp_err err = { .text = "no request of a member to this one" };
 
   (void) c;
-  if (kind == WI_FOLLOW_REPORT)
+  if (kind == WI_FOLLOW_REPORT || kind == WI_PROPOSAL)
     {
       /* A follower of the log can have no request for a long time.  Its
          reports keep the connection open although its id is not known.  */
       in->active_at = zp_clock_mono ();
       if (l->on_report)
-        l->on_report (l->self, payload);
+        l->on_report (l->self, kind, payload);
       return;
     }
   if (!lg_codec_decode (kind, payload, &m, &err) || !is_request (&m)
@@ -315,13 +315,14 @@
 }
 
 bool
-ct_links_send_report (struct ct_links *l, uint64_t to, struct zp_str payload)
+ct_links_send_report (struct ct_links *l, uint64_t to, uint8_t kind,
+                      struct zp_str payload)
 {
   for (size_t i = 0; i < LG_MEMBERS_MAX; i++)
     {
       struct out_link *o = &l->out[i];
       if (o->id == to && o->conn && wi_conn_ready (o->conn))
-        return wi_conn_send (o->conn, WI_FOLLOW_REPORT, payload);
+        return wi_conn_send (o->conn, kind, payload);
     }
   return false;
 }
--- a/src/control/replica-links.h
+++ b/src/control/replica-links.h
@@ -29,8 +29,8 @@
 
 typedef void ct_on_msg (void *self, const struct lg_msg *m);
 
-/* PAYLOAD is the payload of a WI_FOLLOW_REPORT frame.  */
-typedef void ct_on_report (void *self, struct zp_str payload);
+/* KIND is WI_FOLLOW_REPORT or WI_PROPOSAL.  */
+typedef void ct_on_report (void *self, uint8_t kind, struct zp_str payload);
 
 /* ID is the id of this member.  ON_MSG is called with SELF for each message of
    another member.  */
@@ -38,8 +38,8 @@
                                 uint64_t id, ct_on_msg *on_msg, void *self,
                                 struct zp_err *err);
 
-/* Sets the function that takes reports; it is called with the SELF of
-   ct_links_open.  Reports are dropped while none is set.  */
+/* Sets the function that takes reports and proposals; it is called with the
+   SELF of ct_links_open.  They are dropped while none is set.  */
 void ct_links_set_on_report (struct ct_links *l, ct_on_report *on_report);
 void ct_links_free (struct ct_links *l);
 
@@ -51,9 +51,9 @@
 /* Sends M to the member M->to, or drops it.  */
 void ct_links_send (struct ct_links *l, zp_time now, const struct lg_msg *m);
 
-/* Sends a WI_FOLLOW_REPORT to member TO on the connection for requests.  It
+/* Sends a report or proposal to member TO on the connection for requests.  It
    has no answer.  Returns false when it cannot be sent now.  */
-bool ct_links_send_report (struct ct_links *l, uint64_t to,
+bool ct_links_send_report (struct ct_links *l, uint64_t to, uint8_t kind,
                            struct zp_str payload);
 
 /* Opens missing connections and replaces those that have timed out.  To be
--- a/src/control/replica.c
+++ b/src/control/replica.c
@@ -15,6 +15,7 @@
 #include "ledger/snapshot.h"
 #include "ledger/wal.h"
 #include "task/disk.h"
+#include "wire/frame.h"
 
 /* Interval between checks of the core's timers, in seconds.  */
 #define TICK_S 0.05
@@ -194,19 +195,27 @@
 /* Inputs of the core.  */
 
 static void
-on_report (void *self, struct zp_str payload)
+on_report (void *self, uint8_t kind, struct zp_str payload)
 {
   struct ct_replica *r = self;
 
-  if (r->callbacks.report)
+  if (kind == WI_FOLLOW_REPORT && r->callbacks.report)
     r->callbacks.report (r->self, payload);
+  if (kind == WI_PROPOSAL && r->callbacks.forwarded)
+    r->callbacks.forwarded (r->self, payload);
+}
+
+bool
+ct_replica_forward (struct ct_replica *r, uint64_t to, struct zp_str command)
+{
+  return ct_links_send_report (r->links, to, WI_PROPOSAL, command);
 }
 
 bool
 ct_replica_send_report (struct ct_replica *r, uint64_t to,
                         struct zp_str payload)
 {
-  return ct_links_send_report (r->links, to, payload);
+  return ct_links_send_report (r->links, to, WI_FOLLOW_REPORT, payload);
 }
 
 static void
--- a/src/control/replica.h
+++ b/src/control/replica.h
@@ -56,6 +56,10 @@
   /* A report that another member sent by ct_replica_send_report.  Reports are
      dropped when this is NULL.  */
   void (*report) (void *self, struct zp_str payload);
+
+  /* A command that another member sent by ct_replica_forward.  Commands are
+     dropped when this is NULL.  */
+  void (*forwarded) (void *self, struct zp_str command);
 };
 
 struct ct_replica_options
@@ -93,6 +97,11 @@
 void ct_replica_change_members (struct ct_replica *r, uint64_t proposal,
                                 const struct lg_change *change);
 
+/* Sends a command to the leader TO, which may propose it; the sender learns the
+   outcome from the log only.  Returns false when it cannot be sent now.  */
+bool ct_replica_forward (struct ct_replica *r, uint64_t to,
+                         struct zp_str command);
+
 /* Sends a WI_FOLLOW_REPORT to member TO, outside the log and without
    acknowledgement, so it can be lost.  Returns false when it cannot be sent
    now.  */
--- a/src/control/roster.c
+++ b/src/control/roster.c
@@ -7,6 +7,7 @@
 #include "base/log.h"
 #include "control/calls.h"
 #include "control/membership.h"
+#include "roster/table.h"
 
 #define PART "roster"
 
@@ -87,19 +88,23 @@
 
 /* Returns the report id of the new entry.  */
 static uint64_t
-add_wait (struct ct_roster *r, const struct tk_http_request *q)
+add_wait (struct ct_roster *r, const struct tk_server *s,
+          const struct tk_http_request *q)
 {
   if (r->waits == r->wait_cap)
     {
       r->wait_cap = r->wait_cap > 0 ? 2 * r->wait_cap : 16;
       r->wait = zp_realloc (r->wait, r->wait_cap * sizeof *r->wait);
     }
-  r->wait[r->waits++]
-      = (struct ct_report_wait){ .report_id = ++r->last_report_id,
-                                 .request_id = q->id,
-                                 .from = q->from,
-                                 .arrived = zp_clock_mono () };
-  return r->last_report_id;
+  struct ct_report_wait *w = &r->wait[r->waits++];
+  *w = (struct ct_report_wait){ .report_id = ++r->last_report_id,
+                                .request_id = q->id,
+                                .from = q->from,
+                                .arrived = zp_clock_mono (),
+                                .durable = s->state != TK_SERVER_GONE };
+  w->leave.left_ms = ro_leave_bound (NULL, s, zp_clock_wall ());
+  zp_str_copy (w->leave.server, sizeof w->leave.server, zp_str_from (s->id));
+  return w->report_id;
 }
 
 bool
@@ -110,7 +115,7 @@
   bool deferred = ct_calls_defers_reply (server);
 
   m->u.server = *server;
-  m->u.server.report_id = deferred ? add_wait (r, q) : 0;
+  m->u.server.report_id = deferred ? add_wait (r, server, q) : 0;
   tk_send (ro_source_task (r->source), m);
   return !deferred;
 }
@@ -122,7 +127,7 @@
   for (size_t i = 0; i < r->waits; i++)
     {
       const struct ct_report_wait *w = &r->wait[i];
-      *acknowledged = w->settled && contact >= w->arrived;
+      *acknowledged = w->settled && w->durable && contact >= w->arrived;
       if (!*acknowledged && now - w->arrived < CT_REPORT_ACK_TIMEOUT)
         continue;
       *out = *w;
@@ -132,6 +137,39 @@
   return false;
 }
 
+bool
+ct_roster_next_leave (struct ct_roster *r, zp_time now, struct ti_leave *out)
+{
+  for (size_t i = 0; i < r->waits; i++)
+    {
+      struct ct_report_wait *w = &r->wait[i];
+      if (w->durable
+          || (w->proposed_at != 0 && now - w->proposed_at < CT_LEAVE_RETRY))
+        continue;
+      w->proposed_at = now;
+      *out = w->leave;
+      return true;
+    }
+  return false;
+}
+
+void
+ct_roster_left (struct ct_roster *r, const struct ti_leave *leave)
+{
+  for (size_t i = 0; i < r->waits; i++)
+    if (strcmp (r->wait[i].leave.server, leave->server) == 0
+        && r->wait[i].leave.left_ms <= leave->left_ms)
+      r->wait[i].durable = true;
+  if (!r->source)
+    return;
+  struct tk_msg *m = tk_msg_new (TK_SERVER);
+  m->u.server = (struct tk_server){ .state = TK_SERVER_GONE,
+                                    .left_ms = leave->left_ms };
+  zp_str_copy (m->u.server.id, sizeof m->u.server.id,
+               zp_str_from (leave->server));
+  tk_send (ro_source_task (r->source), m);
+}
+
 bool
 ct_roster_step (struct ct_roster *r, const struct ct_settings *settings,
                 const struct ct_replica *replica, zp_time now,
--- a/src/control/roster.h
+++ b/src/control/roster.h
@@ -8,7 +8,10 @@
 
      The report of a server that is draining or gone is acknowledged once every
      connected entry daemon has applied it, and this daemon has been in contact
-     with a majority of the log's voters since the report arrived.  A control
+     with a majority of the log's voters since the report arrived.  That of one
+     that is gone must also be in the log, from which every control daemon
+     applies it: so no restart, loss of power or late report of the server makes
+     it ready again (ticket/leaves.h).  A control
      daemon that is cut off cannot know which entry daemons still send to the
      server.  It does not acknowledge, so the server reports to another control
      daemon.  */
@@ -22,10 +25,15 @@
 #include "ledger/core.h"
 #include "roster/client.h"
 #include "roster/source.h"
+#include "ticket/leaves.h"
 
 /* Below the 1 s for which a server waits for the acknowledgement.  */
 #define CT_REPORT_ACK_TIMEOUT (900 * ZP_MS)
 
+/* A leave that is not in the log after this time is proposed again: a message
+   or the leader was lost.  */
+#define CT_LEAVE_RETRY (300 * ZP_MS)
+
 /* A server's report that waits for its acknowledgement.  */
 struct ct_report_wait
 {
@@ -34,6 +42,9 @@
   struct tk_task *from; /* the HTTP server, which takes the answer */
   zp_time arrived;
   bool settled; /* every connected entry daemon has applied the report */
+  bool durable; /* it need not be in the log, or it is */
+  struct ti_leave leave; /* unless durable */
+  zp_time proposed_at;   /* 0: not yet */
 };
 
 struct ct_roster
@@ -72,6 +83,14 @@
 bool ct_roster_next_outcome (struct ct_roster *r, zp_time contact, zp_time now,
                              struct ct_report_wait *out, bool *acknowledged);
 
+/* Sets OUT to a leave that has to be proposed now.  Returns false when there is
+   none.  */
+bool ct_roster_next_leave (struct ct_roster *r, zp_time now,
+                           struct ti_leave *out);
+
+/* A leave is in the log.  */
+void ct_roster_left (struct ct_roster *r, const struct ti_leave *leave);
+
 /* Removes lost daemons and sends the source a changed list of control daemons.
    Call it several times a second.  Returns true and fills OUT when this member
    leads and the members of the log should change.  */
--- a/src/roster/source.c
+++ b/src/roster/source.c
@@ -94,7 +94,7 @@
   zp_time now = zp_clock_mono ();
   struct ro_server *x, *replaced;
 
-  if (report->state == TK_SERVER_GONE)
+  if (report->state == TK_SERVER_GONE && report->report_id != 0)
     report->left_ms = ro_leave_bound (&s->table, report, zp_clock_wall ());
   enum ro_table_result result
       = ro_table_update (&s->table, report, now, &x, &replaced);
--- a/src/roster/table.c
+++ b/src/roster/table.c
@@ -100,7 +100,8 @@
 ro_leave_bound (const struct ro_table *t, const struct tk_server *s,
                 zp_time wall)
 {
-  const struct ro_server *x = ro_table_find (t, zp_str_from (s->id));
+  const struct ro_server *x
+      = t ? ro_table_find (t, zp_str_from (s->id)) : NULL;
   uint64_t bound = (uint64_t) (wall / ZP_MS) + RO_LEAVE_MARGIN_MS;
 
   if (s->born_ms > 0)
--- a/src/roster/table.h
+++ b/src/roster/table.h
@@ -107,7 +107,7 @@
 
 /* The LEFT_MS of the leave report S, which arrives from the server itself at
    the time WALL.  Also the start that T holds is covered, in case the clocks
-   differ by more than RO_LEAVE_MARGIN_MS.  */
+   differ by more than RO_LEAVE_MARGIN_MS.  T can be NULL.  */
 uint64_t ro_leave_bound (const struct ro_table *t, const struct tk_server *s,
                          zp_time wall);
 
--- a/src/ticket/command.c
+++ b/src/ticket/command.c
@@ -9,6 +9,7 @@
 static const char *const kind_names[] = {
   [TI_SUBMIT] = "submit", [TI_REVIEW] = "review", [TI_NUMBER] = "number",
   [TI_STEP] = "step",     [TI_PUT] = "put",       [TI_EVACUATE] = "evacuate",
+  [TI_LEAVE] = "leave",
 };
 
 /* The document of a TI_PUT as an object, which shares the body with C.  */
@@ -65,6 +66,10 @@
                      ZP_ARG (ti_text_str (&c->u.evacuate.failure_domain)),
                      c->u.evacuate.on ? "true" : "false");
       break;
+    case TI_LEAVE:
+      zp_buf_put (out, ZP_STR (","));
+      ti_leave_write (&c->u.leave.leave, out);
+      break;
     }
   zp_buf_put (out, ZP_STR ("}"));
 }
@@ -151,6 +156,9 @@
       ok = ti_name_parse (ti_json_str (ti_json_get (root, "failure_domain")),
                           &out->u.evacuate.failure_domain);
       break;
+    case TI_LEAVE:
+      ok = ti_leave_read (&out->u.leave.leave, root);
+      break;
     }
   return ok
          || zp_fail (err, ZP_ECORRUPT, "command \"%s\": missing or bad field",
@@ -169,7 +177,7 @@
   if (!root)
     return false;
   struct zp_str name = ti_json_str (ti_json_get (root, "command"));
-  for (enum ti_command_kind k = TI_SUBMIT; k <= TI_EVACUATE; k++)
+  for (enum ti_command_kind k = TI_SUBMIT; k <= TI_LEAVE; k++)
     if (zp_str_eq (name, zp_str_from (kind_names[k])))
       {
         out->kind = k;
@@ -202,6 +210,7 @@
     case TI_NUMBER:
     case TI_STEP:
     case TI_EVACUATE:
+    case TI_LEAVE:
       break;
     case TI_PUT:
       free (c->u.put.body.ptr);
--- a/src/ticket/command.h
+++ b/src/ticket/command.h
@@ -14,6 +14,7 @@
 #ifndef ZP_TICKET_COMMAND_H
 #define ZP_TICKET_COMMAND_H
 
+#include "ticket/leaves.h"
 #include "ticket/ticket.h"
 
 enum ti_command_kind
@@ -24,6 +25,7 @@
   TI_STEP,
   TI_PUT,
   TI_EVACUATE,
+  TI_LEAVE,
 };
 
 struct ti_submit_command
@@ -69,6 +71,13 @@
   bool on;
 };
 
+/* A backend server has left.  LEAVE.at is not used: NOW of the command
+   counts.  */
+struct ti_leave_command
+{
+  struct ti_leave leave;
+};
+
 struct ti_command
 {
   enum ti_command_kind kind;
@@ -81,6 +90,7 @@
     struct ti_step_command step;
     struct ti_put_command put;
     struct ti_evacuate_command evacuate;
+    struct ti_leave_command leave;
   } u;
 };
 
--- a/src/ticket/store.c
+++ b/src/ticket/store.c
@@ -78,6 +78,7 @@
   free (s->record_hash);
   free (s->undo);
   ti_config_free (s->config);
+  ti_leaves_free (&s->leaves);
   free (s);
 }
 
@@ -136,6 +137,7 @@
 {
   size_t old = 0;
 
+  ti_leaves_expire (&s->leaves, s->now);
   for (size_t i = s->pending_len; i > 0; i--)
     if (s->pending[i - 1].submitted < s->now - TI_PENDING_TTL)
       ti_store_drop_pending (s, i - 1);
@@ -206,6 +208,12 @@
   ti_conflict_copy (&r->conflict, &out->conflict);
 }
 
+const struct ti_leaves *
+ti_store_leaves (const struct ti_store *s)
+{
+  return &s->leaves;
+}
+
 const struct ti_config *
 ti_store_config (const struct ti_store *s)
 {
--- a/src/ticket/store.h
+++ b/src/ticket/store.h
@@ -10,7 +10,8 @@
    DESCRIPTION
      Every control member applies the same log to its store.  The store holds
      the configuration in force, the pending tickets, a record of the outcome
-     of each decided ticket, and the undo edits of recent numbers.
+     of each decided ticket, the undo edits of recent numbers, and the backend
+     servers that have left lately.
 
      A ticket is first submitted and then reviewed by an operator other than
      its author; until here it is pending.  A number command then decides it:
@@ -75,6 +76,7 @@
   struct zp_report errors;
   struct ti_conflict conflict;
   struct ti_change *change; /* applied by this command, or NULL */
+  struct ti_leave leave;    /* applied by this command; SERVER empty: none */
 };
 
 void ti_result_free (struct ti_result *r);
@@ -94,6 +96,8 @@
 
 const struct ti_config *ti_store_config (const struct ti_store *s);
 
+const struct ti_leaves *ti_store_leaves (const struct ti_store *s);
+
 /* Rebuilds the configuration at NUMBER from the undo edits.  Returns NULL when
    NUMBER is above the number in force or its undo edits were dropped.  The
    caller frees the result.  */
--- a/src/ticket/store_apply.c
+++ b/src/ticket/store_apply.c
@@ -350,6 +350,15 @@
   commit_object (s, index, &key, o, out);
 }
 
+static void
+apply_leave (struct ti_store *s, struct ti_leave *leave, struct ti_result *out)
+{
+  leave->at = s->now;
+  ti_leaves_put (&s->leaves, leave);
+  out->outcome = TI_DONE;
+  out->leave = *ti_leaves_find (&s->leaves, zp_str_from (leave->server));
+}
+
 void
 ti_store_apply (struct ti_store *s, uint64_t index, struct zp_str bytes,
                 struct ti_result *out)
@@ -386,6 +395,9 @@
     case TI_EVACUATE:
       apply_evacuate (s, index, &c.u.evacuate, out);
       break;
+    case TI_LEAVE:
+      apply_leave (s, &c.u.leave.leave, out);
+      break;
     }
   ti_command_clear (&c);
 }
--- a/src/ticket/store_internal.h
+++ b/src/ticket/store_internal.h
@@ -55,6 +55,8 @@
   struct ti_undo *undo; /* in order of number */
   size_t undo_len, undo_cap;
   size_t undo_bytes;
+
+  struct ti_leaves leaves;
 };
 
 /* Each takes ownership of the memory that its argument points to.  */
--- a/src/ticket/store_snapshot.c
+++ b/src/ticket/store_snapshot.c
@@ -53,9 +53,11 @@
 {
   zp_buf_printf (out,
                  "{\"version\":%d,\"now\":%" PRId64 ",\"pending\":%zu,"
-                 "\"records\":%zu,\"past\":%zu}\n",
+                 "\"records\":%zu,\"past\":%zu",
                  SNAPSHOT_VERSION, s->now, s->pending_len, s->record_len,
                  s->undo_len);
+  ti_leaves_write (&s->leaves, out);
+  zp_buf_put (out, ZP_STR ("}\n"));
   for (size_t i = 0; i < s->pending_len; i++)
     write_pending (&s->pending[i], out);
   for (size_t i = 0; i < s->record_len; i++)
@@ -218,7 +220,8 @@
             && get_u64 (header, "now", &now)
             && get_u64 (header, "pending", &pending)
             && get_u64 (header, "records", &records)
-            && get_u64 (header, "past", &undo);
+            && get_u64 (header, "past", &undo)
+            && ti_leaves_read (&s->leaves, header);
   json_object_put (header);
   if (!ok)
     return corrupt (err, "header");
--- a/src/wire/frame.h
+++ b/src/wire/frame.h
@@ -51,6 +51,7 @@
   WI_APPEND_ANSWER = 43,
   WI_SNAPSHOT = 44,
   WI_SNAPSHOT_ANSWER = 45,
+  WI_PROPOSAL = 46, /* to the leader: a command of the ticket store */
 
   /* follow.proto */
   WI_FOLLOW = 60,
--- a/tests/test-platform-programs.c
+++ b/tests/test-platform-programs.c
@@ -327,6 +327,9 @@
       "\"service\":\"svc\",\"timeout\":\"3s\",\"attempts\":2}}]}],"
       "\"clusters\":[{\"name\":\"svc\"}]}";
 
+/* Start of the stub server, in ms since 1970.  */
+static long long born = 1700000000000;
+
 /* Sends a report of the stub server to the control daemons.  */
 static void
 report (const char *state, unsigned seq)
@@ -336,8 +339,8 @@
   snprintf (body, sizeof body,
             "{\"service\":\"svc\",\"address\":\"%s:%d\",\"zone\":\"a-1\","
             "\"version\":\"v1\",\"capacity\":6,\"state\":\"%s\","
-            "\"warmupLeft\":\"0ms\",\"seq\":%u,\"born\":1700000000000}",
-            ip (ENTRY + 1), PORT_SERVER, state, seq);
+            "\"warmupLeft\":\"0ms\",\"seq\":%u,\"born\":%lld}",
+            ip (ENTRY + 1), PORT_SERVER, state, seq, born);
   call_control ("/Instances.Heartbeat/i-1", body, 200);
 }
 
@@ -436,6 +439,38 @@
   wait_for (PORT_FRONT, "/p/x", 200);
 }
 
+/* Guards against an acknowledged leave that is forgotten when all daemons lose
+   power: a report that the server sent before is late and arrives at daemons
+   that have no memory of it.  A new start of the server is used.  */
+static void
+test_leave_survives_restarts (void)
+{
+  call_control ("/Instances.Deregister/i-1", "", 200);
+  CU_ASSERT_EQUAL (call (ENTRY, PORT_FRONT, "/p/x", NULL).status, 503);
+  for (int i = 0; i < PROCESSES; i++)
+    {
+      kill (process[i], SIGKILL);
+      waitpid (process[i], NULL, 0);
+    }
+  for (int i = 0; i < PROCESSES; i++)
+    {
+      write_settings (i, false);
+      start (i);
+    }
+  wait_for (PORT_READY, "/ready", 200);
+  unsigned before = stub.served;
+  report ("ready", 90);
+  for (int i = 0; i < 20; i++)
+    {
+      CU_ASSERT_EQUAL (call (ENTRY, PORT_FRONT, "/p/x", NULL).status, 503);
+      usleep (50000);
+    }
+  CU_ASSERT_EQUAL (stub.served, before);
+  born = (long long) (zp_clock_wall () / ZP_MS) + 5000;
+  report ("ready", 1);
+  wait_for (PORT_FRONT, "/p/x", 200);
+}
+
 /* Guards against a graceful shutdown that drops requests in progress.  */
 static void
 test_stop (void)
@@ -475,6 +510,7 @@
 
 static const struct zp_test tests[]
     = { { "the programs work together", test_deployment },
+        { "a leave survives restarts", test_leave_survives_restarts },
         { "graceful shutdown", test_stop } };
 
 static void
