--- a/models/ledger-log.pml
+++ b/models/ledger-log.pml
@@ -155,6 +155,14 @@
 #define TAKES_NUMBER(s) (number[s] > follower)
 #endif
 
+/* Whether the state of the leader S is the newest: the entry applied last is of
+   its term.  */
+#ifdef MUT_READ_BY_LEASE
+#define CURRENT(s) true
+#else
+#define CURRENT(s) (commit[s] > 0 && LOG (s, commit[s] - 1) == term[s])
+#endif
+
 active [SERVERS] proctype server ()
 {
   byte o, n, p, i, k, set; /* reset to 0 after each step, to save states */
@@ -322,6 +330,15 @@
        n = 0
      }
 
+  /* A read at the leader shows all that was committed in earlier terms.  That no
+     later term exists is the concern of the lease.  */
+  :: d_step { role[_pid] == LEADER && CURRENT (_pid) ->
+       for (i : 0 .. LEN - 1) {
+         assert (done[i] == EMPTY || done_in[i] >= term[_pid] || i < commit[_pid]) /* READ */
+       }
+       i = 0
+     }
+
   /* A leader loses its lease, or receives a higher term.  */
   :: d_step { role[_pid] == LEADER -> resign (_pid) }
 
