--- a/src/control/control-state.h
+++ b/src/control/control-state.h
@@ -52,8 +52,8 @@
 struct ct_leadership ct_control_leadership (struct ct_control *c);
 
 /* Sends TK_CONFIG_FRESH to the sources of configuration and roster when this
-   member becomes current or stale.  It is current while it holds the leader's
-   lease, or has been in contact with the leader within CONTACT_MAX_AGE.  */
+   member becomes current or stale: lg_core_is_current, and for a follower a
+   contact with the leader within CONTACT_MAX_AGE.  */
 void ct_control_update_fresh (struct ct_control *c);
 
 /* Proposes the leaves of servers that wait for it, here or at the leader.  */
