--- a/src/forward/client.c
+++ b/src/forward/client.c
@@ -2,17 +2,14 @@
 
 #include <assert.h>
 #include <curl/curl.h>
-#include <errno.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
 
 #include "base/counter.h"
 #include "base/limits.h"
 #include "base/log.h"
 #include "forward/answer.h"
+#include "forward/socket.h"
 
 #define PART "forward"
 
@@ -338,33 +335,6 @@
     curl_easy_setopt (t->easy, CURLOPT_CUSTOMREQUEST, f->method.ptr);
 }
 
-/* Sets TCP timeouts, so that a request on a dead connection ends before its
-   deadline: sent bytes must be acknowledged within ZP_CONN_ACK_TIMEOUT, and a
-   connection that is idle for 1 s must answer one of two probes, 1 s apart.
- */
-static int
-on_socket_open (void *self, curl_socket_t fd, curlsocktype purpose)
-{
-  const unsigned user_timeout = (unsigned) (ZP_CONN_ACK_TIMEOUT / ZP_MS);
-  const int on = 1, seconds = 1, probes = 2;
-
-  (void) self;
-  (void) purpose;
-  if (setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout,
-                  sizeof user_timeout)
-          < 0
-      || setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on) < 0
-      || setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &seconds, sizeof seconds)
-             < 0
-      || setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &seconds, sizeof seconds)
-             < 0
-      || setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes) < 0)
-    zp_log (ZP_LOG_WARNING, PART,
-            "cannot set the TCP timeouts of a connection: %s",
-            strerror (errno));
-  return CURL_SOCKOPT_OK;
-}
-
 static void
 set_options (struct transfer *t, zp_time left)
 {
@@ -391,7 +361,7 @@
   curl_easy_setopt (e, CURLOPT_MAXLIFETIME_CONN,
                     (long) (ZP_CONN_AGE_MAX / ZP_SEC));
   curl_easy_setopt (e, CURLOPT_FRESH_CONNECT, f->fresh_connection ? 1L : 0L);
-  curl_easy_setopt (e, CURLOPT_SOCKOPTFUNCTION, on_socket_open);
+  curl_easy_setopt (e, CURLOPT_SOCKOPTFUNCTION, fw_socket_open);
   curl_easy_setopt (e, CURLOPT_PREREQFUNCTION, on_send);
   curl_easy_setopt (e, CURLOPT_PREREQDATA, t);
   curl_easy_setopt (e, CURLOPT_WRITEFUNCTION, on_body);
