--- a/src/base/field.c
+++ b/src/base/field.c
@@ -34,6 +34,7 @@
   [ZP_KEY_REUSED_CONNECTION] = "reused_connection",
   [ZP_KEY_BODY_END] = "body_end",
   [ZP_KEY_RECEIVED] = "received",
+  [ZP_KEY_HEAD_BYTES] = "head_bytes",
   [ZP_KEY_CHOICE] = "choice",
   [ZP_KEY_EXPECTED_MS] = "expected_ms",
   [ZP_KEY_EXPECTED_WAIT_MS] = "expected_wait_ms",
--- a/src/base/field.h
+++ b/src/base/field.h
@@ -46,6 +46,7 @@
   ZP_KEY_REUSED_CONNECTION,
   ZP_KEY_BODY_END,
   ZP_KEY_RECEIVED,
+  ZP_KEY_HEAD_BYTES,
 
   /* Inputs of a decision.  */
   ZP_KEY_CHOICE,
--- a/src/entry/request_log.c
+++ b/src/entry/request_log.c
@@ -65,6 +65,7 @@
       ZP_F_INT (ZP_KEY_REUSED_CONNECTION, d->reused),
       ZP_F_TEXT (ZP_KEY_BODY_END, tk_body_end_name (d->body_end)),
       ZP_F_INT (ZP_KEY_RECEIVED, d->received),
+      ZP_F_INT (ZP_KEY_HEAD_BYTES, d->head_bytes),
       ZP_F_TEXT (ZP_KEY_CHOICE, zp_str_of (&choice)));
   zp_buf_free (&choice);
 }
--- a/src/forward/client.c
+++ b/src/forward/client.c
@@ -165,6 +165,7 @@
 
   d->body_end = body_end (&t->answer.framing);
   d->received = t->received;
+  d->head_bytes = t->answer.head_bytes;
   if (t->sends == 0)
     return;
   curl_easy_getinfo (t->easy, CURLINFO_NUM_CONNECTS, &connects);
--- a/src/task/msg.h
+++ b/src/task/msg.h
@@ -164,6 +164,7 @@
   bool unproved; /* lost: an answer came, but nothing shows that it is whole */
   enum tk_body_end body_end;
   uint64_t received; /* bytes of the body, also of an answer that is dropped */
+  uint64_t head_bytes; /* of its head, with interim answers and trailers */
   struct tk_server_load load;
   zp_time retry_after; /* a 503 asks for no request for so long; 0: none */
   zp_time elapsed;
