forward: the chunks of an answer are read strictly

Callers could get an answer in chunks whose trailer or sizes were read from the next answer: libcurl skips what follows a size up to the end of the line, takes lines that end without CR, and drops bytes after the last chunk without closing the connection.

libcurl hands over the body as the connection brings it now (CURLOPT_HTTP_TRANSFER_DECODING is off), and src/forward/chunks reads it: a pure reader, stepped by bytes, which counts what belongs to the answer. libcurl still finds the end.

--- a/src/forward/answer.c
+++ b/src/forward/answer.c
@@ -228,8 +228,10 @@
     case FW_LINE_FIELD:
       a->head_hash = zp_str_hash (line, a->head_hash);
       return read_field (a, line, out);
-    case FW_LINE_INTERIM_END:
     case FW_LINE_TRAILER:
+      a->trailer_bytes += line.len;
+      return true;
+    case FW_LINE_INTERIM_END:
       return true;
     case FW_LINE_HEAD_END:
       a->head_hash = zp_str_hash (line, a->head_hash);
@@ -240,6 +242,60 @@
   return false;
 }
 
+bool
+fw_answer_bytes (struct fw_answer *a, struct zp_str *bytes,
+                 struct zp_str *body, struct tk_forward_done *out)
+{
+  *body = *bytes;
+  if (a->framing.body.kind != FW_BODY_CHUNKED)
+    {
+      bytes->len = 0;
+      return true;
+    }
+  body->len = 0;
+  struct fw_piece piece = fw_chunks_read (&a->chunks, bytes);
+  switch (piece.kind)
+    {
+    case FW_PIECE_DATA:
+      *body = piece.u.bytes;
+      return true;
+    case FW_PIECE_TRAILER:
+      return fw_answer_line (a, piece.u.bytes, out);
+    case FW_PIECE_END:
+      bytes->len = 0;
+      return true;
+    case FW_PIECE_NONE:
+      return true;
+    case FW_PIECE_MALFORMED:
+      break;
+    }
+  a->framing.state = FW_MALFORMED;
+  return false;
+}
+
+static bool
+is_whole (const struct fw_answer *a, uint64_t received)
+{
+  return fw_framing_is_whole (&a->framing, received)
+         && (a->framing.body.kind != FW_BODY_CHUNKED
+             || fw_chunks_are_whole (&a->chunks));
+}
+
+uint64_t
+fw_answer_size (const struct fw_answer *a, uint64_t received)
+{
+  /* Trailer lines are counted with the head, too.  */
+  return a->framing.body.kind == FW_BODY_CHUNKED
+             ? a->head_bytes - a->trailer_bytes + a->chunks.taken
+             : a->head_bytes + received;
+}
+
+void
+fw_answer_free (struct fw_answer *a)
+{
+  fw_chunks_free (&a->chunks);
+}
+
 enum fw_answer_state
 fw_answer_state (const struct fw_answer *a, bool ended, uint64_t received)
 {
@@ -248,8 +304,7 @@
   if (a->foreign_id
       || (a->framing.state == FW_IN_BODY && !fw_answer_is_own (a)))
     return FW_ANSWER_FOREIGN;
-  return ended && fw_framing_is_whole (&a->framing, received) ? FW_ANSWER_WHOLE
-                                                              : FW_ANSWER_CUT;
+  return ended && is_whole (a, received) ? FW_ANSWER_WHOLE : FW_ANSWER_CUT;
 }
 
 bool
--- a/src/forward/answer.h
+++ b/src/forward/answer.h
@@ -25,6 +25,7 @@
 #define ZP_FORWARD_ANSWER_H
 
 #include "base/clock.h"
+#include "forward/chunks.h"
 #include "forward/framing.h"
 #include "front/header.h"
 #include "task/msg.h"
@@ -46,7 +47,9 @@
   bool reused;              /* the connection has carried an earlier request */
 
   struct fw_framing framing;
-  size_t head_bytes;
+  struct fw_chunks chunks; /* FW_BODY_CHUNKED */
+  size_t head_bytes;       /* with interim answers and trailers */
+  size_t trailer_bytes;
   uint64_t head_hash;   /* of the lines of the head, without interim answers */
   uint64_t status_hash; /* of the first of them */
   char status_line[FW_STATUS_LINE_MAX]; /* its begin */
@@ -64,7 +67,8 @@
 {
   FW_ANSWER_WHOLE,
   FW_ANSWER_FOREIGN,   /* not the answer to the request */
-  FW_ANSWER_MALFORMED, /* its head is not valid, or exceeds FW_HEAD_MAX */
+  FW_ANSWER_MALFORMED, /* its head or a chunk is not valid, or its head exceeds
+                          FW_HEAD_MAX */
   FW_ANSWER_CUT,       /* it ended early; perhaps before its first byte */
 };
 
@@ -76,6 +80,13 @@
 bool fw_answer_line (struct fw_answer *a, struct zp_str line,
                      struct tk_forward_done *out);
 
+/* Removes from BYTES, which the connection has brought after the head, what is
+   read next, and sets BODY to the bytes of the body in it, none between chunks.
+   Returns false, so that the connection is closed, when the body is
+   malformed.  */
+bool fw_answer_bytes (struct fw_answer *a, struct zp_str *bytes,
+                      struct zp_str *body, struct tk_forward_done *out);
+
 /* Whether this is the answer to the request, as far as its head is read.  */
 bool fw_answer_is_own (const struct fw_answer *a);
 
@@ -84,6 +95,12 @@
 enum fw_answer_state fw_answer_state (const struct fw_answer *a, bool ended,
                                       uint64_t received);
 
+/* Bytes of the whole answer on its connection, with RECEIVED bytes of its body.
+ */
+uint64_t fw_answer_size (const struct fw_answer *a, uint64_t received);
+
+void fw_answer_free (struct fw_answer *a);
+
 /* The verdict of a whole answer with STATUS.  A verdict of not-run that the
    answer states counts only with status 503.  */
 enum zp_verdict fw_answer_verdict (const struct fw_answer *a, unsigned status);
--- a/src/forward/client.c
+++ b/src/forward/client.c
@@ -92,24 +92,36 @@
   drop_body (longest);
 }
 
+/* Appends BYTES to the body of T.  Returns false when they exceed a limit.  */
+static bool
+append_body (struct fw_transfer *t, struct zp_str bytes)
+{
+  struct fw_client *c = t->client;
+
+  t->received += bytes.len;
+  if (t->received > ZP_ANSWER_BODY_MAX)
+    return false;
+  while (c->body_bytes + bytes.len > ZP_ANSWER_BODIES_MAX && !t->crowded_out)
+    crowd_out (c);
+  if (t->crowded_out)
+    return false;
+  zp_buf_put (&t->done->u.done.body, bytes);
+  c->body_bytes += bytes.len;
+  return true;
+}
+
 static size_t
 on_body (char *bytes, size_t size, size_t n, void *self)
 {
   struct fw_transfer *t = self;
-  struct fw_client *c = t->client;
-  struct zp_buf *body = &t->done->u.done.body;
+  struct zp_str rest = { .ptr = bytes, .len = size * n }, body;
 
   if (!fw_pace_allows (t, size * n))
     return CURL_WRITEFUNC_PAUSE;
-  t->received += size * n;
-  if (t->received > ZP_ANSWER_BODY_MAX)
-    return 0;
-  while (c->body_bytes + size * n > ZP_ANSWER_BODIES_MAX && !t->crowded_out)
-    crowd_out (c);
-  if (t->crowded_out)
-    return 0;
-  zp_buf_put_bytes (body, bytes, size * n);
-  c->body_bytes += size * n;
+  while (rest.len > 0)
+    if (!fw_answer_bytes (&t->answer, &rest, &body, &t->done->u.done)
+        || !append_body (t, body))
+      return 0;
   return size * n;
 }
 
@@ -144,6 +156,7 @@
 {
   fw_proof_free (t);
   fw_pace_forget (t);
+  fw_answer_free (&t->answer);
   curl_multi_remove_handle (t->client->multi, t->easy);
   curl_easy_cleanup (t->easy);
   curl_slist_free_all (t->headers);
--- a/src/forward/options.c
+++ b/src/forward/options.c
@@ -103,6 +103,8 @@
   curl_easy_setopt (e, CURLOPT_PROTOCOLS_STR, "http");
   curl_easy_setopt (e, CURLOPT_HTTP_VERSION, (long) CURL_HTTP_VERSION_1_1);
   curl_easy_setopt (e, CURLOPT_TIMEOUT_MS, milliseconds (left));
+  /* The chunks are read by fw_answer_bytes.  */
+  curl_easy_setopt (e, CURLOPT_HTTP_TRANSFER_DECODING, 0L);
   curl_easy_setopt (e, CURLOPT_BUFFERSIZE, READ_SIZE);
   curl_easy_setopt (e, CURLOPT_CONNECTTIMEOUT_MS, milliseconds (connect));
   curl_easy_setopt (
