forward: a server that has sent stray bytes gets new connections

Each late copy of an answer costs the next answer on its connection, which is lost: a request that may not repeat gets a 502 although the server answered.

Cause: a connection on which copies arrive is used again and again. Where an answer begins is proved only on a connection that has carried no request.

Test: 20 requests to a server that would send a copy of the first answer: 1 is lost, 19 delivered, on 19 connections.

--- a/src/forward/client.c
+++ b/src/forward/client.c
@@ -27,6 +27,20 @@
   struct fw_client *client;
 };
 
+static uint64_t
+server_of (const struct fw_transfer *t)
+{
+  return fw_pool_server (zp_str_from (t->request->u.forward.address));
+}
+
+/* SERVER has sent bytes that belong to no answer.  */
+static void
+note_stray_bytes (struct fw_client *c, uint64_t server)
+{
+  zp_count (zp_counter ("zp_forward_stray_bytes_total", ""), 1);
+  fw_suspects_note (&c->suspects, server, zp_clock_mono ());
+}
+
 /* Callbacks of one transfer.  */
 
 static enum tk_body_end
@@ -331,6 +345,26 @@
   finish (t, TK_END_LOST, ZP_MAY_HAVE_RUN);
 }
 
+/* Whether the server of T, whose answer ended in STATE, has sent bytes that
+   belong to no answer.  On a new connection a malformed answer is only
+   spoiled.  */
+static bool
+shows_stray_bytes (const struct fw_transfer *t, enum fw_answer_state state)
+{
+  switch (state)
+    {
+    case FW_ANSWER_FOREIGN:
+    case FW_ANSWER_SPLICED:
+      return true;
+    case FW_ANSWER_MALFORMED:
+      return t->answer.reused;
+    case FW_ANSWER_WHOLE:
+    case FW_ANSWER_CUT:
+      break;
+    }
+  return false;
+}
+
 static enum fw_answer_state
 state_of (const struct fw_transfer *t, CURLcode result)
 {
@@ -353,6 +387,8 @@
   if (state == FW_ANSWER_WHOLE && !t->crowded_out)
     {
       t->ended = zp_clock_mono ();
+      if (t->closed && surplus_of (t) > 0)
+        note_stray_bytes (t->client, server_of (t));
       if (body_end (&t->answer.framing) == TK_BODY_TO_CLOSE)
         fw_proof_end_answer (t);
       else
@@ -360,6 +396,8 @@
       return;
     }
   note_unusable (t, state, result);
+  if (shows_stray_bytes (t, state))
+    note_stray_bytes (t->client, server_of (t));
   if (t->sends == 0)
     finish (t,
             zp_clock_mono () >= t->request->u.forward.deadline
@@ -392,14 +430,20 @@
 on_close (void *self, curl_socket_t fd)
 {
   struct fw_client *c = self;
+  bool serves = false;
+  uint64_t pending = 0;
+  bool known = fw_pool_pending (&c->pool, fd, &pending);
 
   for (struct fw_transfer *t = c->active.next; t != &c->active; t = t->next)
     if (t->fd == fd)
       {
         t->fd = CURL_SOCKET_BAD;
-        t->closed = true;
-        t->knows_pending = fw_pool_pending (&c->pool, fd, &t->pending);
+        t->closed = serves = true;
+        t->knows_pending = known;
+        t->pending = pending;
       }
+  if (!serves && pending > 0)
+    note_stray_bytes (c, fw_pool_server_of (&c->pool, fd));
   fw_pool_remove (&c->pool, fd);
   return close (fd);
 }
@@ -462,6 +506,7 @@
       && fw_recent_note (&c->recent, zp_str_of (&m->u.forward.request_id),
                          zp_str_from (m->u.forward.address), t->start))
     m->u.forward.fresh_connection = true;
+  t->alone = fw_suspects_has (&c->suspects, server_of (t), t->start);
   fw_transfer_set_options (t, left);
   set_callbacks (t);
   if (curl_multi_add_handle (c->multi, t->easy) != CURLM_OK)
@@ -652,6 +697,7 @@
   curl_multi_cleanup (c->multi);
   fw_pool_free (&c->pool);
   fw_recent_free (&c->recent);
+  fw_suspects_free (&c->suspects);
   fw_pace_stop (c);
   ev_timer_stop (c->loop->ev, &c->timer);
   tk_task_free (&c->task);
--- a/src/forward/options.c
+++ b/src/forward/options.c
@@ -112,7 +112,9 @@
       (long) ((f->idle_max > 0 ? f->idle_max : ZP_CONN_IDLE_MAX) / ZP_SEC));
   curl_easy_setopt (e, CURLOPT_MAXLIFETIME_CONN,
                     (long) (ZP_CONN_AGE_MAX / ZP_SEC));
-  curl_easy_setopt (e, CURLOPT_FRESH_CONNECT, f->fresh_connection ? 1L : 0L);
+  curl_easy_setopt (e, CURLOPT_FRESH_CONNECT,
+                    f->fresh_connection || t->alone ? 1L : 0L);
+  curl_easy_setopt (e, CURLOPT_FORBID_REUSE, t->alone ? 1L : 0L);
   curl_easy_setopt (e, CURLOPT_SOCKOPTFUNCTION, fw_socket_open);
   set_method (t);
   build_headers (t, left);
--- a/src/forward/pool.c
+++ b/src/forward/pool.c
@@ -8,8 +8,8 @@
 
 #include "forward/excess.h"
 
-static uint64_t
-hash_of (struct zp_str address)
+uint64_t
+fw_pool_server (struct zp_str address)
 {
   return zp_str_hash (address, 0);
 }
@@ -35,9 +35,9 @@
       memset (p->item + p->len, 0, (len - p->len) * sizeof *p->item);
       p->len = len;
     }
-  p->item[place] = (struct fw_pool_connection){ .open = true,
-                                                .server = hash_of (address),
-                                                .opened = now };
+  p->item[place] = (struct fw_pool_connection){
+    .open = true, .server = fw_pool_server (address), .opened = now
+  };
 }
 
 void
@@ -60,6 +60,15 @@
   x->taken += bytes;
 }
 
+uint64_t
+fw_pool_server_of (const struct fw_pool *p, curl_socket_t fd)
+{
+  const struct fw_pool_connection *x = find (p, fd);
+
+  assert (x);
+  return x->server;
+}
+
 bool
 fw_pool_pending (const struct fw_pool *p, curl_socket_t fd, uint64_t *out)
 {
@@ -87,7 +96,7 @@
 fw_pool_has_open (const struct fw_pool *p, struct zp_str address,
                   curl_socket_t except, zp_time opened_before)
 {
-  uint64_t server = hash_of (address);
+  uint64_t server = fw_pool_server (address);
 
   for (size_t i = 0; i < p->len; i++)
     {
--- a/src/forward/pool.h
+++ b/src/forward/pool.h
@@ -40,6 +40,12 @@
 /* Notes that FD has brought a whole answer of BYTES, with its head.  */
 void fw_pool_note_answer (struct fw_pool *p, curl_socket_t fd, uint64_t bytes);
 
+/* The hash of ADDRESS that stands for a server.  */
+uint64_t fw_pool_server (struct zp_str address);
+
+/* The server of the connection FD, which is in the table.  */
+uint64_t fw_pool_server_of (const struct fw_pool *p, curl_socket_t fd);
+
 /* Sets OUT to the bytes that FD has brought behind its whole answers.  Returns
    false where the kernel does not tell, or FD is not in the table.  */
 bool fw_pool_pending (const struct fw_pool *p, curl_socket_t fd,
--- a/src/forward/transfer.h
+++ b/src/forward/transfer.h
@@ -20,6 +20,7 @@
 #include "forward/excess.h"
 #include "forward/pool.h"
 #include "forward/recent.h"
+#include "forward/suspects.h"
 #include "forward/witness.h"
 
 /* From TK_FORWARD to TK_FORWARD_DONE.  */
@@ -39,6 +40,7 @@
   struct fw_answer answer;
   uint64_t received; /* bytes of the body */
   struct fw_excess excess;
+  bool alone;         /* its connection serves no other request */
   bool closed;        /* its connection, before its end was handled */
   bool knows_pending; /* of a closed connection */
   uint64_t pending;   /* fw_pool_pending when it was closed */
@@ -65,6 +67,7 @@
   ev_timer timer;
   struct fw_pool pool;
   struct fw_recent recent;
+  struct fw_suspects suspects;
   struct fw_transfer active; /* list head */
   size_t body_bytes;         /* of all answers that arrive */
   ev_prepare iteration;      /* of the event loop */
--- a/tests/test-forward-splices.c
+++ b/tests/test-forward-splices.c
@@ -534,12 +534,49 @@
   close_fixture (&f);
 }
 
+/* Guards against answers that are lost to the copies of one server again and
+   again: after the first one each request has a connection of its own.  */
+static void
+test_server_that_sends_copies (void)
+{
+  struct tally t = { .cases = 0 };
+  struct reply r = seconds[0];
+  struct fixture f;
+  char id[32];
+
+  open_fixture (&f);
+  f.client = fw_client_open_with (&f.loop, &f.task, &strict);
+  for (size_t i = 0; i < 20; i++)
+    {
+      snprintf (id, sizeof id, "copied-%zu", i);
+      r.id = id;
+      f.script[0].parts = 0;
+      struct zp_buf *p = add_part (&f.script[0]);
+      if (i == 1)
+        zp_buf_put (p, ZP_STR ("HTTP/1.1 200 OK\r\nRequest-Id: copied-0\r\n"
+                               "Content-Length: 0\r\n\r\n"));
+      struct zp_buf answer = { .ptr = NULL };
+      render (&r, &answer);
+      zp_buf_put (p, zp_str_of (&answer));
+      zp_buf_free (&answer);
+      struct tk_msg *m = exchange (&f, id);
+      count (&t, m, &r, NULL, "copies", i);
+      tk_msg_free (m);
+    }
+  fw_client_close (f.client);
+  report ("a server that sends copies", &t);
+  CU_ASSERT_EQUAL (t.lost, 1);
+  CU_ASSERT_EQUAL (f.connections, 19);
+  close_fixture (&f);
+}
+
 static const struct zp_test tests[] = {
   { "a late copy that is cut", test_late_copy_that_is_cut },
   { "a copy at once that is cut", test_copy_at_once_that_is_cut },
   { "a cut answer and another", test_cut_answer_and_another },
   { "sound answers", test_sound_answers },
   { "sound bodies", test_sound_bodies },
+  { "a server that sends copies", test_server_that_sends_copies },
 };
 
 TEST_MAIN ("forward-splices", tests)
