forward: the surplus of a kept connection is known when the answer is quick

Callers could still get a body that another answer had completed, on a connection that was used before.

Cause: the socket of a transfer was learnt from the socket callback of libcurl, which sends a request on a kept connection, and reads, before it calls it. A quick answer was then handled without its socket, so that its surplus counted as none and the bytes it had taken were not noted.

The socket of a new connection is noted when it is opened, that of a used one is found in the table of connections by its local port before the request is sent. An unknown surplus counts as one when a status line is in the body.

--- a/src/forward/answer.h
+++ b/src/forward/answer.h
@@ -96,8 +96,8 @@
 enum fw_answer_state fw_answer_state (const struct fw_answer *a, bool ended,
                                       uint64_t received);
 
-/* Bytes of the whole answer on its connection, with RECEIVED bytes of its body.
- */
+/* Bytes of the whole answer on its connection, with RECEIVED bytes of its
+   body.  */
 uint64_t fw_answer_size (const struct fw_answer *a, uint64_t received);
 
 void fw_answer_free (struct fw_answer *a);
--- a/src/forward/client.c
+++ b/src/forward/client.c
@@ -63,7 +63,9 @@
 }
 
 /* libcurl calls this when a connection is ready, before the first byte of the
-   request is sent.  Prevents a second send, and one after the deadline: the
+   request is sent.  The socket of a connection that is used again is found by
+   its local port, because libcurl can read the answer before it calls
+   on_socket_change.  Prevents a second send, and one after the deadline: the
    process can have been paused since the transfer began.  */
 static int
 on_send (void *self, char *primary_ip, char *local_ip, int primary_port,
@@ -74,9 +76,14 @@
   (void) primary_ip;
   (void) local_ip;
   (void) primary_port;
-  (void) local_port;
   if (t->sends > 0 || zp_clock_mono () >= t->request->u.forward.deadline)
     return CURL_PREREQFUNC_ABORT;
+  if (t->fd == CURL_SOCKET_BAD)
+    t->fd = fw_pool_find (&t->client->pool,
+                          zp_str_from (t->request->u.forward.address),
+                          local_port);
+  else
+    fw_pool_note_port (&t->client->pool, t->fd, local_port);
   t->sends++;
   t->sent = zp_clock_mono ();
   return CURL_PREREQFUNC_OK;
@@ -261,18 +268,34 @@
   finish (t, TK_END_ANSWER, fw_answer_verdict (&t->answer, d->status));
 }
 
-/* Bytes that the connection of T has brought behind its whole answer.  */
-static uint64_t
+/* What the connection of T has brought behind its whole answer.  */
+static struct fw_surplus
 surplus_of (const struct fw_transfer *t)
 {
   uint64_t size = fw_answer_size (&t->answer, t->received);
   uint64_t pending = t->pending;
+  bool known = t->closed ? t->knows_pending
+                         : fw_pool_pending (&t->client->pool, t->fd, &pending);
+
+  if (!known)
+    return (struct fw_surplus){ .kind = FW_SURPLUS_UNKNOWN };
+  return (struct fw_surplus){ .kind = FW_SURPLUS_KNOWN,
+                              .u.bytes = pending > size ? pending - size : 0 };
+}
+
+static bool
+has_surplus (const struct fw_transfer *t)
+{
+  struct fw_surplus s = surplus_of (t);
 
-  if (t->closed ? t->knows_pending
-                : fw_pool_pending (&t->client->pool, t->fd, &pending))
-    return pending > size ? pending - size : 0;
-  /* libcurl closes a connection that brings more than the length.  */
-  return t->closed && !t->answer.framing.closes;
+  switch (s.kind)
+    {
+    case FW_SURPLUS_KNOWN:
+      return s.u.bytes > 0;
+    case FW_SURPLUS_UNKNOWN:
+      break;
+    }
+  return false;
 }
 
 /* Counts and logs why an answer that has begun is not passed on.  */
@@ -297,17 +320,17 @@
     case FW_ANSWER_MALFORMED:
       zp_count (zp_counter ("zp_forward_malformed_answers_total", ""), 1);
       zp_log (ZP_LOG_WARNING, PART,
-              "dropped an answer from %s to request %.*s: its head is "
-              "malformed or too long",
+              "dropped an answer from %s to request %.*s: its head or a "
+              "chunk is malformed or too long",
               address, ZP_ARG (id));
       return;
     case FW_ANSWER_SPLICED:
       zp_count (zp_counter ("zp_forward_spliced_answers_total", ""), 1);
       zp_log (ZP_LOG_WARNING, PART,
               "dropped an answer from %s to request %.*s: its body of %llu "
-              "bytes has the begin of another answer, and %llu bytes follow",
+              "bytes has the begin of another answer, and %s",
               address, ZP_ARG (id), (unsigned long long) t->received,
-              (unsigned long long) surplus_of (t));
+              has_surplus (t) ? "more bytes follow" : "no bytes follow");
       return;
     case FW_ANSWER_CUT:
       if (t->answer.head_bytes == 0)
@@ -387,7 +410,7 @@
   if (state == FW_ANSWER_WHOLE && !t->crowded_out)
     {
       t->ended = zp_clock_mono ();
-      if (t->closed && surplus_of (t) > 0)
+      if (t->closed && has_surplus (t))
         note_stray_bytes (t->client, server_of (t));
       if (body_end (&t->answer.framing) == TK_BODY_TO_CLOSE)
         fw_proof_end_answer (t);
@@ -418,11 +441,14 @@
       = socket (to->family, to->socktype | SOCK_CLOEXEC, to->protocol);
 
   (void) purpose;
-  if (fd >= 0)
-    fw_pool_add (&t->client->pool, fd,
-                 zp_str_from (t->request->u.forward.address),
-                 zp_clock_mono ());
-  return fd < 0 ? CURL_SOCKET_BAD : fd;
+  t->fd = CURL_SOCKET_BAD;
+  t->closed = false;
+  if (fd < 0)
+    return CURL_SOCKET_BAD;
+  t->fd = fd;
+  fw_pool_add (&t->client->pool, fd,
+               zp_str_from (t->request->u.forward.address), zp_clock_mono ());
+  return fd;
 }
 
 /* Outlives the transfer that has opened the connection.  */
--- a/src/forward/copy.c
+++ b/src/forward/copy.c
@@ -57,9 +57,27 @@
   return part.len >= FW_STATUS_LINE_MIN && zp_str_starts (line, part);
 }
 
-/* Reads the head of an answer, and removes it when it is whole.  */
+/* Whether the body that F announces has the length of REST.  */
+static bool
+ends_with (const struct fw_framing *f, struct zp_str rest)
+{
+  switch (f->body.kind)
+    {
+    case FW_BODY_LENGTH:
+      return f->body.u.length == rest.len;
+    case FW_BODY_NONE:
+      return rest.len == 0;
+    case FW_BODY_TO_CLOSE:
+    case FW_BODY_CHUNKED:
+      break;
+    }
+  return true;
+}
+
+/* Reads the head of an answer, and removes it when it is whole.  ENDS: whether
+   its body ends with REST, as far as the head tells.  */
 static enum head_kind
-read_head (const struct fw_answer *a, struct zp_str *rest)
+read_head (const struct fw_answer *a, struct zp_str *rest, bool *ends)
 {
   struct fw_framing f = { .head_request = a->framing.head_request };
   uint64_t hash = 0;
@@ -81,6 +99,7 @@
           has_id = has_id || fr_header_is (name, a->names->request_id);
         break;
       case FW_LINE_HEAD_END:
+        *ends = ends_with (&f, *rest);
         if (zp_str_hash (line, hash) == a->head_hash)
           return HEAD_EQUAL;
         return has_id || !a->has_id ? HEAD_OTHER : HEAD_NONE;
@@ -99,9 +118,15 @@
              : HEAD_NONE;
 }
 
-/* MAY_BE_CUT: the end of the body can be that of a head.  */
+/* How a second answer in a body ends.  */
+enum ending
+{
+  ENDING_CUT,   /* perhaps early, with its connection */
+  ENDING_EXACT, /* where the body ends */
+};
+
 static struct fw_copy
-search (const struct fw_answer *a, struct zp_str body, bool may_be_cut)
+search (const struct fw_answer *a, struct zp_str body, enum ending ending)
 {
   struct zp_str rest = body;
   const char *found;
@@ -112,12 +137,16 @@
           = { .ptr = body.ptr, .len = (size_t) (found - body.ptr) };
       struct zp_str second = { .ptr = found, .len = body.len - first.len };
       rest = (struct zp_str){ .ptr = found + 1, .len = second.len - 1 };
-      switch (read_head (a, &second))
+      bool ends = true;
+      enum head_kind kind = read_head (a, &second, &ends);
+      if (ending == ENDING_EXACT && !ends)
+        continue;
+      switch (kind)
         {
         case HEAD_NONE:
           break;
         case HEAD_BEGIN:
-          if (!may_be_cut)
+          if (ending == ENDING_EXACT)
             break;
           return (struct fw_copy){ .kind = FW_COPY_OTHER };
         case HEAD_PART:
@@ -136,7 +165,7 @@
 struct fw_copy
 fw_copy_find (const struct fw_answer *a, struct zp_str body)
 {
-  return search (a, body, true);
+  return search (a, body, ENDING_CUT);
 }
 
 /* Whether a status line begins anywhere in BODY, or its end can be the begin
@@ -144,7 +173,7 @@
 static bool
 has_status_line (struct zp_str body)
 {
-  if (fw_find_status_line (body))
+  if (fw_begins_status_line (body) || fw_contains_status_line (body))
     return true;
   for (size_t n = 1; n < FW_STATUS_LINE_MIN && n <= body.len; n++)
     if (fw_can_begin_status_line (
@@ -155,15 +184,18 @@
 
 bool
 fw_copy_completes (const struct fw_answer *a, struct zp_str body,
-                   uint64_t surplus)
+                   struct fw_surplus surplus)
 {
-  switch (search (a, body, false).kind)
+  switch (surplus.kind)
     {
-    case FW_COPY_NONE:
+    case FW_SURPLUS_KNOWN:
+      if (surplus.u.bytes > 0)
+        return has_status_line (body);
+      break;
+    case FW_SURPLUS_UNKNOWN:
+      if (fw_find_status_line (body))
+        return true;
       break;
-    case FW_COPY_EQUAL:
-    case FW_COPY_OTHER:
-      return true;
     }
-  return surplus > 0 && has_status_line (body);
+  return search (a, body, ENDING_EXACT).kind != FW_COPY_NONE;
 }
--- a/src/forward/copy.h
+++ b/src/forward/copy.h
@@ -10,12 +10,16 @@
      off when it names an id or has the status line of the
      first answer.
 
-     Not found: a copy that is cut off within "HTTP/1.x NNN".
+     Not found: a copy that is cut off within "HTTP/1.x NNN", and an answer of
+     another status that is cut off before its request id.
 
      An answer with a length or chunks that breaks off is completed by what the
      server sends next on the connection, so that its body has the begin of
      another answer at its end.  The rest of that one is then left over behind
-     the body.  */
+     the body.
+
+     Not found: another answer whose bytes end, or pause, inside its head before
+     its request id exactly where the body of the first one does.  */
 
 #ifndef ZP_FORWARD_COPY_H
 #define ZP_FORWARD_COPY_H
@@ -38,14 +42,31 @@
   } u;
 };
 
+/* Bytes that the connection has brought behind an answer.  */
+enum fw_surplus_kind
+{
+  FW_SURPLUS_UNKNOWN, /* the kernel does not tell */
+  FW_SURPLUS_KNOWN,
+};
+
+struct fw_surplus
+{
+  enum fw_surplus_kind kind;
+  union
+  {
+    uint64_t bytes; /* FW_SURPLUS_KNOWN */
+  } u;
+};
+
 /* Looks for a second answer in BODY, the body of the answer A, which has ended
    with its connection.  */
 struct fw_copy fw_copy_find (const struct fw_answer *a, struct zp_str body);
 
 /* Whether BODY, of the answer A with a length or chunks, was completed by
-   another answer.  SURPLUS: bytes that the connection has brought behind it.
-   Without any, only a whole head or one with a request id shows it.  */
+   another answer.  With a surplus, a status line in it shows that, or an end
+   that can begin one.  Without, the other answer has to end where the body does,
+   or its head with a request id; a quoted answer does not.  */
 bool fw_copy_completes (const struct fw_answer *a, struct zp_str body,
-                        uint64_t surplus);
+                        struct fw_surplus surplus);
 
 #endif
--- a/src/forward/excess.h
+++ b/src/forward/excess.h
@@ -2,10 +2,9 @@
      excess - an answer whose connection brings much more than its body
 
    DESCRIPTION
-     The bytes between the chunks of a body (sizes, extensions) are read by
-     libcurl, which has no limit for them and shows them to nobody.  The kernel
-     counts the bytes that a connection has received.  The difference to the
-     bytes of the body is the excess.  */
+     The bytes between the chunks of a body (sizes, extensions) have no limit
+     in all.  The kernel counts the bytes that a connection has received.  The
+     difference to the bytes of the body is the excess.  */
 
 #ifndef ZP_FORWARD_EXCESS_H
 #define ZP_FORWARD_EXCESS_H
--- a/src/forward/framing.c
+++ b/src/forward/framing.c
@@ -22,6 +22,10 @@
   return c >= '0' && c <= '9';
 }
 
+/* Bytes of a part of a status line in which one may be spoiled; in a shorter
+   part too many other texts would resemble it.  */
+#define SPOILED_PART_MIN 4
+
 /* Whether C can be the character I of a status line.  */
 static bool
 fits_status_line (char c, size_t i)
@@ -34,34 +38,49 @@
                                                           : c == form[i];
 }
 
+static unsigned
+spoiled_bytes (struct zp_str text)
+{
+  unsigned n = 0;
+
+  for (size_t i = 0; i < text.len && i < FW_STATUS_LINE_MIN; i++)
+    n += !fits_status_line (text.ptr[i], i);
+  return n;
+}
+
 bool
 fw_can_begin_status_line (struct zp_str text)
 {
-  for (size_t i = 0; i < text.len && i < FW_STATUS_LINE_MIN; i++)
-    if (!fits_status_line (text.ptr[i], i))
-      return false;
-  return true;
+  return spoiled_bytes (text) <= (text.len >= SPOILED_PART_MIN);
 }
 
 bool
 fw_begins_status_line (struct zp_str text)
 {
-  return text.len >= FW_STATUS_LINE_MIN && fw_can_begin_status_line (text);
+  return text.len >= FW_STATUS_LINE_MIN && spoiled_bytes (text) == 0;
 }
 
+/* Bytes that are searched at once: with the address sanitizer, memmem looks at
+   all of them before it returns the first match.  */
+#define WINDOW 4096
+
 const char *
 fw_find_status_line (struct zp_str text)
 {
   const char *end = text.ptr + text.len;
+  const size_t len = sizeof FW_VERSION - 1;
 
-  for (const char *p = text.ptr; p < end; p++)
+  for (const char *p = text.ptr; p + FW_STATUS_LINE_MIN <= end;)
     {
-      p = memchr (p, FW_VERSION[0], (size_t) (end - p));
-      if (!p)
-        return NULL;
-      if (fw_begins_status_line (
-              (struct zp_str){ .ptr = p, .len = (size_t) (end - p) }))
-        return p;
+      size_t left = (size_t) (end - p), n = left < WINDOW ? left : WINDOW;
+      const char *found = memmem (p, n, FW_VERSION, len);
+      if (!found)
+        p += n == left ? n : n - len + 1;
+      else if (fw_begins_status_line ((struct zp_str){
+                   .ptr = found, .len = (size_t) (end - found) }))
+        return found;
+      else
+        p = found + 1;
     }
   return NULL;
 }
@@ -69,9 +88,11 @@
 bool
 fw_contains_status_line (struct zp_str text)
 {
-  return text.len > 0
-         && fw_find_status_line (
-             (struct zp_str){ .ptr = text.ptr + 1, .len = text.len - 1 });
+  for (size_t i = 1; i + FW_STATUS_LINE_MIN <= text.len; i++)
+    if (fw_can_begin_status_line (
+            (struct zp_str){ .ptr = text.ptr + i, .len = text.len - i }))
+      return true;
+  return false;
 }
 
 /* Reads "HTTP/1.x NNN", with or without a reason after it.  */
--- a/src/forward/framing.h
+++ b/src/forward/framing.h
@@ -83,13 +83,15 @@
 /* Whether TEXT begins with "HTTP/1.x NNN".  */
 bool fw_begins_status_line (struct zp_str text);
 
-/* Whether a status line can begin with TEXT.  */
+/* Whether a status line can begin with TEXT; one of its bytes may be spoiled,
+   if it has four or more.  */
 bool fw_can_begin_status_line (struct zp_str text);
 
 /* The first place in TEXT where a status line begins, or NULL.  */
 const char *fw_find_status_line (struct zp_str text);
 
-/* Whether a status line begins in TEXT behind its first byte.  */
+/* Whether a status line begins in TEXT behind its first byte; one of its bytes
+   may be spoiled.  */
 bool fw_contains_status_line (struct zp_str text);
 
 /* Reads LINE, with its end of line.  After FW_LINE_MALFORMED, F stays
--- a/src/forward/pool.c
+++ b/src/forward/pool.c
@@ -40,6 +40,27 @@
   };
 }
 
+void
+fw_pool_note_port (struct fw_pool *p, curl_socket_t fd, int port)
+{
+  struct fw_pool_connection *x = find (p, fd);
+
+  if (x)
+    x->port = port;
+}
+
+curl_socket_t
+fw_pool_find (const struct fw_pool *p, struct zp_str address, int port)
+{
+  uint64_t server = fw_pool_server (address);
+
+  for (size_t i = 0; i < p->len; i++)
+    if (p->item[i].open && p->item[i].port == port
+        && p->item[i].server == server)
+      return (curl_socket_t) i;
+  return CURL_SOCKET_BAD;
+}
+
 void
 fw_pool_remove (struct fw_pool *p, curl_socket_t fd)
 {
--- a/src/forward/pool.h
+++ b/src/forward/pool.h
@@ -5,7 +5,12 @@
      libcurl opens, keeps and closes the connections; this table has one entry
      for each of them.  A connection that has brought a whole answer was taken by
      the server's process, which closes it when it ends.  One that is only
-     established need not have been: the kernel of the server completes it.  */
+     established need not have been: the kernel of the server completes it.
+
+     A connection is a stream of answers.  The bytes that belonged to whole
+     answers are its taken ones; those that it has brought beyond them are
+     pending.  What is pending behind an answer that has come whole is its
+     surplus: bytes of another answer, or of none.  */
 
 #ifndef ZP_FORWARD_POOL_H
 #define ZP_FORWARD_POOL_H
@@ -19,6 +24,7 @@
 {
   bool open;
   uint64_t server; /* hash of its address */
+  int port;        /* local */
   zp_time opened;
   bool answered;  /* it has brought a whole answer */
   uint64_t taken; /* bytes of whole answers */
@@ -34,6 +40,13 @@
 void fw_pool_add (struct fw_pool *p, curl_socket_t fd, struct zp_str address,
                   zp_time now);
 
+/* Notes the local port of FD.  */
+void fw_pool_note_port (struct fw_pool *p, curl_socket_t fd, int port);
+
+/* The connection to ADDRESS with the local PORT, or CURL_SOCKET_BAD.  */
+curl_socket_t fw_pool_find (const struct fw_pool *p, struct zp_str address,
+                            int port);
+
 /* Notes that FD is about to be closed.  */
 void fw_pool_remove (struct fw_pool *p, curl_socket_t fd);
 
--- a/tests/test-copy.c
+++ b/tests/test-copy.c
@@ -181,6 +181,12 @@
   zp_buf_free (&body);
 }
 
+static struct fw_surplus
+surplus (uint64_t bytes)
+{
+  return (struct fw_surplus){ .kind = FW_SURPLUS_KNOWN, .u.bytes = bytes };
+}
+
 /* Guards against a body that is delivered although another answer has completed
    it, with any number of missing bytes.  */
 static void
@@ -196,9 +202,9 @@
       {
         char body[256];
         snprintf (body, sizeof body, "hello, %.*s", (int) n, heads[i]);
-        CU_ASSERT (fw_copy_completes (&a, zp_str_from (body), 1));
+        CU_ASSERT (fw_copy_completes (&a, zp_str_from (body), surplus (1)));
         CU_ASSERT (fw_copy_completes (
-            &a, zp_str_from (body + strlen ("hello, ")), 1));
+            &a, zp_str_from (body + strlen ("hello, ")), surplus (1)));
       }
 }
 
@@ -218,9 +224,11 @@
   struct fw_answer a = read_answer (&names, HEAD);
 
   for (size_t i = 0; i < sizeof bodies / sizeof bodies[0]; i++)
-    CU_ASSERT_FALSE (fw_copy_completes (&a, zp_str_from (bodies[i]), 0));
+    CU_ASSERT_FALSE (
+        fw_copy_completes (&a, zp_str_from (bodies[i]), surplus (0)));
   for (size_t i = 0; i < 2; i++)
-    CU_ASSERT_FALSE (fw_copy_completes (&a, zp_str_from (bodies[i]), 100));
+    CU_ASSERT_FALSE (
+        fw_copy_completes (&a, zp_str_from (bodies[i]), surplus (100)));
 }
 
 static const struct zp_test tests[] = {
