forward: a request has the target of the caller byte for byte

Callers saw: the backend server got "/a/x" for "/a/x?", the part before "#" for a target with "#", and "%C3%A9" for the bytes C3 A9; "?x" became "/?x". A forward whose target does not begin with a slash went to another place: with "@127.0.0.1:9/x", the address of the server became the user name of the URL, and libcurl connected to 127.0.0.1:9.

Cause: the target was part of CURLOPT_URL, whose path and query libcurl parses and writes anew.

Of the invalid targets, CR, LF, tabs and a zero byte were not sent before either: libcurl refuses such URLs.

CURLOPT_PATH_AS_IS has no effect on "/" and is gone.

--- a/src/forward/options.c
+++ b/src/forward/options.c
@@ -3,8 +3,10 @@
 #include <stdlib.h>
 
 #include "base/limits.h"
+#include "base/log.h"
 #include "forward/socket.h"
 #include "forward/transfer.h"
+#include "front/target.h"
 
 /* Bytes of one read; most answers are shorter.  libcurl reads up to 100 times
    from one connection before fw_excess_check can end it: with its default of
@@ -84,22 +86,39 @@
     curl_easy_setopt (t->easy, CURLOPT_CUSTOMREQUEST, f->method.ptr);
 }
 
+/* The target is not part of the URL, because libcurl changes the path and the
+   query of a URL.  Without a URL, a transfer fails before it connects.  */
+static void
+set_target (struct fw_transfer *t)
+{
+  struct tk_forward *f = &t->request->u.forward;
+  struct zp_buf url = { .ptr = NULL };
+
+  if (!fr_target_is_valid (zp_str_of (&f->target)))
+    {
+      zp_log (ZP_LOG_WARNING, "forward",
+              "did not send a request to %s: its target of %zu bytes is not "
+              "valid",
+              f->address, f->target.len);
+      return;
+    }
+  zp_buf_printf (&url, "http://%s/", f->address);
+  curl_easy_setopt (t->easy, CURLOPT_URL, url.ptr);
+  zp_buf_free (&url);
+  curl_easy_setopt (t->easy, CURLOPT_REQUEST_TARGET, f->target.ptr);
+}
+
 void
 fw_transfer_set_options (struct fw_transfer *t, zp_time left)
 {
   struct tk_forward *f = &t->request->u.forward;
   CURL *e = t->easy;
-  struct zp_buf url = { .ptr = NULL };
   zp_time connect = left < ZP_CONNECT_TIMEOUT ? left : ZP_CONNECT_TIMEOUT;
 
-  zp_buf_printf (&url, "http://%s%.*s", f->address,
-                 ZP_ARG (zp_str_of (&f->target)));
-  curl_easy_setopt (e, CURLOPT_URL, url.ptr);
-  zp_buf_free (&url);
+  set_target (t);
   curl_easy_setopt (e, CURLOPT_PRIVATE, t);
   curl_easy_setopt (e, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt (e, CURLOPT_PROXY, "");
-  curl_easy_setopt (e, CURLOPT_PATH_AS_IS, 1L);
   curl_easy_setopt (e, CURLOPT_PROTOCOLS_STR, "http");
   curl_easy_setopt (e, CURLOPT_HTTP_VERSION, (long) CURL_HTTP_VERSION_1_1);
   curl_easy_setopt (e, CURLOPT_TIMEOUT_MS, milliseconds (left));
