front: a request whose target is not valid gets 400

Callers saw: a request line with a space, a tab, CR, DEL or another control byte in its target, with a second "HTTP/1.1", or with a target that does not begin with a slash ("*", "@127.0.0.1:9/x", "http://h/x", "?x") was accepted, and what followed on the connection was read as another request.

Cause: libmicrohttpd takes everything between the first and the last space of the request line as the target, and does not check it.

Evidence: test-front-framing, "invalid targets", on the parent: 12 of 12 targets were passed on to the deciding task, each with the request behind it.

Change: src/front/target.h decides, as in the forward task. The request gets 400 "bad-target" with not-run, and its connection is closed, because the rest may be meant as a part of this head. The absolute form of a target, which clients send to proxies only, found no route before and is refused too.

After: test-front-framing and test-front pass.

--- a/src/front/exchange.c
+++ b/src/front/exchange.c
@@ -11,6 +11,7 @@
 #include "front/request.h"
 #include "front/response.h"
 #include "front/server-state.h"
+#include "front/target.h"
 
 /* When a request that was refused for lack of memory may come again: long bodies
    are sent within about a second.  */
@@ -285,6 +286,12 @@
   x->state = REQUEST_READING;
   if (x->body.kind == FR_BODY_UNCERTAIN)
     return refuse_locally (x, 400, "bad-framing");
+  if (!fr_target_is_valid (zp_str_of (&x->target)))
+    {
+      /* What follows on the connection may be a part of this head.  */
+      x->body.kind = FR_BODY_UNCERTAIN;
+      return refuse_locally (x, 400, "bad-target");
+    }
   if (!fr_request_head_fits (x->conn, x->target.len, l->head_max))
     return refuse_locally (x, 431, "head-too-large");
   uint64_t length = x->body.kind == FR_BODY_LENGTH ? x->body.u.length : 0;
--- a/tests/test-front-framing.c
+++ b/tests/test-front-framing.c
@@ -309,6 +309,42 @@
   close_fixture (&f);
 }
 
+/* Guards against a target that ends its request line for a backend server, or
+   that names another host.  */
+static void
+test_invalid_targets (void)
+{
+  static const struct zp_str texts[] = {
+    ZP_STR ("GET /a b HTTP/1.1\r\nHost: h\r\n\r\n" SMUGGLED),
+    ZP_STR ("GET /a  HTTP/1.1\r\nHost: h\r\n\r\n" SMUGGLED),
+    ZP_STR ("GET /a HTTP/1.1 HTTP/1.1\r\nHost: h\r\n\r\n" SMUGGLED),
+    ZP_STR ("GET /a\tb HTTP/1.1\r\nHost: h\r\n\r\n" SMUGGLED),
+    ZP_STR ("GET /a\rb HTTP/1.1\r\nHost: h\r\n\r\n" SMUGGLED),
+    ZP_STR ("GET /a\vb HTTP/1.1\r\nHost: h\r\n\r\n" SMUGGLED),
+    ZP_STR ("GET /a\x7f HTTP/1.1\r\nHost: h\r\n\r\n" SMUGGLED),
+    ZP_STR ("GET x HTTP/1.1\r\nHost: h\r\n\r\n" SMUGGLED),
+    ZP_STR ("OPTIONS * HTTP/1.1\r\nHost: h\r\n\r\n" SMUGGLED),
+    ZP_STR ("GET @127.0.0.1:9/x HTTP/1.1\r\nHost: h\r\n\r\n" SMUGGLED),
+    ZP_STR ("GET http://h/x HTTP/1.1\r\nHost: h\r\n\r\n" SMUGGLED),
+    ZP_STR ("GET ?x HTTP/1.1\r\nHost: h\r\n\r\n" SMUGGLED),
+  };
+  struct fixture f;
+
+  open_fixture (&f);
+  for (size_t i = 0; i < sizeof texts / sizeof texts[0]; i++)
+    {
+      send_request (&f, texts[i], STAYS);
+      if (f.requests > 0 || !HAS_TEXT (f.answer, " 400 ") || !f.closed)
+        printf ("target %zu: %zu requests, path %.*s, %s, answer: %.20s\n", i,
+                f.requests, ZP_ARG (zp_str_of (&f.path[0])),
+                f.closed ? "closed" : "open", f.answer);
+      CU_ASSERT_EQUAL (f.requests, 0);
+      CU_ASSERT (HAS_TEXT (f.answer, "HTTP/1.1 400 "));
+      CU_ASSERT (f.closed);
+    }
+  close_fixture (&f);
+}
+
 /* Guards against chunks whose size is no number, or that do not end where
    their size says.  */
 static void
@@ -523,6 +559,7 @@
   { "requests that are cut at every byte", test_cut_requests },
   { "whole requests", test_whole_requests },
   { "requests whose end is not certain", test_unclear_ends },
+  { "invalid targets", test_invalid_targets },
   { "malformed chunks", test_malformed_chunks },
   { "other requests whose end is not certain", test_other_unclear_requests },
   { "lengths that are too large", test_too_large_lengths },
