front: a request line with a zero byte gets 400

Callers saw: "GET /a\0b HTTP/1.1" was taken as a request for "/a", and "GET\0X /a HTTP/1.1" as a GET; the backend server got the shortened target.

Cause: libmicrohttpd passes method, target and version as zero-terminated texts and does not look for zero bytes in the line.

Ruled out: the size of the head, which libmicrohttpd reports, as the measure: spaces around field values are not in the values.

Change: libmicrohttpd splits the line in its own buffer, so a whole method ends right before the target and a whole target right before the version. Only addresses are compared; nothing is read outside of the texts. Two spaces before the target get 400 too (RFC 9112 has one).

--- a/src/front/exchange.c
+++ b/src/front/exchange.c
@@ -163,6 +163,7 @@
   x->conn = conn;
   x->id = zp_slots_put (&s->exchanges, x);
   x->target = zp_buf_from (zp_str_from (target));
+  x->target_at = target;
   ev_io_init (&x->leave_watcher, on_caller_readable,
               MHD_get_connection_info (conn, MHD_CONNECTION_INFO_CONNECTION_FD)
                   ->connect_fd,
@@ -275,6 +276,19 @@
   return ok;
 }
 
+/* Whether the request line of X has a zero byte, at which libmicrohttpd cuts
+   off METHOD or the target.  libmicrohttpd splits the line in its buffer, so
+   that a whole METHOD ends right before the target, and a whole target right
+   before VERSION.  */
+static bool
+is_cut_off (const struct exchange *x, const char *method, const char *version)
+{
+  uintptr_t target = (uintptr_t) x->target_at;
+
+  return (uintptr_t) method + strlen (method) + 1 != target
+         || target + x->target.len + 1 != (uintptr_t) version;
+}
+
 /* The head of X has arrived.  Refuses the request at once when its body cannot
    be taken.  */
 static enum MHD_Result
@@ -286,7 +300,8 @@
   x->state = REQUEST_READING;
   if (x->body.kind == FR_BODY_UNCERTAIN)
     return refuse_locally (x, 400, "bad-framing");
-  if (!fr_target_is_valid (zp_str_of (&x->target)))
+  if (!fr_target_is_valid (zp_str_of (&x->target))
+      || is_cut_off (x, method, version))
     {
       /* What follows on the connection may be a part of this head.  */
       x->body.kind = FR_BODY_UNCERTAIN;
--- a/src/front/server-state.h
+++ b/src/front/server-state.h
@@ -44,6 +44,7 @@
   struct fr_body body;
   ev_io leave_watcher; /* detects that the caller leaves */
   struct zp_buf target;
+  const char *target_at; /* in the buffer of libmicrohttpd; only its address */
   char request_id[ZP_NAME_MAX];
   struct tk_msg *request; /* TK_HTTP_REQUEST until it is sent, then NULL */
   struct tk_msg *answer;
--- a/tests/test-front-framing.c
+++ b/tests/test-front-framing.c
@@ -5,6 +5,8 @@
 #include "seeds.h"
 
 #include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -345,6 +347,73 @@
   close_fixture (&f);
 }
 
+/* Guards against a target or a method that is cut off at a zero byte and
+   forwarded.  */
+static void
+test_zero_byte_in_a_request_line (void)
+{
+  static const struct zp_str texts[] = {
+    ZP_STR ("GET /a\0b HTTP/1.1\r\nHost: h\r\n\r\n" SMUGGLED),
+    ZP_STR ("GET /a\0 HTTP/1.1\r\nHost: h\r\n\r\n" SMUGGLED),
+    ZP_STR ("GET /a?b\0/../c HTTP/1.1\r\nHost: h\r\n\r\n" SMUGGLED),
+    ZP_STR ("GET /a\0 HTTP/1.1\0 HTTP/1.1\r\nHost: h\r\n\r\n" SMUGGLED),
+    ZP_STR ("GET\0 /a HTTP/1.1\r\nHost: h\r\n\r\n" SMUGGLED),
+    ZP_STR ("GET\0X /a HTTP/1.1\r\nHost: h\r\n\r\n" SMUGGLED),
+    ZP_STR ("GET \0/a HTTP/1.1\r\nHost: h\r\n\r\n" SMUGGLED),
+  };
+  struct fixture f;
+
+  open_fixture (&f);
+  for (size_t i = 0; i < sizeof texts / sizeof texts[0]; i++)
+    {
+      send_request (&f, texts[i], STAYS);
+      if (f.requests > 0 || !f.closed)
+        printf ("target %zu: %zu requests, path %.*s, %s, answer: %.20s\n", i,
+                f.requests, ZP_ARG (zp_str_of (&f.path[0])),
+                f.closed ? "closed" : "open", f.answer);
+      CU_ASSERT_EQUAL (f.requests, 0);
+      CU_ASSERT (f.closed);
+    }
+  close_fixture (&f);
+}
+
+/* Guards against valid request lines that are refused because libmicrohttpd has
+   moved them: pipelined requests with long targets and heads, in parts.  */
+static void
+test_long_heads_in_parts (void)
+{
+  static const size_t parts[] = { 1, 7, 700, 5000, 100000 };
+  struct fixture f;
+
+  open_fixture (&f);
+  for (size_t i = 0; i < sizeof parts / sizeof parts[0]; i++)
+    {
+      struct zp_buf text = { .ptr = NULL };
+      for (int k = 0; k < 3; k++)
+        zp_buf_printf (&text,
+                       "POST /%0*d?%0*d HTTP/1.1\r\nHost: h\r\nX: %0*d\r\n"
+                       "Content-Length: 3\r\n\r\nabc",
+                       1 + 2000 * k, 0, 1 + 1000 * k, 0, 1 + 3000 * k, 0);
+      int fd = connect_caller (&f), one = 1;
+      setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+      forget_requests (&f);
+      for (size_t at = 0; at < text.len; at += parts[i])
+        {
+          size_t rest = text.len - at;
+          size_t n = rest < parts[i] ? rest : parts[i];
+          CU_ASSERT (send (fd, text.ptr + at, n, MSG_NOSIGNAL) == (ssize_t) n);
+          ev_run (f.loop.ev, EVRUN_NOWAIT);
+        }
+      finish (&f, fd, STAYS);
+      CU_ASSERT_EQUAL (f.requests, 3);
+      for (size_t k = 0; k < 3; k++)
+        CU_ASSERT_EQUAL (f.path[k].len, 2 + 2000 * k);
+      CU_ASSERT_FALSE (f.closed);
+      zp_buf_free (&text);
+    }
+  close_fixture (&f);
+}
+
 /* Guards against chunks whose size is no number, or that do not end where
    their size says.  */
 static void
@@ -560,6 +629,8 @@
   { "whole requests", test_whole_requests },
   { "requests whose end is not certain", test_unclear_ends },
   { "invalid targets", test_invalid_targets },
+  { "a zero byte in a request line", test_zero_byte_in_a_request_line },
+  { "long heads in parts", test_long_heads_in_parts },
   { "malformed chunks", test_malformed_chunks },
   { "other requests whose end is not certain", test_other_unclear_requests },
   { "lengths that are too large", test_too_large_lengths },
