--- a/tests/gate-fixture.h
+++ b/tests/gate-fixture.h
@@ -26,12 +26,12 @@
 {
   struct tk_loop loop;
   struct gt_settings settings;
-  struct zp_str regions[2];
+  struct zp_str regions[3];
   struct gt_gate *gate;
   struct tk_task forward, front, roster;
-  struct tk_msg *sent[8];   /* TK_FORWARD */
-  size_t sends, cancels;    /* messages to the forward task */
-  struct tk_msg *answer[8]; /* TK_HTTP_ANSWER */
+  struct tk_msg *sent[64];   /* TK_FORWARD */
+  size_t sends, cancels;     /* messages to the forward task */
+  struct tk_msg *answer[64]; /* TK_HTTP_ANSWER */
   size_t answers;
   struct tk_daemon announced; /* last description sent to the roster */
   struct ti_store *store;
@@ -102,25 +102,33 @@
   f.stopped = true;
 }
 
-/* A document of this test is "NUMBER [once]": it has one route with the prefix
-   "/" to the service "svc", idempotent unless "once" is given.  */
+/* A document of this test is "NUMBER", "NUMBER once" or "NUMBER in REGION...":
+   it has one route with the prefix "/" to the service "svc", idempotent unless
+   "once" is given, with the regions as its homes.  */
 static struct si_site *
 decode (struct zp_str text, struct zp_err *err)
 {
-  struct zp_str number, kind;
+  struct zp_str number, kind, home;
   uint64_t n = 0;
 
   zp_str_split (text, ' ', &number, &kind);
   zp_str_u64 (number, &n);
+  bool once = zp_str_eq (kind, ZP_STR ("once"));
   struct si_site *s = si_site_new (n);
   struct si_service v = { .name = zp_buf_from (ZP_STR ("svc")) };
   struct si_route r = { .host = zp_buf_from (ZP_STR ("h")),
                         .prefix = zp_buf_from (ZP_STR ("/")),
-                        .class = kind.len > 0 ? SI_ONCE : SI_IDEMPOTENT,
+                        .class = once ? SI_ONCE : SI_IDEMPOTENT,
                         .timeout = 2 * ZP_SEC,
                         .objective = 400 * ZP_MS,
                         .attempts = 3 };
   si_route_add_part (&r, ZP_STR ("svc"), 1);
+  if (zp_str_starts (kind, ZP_STR ("in ")))
+    for (zp_str_split (kind, ' ', &home, &kind); kind.len > 0;)
+      {
+        zp_str_split (kind, ' ', &home, &kind);
+        si_route_add_home (&r, home);
+      }
   si_site_add_service (s, &v);
   si_site_add_route (s, &r);
   if (si_site_seal (s, err))
@@ -252,12 +260,14 @@
   snprintf (front, sizeof front, "%s", test_address (19611));
   snprintf (ready, sizeof ready, "%s", test_address (19612));
   f.regions[0] = ZP_STR ("a-1=a");
+  f.regions[1] = ZP_STR ("b-1=b");
+  f.regions[2] = ZP_STR ("c-1=c");
   f.settings = (struct gt_settings){ .name = ZP_STR ("entry"),
                                      .failure_domain = ZP_STR ("a-1"),
                                      .region = ZP_STR ("a"),
                                      .front = zp_str_from (front),
                                      .ready = zp_str_from (ready),
-                                     .regions = { f.regions, 1 },
+                                     .regions = { f.regions, 3 },
                                      .lookup_ttl = 100 * ZP_MS,
                                      .first_start = true,
                                      .retry_ratio = 0.2,
