tests: the rate of cold servers as a property over seeds

FAILBACK at src/steer/throttle.c: 1 to 72 daemons that do not communicate, learn within 200 ms that a server is cold, and have requests at random; rates of 1 to 40 requests a second. In any second the server gets at most 1.5 times its rate plus 8, plus 5 with as many daemons as may start at once.

--- a/tests/test-throttle.c
+++ b/tests/test-throttle.c
@@ -1,6 +1,6 @@
 #include "harness.h"
+#include "seeds.h"
 
-#include "base/rng.h"
 #include "steer/throttle.h"
 
 /* Guards against cold servers that get more requests than they tolerate, which
@@ -91,6 +91,60 @@
   CU_ASSERT (all >= (unsigned) (rate * 0.9 * TIMES * COLD_MS / 1000));
 }
 
+/* FAILBACK: in any second, a cold server gets at most 1.5 times its rate plus 8
+   (5 in a small deployment) from all daemons together, which learn within 200 ms that it is cold and have
+   requests at random times.  */
+static bool
+cold_rate_is_kept (uint32_t seed)
+{
+  enum
+  {
+    DAEMONS_MAX = 72,
+    STEP_MS = 5,
+    COLD_MS = 4000,
+  };
+  struct st_throttle throttle[DAEMONS_MAX] = { { 0 } };
+  zp_time learns[DAEMONS_MAX];
+  unsigned sent[COLD_MS / STEP_MS] = { 0 }, window = 0, most = 0;
+  struct zp_rng rng;
+
+  zp_rng_seed (&rng, seed);
+  unsigned daemons = 1 + zp_rng_below (&rng, DAEMONS_MAX);
+  double rate = 1 + 39 * zp_rng_unit (&rng), busy = zp_rng_unit (&rng);
+  for (unsigned d = 0; d < daemons; d++)
+    learns[d] = ZP_SEC + zp_rng_below (&rng, 200) * ZP_MS;
+  for (int i = 0; i < COLD_MS / STEP_MS; i++)
+    {
+      zp_time now = ZP_SEC + (zp_time) i * STEP_MS * ZP_MS;
+      for (unsigned d = 0; d < daemons; d++)
+        {
+          if (learns[d] > now)
+            continue;
+          if (learns[d] > now - STEP_MS * ZP_MS)
+            st_throttle_start (&throttle[d], rate, daemons, zp_rng_unit (&rng),
+                               now);
+          if (!chance (&rng, busy)
+              || !st_throttle_allows (&throttle[d], rate, daemons, now))
+            continue;
+          st_throttle_take (&throttle[d], rate, daemons, now);
+          sent[i]++;
+        }
+      window += sent[i];
+      if (i >= 1000 / STEP_MS)
+        window -= sent[i - 1000 / STEP_MS];
+      most = window > most ? window : most;
+    }
+  TRACE ("%u daemons, rate %.1f: %u in a second\n", daemons, rate, most);
+  unsigned slack = daemons <= rate * 0.5 + 5 ? 5 : 8;
+  return most <= (unsigned) (rate * 1.5 + slack);
+}
+
+static void
+test_cold_rate_is_kept (void)
+{
+  CU_ASSERT_EQUAL (seeds_run (cold_rate_is_kept, 1000), 0);
+}
+
 /* Guards against few daemons that wait although the server tolerates one
    request of each at once.  */
 static void
@@ -107,6 +161,7 @@
 static const struct zp_test tests[] = {
   { "rate of all daemons together", test_sum_of_all_daemons },
   { "first requests of many daemons", test_many_daemons },
+  { "random daemons and rates", test_cold_rate_is_kept },
   { "few daemons start at once", test_few_daemons_start_at_once },
 };
 
