front: a request is not read from two heads

What callers saw: when a caller, or a proxy before it, broke off the head of a request and sent its next request on the same connection, one request was read from the two. It ran with the target or fields of both: two values of Idempotency-Key, Request-Id, Host or Content-Type were joined to one, and of two deadlines the last one counted.

Cause: each field was believed on its own, without asking whether all come from one head. libmicrohttpd 0.9.75 takes everything between the first and the last space of the request line as the target.

Evidence: test-front-framing, heads of two requests: 3 heads, cut at every byte, with 3 next requests behind each.

Change: a method that is a part of a method and a whole one, a target with a space or a control character, a value that ends like a request line, and a second one of each field that is read make the framing uncertain: 400, and the connection is closed.

Ruled out: lines without a colon are refused by libmicrohttpd. Equal lengths stay valid (RFC 9110, 8.6): the head of another request has a Host or a request line beside it.

--- a/src/front/framing.c
+++ b/src/front/framing.c
@@ -4,6 +4,12 @@
 
 #include "front/header.h"
 
+#define METHODS (sizeof methods / sizeof methods[0])
+
+static const struct zp_str methods[]
+    = { ZP_STR ("GET"),    ZP_STR ("HEAD"),    ZP_STR ("POST"), ZP_STR ("PUT"),
+        ZP_STR ("DELETE"), ZP_STR ("OPTIONS"), ZP_STR ("PATCH") };
+
 /* Characters of a field name: "token" of RFC 9110.  */
 static bool
 is_token_char (char c)
@@ -13,9 +19,23 @@
          || (c != '\0' && strchr ("!#$%&'*+-.^_`|~", c));
 }
 
+/* Whether VALUE ends with " HTTP/1.x", like a request line.  */
+static bool
+ends_like_request_line (struct zp_str value)
+{
+  static const char end[] = " HTTP/1.";
+  size_t n = sizeof end - 1;
+
+  return value.len > n && value.ptr[value.len - 1] >= '0'
+         && value.ptr[value.len - 1] <= '9'
+         && memcmp (value.ptr + value.len - n - 1, end, n) == 0;
+}
+
 static bool
 is_valid_field (struct zp_str name, struct zp_str value)
 {
+  if (ends_like_request_line (value))
+    return false;
   for (size_t i = 0; i < name.len; i++)
     if (!is_token_char (name.ptr[i]))
       return false;
@@ -28,6 +48,46 @@
   return name.len > 0;
 }
 
+static bool
+begins_method (struct zp_str part)
+{
+  for (size_t i = 0; i < METHODS; i++)
+    if (zp_str_starts (methods[i], part))
+      return true;
+  return false;
+}
+
+/* Whether METHOD is a part of a method and a whole one behind it.  */
+static bool
+is_joined_method (struct zp_str method)
+{
+  for (size_t i = 0; i < METHODS; i++)
+    {
+      struct zp_str last = methods[i], first = method;
+      if (method.len <= last.len)
+        continue;
+      first.len -= last.len;
+      if (memcmp (method.ptr + first.len, last.ptr, last.len) == 0
+          && begins_method (first))
+        return true;
+    }
+  return false;
+}
+
+void
+fr_body_read_line (struct fr_body *b, struct zp_str method,
+                   struct zp_str target)
+{
+  if (is_joined_method (method))
+    b->kind = FR_BODY_UNCERTAIN;
+  for (size_t i = 0; i < target.len; i++)
+    {
+      unsigned char c = (unsigned char) target.ptr[i];
+      if (c <= ' ' || c == 0x7f)
+        b->kind = FR_BODY_UNCERTAIN;
+    }
+}
+
 static struct fr_body
 read_length (struct fr_body b, struct zp_str value)
 {
--- a/src/front/framing.h
+++ b/src/front/framing.h
@@ -10,7 +10,14 @@
 
      The end is certain with at most one length (or equal ones), or with chunks
      as the only coding, and when each field line is valid (RFC 9112).  Chunks
-     are not part of HTTP/1.0.  */
+     are not part of HTTP/1.0.
+
+     It is not certain either when the head can come from two requests: when a
+     caller breaks off a head and sends its next request on the connection, the
+     request line becomes the rest of the method, of the target or of a value.
+     So a method of two methods is not valid, nor is a target with a space, nor
+     a value that ends like a request line.  request.c refuses a second one of
+     each field that is read.  */
 
 #ifndef ZP_FRONT_FRAMING_H
 #define ZP_FRONT_FRAMING_H
@@ -35,6 +42,10 @@
   } u;
 };
 
+/* Reads the method and the target of the request, before its fields.  */
+void fr_body_read_line (struct fr_body *b, struct zp_str method,
+                        struct zp_str target);
+
 /* Reads one field line of the head.  FR_BODY_UNCERTAIN stays.  */
 void fr_body_read_field (struct fr_body *b, struct zp_str name,
                          struct zp_str value);
--- a/src/front/request.c
+++ b/src/front/request.c
@@ -8,53 +8,108 @@
 /* Bytes of the first line of a head beside the target.  */
 #define REQUEST_LINE 32
 
+/* Fields that are read.  */
+enum field
+{
+  FIELD_DEADLINE,
+  FIELD_KEY,
+  FIELD_CONTENT_TYPE,
+  FIELD_REQUEST_ID,
+  FIELD_HOST,
+  FIELD_AFFINITY,
+  FIELD_OTHER,
+};
+
 /* Where on_header stores the headers.  */
 struct context
 {
   const struct fr_header_names *names;
   struct tk_http_request *request;
   struct fr_body *body;
+  unsigned seen; /* bit of each enum field that was read */
 };
 
+static enum field
+field_of (const struct fr_header_names *names, struct zp_str name)
+{
+  const char *const known[FIELD_OTHER] = {
+    [FIELD_DEADLINE] = names->deadline_ms,
+    [FIELD_KEY] = names->key,
+    [FIELD_CONTENT_TYPE] = "Content-Type",
+    [FIELD_REQUEST_ID] = names->request_id,
+    [FIELD_HOST] = "Host",
+    [FIELD_AFFINITY] = names->affinity,
+  };
+
+  for (unsigned i = 0; i < FIELD_OTHER; i++)
+    if (fr_header_is (name, known[i]))
+      return (enum field) i;
+  return FIELD_OTHER;
+}
+
+static void
+read_deadline (struct tk_http_request *r, struct zp_str value)
+{
+  uint64_t ms;
+
+  if (!zp_str_u64 (value, &ms) || ms == 0
+      || ms > (uint64_t) (ZP_DEADLINE_MAX / ZP_MS))
+    r->bad_header = true;
+  else
+    r->deadline = zp_clock_mono () + (zp_time) ms * ZP_MS;
+}
+
+static void
+read_key (struct tk_http_request *r, struct zp_str value)
+{
+  if (value.len == 0 || value.len > ZP_KEY_MAX)
+    r->bad_header = true;
+  else
+    zp_buf_put (&r->key, value);
+}
+
 static enum MHD_Result
 on_header (void *self, enum MHD_ValueKind kind, const char *name,
            size_t name_len, const char *value, size_t value_len)
 {
-  const struct context *c = self;
+  struct context *c = self;
   struct tk_http_request *r = c->request;
-  const struct fr_header_names *names = c->names;
   struct zp_str n = { .ptr = name, .len = name_len };
   struct zp_str v = { .ptr = value, .len = value_len };
-  uint64_t ms;
+  enum field field = field_of (c->names, n);
 
   (void) kind;
   fr_body_read_field (c->body, n, v);
-  if (fr_header_is (n, names->deadline_ms))
+  if (field != FIELD_OTHER && (c->seen & 1u << field))
     {
-      if (!zp_str_u64 (v, &ms) || ms == 0
-          || ms > (uint64_t) (ZP_DEADLINE_MAX / ZP_MS))
-        r->bad_header = true;
-      else
-        r->deadline = zp_clock_mono () + (zp_time) ms * ZP_MS;
+      c->body->kind = FR_BODY_UNCERTAIN;
+      return MHD_YES;
     }
-  else if (fr_header_is (n, names->key))
-    {
-      if (v.len == 0 || v.len > ZP_KEY_MAX)
-        r->bad_header = true;
-      else
-        zp_buf_put (&r->key, v);
-    }
-  else if (fr_header_is (n, "Content-Type"))
-    zp_buf_put (&r->content_type, v);
-  else if (fr_header_is (n, names->request_id))
-    zp_buf_put (&r->request_id, v);
-  else if (fr_header_is (n, "Host"))
-    zp_buf_put (&r->host, v);
-  else
+  c->seen |= 1u << field;
+  switch (field)
     {
-      if (fr_header_is (n, names->affinity))
-        zp_buf_put (&r->affinity, v);
-      fr_header_put (names, &r->headers, n, v);
+    case FIELD_DEADLINE:
+      read_deadline (r, v);
+      break;
+    case FIELD_KEY:
+      read_key (r, v);
+      break;
+    case FIELD_CONTENT_TYPE:
+      zp_buf_put (&r->content_type, v);
+      break;
+    case FIELD_REQUEST_ID:
+      zp_buf_put (&r->request_id, v);
+      break;
+    case FIELD_HOST:
+      zp_buf_put (&r->host, v);
+      break;
+    case FIELD_AFFINITY:
+      zp_buf_put (&r->affinity, v);
+      fr_header_put (c->names, &r->headers, n, v);
+      break;
+    case FIELD_OTHER:
+      fr_header_put (c->names, &r->headers, n, v);
+      break;
     }
   return MHD_YES;
 }
@@ -85,6 +140,7 @@
   zp_buf_put (&r->path, path);
   zp_buf_put (&r->query, query);
   r->caller_ipv4 = caller_ipv4 (conn);
+  fr_body_read_line (body, zp_str_from (method), target);
   MHD_get_connection_values_n (conn, MHD_HEADER_KIND, on_header, &c);
 }
 
--- a/tests/test-front-framing.c
+++ b/tests/test-front-framing.c
@@ -289,6 +289,12 @@
     "Content Length: 3\r\n",
     "Content-Length: 3\x01\r\n",
     "X: y\x7f\r\n",
+    "Host: h\r\n",
+    "Deadline-Ms: 900\r\nDeadline-Ms: 900\r\n",
+    "Request-Id: 1\r\nRequest-Id: 2\r\n",
+    "Idempotency-Key: 1\r\nIdempotency-Key: 2\r\n",
+    "Content-Type: a/b\r\nContent-Type: a/b\r\n",
+    "X: GET / HTTP/1.1\r\n",
   };
   struct fixture f;
 
@@ -417,6 +423,46 @@
   close_fixture (&f);
 }
 
+/* Guards against a request that is read from two: the head of a caller that
+   breaks off is completed by its next request, at every byte.  */
+static void
+test_heads_of_two_requests (void)
+{
+  static const char *const firsts[] = {
+    "POST /first HTTP/1.1\r\nHost: h\r\nDeadline-Ms: 900\r\n"
+    "Content-Length: 2\r\n\r\n",
+    "POST /first HTTP/1.1\r\nX-Partner: a\r\nIdempotency-Key: k1\r\n"
+    "Content-Type: text/plain\r\nHost: h\r\n\r\n",
+    "GET /first HTTP/1.1\r\nX-Partner: a\r\nRequest-Id: 1\r\nHost: h\r\n\r\n",
+  };
+  static const char *const seconds[] = {
+    "POST /second HTTP/1.1\r\nHost: h\r\nIdempotency-Key: k2\r\n"
+    "Content-Length: 3\r\n\r\nabc",
+    "GET /second HTTP/1.1\r\nRequest-Id: 2\r\nDeadline-Ms: 800\r\n"
+    "Host: h\r\n\r\n",
+    "GET /second HTTP/1.0\r\n\r\n",
+  };
+  struct fixture f;
+
+  open_fixture (&f);
+  for (size_t i = 0; i < sizeof firsts / sizeof firsts[0]; i++)
+    for (size_t k = 0; k < sizeof seconds / sizeof seconds[0]; k++)
+      for (size_t n = 1; n < strlen (firsts[i]); n++)
+        {
+          struct zp_buf text = { .ptr = NULL };
+          zp_buf_printf (&text, "%.*s%s", (int) n, firsts[i], seconds[k]);
+          send_request (&f, zp_str_of (&text), STAYS);
+          if (f.requests > 0 || !f.closed)
+            printf ("%zu of %zu bytes, then %zu: %zu requests, %s: %.*s|\n", n,
+                    i, k, f.requests, f.closed ? "closed" : "open",
+                    (int) (n < 200 ? n : 200), firsts[i]);
+          CU_ASSERT_EQUAL (f.requests, 0);
+          CU_ASSERT (f.closed);
+          zp_buf_free (&text);
+        }
+  close_fixture (&f);
+}
+
 /* Appends a whole request with BODY, with its length or in chunks.  Returns
    the offset of the part that has the framing.  */
 static size_t
@@ -527,6 +573,7 @@
   { "other requests whose end is not certain", test_other_unclear_requests },
   { "lengths that are too large", test_too_large_lengths },
   { "a request within a body", test_request_within_a_body },
+  { "heads of two requests", test_heads_of_two_requests },
   { "spoiled requests", test_spoiled_requests },
   { "a caller that ends its side", test_half_closed_caller },
 };
