ctl: an answer is not completed by another one

What an operator saw: zpctl took an answer that broke off in its body and went on with the begin of another answer for a whole one, and did not ask the next control daemon. It also followed a redirect of which only the head had come whole.

Cause: libcurl reads chunks leniently, so that a status line behind the size of the last chunk counted as its extension; a body with a length takes whatever comes; and of a redirect that libcurl followed nothing was checked. A line "HTTP/..." after the head of any answer, also in a trailer, began the record of the answer anew.

Evidence: test-ctl-answers.

Ruled out: that the operator was told "accepted" by such an answer. The commands on tickets need a JSON object with a digest, and the joined bodies were none. The control daemons always announce a length, so that only another program, or a path that spoils bytes, can send these answers.

--- a/src/ctl/client.h
+++ b/src/ctl/client.h
@@ -4,8 +4,8 @@
    DESCRIPTION
      zc_send tries the servers in order and follows a redirect to the leader.
      It returns the first answer whose status is not 503.  After a failed
-     connection, an answer that is cut or has neither a length nor chunks, a
-     timeout or status 503 (no leader accepts requests) it tries the next
+     connection, an answer that is cut, has neither a length nor chunks or was
+     completed by another answer, a timeout or status 503 (no leader accepts requests) it tries the next
      server.  After the last server it starts again with the first,
      until the time limit of the client is reached.
 
--- a/tests/test-ctl-answers.c
+++ b/tests/test-ctl-answers.c
@@ -129,6 +129,81 @@
   CU_ASSERT_EQUAL (f.a.requests, 0);
 }
 
+/* Guards against an answer that is read from two, of which the first breaks
+   off: in its last chunk, in a chunk, in a body with a length and in its
+   head.  */
+static void
+test_spliced_answers (void)
+{
+  static const char *const firsts[] = {
+    "HTTP/1.1 409 Conflict\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "2\r\n{}\r\n0\r\n",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "2\r\n{}\r\n0\r\n",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0;",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n20\r\n{",
+    "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n{\"digest\":",
+    "HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX: ",
+    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n",
+  };
+  static const char *const seconds[] = {
+    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+    "HTTP/1.1 500 Internal Server Error\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "2\r\n{}\r\n0\r\n\r\n",
+  };
+
+  for (size_t i = 0; i < sizeof firsts / sizeof firsts[0]; i++)
+    for (size_t k = 0; k < sizeof seconds / sizeof seconds[0]; k++)
+      {
+        char text[512];
+        struct cutting_server s = { .text = text };
+        struct fixture f;
+        snprintf (text, sizeof text, "%s%s", firsts[i], seconds[k]);
+        fixture_open (&f);
+        cutting_server_open (&s, &f.loop);
+        tk_loop_start (&f.loop);
+        check_answer (s.address, f.b.address, f.b.address);
+        fixture_close (&f);
+        close (s.accepting.fd);
+        if (f.b.requests == 0)
+          printf ("answer %zu, then %zu: passed on\n", i, k);
+      }
+}
+
+/* Guards against a redirect that is followed although its answer is cut or is
+   read from two.  */
+static void
+test_spoiled_redirects (void)
+{
+  static const char *const bodies[]
+      = { "Content-Length: 10\r\n\r\n{}",
+          "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n",
+          "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n"
+          "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+          "Connection: close\r\n\r\n{}",
+          "Content-Length: 14\r\n\r\nHTTP/1.1 200 OK\r\n\r\n" };
+
+  for (size_t i = 0; i < sizeof bodies / sizeof bodies[0]; i++)
+    {
+      char text[512];
+      struct cutting_server s = { .text = text };
+      struct fixture f;
+      fixture_open (&f);
+      snprintf (text, sizeof text,
+                "HTTP/1.1 307 Temporary Redirect\r\n"
+                "Location: http://%s/v1/tickets?x=1\r\n%s",
+                f.a.address, bodies[i]);
+      cutting_server_open (&s, &f.loop);
+      tk_loop_start (&f.loop);
+      check_answer (s.address, f.b.address, f.b.address);
+      fixture_close (&f);
+      close (s.accepting.fd);
+      CU_ASSERT_EQUAL (f.a.requests, 0);
+    }
+}
+
 /* Guards against a ticket that is reported as reviewed because some other
    program answers with status 200.  */
 static void
@@ -172,6 +247,8 @@
   { "answers that are cut", test_cut_answers },
   { "a redirect to an answer that is cut", test_redirect_to_a_cut_answer },
   { "a redirect that is cut", test_cut_redirect },
+  { "answers that are read from two", test_spliced_answers },
+  { "redirects that are spoiled", test_spoiled_redirects },
   { "status 200 without a ticket", test_answer_without_ticket },
 };
 
