front: the rest of a request is not read as a request

What callers saw: when a caller broke off the body of a request and sent its next request on the same connection, the begin of the next one completed the body, and what was left of it could run as a request with the method "T", "ST" or "TIONS". Behind the last chunk, the next request was read as trailer fields and was never answered.

Evidence: test-front-framing, bodies of two requests: a body with a length and one in chunks, each cut at every byte, with 3 next requests.

Change: a method that is only the end of a known one is refused with 400 and the end of the connection, as is a request in chunks with a trailer field that is not valid or ends like a request line.

Not repaired: the request with a length runs with the joined body. Any bytes can be a body of that length, and one that holds a request has to be forwarded as it is (test: a request within a body).

--- a/src/front/exchange.c
+++ b/src/front/exchange.c
@@ -361,6 +361,7 @@
         return refuse_locally (x, 413, "body-too-large");
       if (x->no_room)
         return refuse_locally (x, 503, "no-room-for-body");
+      fr_request_read_trailer (x->conn, &x->body);
       if (!fr_body_is_whole (&x->body, x->request->u.request.body.len))
         return refuse_locally (x, 400, "bad-framing");
       if (x->request->u.request.bad_header)
--- a/src/front/framing.c
+++ b/src/front/framing.c
@@ -74,11 +74,25 @@
   return false;
 }
 
+/* Whether METHOD is the end of a method, without its begin.  */
+static bool
+is_end_of_method (struct zp_str method)
+{
+  for (size_t i = 0; i < METHODS; i++)
+    {
+      struct zp_str m = methods[i];
+      if (method.len < m.len
+          && memcmp (m.ptr + m.len - method.len, method.ptr, method.len) == 0)
+        return true;
+    }
+  return false;
+}
+
 void
 fr_body_read_line (struct fr_body *b, struct zp_str method,
                    struct zp_str target)
 {
-  if (is_joined_method (method))
+  if (is_joined_method (method) || is_end_of_method (method))
     b->kind = FR_BODY_UNCERTAIN;
   for (size_t i = 0; i < target.len; i++)
     {
@@ -122,6 +136,14 @@
                   : FR_BODY_UNCERTAIN;
 }
 
+void
+fr_body_read_trailer (struct fr_body *b, struct zp_str name,
+                      struct zp_str value)
+{
+  if (!is_valid_field (name, value))
+    b->kind = FR_BODY_UNCERTAIN;
+}
+
 void
 fr_body_read_version (struct fr_body *b, struct zp_str version)
 {
--- a/src/front/framing.h
+++ b/src/front/framing.h
@@ -15,9 +15,13 @@
      It is not certain either when the head can come from two requests: when a
      caller breaks off a head and sends its next request on the connection, the
      request line becomes the rest of the method, of the target or of a value.
-     So a method of two methods is not valid, nor is a target with a space, nor
-     a value that ends like a request line.  request.c refuses a second one of
-     each field that is read.  */
+     When it breaks off a body, its next request can begin within a method.  So
+     a method of two methods is not valid, nor is the end of one, a target with
+     a space, or a value that ends like a request line.  request.c refuses a
+     second one of each field that is read.
+
+     A body with a length that breaks off is completed by the next request, and
+     nothing shows it: any bytes can be a body.  */
 
 #ifndef ZP_FRONT_FRAMING_H
 #define ZP_FRONT_FRAMING_H
@@ -50,6 +54,10 @@
 void fr_body_read_field (struct fr_body *b, struct zp_str name,
                          struct zp_str value);
 
+/* Reads one field line behind the last chunk.  */
+void fr_body_read_trailer (struct fr_body *b, struct zp_str name,
+                           struct zp_str value);
+
 /* Reads the version of the request, "HTTP/1.1", after its fields.  */
 void fr_body_read_version (struct fr_body *b, struct zp_str version);
 
--- a/src/front/request.c
+++ b/src/front/request.c
@@ -144,6 +144,22 @@
   MHD_get_connection_values_n (conn, MHD_HEADER_KIND, on_header, &c);
 }
 
+static enum MHD_Result
+on_trailer (void *self, enum MHD_ValueKind kind, const char *name,
+            size_t name_len, const char *value, size_t value_len)
+{
+  (void) kind;
+  fr_body_read_trailer (self, (struct zp_str){ .ptr = name, .len = name_len },
+                        (struct zp_str){ .ptr = value, .len = value_len });
+  return MHD_YES;
+}
+
+void
+fr_request_read_trailer (struct MHD_Connection *conn, struct fr_body *body)
+{
+  MHD_get_connection_values_n (conn, MHD_FOOTER_KIND, on_trailer, body);
+}
+
 bool
 fr_request_head_fits (struct MHD_Connection *conn, size_t target, size_t max)
 {
--- a/src/front/request.h
+++ b/src/front/request.h
@@ -17,6 +17,11 @@
                       const struct fr_header_names *names,
                       struct tk_http_request *r, struct fr_body *body);
 
+/* Reads the fields behind the last chunk of the request on CONN.  They are not
+   forwarded.  */
+void fr_request_read_trailer (struct MHD_Connection *conn,
+                              struct fr_body *body);
+
 /* Whether the headers on CONN, whose target has TARGET bytes, have at most MAX
    bytes; 0: any.  */
 bool fr_request_head_fits (struct MHD_Connection *conn, size_t target,
--- a/tests/test-front-framing.c
+++ b/tests/test-front-framing.c
@@ -463,6 +463,43 @@
   close_fixture (&f);
 }
 
+/* Guards against a request that is made of the rest of another one: the body of
+   a caller that breaks off is completed by its next request.  The request with
+   that body runs, because any bytes can be a body of that length.  */
+static void
+test_bodies_of_two_requests (void)
+{
+  static const char *const firsts[] = { LENGTH_REQUEST, CHUNKED_REQUEST };
+  static const char *const seconds[]
+      = { "POST /second HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc",
+          "GET /second HTTP/1.1\r\nHost: h\r\n\r\n",
+          "OPTIONS * HTTP/1.1\r\nHost: h\r\nX: y\r\n\r\n" };
+  struct fixture f;
+
+  open_fixture (&f);
+  for (size_t i = 0; i < sizeof firsts / sizeof firsts[0]; i++)
+    for (size_t k = 0; k < sizeof seconds / sizeof seconds[0]; k++)
+      {
+        const char *body = strstr (firsts[i], "\r\n\r\n") + 4;
+        for (size_t n = (size_t) (body - firsts[i]); n < strlen (firsts[i]);
+             n++)
+          {
+            struct zp_buf text = { .ptr = NULL };
+            zp_buf_printf (&text, "%.*s%s", (int) n, firsts[i], seconds[k]);
+            send_request (&f, zp_str_of (&text), STAYS);
+            bool chunked = firsts[i] != firsts[0];
+            size_t runs = chunked ? 0 : 1;
+            if (f.requests != runs || !f.closed)
+              printf ("%zu of %zu bytes, then %zu: %zu requests, %s\n", n, i,
+                      k, f.requests, f.closed ? "closed" : "open");
+            CU_ASSERT_EQUAL (f.requests, runs);
+            CU_ASSERT (f.closed);
+            zp_buf_free (&text);
+          }
+      }
+  close_fixture (&f);
+}
+
 /* Appends a whole request with BODY, with its length or in chunks.  Returns
    the offset of the part that has the framing.  */
 static size_t
@@ -574,6 +611,7 @@
   { "lengths that are too large", test_too_large_lengths },
   { "a request within a body", test_request_within_a_body },
   { "heads of two requests", test_heads_of_two_requests },
+  { "bodies of two requests", test_bodies_of_two_requests },
   { "spoiled requests", test_spoiled_requests },
   { "a caller that ends its side", test_half_closed_caller },
 };
