soak: answers that are read from two are found by the callers

The callers of the platform soak took the first of each field, a size of a chunk with anything behind it, and a head with a second status line in it. A daemon that passes on a head read from two answers would be found only where the status or body differ from those of the stamp.

test-soak-message: each of 3 answers cut at every byte and followed by each of them.

Not run: the platform soak with this caller.

--- a/Makefile
+++ b/Makefile
@@ -85,6 +85,10 @@
 	@mkdir -p $(@D)
 	$(CC) $(CPPFLAGS) -Iplatform $(CFLAGS) -MMD -MP -o $@ $< $(PLATFORM_LIB) $(LIB) $(LDLIBS) -lgsl -lgslcblas -lcunit
 
+$(BUILD)/tests/test-soak-message: tests/test-soak-message.c soak/message.c soak/message.h $(LIB)
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS) $(CFLAGS) -o $@ $< soak/message.c $(LIB) $(LDLIBS) -lcunit
+
 # The proxy of the fault soak.
 $(BUILD)/zp-proxy: soak/proxy.c $(LIB)
 	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -o $@ $< $(LIB) $(LDLIBS)
--- a/soak/message.c
+++ b/soak/message.c
@@ -226,13 +226,15 @@
       if (e != SK_WHOLE)
         break;
       n = strtoul (line.ptr, &end, 16);
-      if (end == line.ptr)
+      if (end == line.ptr || *end != '\r')
         e = SK_GARBAGE;
       else if (n > 0)
         e = read_length (c, n, until, out);
       /* The line end behind the chunk.  Trailers are not expected.  */
       if (e == SK_WHOLE)
         e = read_until (c, ZP_STR ("\r\n"), until, &line);
+      if (e == SK_WHOLE && line.len > 2)
+        e = SK_GARBAGE;
     }
   zp_buf_free (&line);
   return e == SK_CLOSED ? SK_CUT : e;
@@ -252,6 +254,37 @@
   return r == RECEIVED_FIN ? SK_WHOLE : end_of (r);
 }
 
+/* Whether the head of an answer comes from one answer: without a status line
+   behind its begin, and with one of each field that says what the answer is.
+   A copy that breaks off in its head is completed by the next answer.  */
+static bool
+is_one_head (struct zp_str head)
+{
+  static const char *const once[]
+      = { "Content-Length", "Transfer-Encoding", "Content-Type",  "Date",
+          "Retry-After",    "X-Request-Id",      "X-Server-Stamp" };
+  unsigned seen = 0;
+  struct zp_str line, name, value;
+
+  if (memmem (head.ptr + 1, head.len - 1, "HTTP/1.", 7))
+    return false;
+  zp_str_split (head, '\n', &line, &head);
+  while (zp_str_split (head, '\n', &line, &head) && line.len > 1)
+    {
+      if (!zp_str_split (line, ':', &name, &value))
+        return false;
+      for (size_t i = 0; i < sizeof once / sizeof once[0]; i++)
+        if (name.len == strlen (once[i])
+            && strncasecmp (name.ptr, once[i], name.len) == 0)
+          {
+            if (seen & 1u << i)
+              return false;
+            seen |= 1u << i;
+          }
+    }
+  return true;
+}
+
 enum sk_end
 sk_read (struct sk_conn *c, enum sk_side side, zp_time until,
          struct sk_message *m)
@@ -268,7 +301,8 @@
         return e;
       if (side == SK_REQUEST)
         break;
-      if (!zp_str_starts (zp_str_of (&m->head), ZP_STR ("HTTP/1.1 ")))
+      if (!zp_str_starts (zp_str_of (&m->head), ZP_STR ("HTTP/1.1 "))
+          || !is_one_head (zp_str_of (&m->head)))
         return SK_GARBAGE;
       m->status = (unsigned) strtoul (m->head.ptr + 9, NULL, 10);
     }
--- a/soak/message.h
+++ b/soak/message.h
@@ -56,7 +56,9 @@
 
 bool sk_send (struct sk_conn *c, struct zp_str bytes);
 
-/* Reads one message into M until the time UNTIL.  */
+/* Reads one message into M until the time UNTIL.  An answer that can come from
+   two, because its head has two status lines or two of a field, or because its
+   chunks are not valid, is SK_GARBAGE.  */
 enum sk_end sk_read (struct sk_conn *c, enum sk_side side, zp_time until,
                      struct sk_message *m);
 
