tests: bodies of two calls are no call

A report, a leave or a document whose body breaks off is completed by the next call on the connection. None of the joined bodies is decoded as a call (test-platform-calls, 3 calls cut at every byte, with 3 next ones): they are no JSON value. No fault found.

--- a/tests/test-platform-calls.c
+++ b/tests/test-platform-calls.c
@@ -112,6 +112,43 @@
   CU_ASSERT_EQUAL (call.kind, CT_CALL_BAD);
 }
 
+/* Guards against a call whose body breaks off and is completed by the next call
+   on the connection: a report, the leave of a server and a document.  */
+static void
+test_bodies_of_two_calls (void)
+{
+  static const char document[]
+      = "{\"version\":4,\"listeners\":[],\"clusters\":[]}";
+  static const struct
+  {
+    const char *path, *body;
+  } calls[] = { { "/Instances.Heartbeat/i-7f3a", report },
+                { "/Instances.Deregister/i-7f3a", "{\"born\":17}" },
+                { "/Config.Put", document } };
+  struct zp_buf next = { .ptr = NULL };
+
+  for (size_t i = 0; i < sizeof calls / sizeof calls[0]; i++)
+    for (size_t k = 0; k < sizeof calls / sizeof calls[0]; k++)
+      for (size_t n = 0; n < strlen (calls[i].body); n++)
+        {
+          struct zp_buf body = { .ptr = NULL };
+          size_t len = strlen (calls[i].body);
+          zp_buf_clear (&next);
+          zp_buf_printf (&next,
+                         "POST %s HTTP/1.1\r\nHost: h\r\n"
+                         "Content-Length: %zu\r\n\r\n%s",
+                         calls[k].path, strlen (calls[k].body), calls[k].body);
+          zp_buf_printf (&body, "%.*s%.*s", (int) n, calls[i].body,
+                         (int) (len - n), next.ptr);
+          decode ("POST", calls[i].path, "", body.ptr);
+          if (call.kind != CT_CALL_BAD)
+            printf ("accepted: %s\n", body.ptr);
+          CU_ASSERT_EQUAL (call.kind, CT_CALL_BAD);
+          zp_buf_free (&body);
+        }
+  zp_buf_free (&next);
+}
+
 /* Guards against a report that ends the control daemon, because its nesting
    takes all of the stack.  */
 static void
@@ -258,6 +295,7 @@
 static const struct zp_test tests[]
     = { { "server reports", test_server_report },
         { "invalid server reports", test_invalid_reports },
+        { "bodies of two calls", test_bodies_of_two_calls },
         { "a deeply nested report", test_deeply_nested_report },
         { "servers that deregister", test_deregistration },
         { "calls of operators", test_operators },
