roster: an acknowledgement counts for what was sent to its daemon

An acknowledgement of a number that was not sent yet counted for all later leave reports, and what one daemon had acknowledged counted for another one that said hello on the same connection. A leave report could then be acknowledged to a server that a running entry daemon still sent requests to. No program of the product sends either; found by reading.

--- a/src/roster/source.c
+++ b/src/roster/source.c
@@ -206,6 +206,12 @@
       return;
     }
   bool first = !l->identified;
+  /* What a daemon has acknowledged counts for itself only.  */
+  if (!first && (d.id != l->daemon.id || d.kind != l->daemon.kind))
+    {
+      drop_link (l, "a hello of another daemon");
+      return;
+    }
   bool same = !first && zp_str_eq (payload, zp_str_of (&l->hello));
   l->identified = true;
   wi_conn_set_frame_max (l->conn, ZP_FRAME_MAX);
@@ -263,7 +269,7 @@
       ro_source_forward_loss (l, payload);
       return;
     case WI_ROSTER_ACK:
-      if (ro_get_ack (payload, &acked))
+      if (ro_get_ack (payload, &acked) && acked <= l->sent)
         {
           if (acked > l->acked)
             l->acked = acked;
--- a/tests/test-roster.c
+++ b/tests/test-roster.c
@@ -447,6 +447,50 @@
   close_fixture (&f);
 }
 
+/* Guards against an acknowledgement of more than was sent, which would count for
+   every later leave report.  */
+static void
+test_acknowledgement_of_the_future (void)
+{
+  struct zp_buf ack = { .ptr = NULL };
+  struct fixture f;
+
+  open_fixture (&f);
+  open_silent (&f);
+  RUN_UNTIL (&f, f.updates == 1);
+  ro_put_ack (&ack, UINT64_MAX);
+  wi_conn_send (f.silent, WI_ROSTER_ACK, zp_str_of (&ack));
+  zp_buf_free (&ack);
+  zp_time before = zp_clock_mono ();
+  while (zp_clock_mono () - before < 50 * ZP_MS)
+    ev_run (f.loop.ev, EVRUN_NOWAIT);
+  /* The daemon is waited for, because it may still run.  */
+  report (&f, "a", TK_SERVER_DRAINING, 2, 77);
+  RUN_UNTIL (&f, f.settled == 1);
+  CU_ASSERT (f.settled_at - before >= RO_ACK_TIMEOUT / 2);
+  close_fixture (&f);
+}
+
+/* Guards against what one daemon has acknowledged and counts for another one
+   that says hello on the same connection.  */
+static void
+test_hello_of_another_daemon (void)
+{
+  const struct tk_daemon other = { .kind = TK_DAEMON_ENTRY, .id = 10 };
+  struct zp_buf hello = { .ptr = NULL };
+  struct fixture f;
+
+  open_fixture (&f);
+  open_silent (&f);
+  RUN_UNTIL (&f, f.updates == 1);
+  ro_put_hello (&hello, &other, 0);
+  wi_conn_send (f.silent, WI_ROSTER_HELLO, zp_str_of (&hello));
+  zp_buf_free (&hello);
+  RUN_UNTIL (&f, f.lost == 1);
+  CU_ASSERT_EQUAL (f.connected, 1);
+  close_fixture (&f);
+}
+
 static const struct zp_test tests[]
     = { { "settled after the acknowledgement",
           test_settled_after_acknowledgement },
@@ -454,6 +498,9 @@
           test_daemon_without_acknowledgement },
         { "a connection that ends before the acknowledgement",
           test_connection_ends_before_the_acknowledgement },
+        { "an acknowledgement of more than was sent",
+          test_acknowledgement_of_the_future },
+        { "a hello of another daemon", test_hello_of_another_daemon },
         { "the control daemon restarts", test_control_restarts },
         { "the list of control daemons", test_list_of_control_daemons },
         { "renewals", test_renewals },
