roster: a malformed loss is not passed on

A control daemon passed the bytes of a loss report on to every entry daemon unread, also before the hello of its sender. An entry daemon closes a connection that brings a malformed loss, so that one faulty sender ended the roster connections of all others.

The report is decoded first now; a malformed one, or one before the hello, ends the connection of its sender. test-roster, a malformed loss: failed before (the sender's connection was not ended within 15 s).

--- a/src/roster/source-state.h
+++ b/src/roster/source-state.h
@@ -112,6 +112,6 @@
 void ro_source_relay_work (struct ro_source *s, zp_time now);
 
 /* Forwards a lost request to the other entry daemons.  */
-void ro_source_forward_loss (struct ro_link *from, struct zp_str payload);
+void ro_source_forward_loss (struct ro_link *from, const struct tk_loss *loss);
 
 #endif
--- a/src/roster/source-work.c
+++ b/src/roster/source-work.c
@@ -70,9 +70,13 @@
 }
 
 void
-ro_source_forward_loss (struct ro_link *from, struct zp_str payload)
+ro_source_forward_loss (struct ro_link *from, const struct tk_loss *loss)
 {
+  struct zp_buf b = { .ptr = NULL };
+
+  ro_put_loss (&b, loss);
   for (struct ro_link *l = from->source->links; l; l = l->next)
     if (l != from && l->identified && l->daemon.kind == TK_DAEMON_ENTRY)
-      wi_conn_send (l->conn, WI_ROSTER_LOSS, payload);
+      wi_conn_send (l->conn, WI_ROSTER_LOSS, zp_str_of (&b));
+  zp_buf_free (&b);
 }
--- a/src/roster/source.c
+++ b/src/roster/source.c
@@ -250,6 +250,7 @@
           struct zp_str payload)
 {
   struct ro_link *l = self;
+  struct tk_loss loss;
   uint64_t acked;
 
   (void) conn;
@@ -266,8 +267,12 @@
         ro_source_take_work (l, payload);
       return;
     case WI_ROSTER_LOSS:
-      ro_source_forward_loss (l, payload);
-      return;
+      if (l->identified && ro_get_loss (payload, &loss))
+        {
+          ro_source_forward_loss (l, &loss);
+          return;
+        }
+      break;
     case WI_ROSTER_ACK:
       if (ro_get_ack (payload, &acked) && acked <= l->sent)
         {
--- a/tests/test-roster.c
+++ b/tests/test-roster.c
@@ -31,6 +31,7 @@
   struct ro_client *client;
   struct tk_server got;
   unsigned servers, entry_count, sources;
+  unsigned losses;
   unsigned renewals;           /* servers in TK_RENEWALS */
   unsigned work;               /* requests in the last TK_WORK */
   struct ro_client *neighbour; /* of another control daemon of the region */
@@ -83,6 +84,9 @@
     case TK_CONFIG_SOURCES:
       f->sources++;
       break;
+    case TK_LOSS:
+      f->losses++;
+      break;
     case TK_RENEWALS:
       f->renewals += (unsigned) m->u.renewals.len;
       break;
@@ -471,6 +475,34 @@
   close_fixture (&f);
 }
 
+/* Guards against a frame of one daemon that ends the connections of the others:
+   a loss that is malformed or comes before the hello is not passed on.  */
+static void
+test_malformed_loss (void)
+{
+  const struct tk_loss loss = { .fingerprint = 5, .server = 6 };
+  struct zp_buf b = { .ptr = NULL };
+  struct fixture f;
+
+  open_fixture (&f);
+  open_client (&f);
+  RUN_UNTIL (&f, f.entry_count == 1);
+  open_silent (&f);
+  RUN_UNTIL (&f, f.updates == 1);
+  wi_conn_send (f.silent, WI_ROSTER_LOSS, ZP_STR ("\xff\xff no message"));
+  RUN_UNTIL (&f, f.lost == 1);
+  CU_ASSERT_EQUAL (f.losses, 0);
+
+  open_silent (&f);
+  RUN_UNTIL (&f, f.updates == 2);
+  ro_put_loss (&b, &loss);
+  wi_conn_send (f.silent, WI_ROSTER_LOSS, zp_str_of (&b));
+  RUN_UNTIL (&f, f.losses == 1);
+  zp_buf_free (&b);
+  CU_ASSERT_EQUAL (f.lost, 1);
+  close_fixture (&f);
+}
+
 /* Guards against what one daemon has acknowledged and counts for another one
    that says hello on the same connection.  */
 static void
@@ -501,6 +533,7 @@
         { "an acknowledgement of more than was sent",
           test_acknowledgement_of_the_future },
         { "a hello of another daemon", test_hello_of_another_daemon },
+        { "a malformed loss", test_malformed_loss },
         { "the control daemon restarts", test_control_restarts },
         { "the list of control daemons", test_list_of_control_daemons },
         { "renewals", test_renewals },
