peer: a connection belongs to one start of one daemon

A second hello on a connection between entry daemons moved the connection to another daemon, or to another start of it: frames that had been sent by the earlier start counted for the later one, and the other daemon came up. No program of the product sends one; found by reading.

A second hello that is equal is still accepted.

--- a/src/peer/mesh.c
+++ b/src/peer/mesh.c
@@ -158,6 +158,16 @@
     m->dials[m->dial_count] = (struct dial){ .not_before = 0 };
 }
 
+/* Whether H is of another daemon, or of another start, than the hello that L has
+   brought before.  */
+static bool
+is_second_hello (const struct link *l, const struct pe_hello *h)
+{
+  return l->incarnation != 0
+         && (h->incarnation != l->incarnation
+             || h->id != l->mesh->members.item[l->member].id);
+}
+
 static void
 on_hello (struct link *l, struct zp_str payload)
 {
@@ -167,7 +177,16 @@
   int index = -1;
   enum pe_event e = PE_NOTHING;
 
-  if (pe_get_hello (payload, &h, &owner))
+  bool valid = pe_get_hello (payload, &h, &owner);
+  if (valid && is_second_hello (l, &h))
+    {
+      zp_log (ZP_LOG_WARNING, PART,
+              "closed a connection: a hello of another daemon or start");
+      wi_free (owner);
+      link_free (l);
+      return;
+    }
+  if (valid)
     {
       e = pe_members_hello (&m->members, &h, zp_clock_mono (), &index);
       pe_each_address (owner, learn_address, m);
--- a/tests/test-mesh.c
+++ b/tests/test-mesh.c
@@ -242,21 +242,16 @@
 }
 
 /* Connects to daemon 0 as a start of member 9.  */
-static int
-connect_start (struct fixture *f, uint64_t incarnation)
+/* Sends the hello of daemon ID on FD.  */
+static void
+send_hello (struct fixture *f, int fd, uint64_t id, uint64_t incarnation)
 {
-  struct sockaddr_storage sa;
-  socklen_t len;
   struct zp_buf hello = { .ptr = NULL }, b = { .ptr = NULL };
   struct pe_members known;
-  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
-  pe_members_init (&known, 9, ZP_STR ("west"));
-  CU_ASSERT_FATAL (
-      wi_address_parse (zp_str_from (f->d[0].wire), &sa, &len, NULL));
-  CU_ASSERT_FATAL (connect (fd, (struct sockaddr *) &sa, len) == 0);
+  pe_members_init (&known, id, ZP_STR ("west"));
   pe_put_hello (&hello,
-                &(struct pe_hello){ .id = 9,
+                &(struct pe_hello){ .id = id,
                                     .incarnation = incarnation,
                                     .failure_domain = ZP_STR ("w1"),
                                     .region = ZP_STR ("west"),
@@ -269,6 +264,19 @@
   zp_buf_free (&b);
   for (int i = 0; i < 20; i++)
     ev_run (f->loop.ev, EVRUN_ONCE);
+}
+
+static int
+connect_start (struct fixture *f, uint64_t incarnation)
+{
+  struct sockaddr_storage sa;
+  socklen_t len;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+  CU_ASSERT_FATAL (
+      wi_address_parse (zp_str_from (f->d[0].wire), &sa, &len, NULL));
+  CU_ASSERT_FATAL (connect (fd, (struct sockaddr *) &sa, len) == 0);
+  send_hello (f, fd, 9, incarnation);
   return fd;
 }
 
@@ -356,6 +364,34 @@
   tk_loop_free (&f.loop);
 }
 
+/* Guards against a connection whose frames count for two daemons, or for two
+   starts of one, because it brings a second hello.  */
+static void
+test_second_hello (void)
+{
+  struct fixture f;
+
+  open_fixture (&f);
+  run_until_up (&f, DAEMONS - 1);
+  int fd = connect_start (&f, 5);
+  send_hello (&f, fd, 9, 5);
+  send_frame (&f, fd, ZP_STR ("first"));
+  CU_ASSERT_EQUAL (f.d[0].frames, 1);
+  int up = f.d[0].up;
+  send_hello (&f, fd, 10, 5);
+  CU_ASSERT_EQUAL (f.d[0].up, up);
+  close (fd);
+
+  fd = connect_start (&f, 6);
+  up = f.d[0].up;
+  send_hello (&f, fd, 9, 7);
+  CU_ASSERT_EQUAL (f.d[0].up, up);
+  send_frame (&f, fd, ZP_STR ("late"));
+  CU_ASSERT_EQUAL (f.d[0].frames, 1);
+  close (fd);
+  close_fixture (&f);
+}
+
 static const struct zp_test tests[]
     = { { "discovery by one seed", test_discovery_by_one_seed },
         { "a lost and restarted daemon", test_lost_and_restarted_daemon },
@@ -364,6 +400,7 @@
         { "malformed frames", test_malformed_frames },
         { "late frames of an earlier start",
           test_late_frames_of_an_earlier_start },
+        { "a second hello", test_second_hello },
         { "a member at two addresses", test_member_at_two_addresses } };
 
 TEST_MAIN ("mesh", tests)
