--- a/tests/test-ctl-answers.c
+++ b/tests/test-ctl-answers.c
@@ -180,8 +180,8 @@
   static const char *const bodies[]
       = { "Content-Length: 10\r\n\r\n{}",
           "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n",
-          "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n"
-          "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+          "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\nHTTP/1.1 200 "
+          "OK\r\nContent-Length: 0\r\n\r\n",
           "Connection: close\r\n\r\n{}",
           "Content-Length: 14\r\n\r\nHTTP/1.1 200 OK\r\n\r\n" };
 
