--- a/tests/test-roster.c
+++ b/tests/test-roster.c
@@ -31,6 +31,7 @@
   struct ro_client *client;
   struct tk_server got;
   unsigned servers, entry_count, sources;
+  unsigned losses;
   unsigned renewals;           /* servers in TK_RENEWALS */
   unsigned work;               /* requests in the last TK_WORK */
   struct ro_client *neighbour; /* of another control daemon of the region */
@@ -83,6 +84,9 @@
     case TK_CONFIG_SOURCES:
       f->sources++;
       break;
+    case TK_LOSS:
+      f->losses++;
+      break;
     case TK_RENEWALS:
       f->renewals += (unsigned) m->u.renewals.len;
       break;
@@ -447,6 +451,78 @@
   close_fixture (&f);
 }
 
+/* Guards against an acknowledgement of more than was sent, which would count for
+   every later leave report.  */
+static void
+test_acknowledgement_of_the_future (void)
+{
+  struct zp_buf ack = { .ptr = NULL };
+  struct fixture f;
+
+  open_fixture (&f);
+  open_silent (&f);
+  RUN_UNTIL (&f, f.updates == 1);
+  ro_put_ack (&ack, UINT64_MAX);
+  wi_conn_send (f.silent, WI_ROSTER_ACK, zp_str_of (&ack));
+  zp_buf_free (&ack);
+  zp_time before = zp_clock_mono ();
+  while (zp_clock_mono () - before < 50 * ZP_MS)
+    ev_run (f.loop.ev, EVRUN_NOWAIT);
+  /* The daemon is waited for, because it may still run.  */
+  report (&f, "a", TK_SERVER_DRAINING, 2, 77);
+  RUN_UNTIL (&f, f.settled == 1);
+  CU_ASSERT (f.settled_at - before >= RO_ACK_TIMEOUT / 2);
+  close_fixture (&f);
+}
+
+/* Guards against a frame of one daemon that ends the connections of the others:
+   a loss that is malformed or comes before the hello is not passed on.  */
+static void
+test_malformed_loss (void)
+{
+  const struct tk_loss loss = { .fingerprint = 5, .server = 6 };
+  struct zp_buf b = { .ptr = NULL };
+  struct fixture f;
+
+  open_fixture (&f);
+  open_client (&f);
+  RUN_UNTIL (&f, f.entry_count == 1);
+  open_silent (&f);
+  RUN_UNTIL (&f, f.updates == 1);
+  wi_conn_send (f.silent, WI_ROSTER_LOSS, ZP_STR ("\xff\xff no message"));
+  RUN_UNTIL (&f, f.lost == 1);
+  CU_ASSERT_EQUAL (f.losses, 0);
+
+  open_silent (&f);
+  RUN_UNTIL (&f, f.updates == 2);
+  ro_put_loss (&b, &loss);
+  wi_conn_send (f.silent, WI_ROSTER_LOSS, zp_str_of (&b));
+  RUN_UNTIL (&f, f.losses == 1);
+  zp_buf_free (&b);
+  CU_ASSERT_EQUAL (f.lost, 1);
+  close_fixture (&f);
+}
+
+/* Guards against what one daemon has acknowledged and counts for another one
+   that says hello on the same connection.  */
+static void
+test_hello_of_another_daemon (void)
+{
+  const struct tk_daemon other = { .kind = TK_DAEMON_ENTRY, .id = 10 };
+  struct zp_buf hello = { .ptr = NULL };
+  struct fixture f;
+
+  open_fixture (&f);
+  open_silent (&f);
+  RUN_UNTIL (&f, f.updates == 1);
+  ro_put_hello (&hello, &other, 0);
+  wi_conn_send (f.silent, WI_ROSTER_HELLO, zp_str_of (&hello));
+  zp_buf_free (&hello);
+  RUN_UNTIL (&f, f.lost == 1);
+  CU_ASSERT_EQUAL (f.connected, 1);
+  close_fixture (&f);
+}
+
 static const struct zp_test tests[]
     = { { "settled after the acknowledgement",
           test_settled_after_acknowledgement },
@@ -454,6 +530,10 @@
           test_daemon_without_acknowledgement },
         { "a connection that ends before the acknowledgement",
           test_connection_ends_before_the_acknowledgement },
+        { "an acknowledgement of more than was sent",
+          test_acknowledgement_of_the_future },
+        { "a hello of another daemon", test_hello_of_another_daemon },
+        { "a malformed loss", test_malformed_loss },
         { "the control daemon restarts", test_control_restarts },
         { "the list of control daemons", test_list_of_control_daemons },
         { "renewals", test_renewals },
