front: one check of the target; a value ends like a request line only with a target

Two branches had each checked the target of a request. A value such as "proxy HTTP/1.1" is that of a sound request: only " /target HTTP/1.x" and " * HTTP/1.x" at its end can be a request line.

--- a/src/front/framing.c
+++ b/src/front/framing.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "front/header.h"
+#include "front/target.h"
 
 #define METHODS (sizeof methods / sizeof methods[0])
 
@@ -19,16 +20,21 @@
          || (c != '\0' && strchr ("!#$%&'*+-.^_`|~", c));
 }
 
-/* Whether VALUE ends with " HTTP/1.x", like a request line.  */
+/* Whether VALUE ends as a request line does, with " /target HTTP/1.x" or
+   " * HTTP/1.x".  */
 static bool
 ends_like_request_line (struct zp_str value)
 {
-  static const char end[] = " HTTP/1.";
-  size_t n = sizeof end - 1;
+  static const char version[] = " HTTP/1.";
+  const size_t n = sizeof version; /* with the digit */
+  const char *target;
 
-  return value.len > n && value.ptr[value.len - 1] >= '0'
-         && value.ptr[value.len - 1] <= '9'
-         && memcmp (value.ptr + value.len - n - 1, end, n) == 0;
+  if (value.len <= n || value.ptr[value.len - 1] < '0'
+      || value.ptr[value.len - 1] > '9'
+      || memcmp (value.ptr + value.len - n, version, n - 1) != 0)
+    return false;
+  target = memrchr (value.ptr, ' ', value.len - n);
+  return target && (target[1] == '/' || target[1] == '*');
 }
 
 static bool
@@ -92,14 +98,9 @@
 fr_body_read_line (struct fr_body *b, struct zp_str method,
                    struct zp_str target)
 {
-  if (is_joined_method (method) || is_end_of_method (method))
+  if (is_joined_method (method) || is_end_of_method (method)
+      || !fr_target_is_valid (target))
     b->kind = FR_BODY_UNCERTAIN;
-  for (size_t i = 0; i < target.len; i++)
-    {
-      unsigned char c = (unsigned char) target.ptr[i];
-      if (c <= ' ' || c == 0x7f)
-        b->kind = FR_BODY_UNCERTAIN;
-    }
 }
 
 static struct fr_body
--- a/src/front/framing.h
+++ b/src/front/framing.h
@@ -17,7 +17,7 @@
      request line becomes the rest of the method, of the target or of a value.
      When it breaks off a body, its next request can begin within a method.  So
      a method of two methods is not valid, nor is the end of one, a target with
-     a space, or a value that ends like a request line.  request.c refuses a
+     a space, or a value that ends like a request line ("GET / HTTP/1.1").  request.c refuses a
      second one of each field that is read.
 
      A body with a length that breaks off is completed by the next request, and
