--- a/fuzz/fuzz-answer.c
+++ b/fuzz/fuzz-answer.c
@@ -87,7 +87,9 @@
           out, "%u %d %d %d ", a.framing.status,
           fw_answer_verdict (&a, a.framing.status),
           fw_copy_find (&a, zp_str_of (&done.body)).kind,
-          fw_copy_completes (&a, zp_str_of (&done.body), stream.len));
+          fw_copy_completes (&a, zp_str_of (&done.body),
+                             (struct fw_surplus){ .kind = FW_SURPLUS_KNOWN,
+                                                  .u.bytes = stream.len }));
       zp_buf_put (out, zp_str_of (&done.headers));
       zp_buf_put (out, zp_str_of (&done.body));
     }
--- a/tests/test-forward-fuzz.c
+++ b/tests/test-forward-fuzz.c
@@ -209,7 +209,9 @@
 {
   struct zp_str body = zp_str_of (&r->done.body);
   uint64_t size = fw_answer_size (&r->answer, r->received);
-  uint64_t surplus = stream.len > size ? stream.len - size : 0;
+  struct fw_surplus surplus
+      = { .kind = FW_SURPLUS_KNOWN,
+          .u.bytes = stream.len > size ? stream.len - size : 0 };
 
   if (r->answer.framing.body.kind == FW_BODY_TO_CLOSE)
     return fw_copy_find (&r->answer, body).kind != FW_COPY_NONE;
