tasks: a signal during the start waits for its handler

Cause: the daemons set their handlers when all tasks are open. Until then SIGTERM and SIGINT end the process as a crash does, and SIGHUP too until run () ignored it. The window from exec to main, in which the libraries are loaded, is the longest part of a start.

Change: the three signals are blocked first thing in main and released when the handlers are installed; blocked again before the handler of SIGHUP is removed at the end. SIGHUP before that was ignored, now the settings are read again.

Before main nothing can hold the signal but the parent. A process that ends there has begun nothing and has written no log line.

--- a/src/control/program.c
+++ b/src/control/program.c
@@ -9,6 +9,7 @@
 #include "base/log.h"
 #include "control/control.h"
 #include "roster/seeds.h"
+#include "task/signals.h"
 #include "task/watch.h"
 
 #define PART "main"
@@ -66,9 +67,6 @@
 
   /* Writes to a connection that the peer has closed then fail with EPIPE.  */
   signal (SIGPIPE, SIG_IGN);
-  /* tk_watch_start handles this signal; until then it must not end the
-     daemon.  */
-  signal (SIGHUP, SIG_IGN);
   tk_loop_init (&loop);
   struct ct_control *c = NULL;
   if (ct_settings_load_identity (settings, &err))
@@ -88,11 +86,13 @@
   struct reload reload = { .control = c, .path = path };
   struct tk_watch watch;
   tk_watch_start (&watch, loop.ev, path, on_changed, &reload);
+  tk_signals_release ();
   zp_log (ZP_LOG_NOTICE, PART,
           "member %lld listens on %.*s, operators on %.*s",
           (long long) settings->id, ZP_ARG (settings->address),
           ZP_ARG (settings->http));
   tk_loop_run (&loop);
+  tk_signals_hold ();
   tk_watch_stop (&watch);
   ev_signal_stop (loop.ev, &term);
   ev_signal_stop (loop.ev, &interrupt);
@@ -110,6 +110,7 @@
   struct ct_settings settings;
   int status = EXIT_FAILURE;
 
+  tk_signals_hold ();
   zp_arguments_parse (argc, argv, doc, false, &o);
   zp_log_open (name, o.verbose ? ZP_LOG_DEBUG : ZP_LOG_INFO, STDOUT_FILENO);
   bool ok = ct_settings_load (&settings, o.path, &report);
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -12,6 +12,7 @@
 #include "front/server.h"
 #include "peer/mesh.h"
 #include "task/disk.h"
+#include "task/signals.h"
 
 #define PART "main"
 
@@ -170,6 +171,7 @@
   d->interrupt.data = d;
   ev_signal_start (d->loop.ev, &d->term);
   ev_signal_start (d->loop.ev, &d->interrupt);
+  tk_signals_release ();
 }
 
 static int
@@ -204,6 +206,7 @@
   struct zp_report report = { .count = 0 };
   int status = EXIT_SUCCESS;
 
+  tk_signals_hold ();
   zp_arguments_parse (argc, argv, doc, false, &a);
   zp_log_open ("zp-entry", ZP_LOG_INFO, STDOUT_FILENO);
   if (!en_settings_load (&d.settings, a.path, &report))
