forward: an established connection is no witness of an ending

With 8,000 connections the end of the process can come later than 150 ms.

Cause: without a used connection, one that was opened after the head counted as proof. It shows the kernel of whoever listens then, not the process that has answered. And a time is no proof that a process with many connections has not ended.

Change: a witness has to have brought an answer before the request was sent; for connections of libcurl too, which counted when they were begun before it. To each server that has sent such an answer the forward task keeps one connection for 60 s (keep.h decides, keeper.h owns the sockets). A GET of the health path makes it a witness; when a later answer ends, another GET is sent there and has to be answered within 1 s (call.h). So the order shows it, and the time to settle stays as a second condition. Without a witness the answer is lost, may-have-run.

Cost: the first such answer of a server without a used connection.

Tests: the server of endings-fixture.h accepts connections and answers calls while it runs, as a server does; before, it took one connection only, so that it did not differ from a killed one in anything but the established connection. Sound answers are now checked after one that is lost, and that it is only one. test-forward-cuts: its server takes one connection, so its whole answer is lost, too. test-gate-endings: the server does not wait for ever for a second connection.

--- a/src/forward/client.c
+++ b/src/forward/client.c
@@ -243,7 +243,8 @@
     }
   count_answer (body_end (&t->answer.framing));
   fw_pool_note_answer (&t->client->pool, t->fd,
-                       fw_answer_size (&t->answer, t->received));
+                       fw_answer_size (&t->answer, t->received),
+                       zp_clock_mono ());
   finish (t, TK_END_ANSWER, fw_answer_verdict (&t->answer, d->status));
 }
 
@@ -382,8 +383,7 @@
   (void) purpose;
   if (fd >= 0)
     fw_pool_add (&t->client->pool, fd,
-                 zp_str_from (t->request->u.forward.address),
-                 zp_clock_mono ());
+                 zp_str_from (t->request->u.forward.address));
   return fd < 0 ? CURL_SOCKET_BAD : fd;
 }
 
@@ -649,6 +649,7 @@
       next = t->next;
       transfer_free (t);
     }
+  fw_keepers_free (c);
   curl_multi_cleanup (c->multi);
   fw_pool_free (&c->pool);
   fw_recent_free (&c->recent);
--- a/src/forward/ending.h
+++ b/src/forward/ending.h
@@ -5,24 +5,25 @@
      Pure; stepped by events.  Nothing in an answer with neither a length nor
      chunks shows that it is whole.  The end of its connection does not either:
      the kernel closes the connections of a process that was killed as the
-     process closes them itself (FIN).  But it closes all of them, and the
-     listening socket.  So a second connection to the same server, the witness,
-     shows it: when the witness is still open FW_ENDING_SETTLE after the answer
-     ended, the process that sent the answer runs, and closed the connection of
-     the answer itself.
-
-     A connection serves as the witness that was opened before the request was
-     sent and has brought an answer (pool.h): it belongs to the process that
-     answers, whatever is started after it.  Without one, a new connection is
-     opened when the head of the answer has ended.  That shows less: not that a
-     server was not started again within the milliseconds before, and not the
-     end of a server whose kernel keeps connections without bytes to itself
-     (TCP_DEFER_ACCEPT).  When it is refused or closed, because the server
-     limits its connections, the answer is not proved.
+     process closes them itself (FIN).  But it closes all of them.  So a second
+     connection to the same process, the witness, shows it: when the process
+     holds the witness after the answer ended, it runs, and has closed the
+     connection of the answer itself.
+
+     A connection is a witness only when it brought an answer before the request
+     was sent.  One that is only established shows the kernel of the server: its
+     listening socket can belong to a process that was started later, or to
+     another one too, and a kernel can keep connections without bytes to itself
+     (TCP_DEFER_ACCEPT).  Without a witness the answer is not proved.
+
+     FW_WITNESS_CALLED: the answer to a call that is sent after the end shows
+     that the process runs, whatever time its end takes (keeper.h).
+     FW_WITNESS_IDLE: a connection of libcurl (pool.h), on which nothing can be
+     sent, has to stay open for FW_ENDING_SETTLE.
 
      What neither shows: a server that runs on and breaks off such an answer
      with FIN, or adds bytes to it; and a process that ends while another one of
-     the same server runs on.  */
+     the same server runs on and has the witness.  */
 
 #ifndef ZP_FORWARD_ENDING_H
 #define ZP_FORWARD_ENDING_H
@@ -36,22 +37,21 @@
    135 ms with 8,000 on a less busy machine (10 and 6 kills).  */
 #define FW_ENDING_SETTLE (150 * ZP_MS)
 
-/* Longest time to open a witness; a connection to another region takes 110 ms.
-   A lost SYN is sent again after 1 s, when the server may have been started
-   again.  The caller is kept waiting for the witness also past its deadline,
-   because a late answer is worth more to it than none.  */
-#define FW_ENDING_CONNECT_MAX (150 * ZP_MS)
+/* Longest time until the witness answers a call, which can wait for a slot of
+   the server.  The caller is kept waiting also past its deadline, because a
+   late answer is worth more to it than none.  */
+#define FW_ENDING_CALL_MAX (1 * ZP_SEC)
 
-enum fw_witness_state
+enum fw_witness_kind
 {
-  FW_WITNESS_CONNECTING,
-  FW_WITNESS_OPEN,
-  FW_WITNESS_LOST, /* refused, or closed by the server */
+  FW_WITNESS_NONE,   /* none, or lost */
+  FW_WITNESS_IDLE,   /* nothing is sent on it */
+  FW_WITNESS_CALLED, /* it is called when the answer has ended */
 };
 
 enum fw_ending_event
 {
-  FW_EVENT_WITNESS_OPEN,
+  FW_EVENT_WITNESS_ANSWERED, /* a call that was sent after the end */
   FW_EVENT_WITNESS_LOST,
   FW_EVENT_ANSWER_ENDED, /* without an error of the connection */
   FW_EVENT_TIME,
@@ -66,15 +66,15 @@
 
 struct fw_ending
 {
-  enum fw_witness_state witness;
-  bool ended;            /* the answer */
-  zp_time connect_until; /* when the witness has to be open */
-  zp_time settled; /* when an ended process would have closed the witness */
+  enum fw_witness_kind witness;
+  bool ended;         /* the answer */
+  bool answered;      /* FW_WITNESS_CALLED */
+  zp_time settled;    /* when an ended process would have closed the witness */
+  zp_time call_until; /* when the witness has to have answered */
 };
 
-/* The ending of an answer whose head has just ended; its witness is about to be
-   opened.  */
-struct fw_ending fw_ending_begin (zp_time now);
+/* The ending of an answer whose head has just ended.  */
+struct fw_ending fw_ending_begin (enum fw_witness_kind witness);
 
 /* Applies an event.  FW_EVENT_TIME may only be applied after the witness has
    been looked at: after a pause of this process its end may not have been
--- a/src/forward/pool.c
+++ b/src/forward/pool.c
@@ -22,8 +22,7 @@
 }
 
 void
-fw_pool_add (struct fw_pool *p, curl_socket_t fd, struct zp_str address,
-             zp_time now)
+fw_pool_add (struct fw_pool *p, curl_socket_t fd, struct zp_str address)
 {
   size_t place = (size_t) fd;
 
@@ -36,8 +35,7 @@
       p->len = len;
     }
   p->item[place] = (struct fw_pool_connection){ .open = true,
-                                                .server = hash_of (address),
-                                                .opened = now };
+                                                .server = hash_of (address) };
 }
 
 void
@@ -50,13 +48,15 @@
 }
 
 void
-fw_pool_note_answer (struct fw_pool *p, curl_socket_t fd, uint64_t bytes)
+fw_pool_note_answer (struct fw_pool *p, curl_socket_t fd, uint64_t bytes,
+                     zp_time now)
 {
   struct fw_pool_connection *x = find (p, fd);
 
   if (!x)
     return;
-  x->answered = true;
+  if (x->answered == 0)
+    x->answered = now;
   x->taken += bytes;
 }
 
@@ -85,15 +85,15 @@
 
 bool
 fw_pool_has_open (const struct fw_pool *p, struct zp_str address,
-                  curl_socket_t except, zp_time opened_before)
+                  curl_socket_t except, zp_time sent)
 {
   uint64_t server = hash_of (address);
 
   for (size_t i = 0; i < p->len; i++)
     {
       const struct fw_pool_connection *x = &p->item[i];
-      if (x->open && x->server == server && x->answered
-          && (curl_socket_t) i != except && x->opened < opened_before
+      if (x->open && x->server == server && x->answered > 0
+          && x->answered < sent && (curl_socket_t) i != except
           && is_open ((curl_socket_t) i))
         return true;
     }
--- a/src/forward/pool.h
+++ b/src/forward/pool.h
@@ -18,10 +18,9 @@
 struct fw_pool_connection
 {
   bool open;
-  uint64_t server; /* hash of its address */
-  zp_time opened;
-  bool answered;  /* it has brought a whole answer */
-  uint64_t taken; /* bytes of whole answers */
+  uint64_t server;  /* hash of its address */
+  zp_time answered; /* its first whole answer; 0: none yet */
+  uint64_t taken;   /* bytes of whole answers */
 };
 
 struct fw_pool
@@ -31,25 +30,25 @@
 };
 
 /* Notes a connection that is about to be opened to ADDRESS.  */
-void fw_pool_add (struct fw_pool *p, curl_socket_t fd, struct zp_str address,
-                  zp_time now);
+void fw_pool_add (struct fw_pool *p, curl_socket_t fd, struct zp_str address);
 
 /* Notes that FD is about to be closed.  */
 void fw_pool_remove (struct fw_pool *p, curl_socket_t fd);
 
 /* Notes that FD has brought a whole answer of BYTES, with its head.  */
-void fw_pool_note_answer (struct fw_pool *p, curl_socket_t fd, uint64_t bytes);
+void fw_pool_note_answer (struct fw_pool *p, curl_socket_t fd, uint64_t bytes,
+                          zp_time now);
 
 /* Sets OUT to the bytes that FD has brought behind its whole answers.  Returns
    false where the kernel does not tell, or FD is not in the table.  */
 bool fw_pool_pending (const struct fw_pool *p, curl_socket_t fd,
                       uint64_t *out);
 
-/* Whether a connection to ADDRESS other than EXCEPT that was opened before
-   OPENED_BEFORE has brought a whole answer and is open.  Looks at the
-   sockets.  */
+/* Whether a connection to ADDRESS other than EXCEPT has brought a whole answer
+   before SENT and is open.  One that was only begun before SENT can have been
+   taken by a process that was started after it.  Looks at the sockets.  */
 bool fw_pool_has_open (const struct fw_pool *p, struct zp_str address,
-                       curl_socket_t except, zp_time opened_before);
+                       curl_socket_t except, zp_time sent);
 
 void fw_pool_free (struct fw_pool *p);
 
--- a/src/forward/transfer.h
+++ b/src/forward/transfer.h
@@ -8,7 +8,8 @@
      options.c  how the request is sent
      pace.c     how much of an answer is read at a time
      proof.c    what shows that an answer that ends with its connection is
-                whole  */
+                whole
+     keeper.c   connections that show it  */
 
 #ifndef ZP_FORWARD_TRANSFER_H
 #define ZP_FORWARD_TRANSFER_H
@@ -17,10 +18,11 @@
 
 #include "forward/answer.h"
 #include "forward/client.h"
+#include "forward/ending.h"
 #include "forward/excess.h"
+#include "forward/keeper.h"
 #include "forward/pool.h"
 #include "forward/recent.h"
-#include "forward/witness.h"
 
 /* From TK_FORWARD to TK_FORWARD_DONE.  */
 struct fw_transfer
@@ -51,7 +53,7 @@
 
   /* Of an answer that ends with its connection.  */
   struct fw_ending ending;
-  struct fw_witness *witness; /* NULL: a connection of the pool serves */
+  struct fw_keeper *witness; /* FW_WITNESS_CALLED */
   ev_timer settle;
 };
 
@@ -64,6 +66,7 @@
   CURLM *multi;
   ev_timer timer;
   struct fw_pool pool;
+  struct fw_keepers keepers;
   struct fw_recent recent;
   struct fw_transfer active; /* list head */
   size_t body_bytes;         /* of all answers that arrive */
@@ -105,6 +108,13 @@
    or later.  */
 void fw_proof_end_answer (struct fw_transfer *t);
 
+/* Every transfer whose witness is K loses it.  */
+void fw_proof_lose_witness (struct fw_client *c, const struct fw_keeper *k);
+
+/* K has brought the answer to a call that was sent at CALLED.  */
+void fw_proof_note_call (struct fw_client *c, const struct fw_keeper *k,
+                         zp_time called);
+
 /* Releases what the proof needs.  */
 void fw_proof_free (struct fw_transfer *t);
 
--- a/src/gate/dispatch.c
+++ b/src/gate/dispatch.c
@@ -34,6 +34,9 @@
   zp_buf_put (&f->headers, zp_str_of (&h->headers));
   zp_buf_put (&f->body, zp_str_of (&h->body));
   zp_buf_put (&f->request_id, zp_str_of (&h->request_id));
+  if (s->service->settings)
+    zp_buf_put (&f->health_path,
+                zp_str_of (&s->service->settings->health_path));
   st_egress_add (&g->egress,
                  GT_HEADER_BYTES + f->headers.len + f->target.len
                      + f->body.len,
--- a/src/task/msg.c
+++ b/src/task/msg.c
@@ -61,6 +61,7 @@
       zp_buf_free (&m->u.forward.body);
       zp_buf_free (&m->u.forward.request_id);
       zp_buf_free (&m->u.forward.host);
+      zp_buf_free (&m->u.forward.health_path);
       break;
     case TK_FORWARD_DONE:
       zp_buf_free (&m->u.done.content_type);
--- a/src/task/msg.h
+++ b/src/task/msg.h
@@ -109,7 +109,9 @@
   struct zp_buf headers; /* as in struct tk_http_request */
   struct zp_buf body;
   struct zp_buf request_id;
-  struct zp_buf host;       /* empty: the address of the server */
+  struct zp_buf host; /* empty: the address of the server */
+  struct zp_buf
+      health_path; /* where the server tells its health; empty: none */
   char expect[ZP_NAME_MAX]; /* id of the only server that may run it, or "" */
   zp_time idle_max; /* limit for a reused connection; 0: ZP_CONN_IDLE_MAX */
   zp_time deadline; /* monotonic; the attempt ends with a timeout then */
--- a/tests/test-gate-endings.c
+++ b/tests/test-gate-endings.c
@@ -3,6 +3,7 @@
 
 #include "gate-fixture.h"
 
+#include <poll.h>
 #include <signal.h>
 #include <sys/prctl.h>
 #include <sys/socket.h>
@@ -30,6 +31,10 @@
   return fd;
 }
 
+/* Longest time until the connection of the forward task to a server whose
+   answer ends with its connection.  */
+#define WITNESS_MS 100
+
 /* Serves one connection at a time, and resets the one that comes while an
    answer is sent.  */
 static void
@@ -44,9 +49,13 @@
       if (recv (fd, request, sizeof request, 0) > 0)
         {
           send (fd, HEAD "hello", strlen (HEAD "hello"), MSG_NOSIGNAL);
-          int other = accept (listener, NULL, NULL);
-          setsockopt (other, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
-          close (other);
+          struct pollfd next = { .fd = listener, .events = POLLIN };
+          if (poll (&next, 1, WITNESS_MS) > 0)
+            {
+              int other = accept (listener, NULL, NULL);
+              setsockopt (other, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+              close (other);
+            }
           send (fd, ", world", strlen (", world"), MSG_NOSIGNAL);
         }
       close (fd);
--- a/tests/test-gate.c
+++ b/tests/test-gate.c
@@ -36,6 +36,8 @@
   RUN_UNTIL (f.sends == 1);
   CU_ASSERT_STRING_EQUAL (f.sent[0]->u.forward.expect, "i-1");
   CU_ASSERT_STRING_EQUAL (f.sent[0]->u.forward.address, "10.0.0.1:80");
+  CU_ASSERT (zp_str_eq (zp_str_of (&f.sent[0]->u.forward.health_path),
+                        ZP_STR ("/health")));
   CU_ASSERT (zp_str_eq (zp_str_of (&f.sent[0]->u.forward.request_id),
                         ZP_STR ("r-1")));
   end_attempt (0, TK_END_ANSWER, 200, ZP_RAN, true);
