soak: a server tells why it ended

Two plans reported only that a server ended by itself. The process now prints the wait status of the serving process, and when no process or thread can be made.

--- a/soak/server.c
+++ b/soak/server.c
@@ -635,7 +635,10 @@
       zp_rng_seed (&s->rng, v->seed + 1000 * v->start
                                 + atomic_fetch_add (&v->connections, 1));
       if (pthread_create (&thread, NULL, serve, s) != 0)
-        exit (2);
+        {
+          fputs ("cannot create a thread\n", stderr);
+          exit (2);
+        }
       pthread_detach (thread);
     }
 }
@@ -666,7 +669,10 @@
       int status;
       pid_t pid = fork ();
       if (pid < 0)
-        return 2;
+        {
+          perror ("fork");
+          return 2;
+        }
       if (pid == 0)
         {
           signal (SIGTERM, SIG_DFL);
@@ -678,7 +684,11 @@
           return 2;
       child = 0;
       if (!WIFSIGNALED (status) || WTERMSIG (status) != SIGKILL)
-        return 2;
+        {
+          fprintf (stderr, "%s: ended with wait status %#x\n", v->name,
+                   (unsigned) status);
+          return 2;
+        }
       if (!stopped && zp_rng_below (&rng, 3) > 0)
         pause_for (zp_rng_below (&rng, RESTART_MS) * ZP_MS);
     }
