--- a/src/forward/keeper.c
+++ b/src/forward/keeper.c
@@ -168,7 +168,7 @@
 }
 
 static void
-keeper_free (struct fw_keeper *k)
+keeper_unlink (struct fw_keeper *k)
 {
   struct fw_keepers *all = &k->client->keepers;
   struct fw_keeper **at = &all->first;
@@ -177,6 +177,11 @@
     at = &(*at)->next;
   *at = k->next;
   all->count--;
+}
+
+static void
+keeper_free (struct fw_keeper *k)
+{
   close_connection (k);
   ev_timer_stop (k->client->loop->ev, &k->timer);
   fw_call_free (&k->call);
@@ -193,8 +198,10 @@
   (void) ev;
   (void) events;
   step (k, FW_KEEP_TIME);
-  if (fw_keep_is_over (&k->keep, zp_clock_mono ()))
-    keeper_free (k);
+  if (!fw_keep_is_over (&k->keep, zp_clock_mono ()))
+    return;
+  keeper_unlink (k);
+  keeper_free (k);
 }
 
 static struct fw_keeper *
@@ -247,6 +254,10 @@
 void
 fw_keepers_free (struct fw_client *c)
 {
-  while (c->keepers.first)
-    keeper_free (c->keepers.first);
+  for (struct fw_keeper *k = c->keepers.first, *next; k; k = next)
+    {
+      next = k->next;
+      keeper_free (k);
+    }
+  c->keepers = (struct fw_keepers){ .first = NULL };
 }
