--- a/tests/test-early-signals.c
+++ b/tests/test-early-signals.c
@@ -81,7 +81,8 @@
 static const int interrupt[] = { SIGINT };
 
 #define CHECK(name, settings, signals)                                        \
-  check_signals (name, settings, signals, sizeof signals / sizeof signals[0])
+  check_signals (name, settings, signals,                                     \
+                 sizeof (signals) / sizeof (signals)[0])
 
 /* The settings of process AT of the platform.  */
 static struct zp_buf
