forward: a line of a head ends with CR LF

Callers could get a stamp that was one letter longer than the server's.

Cause: a spoiled CR at the end of the last field line became a letter of its value, because a line may end with LF alone. Now such a line makes the answer malformed.

--- a/src/forward/framing.c
+++ b/src/forward/framing.c
@@ -4,15 +4,15 @@
 
 #include "front/header.h"
 
-/* Removes the end of line.  Returns false when LINE has none.  */
+/* Removes the end of line.  Returns false when LINE has none: a line that ends
+   without CR can be one whose CR was spoiled, and became a part of a value.  */
 static bool
 strip_line_end (struct zp_str *line)
 {
-  if (line->len == 0 || line->ptr[line->len - 1] != '\n')
+  if (line->len < 2 || line->ptr[line->len - 2] != '\r'
+      || line->ptr[line->len - 1] != '\n')
     return false;
-  line->len--;
-  if (line->len > 0 && line->ptr[line->len - 1] == '\r')
-    line->len--;
+  line->len -= 2;
   return true;
 }
 
