soak: faults of answers are products of dimensions

The platform soak drew 28 named faults, each one pair of faults at most.

soak/check counts answers and wrong ones for each value, also for the last fault before on the connection, and sound answers that were lost for each framing. The servers record the time of a kill; before, the rule LOST took the time of the faulty answer for it.

soak/server.c is split: fault (textual form), answer (bytes and places), session (connections), server (processes and reports).

--- a/Makefile
+++ b/Makefile
@@ -107,8 +107,9 @@
 	@soak/soak $(SEEDS)
 
 # The servers and callers of the platform soak.
+$(BUILD)/zp-soak-server: $(foreach m,answer fault session,soak/$(m).c soak/$(m).h)
 $(BUILD)/zp-soak-%: soak/%.c soak/message.c soak/message.h $(LIB)
-	$(CC) $(CPPFLAGS) $(CFLAGS) -o $@ $< soak/message.c $(LIB) $(LDLIBS)
+	$(CC) $(CPPFLAGS) $(CFLAGS) -o $@ $(filter %.c,$^) $(LIB) $(LDLIBS)
 
 # The programs of target/ as processes, with faults.  SEEDS: seeds of the plans
 # to run, 1 without it.
--- a/soak/server.c
+++ b/soak/server.c
@@ -4,10 +4,10 @@
           PLAN
 
    CONTROLS is a list of control daemons, separated by commas.  PLAN is the
-   output of "soak/plan --platform"; the lines "AT FOR server NAME KIND DOSE"
+   output of "soak/plan --platform"; the lines "AT FOR server NAME FAULT DOSE"
    with its own NAME apply, at AT ms after BEGAN, which is in ms of the
-   monotonic clock.  During that time, DOSE percent of the answers have the
-   fault KIND, one of the table below.  zp-soak-server --kinds prints them.
+   monotonic clock.  During that time, DOSE percent of the answers have FAULT,
+   see fault.h.  zp-soak-server --faults prints the dimensions of faults.
 
    The program starts itself again as a child process, which serves.  When the
    child is killed, the next one follows, at once or after up to 2 s, with
@@ -15,16 +15,19 @@
 
    RECORD gets a line for each attempt before its answer is sent:
 
-     run MS SERVER ID STAMP SERVICE METHOD PATH BODY STATUS LEN HASH KIND
-     refused MS SERVER ID STATUS KIND
+     run MS SERVER ID STAMP SERVICE METHOD PATH BODY STATUS LEN HASH FAULT LAST
+     refused MS SERVER ID STATUS FAULT LAST
+     killed MS SERVER.START
 
-   BODY is the hash of the request's body, LEN and HASH belong to the body that
-   a caller must receive, which depends on ID and STAMP.  */
+   The last one comes before a SIGKILL; START is the number of the child
+   process, as in STAMP.  BODY is the hash of the request's body, LEN and HASH
+   belong to the body that a caller must receive, which depends on ID and STAMP.
+   LAST is the last fault of an earlier answer on the connection, "-" without
+   one.  */
 
 #include <errno.h>
 #include <pthread.h>
 #include <signal.h>
-#include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -35,172 +38,11 @@
 
 #include "base/rng.h"
 #include "message.h"
+#include "session.h"
 
-#define CAPACITY 12                    /* requests that run at a time */
 #define REPORT_INTERVAL (1500 * ZP_MS) /* "server_report" of the daemons */
 #define REPORT_STEP (100 * ZP_MS)
-#define IDLE_TIMEOUT (60 * ZP_SEC)       /* above the length of a plan */
-#define ENDLESS_BYTES (16 * 1024 * 1024) /* then the connection is reset */
-#define RESTART_MS 2000                  /* longest pause before a restart */
-#define EVENTS_MAX 64
-#define CONTROLS_MAX 8
-
-enum framing
-{
-  LENGTH,
-  CHUNKED,
-  UNFRAMED /* the end of the connection ends the body */
-};
-
-enum fault_kind
-{
-  SOUND,
-  CUT,
-  KILL,
-  COPY,
-  GARBAGE,
-  ENDLESS,
-  SLOW,
-  REFUSE,
-  FAIL
-};
-
-struct fault
-{
-  const char *name;
-  enum framing framing;
-  bool empty; /* the body has no bytes */
-  enum fault_kind kind;
-  union
-  {
-    struct
-    {
-      bool reset;
-    } cut;
-    struct
-    {
-      unsigned late_ms; /* longest pause before the copy */
-      bool split;       /* with a pause inside the copy */
-      bool cut;         /* only the first half of the copy */
-      bool refusal;     /* of a refusal */
-      bool earlier;     /* of the answer before on the connection */
-    } copy;
-    struct
-    {
-      bool tail; /* the end of the body again, not random bytes */
-    } garbage;
-    struct
-    {
-      bool head;
-    } endless;
-  } u;
-};
-
-static const struct fault sound = { .name = "none" };
-
-static const struct fault faults[] = {
-  { .name = "none" },
-  { .name = "cut-fin", .kind = CUT },
-  { .name = "cut-rst", .kind = CUT, .u.cut = { .reset = true } },
-  { .name = "killed", .kind = KILL },
-  { .name = "copy", .kind = COPY },
-  { .name = "copy-late", .kind = COPY, .u.copy = { .late_ms = 100 } },
-  { .name = "copy-split",
-    .kind = COPY,
-    .u.copy = { .late_ms = 20, .split = true } },
-  { .name = "copy-cut",
-    .kind = COPY,
-    .u.copy = { .late_ms = 20, .cut = true } },
-  { .name = "copy-earlier",
-    .kind = COPY,
-    .u.copy = { .late_ms = 20, .earlier = true } },
-  { .name = "copy-refusal",
-    .kind = COPY,
-    .u.copy = { .late_ms = 50, .refusal = true } },
-  { .name = "chunked", .framing = CHUNKED },
-  { .name = "chunked-cut", .framing = CHUNKED, .kind = CUT },
-  { .name = "chunked-killed", .framing = CHUNKED, .kind = KILL },
-  { .name = "chunked-copy",
-    .framing = CHUNKED,
-    .kind = COPY,
-    .u.copy = { .late_ms = 20 } },
-  { .name = "zero", .empty = true },
-  { .name = "zero-copy",
-    .empty = true,
-    .kind = COPY,
-    .u.copy = { .late_ms = 20 } },
-  { .name = "garbage", .kind = GARBAGE },
-  { .name = "garbage-tail", .kind = GARBAGE, .u.garbage = { .tail = true } },
-  { .name = "endless-head", .kind = ENDLESS, .u.endless = { .head = true } },
-  { .name = "endless-body", .framing = CHUNKED, .kind = ENDLESS },
-  { .name = "slow", .kind = SLOW },
-  { .name = "refuse", .kind = REFUSE },
-  { .name = "fail", .kind = FAIL },
-  { .name = "unframed", .framing = UNFRAMED },
-  { .name = "unframed-rst",
-    .framing = UNFRAMED,
-    .kind = CUT,
-    .u.cut = { .reset = true } },
-  { .name = "unframed-killed", .framing = UNFRAMED, .kind = KILL },
-  { .name = "unframed-copy", .framing = UNFRAMED, .kind = COPY },
-  { .name = "unframed-copy-late",
-    .framing = UNFRAMED,
-    .kind = COPY,
-    .u.copy = { .late_ms = 100 } },
-  { .name = "unframed-copy-cut",
-    .framing = UNFRAMED,
-    .kind = COPY,
-    .u.copy = { .late_ms = 20, .cut = true } },
-};
-
-#define FAULTS (sizeof faults / sizeof faults[0])
-
-/* A fault of the plan.  */
-struct event
-{
-  zp_time from, until;
-  const struct fault *fault;
-  unsigned dose; /* percent of the answers */
-};
-
-/* All but the counters is written before the threads start.  */
-struct server
-{
-  uint32_t seed;
-  const char *name, *service, *zone, *address;
-  char id[64];
-  unsigned start; /* number of the child process */
-  char *control[CONTROLS_MAX];
-  unsigned controls;
-  int record;
-  struct event event[EVENTS_MAX];
-  unsigned events;
-  int listener;
-  atomic_uint connections, runs, running;
-};
-
-/* A connection, owned by one thread.  */
-struct session
-{
-  struct server *server;
-  struct sk_conn conn;
-  struct zp_rng rng;
-  struct sk_message request;
-  struct zp_buf previous; /* the answer before */
-};
-
-/* One attempt to run a request.  */
-struct attempt
-{
-  const struct fault *fault;
-  struct zp_str id, method;
-  char path[256];
-  char stamp[96];
-  unsigned status;
-  size_t len;              /* of the body */
-  struct zp_buf body, out; /* OUT: the whole answer */
-  size_t head_len;         /* bytes of OUT before the body */
-};
+#define RESTART_MS 2000 /* longest pause before a restart */
 
 static void
 pause_for (zp_time t)
@@ -209,310 +51,9 @@
     usleep ((useconds_t) t);
 }
 
-static zp_time
-random_ms (struct session *s, unsigned max)
-{
-  return max == 0 ? 0 : (1 + zp_rng_below (&s->rng, max)) * ZP_MS;
-}
-
-static bool
-is_head (const struct attempt *a)
-{
-  return zp_str_eq (a->method, ZP_STR ("HEAD"));
-}
-
-static const struct fault *
-draw_fault (struct session *s)
-{
-  struct server *v = s->server;
-  zp_time now = zp_clock_mono ();
-
-  for (unsigned i = 0; i < v->events; i++)
-    {
-      const struct event *e = &v->event[i];
-      if (now >= e->from && now < e->until
-          && zp_rng_below (&s->rng, 100) < e->dose)
-        return e->fault;
-    }
-  return &sound;
-}
-
-/* Writes the answer of A to A->out.  */
-static void
-put_answer (struct server *v, struct attempt *a)
-{
-  const struct fault *f = a->fault;
-
-  zp_buf_printf (&a->out,
-                 "HTTP/1.1 %u Status\r\nX-Request-Id: %.*s\r\n"
-                 "X-Server-Stamp: %s\r\nX-Server-Load: %u,0,%u\r\n",
-                 a->status, ZP_ARG (a->id), a->stamp,
-                 atomic_load (&v->running), CAPACITY);
-  switch (f->framing)
-    {
-    case LENGTH:
-      zp_buf_printf (&a->out, "Content-Length: %zu\r\n\r\n", a->body.len);
-      break;
-    case CHUNKED:
-      zp_buf_put (&a->out, ZP_STR ("Transfer-Encoding: chunked\r\n\r\n"));
-      break;
-    case UNFRAMED:
-      zp_buf_put (&a->out, ZP_STR ("Connection: close\r\n\r\n"));
-      break;
-    }
-  a->head_len = a->out.len;
-  if (is_head (a))
-    return;
-  if (f->framing != CHUNKED)
-    {
-      zp_buf_put (&a->out, zp_str_of (&a->body));
-      return;
-    }
-  for (size_t at = 0; at < a->body.len;)
-    {
-      size_t n = a->body.len - at < 1000 ? a->body.len - at : 1000;
-      zp_buf_printf (&a->out, "%zx\r\n", n);
-      zp_buf_put_bytes (&a->out, a->body.ptr + at, n);
-      zp_buf_put (&a->out, ZP_STR ("\r\n"));
-      at += n;
-    }
-  if (f->kind != ENDLESS)
-    zp_buf_put (&a->out, ZP_STR ("0\r\n\r\n"));
-}
-
-/* A place to cut an answer: in the head in one case of three.  */
-static size_t
-cut_point (struct session *s, const struct attempt *a)
-{
-  size_t n = zp_rng_below (&s->rng, 3) == 0 ? a->head_len : a->out.len;
-
-  return zp_rng_below (&s->rng, (uint32_t) n);
-}
-
-static struct zp_str
-part (struct zp_str s, size_t from, size_t until)
-{
-  return (struct zp_str){ .ptr = s.ptr + from, .len = until - from };
-}
-
-static bool
-send_copy (struct session *s, const struct fault *f, struct zp_str copy)
-{
-  size_t half = copy.len / 2;
-
-  pause_for (random_ms (s, f->u.copy.late_ms));
-  if (f->u.copy.cut)
-    {
-      sk_send (&s->conn, part (copy, 0, half));
-      return false;
-    }
-  if (!f->u.copy.split)
-    return sk_send (&s->conn, copy);
-  if (!sk_send (&s->conn, part (copy, 0, half)))
-    return false;
-  pause_for (random_ms (s, 20));
-  return sk_send (&s->conn, part (copy, half, copy.len));
-}
-
-static void
-send_endless (struct session *s, bool head)
-{
-  struct zp_buf b = { .ptr = NULL };
-
-  for (int i = 0; i < 64; i++)
-    if (head)
-      zp_buf_printf (&b, "X-More-%d: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n",
-                     i);
-    else
-      zp_buf_put (&b, ZP_STR ("20\r\nBBBBBBBBBBBBBBBBBBBBBBBBBBBBBBBB\r\n"));
-  for (size_t n = 0; n < ENDLESS_BYTES && sk_send (&s->conn, zp_str_of (&b));)
-    n += b.len;
-  zp_buf_free (&b);
-}
-
-/* Sends the answer of A with its fault.  Returns false when the connection is
-   closed.  */
-static bool
-send_answer (struct session *s, struct attempt *a)
-{
-  const struct fault *f = a->fault;
-  struct zp_str out = zp_str_of (&a->out);
-  bool open = true;
-
-  switch (f->kind)
-    {
-    case CUT:
-      sk_send (&s->conn, part (out, 0, cut_point (s, a)));
-      sk_close (&s->conn, f->u.cut.reset);
-      return false;
-    case KILL:
-      sk_send (&s->conn, part (out, 0, cut_point (s, a)));
-      /* Most of the time, the daemon has read the bytes before the end.  */
-      pause_for (random_ms (s, 20));
-      kill (getpid (), SIGKILL);
-      return false;
-    case ENDLESS:
-      sk_send (&s->conn,
-               part (out, 0, f->u.endless.head ? a->head_len - 2 : out.len));
-      send_endless (s, f->u.endless.head);
-      sk_close (&s->conn, true);
-      return false;
-    case SLOW:
-      open = sk_send (&s->conn, part (out, 0, out.len / 2));
-      pause_for (random_ms (s, 400));
-      open = open && sk_send (&s->conn, part (out, out.len / 2, out.len));
-      break;
-    case COPY:
-      open = sk_send (&s->conn, out);
-      if (!f->u.copy.earlier)
-        open = open && send_copy (s, f, out);
-      else if (s->previous.len > 0)
-        open = open && send_copy (s, f, zp_str_of (&s->previous));
-      break;
-    case GARBAGE:
-      open = sk_send (&s->conn, out);
-      pause_for (random_ms (s, 20) - ZP_MS);
-      zp_buf_clear (&s->previous);
-      sk_body (&s->previous, a->id, ZP_STR ("garbage"),
-               1 + zp_rng_below (&s->rng, 300));
-      if (f->u.garbage.tail && out.len > 0)
-        out = part (out, zp_rng_below (&s->rng, (uint32_t) out.len), out.len);
-      else
-        out = zp_str_of (&s->previous);
-      open = open && sk_send (&s->conn, out);
-      break;
-    case SOUND:
-    case REFUSE:
-    case FAIL:
-      open = sk_send (&s->conn, out);
-      break;
-    }
-  zp_buf_clear (&s->previous);
-  zp_buf_put (&s->previous, zp_str_of (&a->out));
-  if (open && f->framing != UNFRAMED)
-    return true;
-  sk_close (&s->conn, false);
-  return false;
-}
-
-/* Most bodies are short; some need several reads.  */
-static size_t
-draw_length (struct session *s, const struct fault *f)
-{
-  if (f->empty)
-    return 0;
-  return zp_rng_below (&s->rng, 10) == 0 ? zp_rng_below (&s->rng, 200000)
-                                         : 1 + zp_rng_below (&s->rng, 4000);
-}
-
-static bool
-run (struct session *s, struct attempt *a)
-{
-  struct server *v = s->server;
-
-  snprintf (a->stamp, sizeof a->stamp, "%s.%u.%u", v->id, v->start,
-            atomic_fetch_add (&v->runs, 1));
-  a->status = a->fault->kind == FAIL ? 500 : 200;
-  sk_body (&a->body, a->id, zp_str_from (a->stamp), draw_length (s, a->fault));
-  put_answer (v, a);
-  struct zp_str body = zp_str_of (&a->body);
-  if (is_head (a))
-    body.len = 0;
-  sk_record (
-      v->record, "run %lld %s %.*s %s %s %.*s %s %016llx %u %zu %016llx %s",
-      (long long) (zp_clock_mono () / ZP_MS), v->id, ZP_ARG (a->id), a->stamp,
-      v->service, ZP_ARG (a->method), a->path,
-      (unsigned long long) zp_str_hash (zp_str_of (&s->request.body), 0),
-      a->status, body.len, (unsigned long long) zp_str_hash (body, 0),
-      a->fault->name);
-  pause_for (random_ms (s, 8));
-  return send_answer (s, a);
-}
-
-/* Answers that the request has not run.  */
-static bool
-refuse (struct session *s, struct attempt *a, unsigned status)
-{
-  const struct fault *f = a->fault;
-
-  a->status = status;
-  zp_buf_printf (&a->out,
-                 "HTTP/1.1 %u Status\r\nX-Request-Id: %.*s\r\n"
-                 "X-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
-                 a->status, ZP_ARG (a->id));
-  sk_record (s->server->record, "refused %lld %s %.*s %u %s",
-             (long long) (zp_clock_mono () / ZP_MS), s->server->id,
-             ZP_ARG (a->id), a->status, f->name);
-  a->head_len = a->out.len;
-  return send_answer (s, a);
-}
-
-static bool
-answer (struct session *s)
-{
-  struct server *v = s->server;
-  struct sk_message *q = &s->request;
-  struct attempt a = { .id = sk_header (q, "X-Request-Id") };
-  struct zp_str path, tail, expect = sk_header (q, "X-Expect-Instance");
-  bool open;
-
-  if (!zp_str_split (zp_str_of (&q->head), ' ', &a.method, &tail)
-      || !zp_str_split (tail, ' ', &path, &tail)
-      || !zp_str_copy (a.path, sizeof a.path, path))
-    return false;
-  if (strcmp (a.path, "/health") == 0)
-    {
-      zp_buf_printf (&a.out,
-                     "HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\n"
-                     "X-Server-Load: %u,0,%u\r\nContent-Length: 0\r\n\r\n",
-                     v->id, atomic_load (&v->running), CAPACITY);
-      open = sk_send (&s->conn, zp_str_of (&a.out));
-      zp_buf_free (&a.out);
-      return open;
-    }
-  a.fault = draw_fault (s);
-  unsigned before = atomic_fetch_add (&v->running, 1);
-  if (expect.len > 0 && !zp_str_eq (expect, zp_str_from (v->id)))
-    {
-      a.fault = &sound;
-      open = refuse (s, &a, 421);
-    }
-  else if (a.fault->kind == REFUSE
-           || (a.fault->kind == COPY && a.fault->u.copy.refusal))
-    open = refuse (s, &a, 503);
-  else if (before >= CAPACITY)
-    {
-      a.fault = &sound;
-      open = refuse (s, &a, 503);
-    }
-  else
-    open = run (s, &a);
-  atomic_fetch_sub (&v->running, 1);
-  zp_buf_free (&a.out);
-  zp_buf_free (&a.body);
-  return open;
-}
-
-static void *
-serve (void *self)
-{
-  struct session *s = self;
-
-  while (sk_read (&s->conn, SK_REQUEST, zp_clock_mono () + IDLE_TIMEOUT,
-                  &s->request)
-             == SK_WHOLE
-         && answer (s))
-    ;
-  sk_close (&s->conn, false);
-  sk_message_free (&s->request);
-  zp_buf_free (&s->previous);
-  free (s);
-  return NULL;
-}
-
 /* Sends one report.  Returns the status of the answer, or 0.  */
 static unsigned
-report (struct server *v, const char *control, struct zp_str body)
+report (struct sk_server *v, const char *control, struct zp_str body)
 {
   struct sk_conn c = { .fd = -1 };
   struct sk_message m = { .status = 0 };
@@ -536,7 +77,7 @@
 static void *
 report_all (void *self)
 {
-  struct server *v = self;
+  struct sk_server *v = self;
   struct zp_buf body = { .ptr = NULL };
   unsigned at = 0;
 
@@ -548,7 +89,7 @@
                      "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
                      "\"version\":\"v1\",\"capacity\":%d,\"state\":\"ready\","
                      "\"warmupLeft\":\"0ms\",\"seq\":%u,\"born\":%lld}",
-                     v->service, v->address, v->zone, CAPACITY, seq, born);
+                     v->service, v->address, v->zone, SK_CAPACITY, seq, born);
       unsigned status = 0;
       for (unsigned i = 0; i < v->controls && status / 100 != 2; i++)
         {
@@ -566,10 +107,10 @@
 }
 
 static void
-read_plan (struct server *v, const char *file, zp_time began)
+read_plan (struct sk_server *v, const char *file, zp_time began)
 {
   long long at, lasts;
-  char name[32], kind[32], line[200];
+  char name[32], fault[SK_FAULT_TEXT], line[250];
   unsigned dose;
   FILE *f = fopen (file, "r");
 
@@ -578,23 +119,20 @@
       perror (file);
       exit (2);
     }
-  while (fgets (line, sizeof line, f) && v->events < EVENTS_MAX)
+  while (fgets (line, sizeof line, f) && v->events < SK_EVENTS_MAX)
     {
-      if (sscanf (line, "%lld %lld server %31s %31s %u", &at, &lasts, name,
-                  kind, &dose)
+      if (sscanf (line, "%lld %lld server %31s %159s %u", &at, &lasts, name,
+                  fault, &dose)
               != 5
           || strcmp (name, v->name) != 0)
         continue;
-      struct event *e = &v->event[v->events++];
-      *e = (struct event){ .from = began + at * ZP_MS,
-                           .until = began + (at + lasts) * ZP_MS,
-                           .dose = dose };
-      for (size_t i = 0; i < FAULTS; i++)
-        if (strcmp (faults[i].name, kind) == 0)
-          e->fault = &faults[i];
-      if (!e->fault)
+      struct sk_event *e = &v->event[v->events++];
+      *e = (struct sk_event){ .from = began + at * ZP_MS,
+                              .until = began + (at + lasts) * ZP_MS,
+                              .dose = dose };
+      if (!sk_fault_parse (&e->fault, zp_str_from (fault)))
         {
-          fprintf (stderr, "%s: no fault is named %s\n", file, kind);
+          fprintf (stderr, "%s: %s is no fault\n", file, fault);
           exit (2);
         }
     }
@@ -602,7 +140,7 @@
 }
 
 static void
-serve_all (struct server *v)
+serve_all (struct sk_server *v)
 {
   struct zp_rng rng;
   pthread_t thread;
@@ -626,17 +164,8 @@
       int fd = accept (v->listener, NULL, NULL);
       if (fd < 0)
         continue;
-      struct session *s = aligned_alloc (_Alignof(struct session), sizeof *s);
-      if (!s)
-        exit (2);
-      memset (s, 0, sizeof *s);
-      s->server = v;
-      s->conn.fd = fd;
-      zp_rng_seed (&s->rng, v->seed + 1000 * v->start
-                                + atomic_fetch_add (&v->connections, 1));
-      if (pthread_create (&thread, NULL, serve, s) != 0)
+      if (!sk_session_start (v, fd))
         exit (2);
-      pthread_detach (thread);
     }
 }
 
@@ -654,7 +183,7 @@
 
 /* Starts the serving process again each time that it was killed.  */
 static int
-supervise (struct server *v)
+supervise (struct sk_server *v)
 {
   struct sigaction term = { .sa_handler = on_term };
   struct zp_rng rng;
@@ -688,13 +217,12 @@
 int
 main (int argc, char **argv)
 {
-  static struct server v;
+  static struct sk_server v;
   char *save = NULL;
 
-  if (argc == 2 && strcmp (argv[1], "--kinds") == 0)
+  if (argc == 2 && strcmp (argv[1], "--faults") == 0)
     {
-      for (size_t i = 0; i < FAULTS; i++)
-        puts (faults[i].name);
+      sk_fault_print_all ();
       return 0;
     }
   if (argc != 10)
@@ -710,7 +238,7 @@
   v.zone = argv[4];
   v.address = argv[5];
   for (char *c = strtok_r (argv[6], ",", &save);
-       c && v.controls < CONTROLS_MAX; c = strtok_r (NULL, ",", &save))
+       c && v.controls < SK_CONTROLS_MAX; c = strtok_r (NULL, ",", &save))
     v.control[v.controls++] = c;
   v.record = sk_record_open (argv[7]);
   if (v.record < 0)
--- a/tests/test-soak-check.c
+++ b/tests/test-soak-check.c
@@ -59,13 +59,17 @@
 /* Lines of a request 7 that an unsafe route sends to service a, and of its
    run.  */
 #define SEND(at) "send " at " 7 unsafe a POST /u/1 b0 edge-0\n"
+#define SOUND "part=none,follow=answer,frame=length"
+#define CUT "part=answer,follow=fin,frame=length"
+#define COPY "part=copy,follow=answer,frame=zero,at=before"
+#define REFUSE "part=none,follow=answer,frame=zero,status=refuse"
 #define RUN(at, stamp, fault)                                                 \
   "run " at " i-1 7 " stamp " a POST /u/1 b0 200 5 h5 " fault "\n"
 #define GOT(at, status, stamp)                                                \
   "got " at " 7 whole " status " " stamp " 7 5 h5 0\n"
 /* Another request, 8.  */
 #define OTHER_SEND "send 100 8 safe a GET /s/1 b0 edge-0\n"
-#define OTHER_RUN "run 101 i-1 8 i-1.0.9 a GET /s/1 b0 200 3 h3 none\n"
+#define OTHER_RUN "run 101 i-1 8 i-1.0.9 a GET /s/1 b0 200 3 h3 " SOUND " -\n"
 
 static void
 expect_none (const struct records *r)
@@ -92,22 +96,22 @@
 static void
 test_allowed (void)
 {
-  expect_none (&(struct records){ .servers = RUN ("101", "i-1.0.1", "none"),
-                                  .callers = SEND ("100")
-                                      GOT ("102", "200", "i-1.0.1") });
-  /* Refused, sent again and run.  */
   expect_none (&(struct records){
-      .servers
-      = "refused 101 i-1 7 503 refuse\n" RUN ("201", "i-1.0.1", "none"),
-      .callers = SEND ("100") GOT ("102", "503", "-") SEND ("200")
-          GOT ("202", "200", "i-1.0.1") });
+      .servers = RUN ("101", "i-1.0.1", SOUND " -"),
+      .callers = SEND ("100") GOT ("102", "200", "i-1.0.1") });
+  /* Refused, sent again and run.  */
+  expect_none (
+      &(struct records){ .servers = "refused 101 i-1 7 503 " REFUSE
+                                    " -\n" RUN ("201", "i-1.0.1", SOUND " -"),
+                         .callers = SEND ("100") GOT ("102", "503", "-")
+                             SEND ("200") GOT ("202", "200", "i-1.0.1") });
   /* A failure of the daemon promises nothing.  */
   expect_none (
-      &(struct records){ .servers = RUN ("101", "i-1.0.1", "cut-fin"),
+      &(struct records){ .servers = RUN ("101", "i-1.0.1", CUT " -"),
                          .callers = SEND ("100") GOT ("102", "502", "-") });
   /* An answer to HEAD and a leave of the caller.  */
   expect_none (&(struct records){
-      .servers = RUN ("101", "i-1.0.1", "none"),
+      .servers = RUN ("101", "i-1.0.1", SOUND " -"),
       .callers = SEND ("100") "got 102 7 left 0 - - 0 - 0\n" });
 }
 
@@ -116,7 +120,7 @@
 static void
 test_mixed (void)
 {
-  const char *server = RUN ("101", "i-1.0.1", "none") OTHER_RUN;
+  const char *server = RUN ("101", "i-1.0.1", SOUND " -") OTHER_RUN;
 
   expect (&(struct records){ .servers = server,
                              .callers = OTHER_SEND SEND ("100")
@@ -155,20 +159,20 @@
 static void
 test_runs (void)
 {
-  expect (&(struct records){ .servers = RUN ("101", "i-1.0.1", "none")
-                                 RUN ("103", "i-1.0.2", "none"),
+  expect (&(struct records){ .servers = RUN ("101", "i-1.0.1", SOUND " -")
+                                 RUN ("103", "i-1.0.2", SOUND " -"),
                              .callers
                              = SEND ("100") GOT ("104", "200", "i-1.0.2") },
           "TWICE");
-  expect (&(struct records){ .servers = RUN ("101", "i-1.0.1", "none"),
+  expect (&(struct records){ .servers = RUN ("101", "i-1.0.1", SOUND " -"),
                              .callers = SEND ("100") GOT ("102", "503", "-") },
           "REFUSED");
   /* It runs after the refusal.  */
-  expect (&(struct records){ .servers = RUN ("150", "i-1.0.1", "none"),
+  expect (&(struct records){ .servers = RUN ("150", "i-1.0.1", SOUND " -"),
                              .callers = SEND ("100") GOT ("102", "429", "-") },
           "REFUSED");
   /* It ran before the refusal, and is sent again.  */
-  expect (&(struct records){ .servers = RUN ("101", "i-1.0.1", "none"),
+  expect (&(struct records){ .servers = RUN ("101", "i-1.0.1", SOUND " -"),
                              .callers = SEND ("100") GOT ("102", "503", "-")
                                  SEND ("200") GOT ("202", "502", "-") },
           "REFUSED");
@@ -177,12 +181,14 @@
           "UNASKED");
   expect (
       &(struct records){
-          .servers = "run 101 i-1 7 i-1.0.1 a POST /u/1 b1 200 5 h5 none\n",
+          .servers
+          = "run 101 i-1 7 i-1.0.1 a POST /u/1 b1 200 5 h5 " SOUND "\n",
           .callers = SEND ("100") GOT ("102", "200", "i-1.0.1") },
       "UNASKED");
   expect (
       &(struct records){
-          .servers = "run 101 i-1 7 i-1.0.1 b POST /u/1 b0 200 5 h5 none\n",
+          .servers
+          = "run 101 i-1 7 i-1.0.1 b POST /u/1 b0 200 5 h5 " SOUND "\n",
           .callers = SEND ("100") GOT ("102", "200", "i-1.0.1") },
       "ROUTE");
 }
@@ -193,7 +199,7 @@
 test_lost (void)
 {
   const char *closed = SEND ("10000") "got 10500 7 closed 0 - - 0 - 0\n";
-  struct records r = { .servers = RUN ("10001", "i-1.0.1", "none"),
+  struct records r = { .servers = RUN ("10001", "i-1.0.1", SOUND " -"),
                        .callers = closed,
                        .driver = "event 10100 term edge-0\n" };
 
@@ -205,8 +211,109 @@
   r.driver = "event 10100 term edge-0\nevent 7000 kill core-1\n";
   expect_none (&r);
   r.driver = "event 10100 term edge-0\n";
-  r.servers = RUN ("10001", "i-1.0.1", "cut-fin");
+  r.servers = RUN ("10001", "i-1.0.1", CUT " -");
+  expect_none (&r);
+  r.servers = RUN ("10001", "i-1.0.1", SOUND " -") "killed 10002 i-1.0\n";
+  expect_none (&r);
+}
+
+/* Expects that the table of the checker has LINE, with equal spaces.  */
+static void
+expect_line (const struct records *r, const char *line)
+{
+  char out[8192], packed[8192];
+  size_t n = 0;
+
+  check (r, out, sizeof out);
+  for (const char *p = out; *p != '\0'; p++)
+    if (*p != ' ' || p[1] != ' ')
+      packed[n++] = *p;
+  packed[n] = '\0';
+  if (!HAS_TEXT (packed, line))
+    printf ("expected %s:\n%s", line, packed);
+  CU_ASSERT (HAS_TEXT (packed, line));
+}
+
+/* Guards against a table that hides which value of a fault, of the answer or of
+   the one before, goes with wrong answers.  */
+static void
+test_faults (void)
+{
+  struct records r
+      = { .servers = OTHER_RUN RUN ("101", "i-1.0.1", CUT " " COPY),
+          .callers = OTHER_SEND SEND ("100") GOT ("102", "200", "i-1.0.9") };
+
+  /* Another stamp, and another answer to the own one.  */
+  expect (&r, "MIXED");
+  expect_line (&r, "\npart=answer 1 1 0\n");
+  expect_line (&r, "\npart=none 1 0 0\n");
+  expect_line (&r, "\npart=copy 0 0 1\n");
+  expect_line (&r, "\nat=before 0 0 1\n");
+  expect_line (&r, "\nframe=length 2 1 0\n");
+  expect_line (&r, "\nframe=zero 0 0 1\n");
+  /* The first of two runs is the one that was not understood.  */
+  r.servers
+      = RUN ("101", "i-1.0.1", CUT " -") RUN ("103", "i-1.0.2", SOUND " -");
+  r.callers = SEND ("100") GOT ("104", "200", "i-1.0.2");
+  expect (&r, "TWICE");
+  expect_line (&r, "\npart=answer 1 1 0\n");
+}
+
+/* Guards against a head that is read from two answers: the status of one with
+   the stamp of another.  */
+static void
+test_status (void)
+{
+  struct records r
+      = { .servers = "run 101 i-1 7 i-1.0.1 a POST /u/1 b0 500 5 h5 " SOUND
+                     " " COPY "\n",
+          .callers = SEND ("100") GOT ("102", "200", "i-1.0.1") };
+
+  expect (&r, "MIXED");
+  r.callers = SEND ("100") GOT ("102", "500", "i-1.0.1");
+  expect_none (&r);
+  /* A refusal of which the server knows nothing.  */
+  r.callers = SEND ("100") GOT ("102", "503", "-");
+  expect (&r, "REFUSED");
+}
+
+/* Guards against rules of the daemons that lose sound answers unseen, and
+   against counting those that something else has ended.  */
+static void
+test_sound_lost (void)
+{
+  const char *lost = "\nframe=length 1 1\n", *kept = "\nframe=length 1 0\n";
+  struct records r = { .servers = RUN ("10001", "i-1.0.1", SOUND " -"),
+                       .callers = SEND ("10000") GOT ("10500", "502", "-") };
+
   expect_none (&r);
+  expect_line (&r, lost);
+  r.callers = SEND ("10000") "got 10500 7 closed 0 - - 0 - 0\n";
+  expect_line (&r, lost);
+  r.callers = SEND ("10000") "got 12500 7 timeout 0 - - 0 - 0\n";
+  expect_line (&r, lost);
+  r.callers = SEND ("10000") "got 10500 7 left 0 - - 0 - 0\n";
+  expect_line (&r, kept);
+  r.callers = SEND ("10000") GOT ("10500", "200", "i-1.0.1");
+  expect_line (&r, kept);
+  r.callers = SEND ("10000") GOT ("10500", "502", "-");
+  r.driver = "event 9000 pause core-1\n";
+  expect_line (&r, kept);
+  r.driver = NULL;
+  /* Its connection had a fault before, or its server was killed.  */
+  r.servers = RUN ("10001", "i-1.0.1", SOUND " " COPY);
+  expect_line (&r, "\nsound answers clean lost\n1 requests");
+  r.servers = RUN ("10001", "i-1.0.1", SOUND " -") "killed 10002 i-1.0\n";
+  expect_line (&r, "\nsound answers clean lost\n1 requests");
+  /* Another process, or long after the answer.  */
+  r.servers = RUN ("10001", "i-1.0.1", SOUND " -") "killed 10002 i-1.1\n";
+  expect_line (&r, lost);
+  r.servers = RUN ("10001", "i-1.0.1", SOUND " -") "killed 20002 i-1.0\n";
+  expect_line (&r, lost);
+  /* A server that gives the answer a framing of its own.  */
+  r.servers
+      = RUN ("10001", "i-1.0.1", "part=none,follow=answer,frame=close -");
+  expect_line (&r, "\nframe=close 1 1\n");
 }
 
 /* Guards against a checker that overlooks a manifest that is lost, changed or
@@ -215,7 +322,7 @@
 test_config (void)
 {
   struct records r
-      = { .servers = RUN ("101", "i-1.0.1", "none"),
+      = { .servers = RUN ("101", "i-1.0.1", SOUND " -"),
           .callers = SEND ("100") GOT ("102", "200", "i-1.0.1"),
           .driver = "put 100 5\nack 110 5\nread 3000 core-1 4\n" };
 
@@ -245,6 +352,9 @@
         { "answers", test_mixed },
         { "runs", test_runs },
         { "planned work", test_lost },
+        { "values of faults", test_faults },
+        { "statuses", test_status },
+        { "sound answers lost", test_sound_lost },
         { "manifests", test_config },
         { "no answers", test_empty } };
 
