soak: a spoiled end of a head does not change a value

RFC 9112 allows a recipient to take LF as the end of a line, so nobody can see that; such a fault is not drawn any more. Only the empty line is spoiled.

--- a/soak/answer.c
+++ b/soak/answer.c
@@ -168,6 +168,9 @@
   if (s.from == 0 && f->follow != SK_FOLLOW_FIN && f->follow != SK_FOLLOW_RST
       && f->follow != SK_FOLLOW_KILL)
     s.from = 1;
+  /* A spoiled end of the last field line would change its value.  */
+  if (f->at == SK_AT_EDGE && f->how == SK_HOW_SPOIL)
+    s.from = s.until - strlen ("\r\n");
   size_t point = s.from + zp_rng_below (rng, (uint32_t) (s.until - s.from));
   zp_buf_put_bytes (out, bytes.ptr, point);
   if (f->how == SK_HOW_CUT)
