soak: leaves of servers and faults of the disks in the platform soak

Servers report that they are draining, or deregister without it, serve for a while after the ack, and end; a late copy of an earlier report follows. The disks of control daemons are full or slow, by soak/shim.c, which is loaded into the unchanged zp-core.

--- a/Makefile
+++ b/Makefile
@@ -110,11 +110,15 @@
 $(BUILD)/zp-soak-%: soak/%.c soak/message.c soak/message.h $(LIB)
 	$(CC) $(CPPFLAGS) $(CFLAGS) -o $@ $< soak/message.c $(LIB) $(LDLIBS)
 
+# The faults of the disks of zp-core, loaded before the C library.
+$(BUILD)/zp-soak-shim.so: soak/shim.c
+	$(CC) $(CPPFLAGS) $(CFLAGS) -fPIC -shared -o $@ $< -ldl
+
 # The programs of target/ as processes, with faults.  SEEDS: seeds of the plans
 # to run, 1 without it.
 .PHONY: soak-platform
 soak-platform: deps target
-	$(MAKE) --no-print-directory -j$$(nproc) $(BUILD)/zp-soak-server $(BUILD)/zp-soak-caller
+	$(MAKE) --no-print-directory -j$$(nproc) $(BUILD)/zp-soak-server $(BUILD)/zp-soak-caller $(BUILD)/zp-soak-shim.so
 	@soak/soak-platform $(or $(SEEDS),1)
 
 $(BUILD)/bench/%: bench/%.c $(LIB)
--- a/soak/server.c
+++ b/soak/server.c
@@ -9,6 +9,11 @@
    monotonic clock.  During that time, DOSE percent of the answers have the
    fault KIND, one of the table below.  zp-soak-server --kinds prints them.
 
+   At a line "AT FOR leave NAME HOW", the server leaves: it reports that it is
+   draining (HOW is "draining") or sends Instances.Deregister and no more reports
+   ("silent"), serves for FOR ms after the ack, and ends.  A copy of its last
+   report from before arrives late.
+
    The program starts itself again as a child process, which serves.  When the
    child is killed, the next one follows, at once or after up to 2 s, with
    another lifetime and mostly another id.
@@ -17,6 +22,8 @@
 
      run MS SERVER ID STAMP SERVICE METHOD PATH BODY STATUS LEN HASH KIND
      refused MS SERVER ID STATUS KIND
+     left MS PROCESS     an ack says that it is known that the server leaves
+     gone MS PROCESS     it has left and ends
 
    BODY is the hash of the request's body, LEN and HASH belong to the body that
    a caller must receive, which depends on ID and STAMP.  */
@@ -43,6 +50,8 @@
 #define ENDLESS_BYTES (16 * 1024 * 1024) /* then the connection is reset */
 #define RESTART_MS 2000                  /* longest pause before a restart */
 #define EVENTS_MAX 64
+#define LEAVES_MAX 16
+#define LEAVE_PATIENCE (5 * ZP_SEC) /* for an ack, before it leaves without */
 #define CONTROLS_MAX 8
 
 enum framing
@@ -163,6 +172,13 @@
   unsigned dose; /* percent of the answers */
 };
 
+/* A planned leave.  */
+struct leave
+{
+  zp_time at, lasts;
+  bool reports; /* that it is draining */
+};
+
 /* All but the counters is written before the threads start.  */
 struct server
 {
@@ -175,8 +191,11 @@
   int record;
   struct event event[EVENTS_MAX];
   unsigned events;
+  struct leave leave[LEAVES_MAX];
+  unsigned leaves;
   int listener;
   atomic_uint connections, runs, running;
+  atomic_bool draining;
 };
 
 /* A connection, owned by one thread.  */
@@ -463,8 +482,9 @@
   if (strcmp (a.path, "/health") == 0)
     {
       zp_buf_printf (&a.out,
-                     "HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\n"
+                     "HTTP/1.1 %s\r\nX-Instance-Id: %s\r\n"
                      "X-Server-Load: %u,0,%u\r\nContent-Length: 0\r\n\r\n",
+                     atomic_load (&v->draining) ? "503 Draining" : "200 OK",
                      v->id, atomic_load (&v->running), CAPACITY);
       open = sk_send (&s->conn, zp_str_of (&a.out));
       zp_buf_free (&a.out);
@@ -510,19 +530,21 @@
   return NULL;
 }
 
-/* Sends one report.  Returns the status of the answer, or 0.  */
+/* Sends one report; CALL is "Heartbeat" or "Deregister".  Returns the status of
+   the answer, or 0.  */
 static unsigned
-report (struct server *v, const char *control, struct zp_str body)
+report (struct server *v, const char *control, const char *call,
+        struct zp_str body)
 {
   struct sk_conn c = { .fd = -1 };
   struct sk_message m = { .status = 0 };
   struct zp_buf out = { .ptr = NULL };
 
   zp_buf_printf (&out,
-                 "POST /Instances.Heartbeat/%s HTTP/1.1\r\nHost: control\r\n"
+                 "POST /Instances.%s/%s HTTP/1.1\r\nHost: control\r\n"
                  "Content-Type: application/json\r\nConnection: close\r\n"
                  "Content-Length: %zu\r\n\r\n%.*s",
-                 v->id, body.len, ZP_ARG (body));
+                 call, v->id, body.len, ZP_ARG (body));
   if (sk_dial (&c, control) && sk_send (&c, zp_str_of (&out)))
     sk_read (&c, SK_ANSWER, zp_clock_mono () + ZP_SEC, &m);
   unsigned status = m.status;
@@ -532,39 +554,137 @@
   return status;
 }
 
+/* What the reporting thread knows.  */
+struct reporter
+{
+  struct server *server;
+  unsigned at; /* index of the control daemon to call */
+  unsigned seq;
+  zp_time started;
+  long long born;
+  struct zp_buf body;
+};
+
+/* Calls the control daemons in turn until one acknowledges.  */
+static bool
+call_any (struct reporter *r, const char *call, struct zp_str body)
+{
+  struct server *v = r->server;
+
+  for (unsigned i = 0; i < v->controls; i++)
+    {
+      unsigned status = report (v, v->control[r->at], call, body);
+      if (status / 100 == 2)
+        return true;
+      fprintf (stderr, "%s: %s %u to %s: status %u\n", v->id, call, r->seq,
+               v->control[r->at], status);
+      r->at = (r->at + 1) % v->controls;
+    }
+  return false;
+}
+
+static bool
+send_heartbeat (struct reporter *r, const char *state)
+{
+  const struct server *v = r->server;
+
+  zp_buf_clear (&r->body);
+  zp_buf_printf (&r->body,
+                 "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
+                 "\"version\":\"v1\",\"capacity\":%d,\"state\":\"%s\","
+                 "\"warmupLeft\":\"0ms\",\"seq\":%u,\"born\":%lld}",
+                 v->service, v->address, v->zone, CAPACITY, state, ++r->seq,
+                 r->born);
+  return call_any (r, "Heartbeat", zp_str_of (&r->body));
+}
+
+static bool
+send_leave (struct reporter *r)
+{
+  zp_buf_clear (&r->body);
+  zp_buf_printf (&r->body, "{\"born\":%lld}", r->born);
+  return call_any (r, "Deregister", zp_str_of (&r->body));
+}
+
+static void
+record_process (const struct server *v, const char *what)
+{
+  sk_record (v->record, "%s %lld %s.%u", what,
+             (long long) (zp_clock_mono () / ZP_MS), v->id, v->start);
+}
+
+/* Leaves as L says and ends the process.  */
+static void
+leave (struct reporter *r, const struct leave *l)
+{
+  struct server *v = r->server;
+  struct zp_buf late = zp_buf_from (zp_str_of (&r->body));
+  zp_time until = zp_clock_mono () + LEAVE_PATIENCE;
+  bool known = false;
+
+  atomic_store (&v->draining, true);
+  while (!known && zp_clock_mono () < until)
+    {
+      known = l->reports ? send_heartbeat (r, "draining") : send_leave (r);
+      if (!known)
+        pause_for (REPORT_STEP);
+    }
+  if (known)
+    {
+      record_process (v, "left");
+      until = zp_clock_mono () + l->lasts;
+    }
+  while (zp_clock_mono () < until)
+    {
+      pause_for (REPORT_INTERVAL);
+      r->at = (r->at + 1) % v->controls;
+      call_any (r, "Heartbeat", zp_str_of (&late));
+      if (l->reports)
+        send_heartbeat (r, "draining");
+    }
+  if (l->reports)
+    send_leave (r);
+  record_process (v, "gone");
+  kill (getpid (), SIGKILL);
+}
+
 /* Sends reports while the process runs.  */
 static void *
 report_all (void *self)
 {
   struct server *v = self;
-  struct zp_buf body = { .ptr = NULL };
-  unsigned at = 0;
+  struct reporter r = { .server = v,
+                        .started = zp_clock_mono (),
+                        .born = zp_clock_wall () / ZP_MS };
 
-  long long born = zp_clock_wall () / ZP_MS;
-  for (unsigned seq = 1;; seq++)
+  for (;;)
     {
-      zp_buf_clear (&body);
-      zp_buf_printf (&body,
-                     "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
-                     "\"version\":\"v1\",\"capacity\":%d,\"state\":\"ready\","
-                     "\"warmupLeft\":\"0ms\",\"seq\":%u,\"born\":%lld}",
-                     v->service, v->address, v->zone, CAPACITY, seq, born);
-      unsigned status = 0;
-      for (unsigned i = 0; i < v->controls && status / 100 != 2; i++)
-        {
-          status = report (v, v->control[at], zp_str_of (&body));
-          if (status / 100 != 2)
-            {
-              fprintf (stderr, "%s: report %u to %s: status %u\n", v->id, seq,
-                       v->control[at], status);
-              at = (at + 1) % v->controls;
-            }
-        }
-      pause_for (status / 100 == 2 ? REPORT_INTERVAL : REPORT_STEP);
+      bool known = send_heartbeat (&r, "ready");
+      zp_time next
+          = zp_clock_mono () + (known ? REPORT_INTERVAL : REPORT_STEP);
+      for (; zp_clock_mono () < next; pause_for (REPORT_STEP))
+        for (unsigned i = 0; i < v->leaves; i++)
+          if (v->leave[i].at > r.started && v->leave[i].at <= zp_clock_mono ())
+            leave (&r, &v->leave[i]);
     }
   return NULL;
 }
 
+/* Reads a line of the plan with a leave.  */
+static void
+read_leave (struct server *v, const char *line, zp_time began)
+{
+  long long at, lasts;
+  char name[32], how[32];
+
+  if (sscanf (line, "%lld %lld leave %31s %31s", &at, &lasts, name, how) == 4
+      && strcmp (name, v->name) == 0 && v->leaves < LEAVES_MAX)
+    v->leave[v->leaves++]
+        = (struct leave){ .at = began + at * ZP_MS,
+                          .lasts = lasts * ZP_MS,
+                          .reports = strcmp (how, "draining") == 0 };
+}
+
 static void
 read_plan (struct server *v, const char *file, zp_time began)
 {
@@ -580,6 +700,7 @@
     }
   while (fgets (line, sizeof line, f) && v->events < EVENTS_MAX)
     {
+      read_leave (v, line, began);
       if (sscanf (line, "%lld %lld server %31s %31s %u", &at, &lasts, name,
                   kind, &dose)
               != 5
@@ -678,7 +799,11 @@
           return 2;
       child = 0;
       if (!WIFSIGNALED (status) || WTERMSIG (status) != SIGKILL)
-        return 2;
+        {
+          fprintf (stderr, "%s: the process ended with wait status %#x\n",
+                   v->name, (unsigned) status);
+          return 2;
+        }
       if (!stopped && zp_rng_below (&rng, 3) > 0)
         pause_for (zp_rng_below (&rng, RESTART_MS) * ZP_MS);
     }
