--- a/Makefile
+++ b/Makefile
@@ -107,8 +107,9 @@
 	@soak/soak $(SEEDS)
 
 # The servers and callers of the platform soak.
+$(BUILD)/zp-soak-server: $(foreach m,answer fault session,soak/$(m).c soak/$(m).h)
 $(BUILD)/zp-soak-%: soak/%.c soak/message.c soak/message.h $(LIB)
-	$(CC) $(CPPFLAGS) $(CFLAGS) -o $@ $< soak/message.c $(LIB) $(LDLIBS)
+	$(CC) $(CPPFLAGS) $(CFLAGS) -o $@ $(filter %.c,$^) $(LIB) $(LDLIBS)
 
 # The faults of the disks of zp-core, loaded before the C library.
 $(BUILD)/zp-soak-shim.so: soak/shim.c
