--- a/tests/test-soak-check.c
+++ b/tests/test-soak-check.c
@@ -215,6 +215,38 @@
   expect_none (&r);
   r.servers = RUN ("10001", "i-1.0.1", SOUND " -") "killed 10002 i-1.0\n";
   expect_none (&r);
+  /* The server was killed long after the end of the request.  */
+  r.servers = RUN ("10001", "i-1.0.1", SOUND " -") "killed 19000 i-1.0\n";
+  expect (&r, "LOST");
+}
+
+/* Guards against a checker that overlooks requests to a server that has left,
+   or counts those of daemons that were not in touch.  */
+static void
+test_drain (void)
+{
+  struct records r
+      = { .servers = "left 7400 i-1.0\n" RUN ("10001", "i-1.0.1", SOUND " -"),
+          .callers = SEND ("10000") GOT ("10002", "200", "i-1.0.1") };
+
+  expect (&r, "DRAIN");
+  r.driver = "event 9000 kill edge-1\nevent 9000 full core-1\n"
+             "event 9000 hup edge-0\nevent 5900 kill core-0\n";
+  expect (&r, "DRAIN");
+  r.driver = "event 9000 kill edge-0\n";
+  expect_none (&r);
+  r.driver = "event 9000 start core-2\n";
+  expect_none (&r);
+  r.driver = "event 9000 slow core-2\n";
+  expect_none (&r);
+  /* Within the time that the platform allows.  */
+  r.driver = NULL;
+  r.servers = "left 7600 i-1.0\n" RUN ("10001", "i-1.0.1", SOUND " -");
+  expect_none (&r);
+  /* The next lifetime at the id.  */
+  r.servers = "left 7400 i-1.0\n" RUN ("10001", "i-1.1.1", SOUND " -");
+  r.callers = SEND ("10000") GOT ("10002", "200", "i-1.1.1");
+  expect_none (&r);
 }
 
 /* Expects that the table of the checker has LINE, with equal spaces.  */
@@ -334,6 +366,8 @@
   expect (&r, "CONFIG");
   r.driver = "denied 100 5 400\n";
   expect (&r, "CONFIG");
+  r.driver = "missing 30000 core-1\n";
+  expect (&r, "CONFIG");
 }
 
 /* Guards against a run without any answer that passes.  */
@@ -352,6 +386,7 @@
         { "answers", test_mixed },
         { "runs", test_runs },
         { "planned work", test_lost },
+        { "servers that leave", test_drain },
         { "values of faults", test_faults },
         { "statuses", test_status },
         { "sound answers lost", test_sound_lost },
