--- a/soak/session.c
+++ b/soak/session.c
@@ -91,7 +91,10 @@
       const struct sk_event *e = &v->event[i];
       if (now < e->from || now >= e->until + GIVE_UP_MS * ZP_MS)
         continue;
-      drawn = now < e->until && zp_rng_below (&s->rng, 100) < e->dose;
+      /* A server that leaves has to serve until its end.  */
+      drawn = now < e->until && zp_rng_below (&s->rng, 100) < e->dose
+              && (e->fault.follow != SK_FOLLOW_KILL
+                  || !atomic_load (&v->draining));
       if (drawn)
         f = e->fault;
       /* A kill would make it the fault that KNOWN-RED.txt has.  */
