--- a/soak/session.c
+++ b/soak/session.c
@@ -91,7 +91,10 @@
       const struct sk_event *e = &v->event[i];
       if (now < e->from || now >= e->until + GIVE_UP_MS * ZP_MS)
         continue;
-      drawn = now < e->until && zp_rng_below (&s->rng, 100) < e->dose;
+      /* A server that leaves has to serve until its end.  */
+      drawn = now < e->until && zp_rng_below (&s->rng, 100) < e->dose
+              && (e->fault.follow != SK_FOLLOW_KILL
+                  || !atomic_load (&v->draining));
       if (drawn)
         f = e->fault;
       /* A kill would make it the fault that KNOWN-RED.txt has.  */
@@ -493,8 +496,9 @@
   if (strcmp (a.path, "/health") == 0)
     {
       zp_buf_printf (&a.body,
-                     "HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\n"
+                     "HTTP/1.1 %s\r\nX-Instance-Id: %s\r\n"
                      "X-Server-Load: %u,0,%u\r\nContent-Length: 0\r\n\r\n",
+                     atomic_load (&v->draining) ? "503 Draining" : "200 OK",
                      v->id, atomic_load (&v->running), SK_CAPACITY);
       open = send_bytes (s, zp_str_of (&a.body));
       zp_buf_free (&a.body);
--- a/soak/session.h
+++ b/soak/session.h
@@ -15,6 +15,7 @@
 
 #define SK_CAPACITY 12 /* requests that run at a time */
 #define SK_EVENTS_MAX 64
+#define SK_LEAVES_MAX 16
 #define SK_CONTROLS_MAX 8
 
 /* A fault of the plan.  */
@@ -25,6 +26,13 @@
   unsigned dose; /* percent of the answers */
 };
 
+/* A planned leave.  */
+struct sk_leave
+{
+  zp_time at, lasts;
+  bool reports; /* that it is draining */
+};
+
 /* A server.  All but the counters is written before the threads start.  */
 struct sk_server
 {
@@ -37,8 +45,11 @@
   int record;
   struct sk_event event[SK_EVENTS_MAX];
   unsigned events;
+  struct sk_leave leave[SK_LEAVES_MAX];
+  unsigned leaves;
   int listener;
   atomic_uint connections, runs, running;
+  atomic_bool draining;
 };
 
 /* Serves the connection FD in a thread of its own, which closes it.  Returns
