--- a/src/forward/transfer.h
+++ b/src/forward/transfer.h
@@ -4,7 +4,8 @@
    DESCRIPTION
      All files that include this header belong to the forward task:
 
-     client.c   the event loop, the callbacks of libcurl, the end of a transfer
+     client.c   the event loop, the callbacks of libcurl
+     finish.c   the end of a transfer
      options.c  how the request is sent
      pace.c     how much of an answer is read at a time
      proof.c    what shows that an answer that ends with its connection is
@@ -120,9 +121,34 @@
 /* Releases what the proof needs.  */
 void fw_proof_free (struct fw_transfer *t);
 
-/* client.c: finishes T, whose answer is proved WHOLE or is lost.  REASON is for
-   the log.  */
+/* finish.c */
+
+/* How the end of the body of T is known, as far as its head tells.  */
+enum tk_body_end fw_transfer_body_end (const struct fw_transfer *t);
+
+/* Finishes T, for which libcurl has reported RESULT.  */
+void fw_transfer_finish_by_result (struct fw_transfer *t, CURLcode result);
+
+/* Finishes T, whose answer is proved WHOLE or is lost.  REASON is for the
+   log.  */
 void fw_transfer_finish_proof (struct fw_transfer *t, bool whole,
                                const char *reason);
 
+/* Sends TK_FORWARD_DONE and frees T.  Of an answer that is not whole nothing is
+   passed on.  */
+void fw_transfer_finish (struct fw_transfer *t, enum tk_forward_end end,
+                         enum zp_verdict verdict);
+
+/* Closes the connection of T if its answer is not complete.  */
+void fw_transfer_free (struct fw_transfer *t);
+
+/* Drops the body that T has received.  */
+void fw_transfer_drop_body (struct fw_transfer *t);
+
+/* The server of T, as in pool.h.  */
+uint64_t fw_transfer_server (const struct fw_transfer *t);
+
+/* SERVER has sent bytes that belong to no answer.  */
+void fw_note_stray_bytes (struct fw_client *c, uint64_t server);
+
 #endif
