--- a/src/forward/framing.c
+++ b/src/forward/framing.c
@@ -38,12 +38,14 @@
                                                           : c == form[i];
 }
 
+/* How many bytes of the begin of TEXT are not those of a status line; 2 also
+   for more.  */
 static unsigned
 spoiled_bytes (struct zp_str text)
 {
   unsigned n = 0;
 
-  for (size_t i = 0; i < text.len && i < FW_STATUS_LINE_MIN; i++)
+  for (size_t i = 0; i < text.len && i < FW_STATUS_LINE_MIN && n < 2; i++)
     n += !fits_status_line (text.ptr[i], i);
   return n;
 }
--- a/tests/test-gate.c
+++ b/tests/test-gate.c
@@ -284,10 +284,10 @@
   tear_down ();
 }
 
-/* Guards against a queued request that is cut when the daemon ends, and against
-   one at a server that is ended sooner.  */
-static void
-test_stop_queued_requests (void)
+/* Returns false, without a result, when this process was paused for too long
+   between the stop and the request.  */
+static bool
+stop_with_queued_requests (void)
 {
   set_up ("7");
   f.settings.grace = 2 * ZP_SEC;
@@ -301,10 +301,16 @@
     st_queue_served (s->service->queue, 10 * ZP_MS);
   s->health.kind = ST_HEALTH_EJECTED;
   s->health.until = zp_clock_mono () + 10 * ZP_SEC;
+  zp_time stop = zp_clock_mono ();
   tk_send (&f.gate->task, tk_msg_new (TK_STOP));
   run_for (0.8);
   send_request_for (2, 450 * ZP_MS);
   run_pending ();
+  if (zp_clock_mono () - stop > f.settings.grace / 2)
+    {
+      tear_down ();
+      return false;
+    }
   CU_ASSERT_EQUAL (f.answers, 0);
   RUN_UNTIL (f.answers == 1);
   CU_ASSERT_EQUAL (answer_status (0), 503);
@@ -314,6 +320,18 @@
   CU_ASSERT_EQUAL (f.answers, 1);
   CU_ASSERT_EQUAL (f.cancels, 0);
   tear_down ();
+  return true;
+}
+
+/* Guards against a queued request that is cut when the daemon ends, and against
+   one at a server that is ended sooner.  */
+static void
+test_stop_queued_requests (void)
+{
+  for (int i = 0; i < 20; i++)
+    if (stop_with_queued_requests ())
+      return;
+  CU_FAIL ("the process was paused in each of 20 tries");
 }
 
 /* Guards against a target whose bytes change on the way to the backend server: an
