--- a/tests/test-ctl-answers.c
+++ b/tests/test-ctl-answers.c
@@ -177,10 +177,13 @@
 static void
 test_spoiled_redirects (void)
 {
-#define CHUNKED_ALMOST "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n"
+  static const char not_ended[]
+      = "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n";
+  static const char continued[]
+      = "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n"
+        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
   static const char *const bodies[]
-      = { "Content-Length: 10\r\n\r\n{}", CHUNKED_ALMOST,
-          CHUNKED_ALMOST "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+      = { "Content-Length: 10\r\n\r\n{}", not_ended, continued,
           "Connection: close\r\n\r\n{}",
           "Content-Length: 14\r\n\r\nHTTP/1.1 200 OK\r\n\r\n" };
 
