task, wire, site: types for workspaces, quotas and shared loads

Two customers need API keys, rate limits over all entry daemons and loads that entry daemons share (docs/design/hard-load.md). Adds the messages, the frames and the fields that the parts use; nothing uses them yet.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 LDLIBS = -lev -lprotobuf-c -lmicrohttpd -lcurl -ljson-c -lxxhash -lsodium -lz -lm -lpthread \
 	-l:libdSFMT-19937.a
 
-PACKAGES = base task wire site steer once ticket ledger follow roster peer front forward gate trace
+PACKAGES = base task wire site quota steer once ticket ledger follow roster peer front forward gate trace
 PROGRAMS = zp-entry zp-control zpctl zp-backend zp-load
 PLATFORM_PROGRAMS = zp-edge zp-core
 DIR_zp-entry = entry
--- a/src/front/header.c
+++ b/src/front/header.c
@@ -46,6 +46,8 @@
       || fr_header_is (name, names->request_id)
       || fr_header_is (name, names->verdict) || fr_header_is (name, names->key)
       || fr_header_is (name, names->expect)
+      || fr_header_is (name, names->credential)
+      || fr_header_is (name, names->workspace)
       || fr_header_is (name, names->leaving))
     return false;
   for (size_t i = 0; i < sizeof not_forwarded / sizeof not_forwarded[0]; i++)
--- a/src/front/header.h
+++ b/src/front/header.h
@@ -18,9 +18,11 @@
 {
   const char *deadline_ms; /* time left, in milliseconds */
   const char *request_id;
-  const char *verdict; /* enum zp_verdict: whether the request ran */
-  const char *key;     /* idempotency key */
-  const char *expect;  /* id of the only server that may run the request */
+  const char *verdict;    /* enum zp_verdict: whether the request ran */
+  const char *key;        /* idempotency key */
+  const char *expect;     /* id of the only server that may run the request */
+  const char *credential; /* key of a workspace; from callers only */
+  const char *workspace;  /* its name; to backend servers only */
   const char
       *leaving; /* present: the server leaves and takes no new request */
 
--- a/src/site/site.h
+++ b/src/site/site.h
@@ -52,6 +52,7 @@
   unsigned priority; /* 0 is the most urgent */
   unsigned attempts; /* most servers that one request may be sent to */
   bool sticky;       /* one server is faster for requests on the same object */
+  bool is_public;    /* needs no key, also when the site has workspaces */
   struct si_part *part;
   size_t parts;
   struct zp_buf *home; /* regions that may serve it; none: all */
@@ -66,6 +67,20 @@
   double warmup_per_s;  /* requests per second that a cold server tolerates */
 };
 
+/* The workspace of callers with the same rights.  Its keys are in
+   si_site.keys.  */
+struct si_workspace
+{
+  struct zp_buf name;
+  uint64_t hash; /* of the name; set by si_site_seal */
+  bool has_priority;
+  unsigned priority;   /* replaces that of the route */
+  double rate_per_s;   /* limit of its requests; 0: none */
+  double burst;        /* requests beyond the rate */
+  struct zp_buf *home; /* regions that may serve it; none: all */
+  size_t homes;
+};
+
 /* Limits on what callers send; 0: not set.  */
 struct si_limits
 {
@@ -82,6 +97,9 @@
   struct si_service *service;
   size_t services;
   struct si_limits limits;
+  struct si_workspace *workspace;
+  size_t workspaces;
+  bool needs_key; /* requests need a key, unless their route is public */
 };
 
 struct si_site *si_site_new (uint64_t number);
--- a/src/task/msg.c
+++ b/src/task/msg.c
@@ -39,6 +39,7 @@
       zp_buf_free (&m->u.request.host);
       zp_buf_free (&m->u.request.request_id);
       zp_buf_free (&m->u.request.affinity);
+      zp_buf_free (&m->u.request.credential);
       zp_buf_free (&m->u.request.method);
       zp_buf_free (&m->u.request.path);
       zp_buf_free (&m->u.request.query);
@@ -60,6 +61,7 @@
       zp_buf_free (&m->u.forward.headers);
       zp_buf_free (&m->u.forward.body);
       zp_buf_free (&m->u.forward.request_id);
+      zp_buf_free (&m->u.forward.workspace);
       zp_buf_free (&m->u.forward.host);
       zp_buf_free (&m->u.forward.health_path);
       break;
@@ -98,6 +100,13 @@
       break;
     case TK_WORK:
       free (m->u.work.item);
+      free (m->u.work.load);
+      break;
+    case TK_QUOTA_ASK:
+      free (m->u.quota_ask.item);
+      break;
+    case TK_QUOTA_GRANT:
+      free (m->u.quota_grant.item);
       break;
     case TK_CONFIG_SOURCES:
     case TK_SEEDS:
--- a/src/task/msg.h
+++ b/src/task/msg.h
@@ -56,6 +56,11 @@
   TK_SEEDS,          /* control daemons that changed settings name */
   TK_WORK,           /* numbers of requests at servers */
   TK_LOSS,           /* a request lost its connection to a server */
+
+  /* Rate limits of workspaces, between the holder of leases (an entry daemon)
+     and their owner (the control daemon that leads).  */
+  TK_QUOTA_ASK,
+  TK_QUOTA_GRANT,
 };
 
 struct tk_task;
@@ -67,6 +72,7 @@
   struct zp_buf host;       /* of the Host header */
   struct zp_buf request_id; /* from the caller; empty: none */
   struct zp_buf affinity;   /* empty: none */
+  struct zp_buf credential; /* key of a workspace; empty: none */
   struct zp_buf method;
   struct zp_buf path;  /* without the query */
   struct zp_buf query; /* after "?", not decoded */
@@ -109,7 +115,8 @@
   struct zp_buf headers; /* as in struct tk_http_request */
   struct zp_buf body;
   struct zp_buf request_id;
-  struct zp_buf host; /* empty: the address of the server */
+  struct zp_buf workspace; /* sent to the server; empty: none */
+  struct zp_buf host;      /* empty: the address of the server */
   struct zp_buf
       health_path; /* where the server tells its health; empty: none */
   char expect[ZP_NAME_MAX]; /* id of the only server that may run it, or "" */
@@ -152,6 +159,10 @@
 {
   bool known; /* false: the answer had no valid header */
   unsigned running, waiting, slots;
+
+  /* How long work takes there at this moment, in percent of the usual time; 0:
+     not stated.  */
+  unsigned pace;
 };
 
 struct tk_forward_done
@@ -241,6 +252,7 @@
 struct tk_config_fresh
 {
   bool fresh; /* in contact with the leader, so not outdated */
+  bool leads; /* leads the control log, so it owns the rate limits */
 };
 
 enum tk_server_state
@@ -328,10 +340,22 @@
    taken to have the requests of both.  */
 #define TK_WORK_TAG(hash) ((uint32_t) ((hash) >> 32))
 
+/* The newest sample of the load of a server, as one of its answers stated it.
+ */
+struct tk_work_load
+{
+  uint32_t server;   /* TK_WORK_TAG of the hash of its id */
+  unsigned requests; /* running and waiting there */
+  unsigned pace;     /* as in struct tk_server_load */
+  zp_time age;       /* of the sample when the message is made */
+};
+
 struct tk_work
 {
   struct tk_work_item *item;
   size_t len;
+  struct tk_work_load *load;
+  size_t loads;
 };
 
 /* The connection to a server was lost before the answer to a request.  */
@@ -341,6 +365,53 @@
   uint64_t server;      /* hash of its id */
 };
 
+/* A share of a limit is stated in units of 1 / TK_QUOTA_WHOLE.  */
+#define TK_QUOTA_WHOLE ((uint32_t) 1 << 24)
+
+struct tk_quota_ask_item
+{
+  uint64_t workspace;  /* hash of its name */
+  uint32_t rate_share; /* the lease that the holder has; 0: none */
+  uint32_t burst_share;
+  uint64_t applied; /* number of the last grant applied for this workspace */
+  double demand;    /* requests a second */
+  uint32_t want;    /* tokens from the pool */
+};
+
+struct tk_quota_ask
+{
+  uint64_t holder;
+  uint64_t incarnation; /* of the holder, different after every start */
+  uint64_t number;      /* of this ask */
+  uint64_t link; /* connection that the ask came on, for the answer; set by the
+                    roster source */
+  struct tk_quota_ask_item *item;
+  size_t len;
+};
+
+struct tk_quota_grant_item
+{
+  uint64_t workspace; /* hash of its name */
+  uint32_t rate_share;
+  uint32_t burst_share;
+  uint32_t tokens; /* from the pool; fewer than WANTED: it is empty */
+  uint32_t wanted;
+};
+
+struct tk_quota_grant
+{
+  uint64_t holder;
+  uint64_t incarnation;
+  uint64_t number; /* of the ask */
+  uint64_t term;   /* of the owner */
+  uint64_t grant;  /* number of this grant, rising within a term */
+  uint64_t link;   /* of the ask */
+  zp_time ttl;     /* of the leases, from when the ask was sent */
+  zp_time period;  /* until the next ask */
+  struct tk_quota_grant_item *item;
+  size_t len;
+};
+
 /* TK_CONFIG_SOURCES and TK_SEEDS: one "IP:port" a line.  */
 struct tk_addresses
 {
@@ -374,6 +445,8 @@
     struct tk_entry_count entry_count;
     struct tk_work work;
     struct tk_loss loss;
+    struct tk_quota_ask quota_ask;
+    struct tk_quota_grant quota_grant;
   } u;
 };
 
--- a/src/wire/frame.h
+++ b/src/wire/frame.h
@@ -67,6 +67,8 @@
   WI_ROSTER_PING = 73,
   WI_ROSTER_WORK = 74,
   WI_ROSTER_LOSS = 75,
+  WI_ROSTER_QUOTA_ASK = 76,
+  WI_ROSTER_QUOTA_GRANT = 77,
 };
 
 struct wi_header
--- a/src/wire/roster.pb-c.c
+++ b/src/wire/roster.pb-c.c
@@ -277,6 +277,96 @@
   assert(message->base.descriptor == &wire__roster_work__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wire__roster_quota_ask__init
+                     (Wire__RosterQuotaAsk         *message)
+{
+  static const Wire__RosterQuotaAsk init_value = WIRE__ROSTER_QUOTA_ASK__INIT;
+  *message = init_value;
+}
+size_t wire__roster_quota_ask__get_packed_size
+                     (const Wire__RosterQuotaAsk *message)
+{
+  assert(message->base.descriptor == &wire__roster_quota_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__roster_quota_ask__pack
+                     (const Wire__RosterQuotaAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__roster_quota_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__roster_quota_ask__pack_to_buffer
+                     (const Wire__RosterQuotaAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__roster_quota_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__RosterQuotaAsk *
+       wire__roster_quota_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__RosterQuotaAsk *)
+     protobuf_c_message_unpack (&wire__roster_quota_ask__descriptor,
+                                allocator, len, data);
+}
+void   wire__roster_quota_ask__free_unpacked
+                     (Wire__RosterQuotaAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__roster_quota_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__roster_quota_grant__init
+                     (Wire__RosterQuotaGrant         *message)
+{
+  static const Wire__RosterQuotaGrant init_value = WIRE__ROSTER_QUOTA_GRANT__INIT;
+  *message = init_value;
+}
+size_t wire__roster_quota_grant__get_packed_size
+                     (const Wire__RosterQuotaGrant *message)
+{
+  assert(message->base.descriptor == &wire__roster_quota_grant__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__roster_quota_grant__pack
+                     (const Wire__RosterQuotaGrant *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__roster_quota_grant__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__roster_quota_grant__pack_to_buffer
+                     (const Wire__RosterQuotaGrant *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__roster_quota_grant__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__RosterQuotaGrant *
+       wire__roster_quota_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__RosterQuotaGrant *)
+     protobuf_c_message_unpack (&wire__roster_quota_grant__descriptor,
+                                allocator, len, data);
+}
+void   wire__roster_quota_grant__free_unpacked
+                     (Wire__RosterQuotaGrant *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__roster_quota_grant__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wire__roster_loss__init
                      (Wire__RosterLoss         *message)
 {
@@ -749,7 +839,7 @@
   (ProtobufCMessageInit) wire__roster_update__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__roster_ping__field_descriptors[3] =
+static const ProtobufCFieldDescriptor wire__roster_ping__field_descriptors[4] =
 {
   {
     "fresh",
@@ -787,16 +877,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leads",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RosterPing, leads),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__roster_ping__field_indices_by_name[] = {
   2,   /* field[2] = failure_domain */
   0,   /* field[0] = fresh */
+  3,   /* field[3] = leads */
   1,   /* field[1] = region */
 };
 static const ProtobufCIntRange wire__roster_ping__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor wire__roster_ping__descriptor =
 {
@@ -806,7 +909,7 @@
   "Wire__RosterPing",
   "wire",
   sizeof(Wire__RosterPing),
-  3,
+  4,
   wire__roster_ping__field_descriptors,
   wire__roster_ping__field_indices_by_name,
   1,  wire__roster_ping__number_ranges,
@@ -851,7 +954,7 @@
   (ProtobufCMessageInit) wire__roster_ack__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__roster_work__field_descriptors[2] =
+static const ProtobufCFieldDescriptor wire__roster_work__field_descriptors[6] =
 {
   {
     "counts",
@@ -877,15 +980,67 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "load_servers",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Wire__RosterWork, n_load_servers),
+    offsetof(Wire__RosterWork, load_servers),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "load_requests",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wire__RosterWork, n_load_requests),
+    offsetof(Wire__RosterWork, load_requests),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "load_paces",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wire__RosterWork, n_load_paces),
+    offsetof(Wire__RosterWork, load_paces),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "load_ages_ms",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wire__RosterWork, n_load_ages_ms),
+    offsetof(Wire__RosterWork, load_ages_ms),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__roster_work__field_indices_by_name[] = {
   0,   /* field[0] = counts */
+  5,   /* field[5] = load_ages_ms */
+  4,   /* field[4] = load_paces */
+  3,   /* field[3] = load_requests */
+  2,   /* field[2] = load_servers */
   1,   /* field[1] = servers */
 };
 static const ProtobufCIntRange wire__roster_work__number_ranges[1 + 1] =
 {
   { 2, 0 },
-  { 0, 2 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor wire__roster_work__descriptor =
 {
@@ -895,13 +1050,336 @@
   "Wire__RosterWork",
   "wire",
   sizeof(Wire__RosterWork),
-  2,
+  6,
   wire__roster_work__field_descriptors,
   wire__roster_work__field_indices_by_name,
   1,  wire__roster_work__number_ranges,
   (ProtobufCMessageInit) wire__roster_work__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor wire__roster_quota_ask__field_descriptors[9] =
+{
+  {
+    "holder",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RosterQuotaAsk, holder),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RosterQuotaAsk, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "number",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RosterQuotaAsk, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "workspaces",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Wire__RosterQuotaAsk, n_workspaces),
+    offsetof(Wire__RosterQuotaAsk, workspaces),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rate_shares",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wire__RosterQuotaAsk, n_rate_shares),
+    offsetof(Wire__RosterQuotaAsk, rate_shares),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "burst_shares",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wire__RosterQuotaAsk, n_burst_shares),
+    offsetof(Wire__RosterQuotaAsk, burst_shares),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "applied",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Wire__RosterQuotaAsk, n_applied),
+    offsetof(Wire__RosterQuotaAsk, applied),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "demands_milli",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wire__RosterQuotaAsk, n_demands_milli),
+    offsetof(Wire__RosterQuotaAsk, demands_milli),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wants",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wire__RosterQuotaAsk, n_wants),
+    offsetof(Wire__RosterQuotaAsk, wants),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__roster_quota_ask__field_indices_by_name[] = {
+  6,   /* field[6] = applied */
+  5,   /* field[5] = burst_shares */
+  7,   /* field[7] = demands_milli */
+  0,   /* field[0] = holder */
+  1,   /* field[1] = incarnation */
+  2,   /* field[2] = number */
+  4,   /* field[4] = rate_shares */
+  8,   /* field[8] = wants */
+  3,   /* field[3] = workspaces */
+};
+static const ProtobufCIntRange wire__roster_quota_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor wire__roster_quota_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.RosterQuotaAsk",
+  "RosterQuotaAsk",
+  "Wire__RosterQuotaAsk",
+  "wire",
+  sizeof(Wire__RosterQuotaAsk),
+  9,
+  wire__roster_quota_ask__field_descriptors,
+  wire__roster_quota_ask__field_indices_by_name,
+  1,  wire__roster_quota_ask__number_ranges,
+  (ProtobufCMessageInit) wire__roster_quota_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__roster_quota_grant__field_descriptors[12] =
+{
+  {
+    "holder",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RosterQuotaGrant, holder),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RosterQuotaGrant, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "number",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RosterQuotaGrant, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RosterQuotaGrant, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "grant",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RosterQuotaGrant, grant),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ttl_us",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RosterQuotaGrant, ttl_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "period_us",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__RosterQuotaGrant, period_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "workspaces",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Wire__RosterQuotaGrant, n_workspaces),
+    offsetof(Wire__RosterQuotaGrant, workspaces),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rate_shares",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wire__RosterQuotaGrant, n_rate_shares),
+    offsetof(Wire__RosterQuotaGrant, rate_shares),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "burst_shares",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wire__RosterQuotaGrant, n_burst_shares),
+    offsetof(Wire__RosterQuotaGrant, burst_shares),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wire__RosterQuotaGrant, n_tokens),
+    offsetof(Wire__RosterQuotaGrant, tokens),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wanted",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wire__RosterQuotaGrant, n_wanted),
+    offsetof(Wire__RosterQuotaGrant, wanted),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__roster_quota_grant__field_indices_by_name[] = {
+  9,   /* field[9] = burst_shares */
+  4,   /* field[4] = grant */
+  0,   /* field[0] = holder */
+  1,   /* field[1] = incarnation */
+  2,   /* field[2] = number */
+  6,   /* field[6] = period_us */
+  8,   /* field[8] = rate_shares */
+  3,   /* field[3] = term */
+  10,   /* field[10] = tokens */
+  5,   /* field[5] = ttl_us */
+  11,   /* field[11] = wanted */
+  7,   /* field[7] = workspaces */
+};
+static const ProtobufCIntRange wire__roster_quota_grant__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 12 }
+};
+const ProtobufCMessageDescriptor wire__roster_quota_grant__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.RosterQuotaGrant",
+  "RosterQuotaGrant",
+  "Wire__RosterQuotaGrant",
+  "wire",
+  sizeof(Wire__RosterQuotaGrant),
+  12,
+  wire__roster_quota_grant__field_descriptors,
+  wire__roster_quota_grant__field_indices_by_name,
+  1,  wire__roster_quota_grant__number_ranges,
+  (ProtobufCMessageInit) wire__roster_quota_grant__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor wire__roster_loss__field_descriptors[2] =
 {
   {
--- a/src/wire/roster.pb-c.h
+++ b/src/wire/roster.pb-c.h
@@ -21,6 +21,8 @@
 typedef struct Wire__RosterPing Wire__RosterPing;
 typedef struct Wire__RosterAck Wire__RosterAck;
 typedef struct Wire__RosterWork Wire__RosterWork;
+typedef struct Wire__RosterQuotaAsk Wire__RosterQuotaAsk;
+typedef struct Wire__RosterQuotaGrant Wire__RosterQuotaGrant;
 typedef struct Wire__RosterLoss Wire__RosterLoss;
 
 
@@ -156,10 +158,14 @@
    */
   ProtobufCBinaryData region;
   ProtobufCBinaryData failure_domain;
+  /*
+   * the control daemon leads the log
+   */
+  protobuf_c_boolean leads;
 };
 #define WIRE__ROSTER_PING__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__roster_ping__descriptor) \
-    , 0, {0,NULL}, {0,NULL} }
+    , 0, {0,NULL}, {0,NULL}, 0 }
 
 
 /*
@@ -193,10 +199,102 @@
    */
   size_t n_servers;
   uint32_t *servers;
+  /*
+   * Newest samples of the load of servers, each list in the order of
+   * LOAD_SERVERS.  An entry daemon sends those of its own answers; the control
+   * daemon answers with those of its region.
+   */
+  size_t n_load_servers;
+  uint32_t *load_servers;
+  /*
+   * running and waiting at the server
+   */
+  size_t n_load_requests;
+  uint32_t *load_requests;
+  /*
+   * percent of the usual time; 0: not stated
+   */
+  size_t n_load_paces;
+  uint32_t *load_paces;
+  size_t n_load_ages_ms;
+  uint32_t *load_ages_ms;
 };
 #define WIRE__ROSTER_WORK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__roster_work__descriptor) \
-    , 0,NULL, 0,NULL }
+    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+
+
+/*
+ * Leases of the rate limits of workspaces: an entry daemon asks, the control
+ * daemon that leads grants.  Lists are in the order of WORKSPACES; shares are
+ * in units of 1 / 2^24.
+ */
+struct  Wire__RosterQuotaAsk
+{
+  ProtobufCMessage base;
+  uint64_t holder;
+  uint64_t incarnation;
+  uint64_t number;
+  /*
+   * hashes of their names
+   */
+  size_t n_workspaces;
+  uint64_t *workspaces;
+  /*
+   * of the lease that the holder has
+   */
+  size_t n_rate_shares;
+  uint32_t *rate_shares;
+  size_t n_burst_shares;
+  uint32_t *burst_shares;
+  /*
+   * last grant applied for the workspace
+   */
+  size_t n_applied;
+  uint64_t *applied;
+  /*
+   * requests in 1,000 s
+   */
+  size_t n_demands_milli;
+  uint32_t *demands_milli;
+  /*
+   * tokens from the pool
+   */
+  size_t n_wants;
+  uint32_t *wants;
+};
+#define WIRE__ROSTER_QUOTA_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__roster_quota_ask__descriptor) \
+    , 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+
+
+struct  Wire__RosterQuotaGrant
+{
+  ProtobufCMessage base;
+  uint64_t holder;
+  uint64_t incarnation;
+  /*
+   * of the ask
+   */
+  uint64_t number;
+  uint64_t term;
+  uint64_t grant;
+  uint64_t ttl_us;
+  uint64_t period_us;
+  size_t n_workspaces;
+  uint64_t *workspaces;
+  size_t n_rate_shares;
+  uint32_t *rate_shares;
+  size_t n_burst_shares;
+  uint32_t *burst_shares;
+  size_t n_tokens;
+  uint32_t *tokens;
+  size_t n_wanted;
+  uint32_t *wanted;
+};
+#define WIRE__ROSTER_QUOTA_GRANT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__roster_quota_grant__descriptor) \
+    , 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
@@ -334,6 +432,44 @@
 void   wire__roster_work__free_unpacked
                      (Wire__RosterWork *message,
                       ProtobufCAllocator *allocator);
+/* Wire__RosterQuotaAsk methods */
+void   wire__roster_quota_ask__init
+                     (Wire__RosterQuotaAsk         *message);
+size_t wire__roster_quota_ask__get_packed_size
+                     (const Wire__RosterQuotaAsk   *message);
+size_t wire__roster_quota_ask__pack
+                     (const Wire__RosterQuotaAsk   *message,
+                      uint8_t             *out);
+size_t wire__roster_quota_ask__pack_to_buffer
+                     (const Wire__RosterQuotaAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__RosterQuotaAsk *
+       wire__roster_quota_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__roster_quota_ask__free_unpacked
+                     (Wire__RosterQuotaAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__RosterQuotaGrant methods */
+void   wire__roster_quota_grant__init
+                     (Wire__RosterQuotaGrant         *message);
+size_t wire__roster_quota_grant__get_packed_size
+                     (const Wire__RosterQuotaGrant   *message);
+size_t wire__roster_quota_grant__pack
+                     (const Wire__RosterQuotaGrant   *message,
+                      uint8_t             *out);
+size_t wire__roster_quota_grant__pack_to_buffer
+                     (const Wire__RosterQuotaGrant   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__RosterQuotaGrant *
+       wire__roster_quota_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__roster_quota_grant__free_unpacked
+                     (Wire__RosterQuotaGrant *message,
+                      ProtobufCAllocator *allocator);
 /* Wire__RosterLoss methods */
 void   wire__roster_loss__init
                      (Wire__RosterLoss         *message);
@@ -373,6 +509,12 @@
 typedef void (*Wire__RosterWork_Closure)
                  (const Wire__RosterWork *message,
                   void *closure_data);
+typedef void (*Wire__RosterQuotaAsk_Closure)
+                 (const Wire__RosterQuotaAsk *message,
+                  void *closure_data);
+typedef void (*Wire__RosterQuotaGrant_Closure)
+                 (const Wire__RosterQuotaGrant *message,
+                  void *closure_data);
 typedef void (*Wire__RosterLoss_Closure)
                  (const Wire__RosterLoss *message,
                   void *closure_data);
@@ -388,6 +530,8 @@
 extern const ProtobufCMessageDescriptor wire__roster_ping__descriptor;
 extern const ProtobufCMessageDescriptor wire__roster_ack__descriptor;
 extern const ProtobufCMessageDescriptor wire__roster_work__descriptor;
+extern const ProtobufCMessageDescriptor wire__roster_quota_ask__descriptor;
+extern const ProtobufCMessageDescriptor wire__roster_quota_grant__descriptor;
 extern const ProtobufCMessageDescriptor wire__roster_loss__descriptor;
 
 PROTOBUF_C__END_DECLS
