front: an answer without a valid status becomes a refusal

A server in trouble sent status 000 on another system, and the caller got it. Here the parser of answers accepts 1xx to 5xx only; 13 invalid statuses on new and on kept connections, alone and before a sound answer, for routed and native names, for zpctl and for health calls are all lost (test-forward-status, test-call, test-ctl-answers; they pass without a change of the code). A status that our own code leaves unset went to libmicrohttpd, which ends the connection without an answer: test-front hung on it before this change and passes now.

--- a/src/front/exchange.c
+++ b/src/front/exchange.c
@@ -411,6 +411,7 @@
       return;
     }
   ev_io_stop (s->loop->ev, &x->leave_watcher);
+  fr_response_check_status (&m->u.answer);
   /* The deciding task has freed the body of the request.  */
   if (!hold_instead (x, m->u.answer.body.len))
     fr_response_drop_body (&m->u.answer);
--- a/src/front/response.c
+++ b/src/front/response.c
@@ -1,9 +1,13 @@
 #include "front/response.h"
 
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 
 #include "base/counter.h"
+#include "base/log.h"
+
+#define PART "front"
 
 static void
 add_header (struct MHD_Response *r, const char *name, const char *value)
@@ -65,16 +69,35 @@
   return r;
 }
 
-void
-fr_response_drop_body (struct tk_http_answer *a)
+/* Replaces A by a refusal with REASON.  A verdict that is not set promises
+   nothing.  */
+static void
+replace_answer (struct tk_http_answer *a, const char *reason)
 {
+  enum zp_verdict v = a->has_verdict ? a->verdict : ZP_MAY_HAVE_RUN;
+
   zp_buf_free (&a->body);
   zp_buf_clear (&a->headers);
   zp_buf_clear (&a->content_type);
   zp_buf_put (&a->content_type, ZP_STR ("application/json"));
-  a->status = a->verdict == ZP_NOT_RUN ? 503 : 502;
-  zp_buf_printf (&a->body,
-                 "{\"reason\":\"no-room-for-answer\",\"verdict\":\"%s\"}\n",
-                 zp_verdict_name (a->verdict));
+  a->status = v == ZP_NOT_RUN ? 503 : 502;
+  zp_buf_printf (&a->body, "{\"reason\":\"%s\",\"verdict\":\"%s\"}\n", reason,
+                 zp_verdict_name (v));
+}
+
+void
+fr_response_check_status (struct tk_http_answer *a)
+{
+  if (a->status >= 200 && a->status <= 599)
+    return;
+  zp_log (ZP_LOG_ERR, PART, "answer %" PRIu64 ": status %u is invalid", a->id,
+          a->status);
+  replace_answer (a, "no-answer");
+}
+
+void
+fr_response_drop_body (struct tk_http_answer *a)
+{
+  replace_answer (a, "no-room-for-answer");
   zp_count (zp_counter ("zp_http_answers_dropped_total", ""), 1);
 }
--- a/src/front/response.h
+++ b/src/front/response.h
@@ -15,6 +15,10 @@
                                       const struct fr_header_names *names,
                                       const char *request_id, bool close);
 
+/* Makes A, whose status is not from 200 to 599, a refusal, so that no caller
+   gets a status that a decision has left unset.  */
+void fr_response_check_status (struct tk_http_answer *a);
+
 /* Makes A, for whose body there is no room, a refusal without the headers of
    the server.  */
 void fr_response_drop_body (struct tk_http_answer *a);
--- a/tests/test-call.c
+++ b/tests/test-call.c
@@ -1,6 +1,7 @@
 /* Tests the answers to a call on a connection that is kept as a witness.  */
 
 #include "harness.h"
+#include "invalid-statuses.h"
 
 #include "forward/call.h"
 
@@ -86,8 +87,24 @@
       FW_CALL_BROKEN);
 }
 
+/* Guards against a health call that counts as answered by an invalid status. */
+static void
+test_invalid_statuses (void)
+{
+  char text[128];
+
+  for (size_t i = 0; i < INVALID_STATUSES; i++)
+    {
+      snprintf (text, sizeof text,
+                "HTTP/1.1 %s Text\r\nContent-Length: 0\r\n\r\n",
+                invalid_statuses[i]);
+      check (text, FW_CALL_BROKEN);
+    }
+}
+
 static const struct zp_test tests[] = {
   { "whole answers", test_whole },
+  { "invalid status codes", test_invalid_statuses },
   { "parts of answers", test_parts },
   { "bytes that are no answer", test_broken },
 };
--- a/tests/test-ctl-answers.c
+++ b/tests/test-ctl-answers.c
@@ -1,6 +1,7 @@
 /* Answers to zpctl that are cut, or that come from some other program.  */
 
 #include "ctl-fixture.h"
+#include "invalid-statuses.h"
 
 #include <sys/socket.h>
 #include <unistd.h>
@@ -85,6 +86,28 @@
     }
 }
 
+/* Guards against an answer with an invalid status that tells the operator that
+   a ticket was accepted or refused.  */
+static void
+test_invalid_statuses (void)
+{
+  for (size_t i = 0; i < INVALID_STATUSES; i++)
+    {
+      char text[256];
+      struct cutting_server s = { .text = text };
+      struct fixture f;
+      fixture_open (&f);
+      snprintf (text, sizeof text,
+                "HTTP/1.1 %s Text\r\nContent-Length: 2\r\n\r\n{}",
+                invalid_statuses[i]);
+      cutting_server_open (&s, &f.loop);
+      tk_loop_start (&f.loop);
+      check_answer (s.address, f.b.address, f.b.address);
+      fixture_close (&f);
+      close (s.accepting.fd);
+    }
+}
+
 /* Guards against the same after a redirect, and against a redirect that is
    followed although its address is cut.  */
 static void
@@ -247,6 +270,7 @@
 
 static const struct zp_test tests[] = {
   { "answers that are cut", test_cut_answers },
+  { "invalid status codes", test_invalid_statuses },
   { "a redirect to an answer that is cut", test_redirect_to_a_cut_answer },
   { "a redirect that is cut", test_cut_redirect },
   { "answers that are read from two", test_spliced_answers },
--- a/tests/test-front.c
+++ b/tests/test-front.c
@@ -17,9 +17,10 @@
   char address[ZP_ADDRESS_MAX];
   struct tk_msg *request; /* the last one */
   int requests;
-  int left;  /* number of TK_CALLER_LEFT */
-  bool hold; /* on_message does not answer */
-  int fd;    /* the caller's socket */
+  int left;        /* number of TK_CALLER_LEFT */
+  bool hold;       /* on_message does not answer */
+  unsigned status; /* of the answers */
+  int fd;          /* the caller's socket */
   char answer[65536];
   size_t answer_len;
   ev_io reading;
@@ -32,7 +33,7 @@
   struct tk_msg *m = tk_msg_new (TK_HTTP_ANSWER);
 
   m->u.answer.id = id;
-  m->u.answer.status = 200;
+  m->u.answer.status = f->status;
   m->u.answer.has_verdict = true;
   m->u.answer.verdict = ZP_RAN;
   zp_buf_put (&m->u.answer.headers, ZP_STR ("X-Count: 3\n"));
@@ -82,7 +83,7 @@
   struct sockaddr_storage sa;
   socklen_t len;
 
-  *f = (struct fixture){ .request = NULL };
+  *f = (struct fixture){ .status = 200 };
   snprintf (f->address, sizeof f->address, "%s", test_address (19381));
   tk_loop_init (&f->loop);
   tk_task_init (&f->task, &f->loop, on_message, f);
@@ -330,12 +331,34 @@
   close_fixture (&f);
 }
 
+/* Guards against an answer whose status was never set, and that reaches the
+   caller as status 000 or ends its connection.  */
+static void
+test_unset_status (void)
+{
+  static const unsigned statuses[] = { 0, 20, 99, 100, 101, 600, 999, 2000 };
+
+  for (size_t i = 0; i < sizeof statuses / sizeof statuses[0]; i++)
+    {
+      struct fixture f;
+      open_fixture (&f);
+      f.status = statuses[i];
+      send_text (&f, "GET /a/x HTTP/1.1\r\nHost: h\r\n\r\n");
+      while (!strstr (f.answer, "\r\n\r\n"))
+        ev_run (f.loop.ev, 0);
+      CU_ASSERT (strncmp (f.answer, "HTTP/1.1 502 ", 13) == 0);
+      CU_ASSERT (strstr (f.answer, "X-Count") == NULL);
+      close_fixture (&f);
+    }
+}
+
 static const struct zp_test tests[]
     = { { "request and answer", test_request_and_answer },
         { "invalid header values are refused",
           test_invalid_header_values_are_refused },
         { "body limit", test_body_limit },
         { "the caller leaves", test_caller_leaves },
+        { "a status that was not set", test_unset_status },
         { "a malformed request", test_malformed_request },
         { "a stop with callers in the queue",
           test_stop_with_callers_in_the_queue },
