gate, site, front, forward: workspaces of routed requests

Cause: no part knew the API keys of workspaces; the key of a caller and a workspace name that it set itself went to the backend server.

Change: a site holds workspaces and a table of digests of their keys. The gate looks up the key after the route, wipes it, and refuses a request without a valid key with 401 unless its route is public. The server gets the name of the workspace; the headers of the caller with the key and the name are never forwarded. The priority of a workspace replaces that of the route, and only regions in both lists of homes serve the request. The platform's document has workspaces in "tenants"; errors name the workspace and never quote a key. Programs exclude their memory from core dumps.

--- a/src/backend/main.c
+++ b/src/backend/main.c
@@ -7,6 +7,7 @@
 #include "backend/server.h"
 #include "base/arguments.h"
 #include "base/log.h"
+#include "base/process.h"
 
 #define PART "main"
 #define STOP_REPEAT 0.5 /* seconds; a server that crashes drops TK_STOP */
@@ -105,6 +106,7 @@
   struct zp_report report = { .count = 0 };
   struct zp_err err;
 
+  zp_process_forbid_cores ();
   zp_arguments_parse (argc, argv,
                       "Stub for the backend servers of one service", false,
                       &p->arguments);
--- a/src/base/field.c
+++ b/src/base/field.c
@@ -5,6 +5,7 @@
 static const char *const names[ZP_KEYS] = {
   [ZP_KEY_REQUEST] = "request",
   [ZP_KEY_SERVICE] = "service",
+  [ZP_KEY_WORKSPACE] = "workspace",
   [ZP_KEY_SERVER] = "server",
   [ZP_KEY_BEST_SERVER] = "best_server",
   [ZP_KEY_DAEMON] = "daemon",
--- a/src/base/field.h
+++ b/src/base/field.h
@@ -15,6 +15,7 @@
   /* The object that the line is about.  */
   ZP_KEY_REQUEST,
   ZP_KEY_SERVICE,
+  ZP_KEY_WORKSPACE,
   ZP_KEY_SERVER,
   ZP_KEY_BEST_SERVER,
   ZP_KEY_DAEMON,
--- a/src/base/str.c
+++ b/src/base/str.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <sodium.h>
 #include <xxhash.h>
 
 /* Views.  */
@@ -184,6 +185,14 @@
   *b = (struct zp_buf){ .ptr = NULL };
 }
 
+void
+zp_buf_wipe (struct zp_buf *b)
+{
+  if (b->ptr)
+    sodium_memzero (b->ptr, b->cap);
+  zp_buf_free (b);
+}
+
 struct zp_buf
 zp_buf_from (struct zp_str s)
 {
--- a/src/base/str.h
+++ b/src/base/str.h
@@ -75,6 +75,9 @@
 void zp_buf_clear (struct zp_buf *b);
 void zp_buf_free (struct zp_buf *b);
 
+/* The same for a secret: overwrites its bytes first.  */
+void zp_buf_wipe (struct zp_buf *b);
+
 /* A new buffer with a copy of S.  */
 struct zp_buf zp_buf_from (struct zp_str s);
 
--- a/src/control/program.c
+++ b/src/control/program.c
@@ -7,6 +7,7 @@
 
 #include "base/arguments.h"
 #include "base/log.h"
+#include "base/process.h"
 #include "control/control.h"
 #include "roster/seeds.h"
 #include "task/signals.h"
@@ -110,6 +111,7 @@
   struct ct_settings settings;
   int status = EXIT_FAILURE;
 
+  zp_process_forbid_cores ();
   tk_signals_hold ();
   zp_arguments_parse (argc, argv, doc, false, &o);
   zp_log_open (name, o.verbose ? ZP_LOG_DEBUG : ZP_LOG_INFO, STDOUT_FILENO);
--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "base/arguments.h"
+#include "base/process.h"
 #include "ctl/command.h"
 #include "ticket/ticket.h"
 
@@ -277,6 +278,7 @@
   struct options o = { .timeout_s = TIMEOUT_DEFAULT_S };
   struct zc_command cmd;
 
+  zp_process_forbid_cores ();
   argp_err_exit_status = ZC_USAGE;
   argp_program_version = ZP_VERSION;
   argp_parse (&argp, argc, argv, 0, NULL, &o);
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -5,6 +5,7 @@
 
 #include "base/arguments.h"
 #include "base/log.h"
+#include "base/process.h"
 #include "entry/router.h"
 #include "follow/follower.h"
 #include "follow/source.h"
@@ -206,6 +207,7 @@
   struct zp_report report = { .count = 0 };
   int status = EXIT_SUCCESS;
 
+  zp_process_forbid_cores ();
   tk_signals_hold ();
   zp_arguments_parse (argc, argv, doc, false, &a);
   zp_log_open ("zp-entry", ZP_LOG_INFO, STDOUT_FILENO);
--- a/src/forward/options.c
+++ b/src/forward/options.c
@@ -51,6 +51,9 @@
                       ZP_ARG (zp_str_of (&f->request_id)));
   if (names->expect && f->expect[0])
     add_request_header (t, "%s: %s", names->expect, f->expect);
+  if (names->workspace && f->workspace.len > 0)
+    add_request_header (t, "%s: %.*s", names->workspace,
+                        ZP_ARG (zp_str_of (&f->workspace)));
   /* The backend server gets the Host header of the caller's request.  */
   if (f->host.len > 0)
     add_request_header (t, "Host: %.*s", ZP_ARG (zp_str_of (&f->host)));
--- a/src/front/header.c
+++ b/src/front/header.c
@@ -29,6 +29,8 @@
   .request_id = "Request-Id",
   .verdict = "Run-Verdict",
   .key = "Idempotency-Key",
+  .credential = "Workspace-Key",
+  .workspace = "Workspace",
 };
 
 bool
@@ -72,8 +74,8 @@
   return c == ' ' || c == '\t';
 }
 
-static struct zp_str
-trim (struct zp_str s)
+struct zp_str
+fr_header_trim (struct zp_str s)
 {
   while (s.len > 0 && is_blank (s.ptr[0]))
     {
@@ -97,7 +99,7 @@
   if (line.len > 0 && line.ptr[line.len - 1] == '\r')
     line.len--;
   zp_str_split (line, ':', name, value);
-  *value = trim (*value);
+  *value = fr_header_trim (*value);
   return true;
 }
 
@@ -109,7 +111,7 @@
   while (list.len > 0)
     {
       zp_str_split (list, ',', &part, &list);
-      if (fr_header_is (trim (part), token))
+      if (fr_header_is (fr_header_trim (part), token))
         return true;
     }
   return false;
--- a/src/front/header.h
+++ b/src/front/header.h
@@ -51,6 +51,9 @@
 void fr_header_put (const struct fr_header_names *names, struct zp_buf *block,
                     struct zp_str name, struct zp_str value);
 
+/* VALUE without surrounding spaces and tabs.  */
+struct zp_str fr_header_trim (struct zp_str value);
+
 /* Removes the first line of REST and splits it into NAME and VALUE, without
    surrounding spaces and tabs.  Returns false when REST is empty.  */
 bool fr_header_next (struct zp_str *rest, struct zp_str *name,
--- a/src/front/request.c
+++ b/src/front/request.c
@@ -17,6 +17,7 @@
   FIELD_REQUEST_ID,
   FIELD_HOST,
   FIELD_AFFINITY,
+  FIELD_CREDENTIAL,
   FIELD_OTHER,
 };
 
@@ -39,6 +40,7 @@
     [FIELD_REQUEST_ID] = names->request_id,
     [FIELD_HOST] = "Host",
     [FIELD_AFFINITY] = names->affinity,
+    [FIELD_CREDENTIAL] = names->credential,
   };
 
   for (unsigned i = 0; i < FIELD_OTHER; i++)
@@ -107,6 +109,9 @@
       zp_buf_put (&r->affinity, v);
       fr_header_put (c->names, &r->headers, n, v);
       break;
+    case FIELD_CREDENTIAL:
+      zp_buf_put (&r->credential, fr_header_trim (v));
+      break;
     case FIELD_OTHER:
       fr_header_put (c->names, &r->headers, n, v);
       break;
--- a/src/gate/dispatch.c
+++ b/src/gate/dispatch.c
@@ -34,6 +34,7 @@
   zp_buf_put (&f->headers, zp_str_of (&h->headers));
   zp_buf_put (&f->body, zp_str_of (&h->body));
   zp_buf_put (&f->request_id, zp_str_of (&h->request_id));
+  zp_buf_put (&f->workspace, zp_str_of (&q->workspace));
   if (s->service->settings)
     zp_buf_put (&f->health_path,
                 zp_str_of (&s->service->settings->health_path));
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -360,11 +360,7 @@
   uint32_t at = 0;
 
   while ((q = zp_slots_next (&g->requests, &at)))
-    {
-      tk_msg_free (q->msg);
-      zp_buf_free (&q->home_regions);
-      free (q);
-    }
+    gt_request_discard (q);
   zp_slots_free (&g->requests);
 }
 
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -180,8 +180,15 @@
   zp_time objective;    /* for the latency; 0: none */
   uint64_t affinity;    /* hash of the affinity key; 0: no key */
   uint64_t fingerprint; /* hash of method, host, path, query and body */
-  struct zp_buf
-      home_regions; /* regions allowed to serve it, one a line; empty: all */
+
+  /* From its workspace, if it has one.  */
+  struct zp_buf workspace; /* its name; empty: none */
+  uint64_t workspace_hash; /* of the name; 0: none */
+
+  /* From its route and its workspace.  */
+  bool any_region;            /* HOME_REGIONS does not apply */
+  struct zp_buf home_regions; /* allowed to serve it, one a line; empty: none
+                                 can */
 
   zp_time arrived, deadline;
   struct st_queue_ref queue_ref;
@@ -358,7 +365,8 @@
 
 /* request.c */
 
-/* Starts the request of M, which it takes over.  */
+/* Starts the request of M, which it takes over.  The request is refused when the
+   site needs a key and its key is missing or unknown.  */
 void gt_request_start (struct gt_gate *g, struct tk_msg *m);
 
 /* Cancels a request whose caller has left.  */
@@ -376,6 +384,9 @@
                         const char *reason, bool retry_later);
 void gt_request_free (struct gt_gate *g, struct gt_request *q);
 
+/* Releases Q without an answer, and without removing it from the gate.  */
+void gt_request_discard (struct gt_request *q);
+
 /* choose.c: chooses a server for Q.  Sets OUT when the choice is
    ST_BALANCE_SEND.  */
 struct st_balance_choice gt_choose (struct gt_gate *g,
@@ -401,6 +412,10 @@
 void gt_log_no_route (const struct gt_gate *g,
                       const struct tk_http_request *h);
 
+/* A request is refused for REASON: its key is missing or unknown.  */
+void gt_log_no_key (const struct gt_gate *g, const struct tk_http_request *h,
+                    const char *reason);
+
 /* dispatch.c */
 
 /* Sends Q to a server, queues it or refuses it.  */
--- a/src/gate/log.c
+++ b/src/gate/log.c
@@ -51,6 +51,7 @@
       ZP_LOG_INFO, PART, "an attempt at a server has ended",
       ZP_F_TEXT (ZP_KEY_REQUEST, id_of (q)),
       ZP_F_TEXT (ZP_KEY_SERVICE, zp_str_from (q->service->name)),
+      ZP_F_TEXT (ZP_KEY_WORKSPACE, zp_str_of (&q->workspace)),
       ZP_F_INT (ZP_KEY_CONFIGURATION, g->site ? g->site->number : 0),
       ZP_F_TEXT (ZP_KEY_SERVER, zp_str_from (c->server)),
       ZP_F_INT (ZP_KEY_ATTEMPT, q->attempts),
@@ -81,6 +82,7 @@
       ZP_LOG_INFO, PART, "a request is refused",
       ZP_F_TEXT (ZP_KEY_REQUEST, id_of (q)),
       ZP_F_TEXT (ZP_KEY_SERVICE, zp_str_from (q->service->name)),
+      ZP_F_TEXT (ZP_KEY_WORKSPACE, zp_str_of (&q->workspace)),
       ZP_F_INT (ZP_KEY_CONFIGURATION, g->site ? g->site->number : 0),
       ZP_F_TEXT (ZP_KEY_REASON, zp_str_from (reason)),
       ZP_F_TEXT (ZP_KEY_VERDICT, zp_str_from (zp_verdict_name (q->verdict))),
@@ -116,3 +118,15 @@
             ZP_F_TEXT (ZP_KEY_HOST, zp_str_of (&h->host)),
             ZP_F_TEXT (ZP_KEY_PATH, zp_str_of (&h->path)));
 }
+
+void
+gt_log_no_key (const struct gt_gate *g, const struct tk_http_request *h,
+               const char *reason)
+{
+  ZP_EVENT (ZP_LOG_INFO, PART, "a request has no valid key",
+            ZP_F_TEXT (ZP_KEY_REQUEST, zp_str_of (&h->request_id)),
+            ZP_F_INT (ZP_KEY_CONFIGURATION, g->site->number),
+            ZP_F_TEXT (ZP_KEY_HOST, zp_str_of (&h->host)),
+            ZP_F_TEXT (ZP_KEY_PATH, zp_str_of (&h->path)),
+            ZP_F_TEXT (ZP_KEY_REASON, zp_str_from (reason)));
+}
--- a/src/gate/request.c
+++ b/src/gate/request.c
@@ -20,9 +20,16 @@
 gt_request_free (struct gt_gate *g, struct gt_request *q)
 {
   assert (q->phase == GT_UNASSIGNED);
+  zp_slots_remove (&g->requests, q->id);
+  gt_request_discard (q);
+}
+
+void
+gt_request_discard (struct gt_request *q)
+{
   tk_msg_free (q->msg);
+  zp_buf_free (&q->workspace);
   zp_buf_free (&q->home_regions);
-  zp_slots_remove (&g->requests, q->id);
   free (q);
 }
 
@@ -148,6 +155,103 @@
   return zp_str_hash (zp_str_of (&h->body), f);
 }
 
+/* Whose request it is.  */
+enum identity_kind
+{
+  IDENTITY_NONE, /* a workspace is not needed */
+  IDENTITY_WORKSPACE,
+  IDENTITY_REFUSED,
+};
+
+struct identity
+{
+  enum identity_kind kind;
+  union
+  {
+    const struct si_workspace *workspace; /* IDENTITY_WORKSPACE */
+    const char *reason;                   /* IDENTITY_REFUSED */
+  } u;
+};
+
+/* Looks up the key of H, a request on route R.  */
+static struct identity
+identify (const struct gt_gate *g, const struct si_route *r,
+          const struct tk_http_request *h)
+{
+  struct zp_str key = zp_str_of (&h->credential);
+
+  if (!g->site->needs_key || r->is_public)
+    return (struct identity){ .kind = IDENTITY_NONE };
+  if (key.len == 0)
+    return (struct identity){ .kind = IDENTITY_REFUSED, .u.reason = "no-key" };
+  const struct si_workspace *w = si_site_workspace (g->site, key);
+  if (!w)
+    return (struct identity){ .kind = IDENTITY_REFUSED,
+                              .u.reason = "unknown-key" };
+  return (struct identity){ .kind = IDENTITY_WORKSPACE, .u.workspace = w };
+}
+
+/* Answers the request of M, whose key is missing or unknown, and frees M.  */
+static void
+refuse_key (struct gt_gate *g, struct tk_msg *m, const char *reason)
+{
+  const struct tk_http_request *h = &m->u.request;
+
+  zp_count (zp_counter ("zp_key_refused_total", ""), 1);
+  gt_log_no_key (g, h, reason);
+  send_refusal (h->from, h->id, 401, ZP_NOT_RUN, reason, 0);
+  tk_msg_free (m);
+}
+
+static unsigned
+queue_class (unsigned priority)
+{
+  return priority < ST_QUEUE_CLASSES ? priority : ST_QUEUE_CLASSES - 1;
+}
+
+static bool
+has_region (const struct zp_buf *list, size_t n, struct zp_str region)
+{
+  for (size_t i = 0; i < n; i++)
+    if (zp_str_eq (zp_str_of (&list[i]), region))
+      return true;
+  return false;
+}
+
+/* Sets the regions that both the route R and the workspace W allow.  W can be
+   NULL.  */
+static void
+set_home_regions (struct gt_request *q, const struct si_route *r,
+                  const struct si_workspace *w)
+{
+  const struct zp_buf *list = r->home;
+  size_t n = r->homes;
+
+  if (n == 0 && w)
+    {
+      list = w->home;
+      n = w->homes;
+    }
+  q->any_region = n == 0;
+  for (size_t i = 0; i < n; i++)
+    {
+      struct zp_str region = zp_str_of (&list[i]);
+      if (!w || w->homes == 0 || has_region (w->home, w->homes, region))
+        zp_buf_printf (&q->home_regions, "%.*s\n", ZP_ARG (region));
+    }
+}
+
+/* Fills Q with the properties of its workspace.  They are copied, because Q can
+   outlive the site.  */
+static void
+apply_workspace (struct gt_request *q, const struct si_workspace *w)
+{
+  q->workspace = zp_buf_from (zp_str_of (&w->name));
+  q->workspace_hash = w->hash;
+  if (w->has_priority)
+    q->priority = queue_class (w->priority);
+}
+
 /* Fills Q with the properties of its route.  */
 static void
 apply_route (struct gt_request *q, const struct si_route *r)
@@ -157,15 +261,11 @@
 
   q->fingerprint = fingerprint_of (h);
   q->idempotent = r->class == SI_IDEMPOTENT;
-  q->priority
-      = r->priority < ST_QUEUE_CLASSES ? r->priority : ST_QUEUE_CLASSES - 1;
+  q->priority = queue_class (r->priority);
   q->attempts_max = r->attempts > 0 ? r->attempts : 1;
   q->objective = r->objective;
   if (r->sticky && key.len > 0)
     q->affinity = zp_str_hash (key, 1);
-  for (size_t i = 0; i < r->homes; i++)
-    zp_buf_printf (&q->home_regions, "%.*s\n",
-                   ZP_ARG (zp_str_of (&r->home[i])));
   q->deadline
       = h->deadline > 0 ? h->deadline : q->arrived + ZP_DEADLINE_DEFAULT;
   if (r->timeout > 0 && q->arrived + r->timeout < q->deadline)
@@ -193,6 +293,15 @@
       tk_msg_free (m);
       return;
     }
+  struct identity who = identify (g, r, h);
+  zp_buf_wipe (&h->credential);
+  if (who.kind == IDENTITY_REFUSED)
+    {
+      refuse_key (g, m, who.u.reason);
+      return;
+    }
+  const struct si_workspace *w
+      = who.kind == IDENTITY_WORKSPACE ? who.u.workspace : NULL;
   struct gt_request *q = zp_alloc (sizeof *q);
   q->msg = m;
   q->front_id = h->id;
@@ -201,6 +310,9 @@
   q->verdict = ZP_NOT_RUN;
   q->service = choose_service (g, r);
   apply_route (q, r);
+  set_home_regions (q, r, w);
+  if (w)
+    apply_workspace (q, w);
   q->id = zp_slots_put (&g->requests, q);
   zp_idmap_put (&g->by_front_id, q->front_id, q->id);
   zp_count (q->service->requests, 1);
--- a/src/gate/servers.c
+++ b/src/gate/servers.c
@@ -379,14 +379,14 @@
   g->lost_at = zp_clock_mono ();
 }
 
-/* Whether the route of Q allows the region of S.  */
+/* Whether the route and the workspace of Q allow the region of S.  */
 static bool
 in_home_region (const struct gt_gate *g, const struct gt_request *q,
                 const struct gt_server *s)
 {
   struct zp_str rest = zp_str_of (&q->home_regions), home;
 
-  if (rest.len == 0)
+  if (q->any_region)
     return true;
   struct zp_str region = gt_settings_region (
       g->settings, zp_str_from (s->report.failure_domain));
--- a/src/load/main.c
+++ b/src/load/main.c
@@ -5,6 +5,7 @@
 
 #include "base/arguments.h"
 #include "base/log.h"
+#include "base/process.h"
 #include "load/run.h"
 
 #define PART "main"
@@ -61,6 +62,7 @@
   struct zp_report report = { .count = 0 };
   struct zp_err err;
 
+  zp_process_forbid_cores ();
   zp_arguments_parse (argc, argv, "Load generator that checks every answer",
                       true, &p->arguments);
   signal (SIGPIPE, SIG_IGN);
--- a/src/site/site.c
+++ b/src/site/site.c
@@ -1,5 +1,7 @@
 #include "site/site.h"
 
+#include <assert.h>
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -56,6 +58,37 @@
   free (r->home);
 }
 
+void
+si_site_add_workspace (struct si_site *s, const struct si_workspace *workspace)
+{
+  s->workspace
+      = zp_realloc (s->workspace, (s->workspaces + 1) * sizeof *s->workspace);
+  s->workspace[s->workspaces++] = *workspace;
+}
+
+void
+si_site_add_key (struct si_site *s, struct zp_str key)
+{
+  assert (s->workspaces > 0);
+  si_keys_add (&s->keys, key, s->workspaces - 1);
+}
+
+void
+si_workspace_add_home (struct si_workspace *w, struct zp_str region)
+{
+  w->home = zp_realloc (w->home, (w->homes + 1) * sizeof *w->home);
+  w->home[w->homes++] = zp_buf_from (region);
+}
+
+void
+si_workspace_clear (struct si_workspace *w)
+{
+  zp_buf_free (&w->name);
+  for (size_t i = 0; i < w->homes; i++)
+    zp_buf_free (&w->home[i]);
+  free (w->home);
+}
+
 void
 si_site_free (struct si_site *s)
 {
@@ -68,6 +101,10 @@
       zp_buf_free (&s->service[i].name);
       zp_buf_free (&s->service[i].health_path);
     }
+  for (size_t i = 0; i < s->workspaces; i++)
+    si_workspace_clear (&s->workspace[i]);
+  si_keys_free (&s->keys);
+  free (s->workspace);
   free (s->route);
   free (s->service);
   free (s);
@@ -131,9 +168,68 @@
                      ZP_ARG (zp_str_of (&r->name)));
 }
 
+/* Whether NAME can be the value of a header.  */
+static bool
+is_workspace_name (struct zp_str name)
+{
+  for (size_t i = 0; i < name.len; i++)
+    if ((unsigned char) name.ptr[i] < ' ' || name.ptr[i] == 0x7f)
+      return false;
+  return name.len > 0;
+}
+
+static bool
+is_limit (double v)
+{
+  return isfinite (v) && v >= 0;
+}
+
+/* Checks the workspace at AT, also against those before it.  */
+static bool
+check_workspace (struct si_site *s, size_t at, struct zp_err *err)
+{
+  struct si_workspace *w = &s->workspace[at];
+  struct zp_str name = zp_str_of (&w->name);
+
+  if (!is_workspace_name (name))
+    return zp_fail (err, ZP_EINVAL,
+                    "workspace %zu of the list: its name is empty or has a "
+                    "control character",
+                    at + 1);
+  if (!is_limit (w->rate_per_s) || !is_limit (w->burst))
+    return zp_fail (err, ZP_EINVAL,
+                    "workspace \"%.*s\": allowed as its rate and burst: "
+                    "finite numbers from 0 on",
+                    ZP_ARG (name));
+  /* The hash identifies the workspace between daemons.  */
+  w->hash = zp_str_hash (name, 0);
+  for (size_t i = 0; i < at; i++)
+    if (s->workspace[i].hash == w->hash)
+      return zp_fail (err, ZP_EINVAL, "workspace \"%.*s\" is defined twice",
+                      ZP_ARG (name));
+  return true;
+}
+
+static bool
+check_workspaces (struct si_site *s, struct zp_err *err)
+{
+  size_t a, b;
+
+  for (size_t i = 0; i < s->workspaces; i++)
+    if (!check_workspace (s, i, err))
+      return false;
+  return si_keys_seal (&s->keys, &a, &b)
+         || zp_fail (err, ZP_EINVAL,
+                     "workspaces \"%.*s\" and \"%.*s\" have the same key",
+                     ZP_ARG (zp_str_of (&s->workspace[a].name)),
+                     ZP_ARG (zp_str_of (&s->workspace[b].name)));
+}
+
 bool
 si_site_seal (struct si_site *s, struct zp_err *err)
 {
+  if (!check_workspaces (s, err))
+    return false;
   for (size_t i = 0; i < s->services; i++)
     if (si_site_service (s, zp_str_of (&s->service[i].name)) != &s->service[i])
       return zp_fail (err, ZP_EINVAL, "service \"%.*s\" is defined twice",
@@ -183,6 +279,14 @@
   return NULL;
 }
 
+const struct si_workspace *
+si_site_workspace (const struct si_site *s, struct zp_str key)
+{
+  size_t at;
+
+  return si_keys_find (&s->keys, key, &at) ? &s->workspace[at] : NULL;
+}
+
 const struct si_service *
 si_site_service (const struct si_site *s, struct zp_str name)
 {
--- a/src/site/site.h
+++ b/src/site/site.h
@@ -17,17 +17,24 @@
      prefix that the path begins with.  A route leads to one service, or splits
      its requests among several by weight.
 
+     A site with workspaces serves a request only with a key of one of them,
+     unless the route of the request is public.
+
    ERRORS
      si_site_seal fails when a route has no host, a prefix that does not begin
      with "/", no service, an unknown service, or only weights of 0, when two
      routes have the same host and prefix, and when two services have the same
-     name.  */
+     name.  It also fails when a workspace has no name, a control character in
+     its name (which is sent as a header), or a limit that is negative or not
+     finite, and when two workspaces have the same name or the same key.  The
+     errors never quote a key.  */
 
 #ifndef ZP_SITE_SITE_H
 #define ZP_SITE_SITE_H
 
 #include "base/clock.h"
 #include "base/err.h"
+#include "site/keys.h"
 
 enum si_class
 {
@@ -99,7 +106,8 @@
   struct si_limits limits;
   struct si_workspace *workspace;
   size_t workspaces;
-  bool needs_key; /* requests need a key, unless their route is public */
+  struct si_keys keys; /* to indexes in WORKSPACE */
+  bool needs_key;      /* requests need a key, unless their route is public */
 };
 
 struct si_site *si_site_new (uint64_t number);
@@ -114,6 +122,17 @@
 /* Releases what R holds, not R.  */
 void si_route_clear (struct si_route *r);
 
+/* Takes ownership of what the argument holds.  */
+void si_site_add_workspace (struct si_site *s,
+                            const struct si_workspace *workspace);
+
+/* Adds a key of the workspace that was added last.  */
+void si_site_add_key (struct si_site *s, struct zp_str key);
+void si_workspace_add_home (struct si_workspace *w, struct zp_str region);
+
+/* Releases what W holds, not W.  */
+void si_workspace_clear (struct si_workspace *w);
+
 /* Checks the site, sorts its routes and looks up their services.  */
 bool si_site_seal (struct si_site *s, struct zp_err *err);
 void si_site_free (struct si_site *s);
@@ -122,6 +141,10 @@
 const struct si_route *si_site_route (const struct si_site *s,
                                       struct zp_str host, struct zp_str path);
 
+/* The workspace that has KEY, or NULL.  */
+const struct si_workspace *si_site_workspace (const struct si_site *s,
+                                              struct zp_str key);
+
 /* The service NAME, or NULL.  */
 const struct si_service *si_site_service (const struct si_site *s,
                                           struct zp_str name);
--- a/src/task/msg.c
+++ b/src/task/msg.c
@@ -39,7 +39,7 @@
       zp_buf_free (&m->u.request.host);
       zp_buf_free (&m->u.request.request_id);
       zp_buf_free (&m->u.request.affinity);
-      zp_buf_free (&m->u.request.credential);
+      zp_buf_wipe (&m->u.request.credential);
       zp_buf_free (&m->u.request.method);
       zp_buf_free (&m->u.request.path);
       zp_buf_free (&m->u.request.query);
--- a/src/trace/cause.c
+++ b/src/trace/cause.c
@@ -130,6 +130,8 @@
   { "unknown-service", TR_CAUSE_CALLER },
   { "key-required", TR_CAUSE_CALLER },
   { "bad-key", TR_CAUSE_CALLER },
+  { "no-key", TR_CAUSE_CALLER },
+  { "unknown-key", TR_CAUSE_CALLER },
   { "key-taken", TR_CAUSE_CALLER },
   { "body-too-large", TR_CAUSE_CALLER },
   { "bad-header", TR_CAUSE_CALLER },
@@ -234,7 +236,7 @@
   static const enum zp_field_key keys[]
       = { ZP_KEY_REQUEST,     ZP_KEY_SERVICE, ZP_KEY_SERVER,
           ZP_KEY_BEST_SERVER, ZP_KEY_DAEMON,  ZP_KEY_FAILURE_DOMAIN,
-          ZP_KEY_TICKET,      ZP_KEY_ADDRESS };
+          ZP_KEY_TICKET,      ZP_KEY_ADDRESS, ZP_KEY_WORKSPACE };
   uint64_t number;
 
   for (size_t i = 0; i < sizeof keys / sizeof keys[0]; i++)
--- a/tests/platform-fixture.h
+++ b/tests/platform-fixture.h
@@ -193,6 +193,7 @@
   struct tk_msg *held; /* request without an answer yet */
   bool hold;           /* do not answer the next request */
   unsigned served;
+  char headers[1024]; /* of the last request, with those of workspaces */
 };
 
 static inline void
@@ -218,6 +219,8 @@
   if (m->kind == TK_HTTP_REQUEST)
     {
       s->served++;
+      zp_str_copy (s->headers, sizeof s->headers,
+                   zp_str_of (&m->u.request.headers));
       if (s->hold)
         {
           s->held = m;
@@ -244,6 +247,9 @@
 
 /* HTTP calls of the test.  */
 
+/* Header lines that all calls have in addition; NULL ends them.  */
+static const char *more_headers[4];
+
 struct reply
 {
   long status;
@@ -298,6 +304,8 @@
   headers = curl_slist_append (headers, "X-Request-Id: 9c41d07be2a35f68");
   headers = curl_slist_append (headers, "X-Deadline-Ms: 4000");
   headers = curl_slist_append (headers, "Expect:");
+  for (size_t i = 0; more_headers[i]; i++)
+    headers = curl_slist_append (headers, more_headers[i]);
   curl_easy_setopt (c, CURLOPT_URL, url);
   curl_easy_setopt (c, CURLOPT_PROXY, "");
   curl_easy_setopt (c, CURLOPT_NOSIGNAL, 1L);
@@ -400,12 +408,17 @@
 static inline void
 open_stub (void)
 {
+  /* The front drops headers of these names; the tests look for them.  */
+  static struct fr_header_names names;
   char address[64];
 
+  names = pf_names;
+  names.credential = names.workspace = NULL;
+
   snprintf (address, sizeof address, "%s:%d", ip (ENTRY + 1), PORT_SERVER);
   const struct fr_options o = { .address = zp_str_from (address),
                                 .decider = &stub.task,
-                                .names = &pf_names,
+                                .names = &names,
                                 .idle_max = 60 * ZP_SEC,
                                 .body_max = 65536 };
   tk_loop_init (&stub.loop);
--- a/tests/test-forward.c
+++ b/tests/test-forward.c
@@ -359,7 +359,37 @@
   close_fixture (&f);
 }
 
+/* Guards against a server that does not learn whose request it is, and against
+   a header for requests without a workspace.  */
+static void
+test_workspace_header (void)
+{
+  static const char *const answers[]
+      = { OK "Request-Id: r7\r\n\r\nhi", OK "Request-Id: r7\r\n\r\nhi", NULL };
+  struct fixture f;
+
+  open_fixture (&f, answers);
+  CU_ASSERT_EQUAL (exchange (&f, 5 * ZP_SEC)->end, TK_END_ANSWER);
+  CU_ASSERT (!HAS_TEXT (f.server.last, "Workspace"));
+  struct tk_msg *m = tk_msg_new (TK_FORWARD);
+  m->u.forward.id = 99;
+  snprintf (m->u.forward.address, sizeof m->u.forward.address, "%s",
+            f.address);
+  zp_buf_put (&m->u.forward.method, ZP_STR ("GET"));
+  zp_buf_put (&m->u.forward.target, ZP_STR ("/x"));
+  zp_buf_put (&m->u.forward.request_id, ZP_STR ("r7"));
+  zp_buf_put (&m->u.forward.workspace, ZP_STR ("acme & sons"));
+  m->u.forward.deadline = zp_clock_mono () + 5 * ZP_SEC;
+  tk_send (fw_client_task (f.client), m);
+  ev_run (f.loop.ev, 0);
+  CU_ASSERT_EQUAL (f.done->u.done.end, TK_END_ANSWER);
+  CU_ASSERT (HAS_TEXT (f.server.last, "\r\nWorkspace: acme & sons\r\n"));
+  CU_ASSERT (!HAS_TEXT (f.server.last, "Workspace-Key"));
+  close_fixture (&f);
+}
+
 static const struct zp_test tests[] = {
+  { "the workspace of a request", test_workspace_header },
   { "a pause before sending", test_pause_before_sending },
   { "a copy of an earlier answer", test_copy_of_an_earlier_answer },
   { "a refusal without id", test_refusal_without_id },
--- a/tests/test-front.c
+++ b/tests/test-front.c
@@ -330,6 +330,90 @@
   close_fixture (&f);
 }
 
+/* Guards against a caller that chooses its workspace itself, and against a key
+   that is forwarded to the server, under any spelling of the headers.  */
+static void
+test_headers_of_workspaces (void)
+{
+  struct fixture f;
+
+  open_fixture (&f);
+  send_text (&f, "GET /x HTTP/1.1\r\nHost: h\r\nWorkspace: forged\r\n"
+                 "X-A: 1\r\nworkspace-KEY:  k-1 \r\nWORKSPACE: again\r\n"
+                 "\r\n");
+  ev_run (f.loop.ev, 0);
+  CU_ASSERT_EQUAL_FATAL (f.requests, 1);
+  const struct tk_http_request *r = &f.request->u.request;
+  CU_ASSERT (zp_str_eq (zp_str_of (&r->credential), ZP_STR ("k-1")));
+  CU_ASSERT (zp_str_eq (zp_str_of (&r->headers), ZP_STR ("X-A: 1\n")));
+  CU_ASSERT (!HAS_TEXT (f.answer, "k-1"));
+  send_text (&f, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+  ev_run (f.loop.ev, 0);
+  CU_ASSERT_EQUAL_FATAL (f.requests, 2);
+  CU_ASSERT_EQUAL (f.request->u.request.credential.len, 0);
+  close_fixture (&f);
+}
+
+/* Guards against headers of workspaces that pass because their line is not
+   quite one: each is refused, or read as the header that it looks like.  */
+static void
+test_unusual_lines_of_workspaces (void)
+{
+  static const char *const line[]
+      = { "Workspace : forged",   "Workspace\t: forged",
+          " Workspace: forged",   "X-A: 1\r\n Workspace: forged",
+          "X-A: 1\rWorkspace: f", "X-A: 1\nWorkspace: forged",
+          "Workspace-Key : k-1" };
+
+  for (size_t i = 0; i < sizeof line / sizeof line[0]; i++)
+    {
+      struct fixture f;
+      struct zp_buf text = { .ptr = NULL };
+      open_fixture (&f);
+      zp_buf_printf (&text, "GET /x HTTP/1.1\r\nHost: h\r\n%s\r\n\r\n",
+                     line[i]);
+      send_text (&f, text.ptr);
+      while (f.answer_len == 0 && !f.guard.fired)
+        ev_run (f.loop.ev, EVRUN_ONCE);
+      if (f.request)
+        {
+          struct zp_str rest = zp_str_of (&f.request->u.request.headers);
+          struct zp_str name, value;
+          while (fr_header_next (&rest, &name, &value))
+            CU_ASSERT (zp_str_eq (name, ZP_STR ("X-A")));
+        }
+      zp_buf_free (&text);
+      close_fixture (&f);
+    }
+}
+
+/* Guards against a request whose workspace depends on which of two keys is
+   read.  */
+static void
+test_two_keys (void)
+{
+  static const char *const second[]
+      = { "Workspace-Key: k-1", "workspace-key: k-2", "Workspace-Key:" };
+
+  for (size_t i = 0; i < sizeof second / sizeof second[0]; i++)
+    {
+      struct fixture f;
+      struct zp_buf text = { .ptr = NULL };
+      open_fixture (&f);
+      zp_buf_printf (&text,
+                     "GET /x HTTP/1.1\r\nHost: h\r\nWorkspace-Key: k-1\r\n"
+                     "X-A: 1\r\n%s\r\n\r\n",
+                     second[i]);
+      send_text (&f, text.ptr);
+      ev_run (f.loop.ev, 0);
+      CU_ASSERT (HAS_TEXT (f.answer, " 400 "));
+      CU_ASSERT (!HAS_TEXT (f.answer, "k-1"));
+      CU_ASSERT_EQUAL (f.requests, 0);
+      zp_buf_free (&text);
+      close_fixture (&f);
+    }
+}
+
 static const struct zp_test tests[]
     = { { "request and answer", test_request_and_answer },
         { "invalid header values are refused",
@@ -339,6 +423,9 @@
         { "a malformed request", test_malformed_request },
         { "a stop with callers in the queue",
           test_stop_with_callers_in_the_queue },
-        { "bytes of the target", test_bytes_of_the_target } };
+        { "bytes of the target", test_bytes_of_the_target },
+        { "headers of workspaces", test_headers_of_workspaces },
+        { "unusual lines of workspaces", test_unusual_lines_of_workspaces },
+        { "two keys", test_two_keys } };
 
 TEST_MAIN ("front", tests)
--- a/tests/test-platform-document.c
+++ b/tests/test-platform-document.c
@@ -185,11 +185,175 @@
   si_site_free (s);
 }
 
+/* The good document with LIST as its workspaces.  */
+static struct si_site *
+decode_tenants (const char *list, struct zp_err *err)
+{
+  struct zp_buf text
+      = zp_buf_from ((struct zp_str){ .ptr = good, .len = sizeof good - 2 });
+
+  zp_buf_printf (&text, ",\"tenants\":%s}", list);
+  struct si_site *s = pf_document_decode (zp_str_of (&text), err);
+  zp_buf_free (&text);
+  return s;
+}
+
+/* Guards against a field of a workspace that is decoded into the wrong field of
+   the site.  */
+static void
+test_tenants (void)
+{
+  static const char list[]
+      = "[{\"name\":\"acme\",\"apiKeys\":[\"k-1\",\"k-2\"],\"ratePerS\":12.5,"
+        "\"burst\":40,\"priority\":0,\"homeRegions\":[\"sofia\",\"varna\"],"
+        "\"unknown\":[]},{\"name\":\"beta\",\"apiKeys\":[],\"ratePerS\":null,"
+        "\"homeRegions\":[]}]";
+  struct zp_err err = { .text = "" };
+  struct si_site *s = decode_tenants (list, &err);
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  CU_ASSERT (s->needs_key);
+  CU_ASSERT_EQUAL_FATAL (s->workspaces, 2);
+  const struct si_workspace *w = &s->workspace[0];
+  CU_ASSERT_PTR_EQUAL (si_site_workspace (s, ZP_STR ("k-1")), w);
+  CU_ASSERT_PTR_EQUAL (si_site_workspace (s, ZP_STR ("k-2")), w);
+  CU_ASSERT_PTR_NULL (si_site_workspace (s, ZP_STR ("acme")));
+  CU_ASSERT (zp_str_eq (zp_str_of (&w->name), ZP_STR ("acme")));
+  CU_ASSERT_DOUBLE_EQUAL (w->rate_per_s, 12.5, 1e-9);
+  CU_ASSERT_DOUBLE_EQUAL (w->burst, 40, 1e-9);
+  CU_ASSERT (w->has_priority);
+  CU_ASSERT_EQUAL (w->priority, 0);
+  CU_ASSERT_EQUAL_FATAL (w->homes, 2);
+  CU_ASSERT (zp_str_eq (zp_str_of (&w->home[1]), ZP_STR ("varna")));
+  w = &s->workspace[1];
+  CU_ASSERT (!w->has_priority);
+  CU_ASSERT_EQUAL (w->rate_per_s, 0);
+  CU_ASSERT_EQUAL (w->homes, 0);
+  si_site_free (s);
+}
+
+/* Guards against a site without a list that needs keys, and against one with an
+   empty list that needs none.  */
+static void
+test_key_is_needed (void)
+{
+  struct zp_err err = { .text = "" };
+  struct si_site *s = pf_document_decode (zp_str_from (good), &err);
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  CU_ASSERT (!s->needs_key);
+  si_site_free (s);
+  s = decode_tenants ("[]", &err);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  CU_ASSERT (s->needs_key);
+  CU_ASSERT_EQUAL (s->workspaces, 0);
+  si_site_free (s);
+}
+
+/* Guards against a route that is public without being marked so.  */
+static void
+test_public_routes (void)
+{
+  static const struct
+  {
+    const char *text;
+    bool ok, is_public;
+  } row[] = { { "", true, false },
+              { "\"public\":true,", true, true },
+              { "\"public\":false,", true, false },
+              { "\"public\":null,", true, false },
+              { "\"public\":\"false\",", false, false },
+              { "\"public\":1,", false, false } };
+  const char *at = strstr (good, "\"type\":\"safe\"");
+
+  for (size_t i = 0; i < sizeof row / sizeof row[0]; i++)
+    {
+      char text[sizeof good + 64];
+      snprintf (text, sizeof text, "%.*s%s%s", (int) (at - good), good,
+                row[i].text, at);
+      struct si_site *s = pf_document_decode (zp_str_from (text), NULL);
+      CU_ASSERT_EQUAL (s != NULL, row[i].ok);
+      if (s)
+        CU_ASSERT_EQUAL (
+            si_site_route (s, ZP_STR ("hulo84.example"), ZP_STR ("/leny/"))
+                ->is_public,
+            row[i].is_public);
+      si_site_free (s);
+    }
+}
+
+/* Guards against invalid workspaces that come into force, against errors that
+   do not say which workspace it is, and against errors that quote a key.  */
+static void
+test_invalid_tenants (void)
+{
+  static const struct
+  {
+    const char *list, *named; /* NAMED: a part of the error */
+  } row[] = {
+    { "null", "tenants" },
+    { "{}", "tenants" },
+    { "[\"k-secret\"]", "workspace 1 " },
+    { "[{\"apiKeys\":[\"k-secret\"]}]", "workspace 1 " },
+    { "[{\"name\":7,\"apiKeys\":[\"k-secret\"]}]", "workspace 1 " },
+    { "[{\"name\":\"\",\"apiKeys\":[\"k-secret\"]}]", "workspace 1 " },
+    { "[{\"name\":\"a\\nb\",\"apiKeys\":[\"k-secret\"]}]", "workspace 1 " },
+    { "[{\"name\":\"acme\"}]", "acme" },
+    { "[{\"name\":\"acme\",\"apiKeys\":\"k-secret\"}]", "acme" },
+    { "[{\"name\":\"acme\",\"apiKeys\":null}]", "acme" },
+    { "[{\"name\":\"acme\",\"apiKeys\":[\"k-secret\",7]}]", "acme" },
+    { "[{\"name\":\"acme\",\"apiKeys\":[\"\"]}]", "acme" },
+    { "[{\"name\":\"acme\",\"apiKeys\":[\"k-secret\\u0000\"]}]", "acme" },
+    { "[{\"name\":\"acme\",\"apiKeys\":[\"k-secret\"],\"ratePerS\":-1}]",
+      "acme" },
+    { "[{\"name\":\"acme\",\"apiKeys\":[\"k-secret\"],\"ratePerS\":1e400}]",
+      "acme" },
+    { "[{\"name\":\"acme\",\"apiKeys\":[\"k-secret\"],\"ratePerS\":NaN}]",
+      "acme" },
+    { "[{\"name\":\"acme\",\"apiKeys\":[\"k-secret\"],\"ratePerS\":\"4\"}]",
+      "acme" },
+    { "[{\"name\":\"acme\",\"apiKeys\":[\"k-secret\"],\"burst\":-0.5}]",
+      "acme" },
+    { "[{\"name\":\"acme\",\"apiKeys\":[\"k-secret\"],\"burst\":Infinity}]",
+      "acme" },
+    { "[{\"name\":\"acme\",\"apiKeys\":[\"k-secret\"],\"priority\":-1}]",
+      "acme" },
+    { "[{\"name\":\"acme\",\"apiKeys\":[\"k-secret\"],\"homeRegions\":[4]}]",
+      "acme" },
+    { "[{\"name\":\"acme\",\"apiKeys\":[]},{\"name\":\"acme\",\"apiKeys\":["
+      "\"k-secret\"]}]",
+      "acme" },
+    { "[{\"name\":\"acme\",\"apiKeys\":[\"k-secret\"]},{\"name\":\"beta\","
+      "\"apiKeys\":[\"k-2\",\"k-secret\"]}]",
+      "beta" },
+    /* Not JSON, within a key and after one.  */
+    { "[{\"name\":\"acme\",\"apiKeys\":[\"k-secret]}]", "line 1" },
+    { "[{\"name\":\"acme\",\"apiKeys\":[\"k-secret\" k-secret]}]", "line 1" },
+  };
+
+  for (size_t i = 0; i < sizeof row / sizeof row[0]; i++)
+    {
+      struct zp_err err = { .text = "" };
+      struct si_site *s = decode_tenants (row[i].list, &err);
+      if (s || !HAS_TEXT (err.text, row[i].named)
+          || HAS_TEXT (err.text, "k-secret"))
+        {
+          printf ("%s: \"%s\"\n", row[i].list, err.text);
+          CU_FAIL ("an invalid workspace");
+        }
+      si_site_free (s);
+    }
+}
+
 static const struct zp_test tests[]
     = { { "fields", test_fields },
         { "invalid content", test_invalid },
         { "truncated documents", test_truncated },
         { "a route of unknown type", test_unknown_type },
-        { "kinds of requests", test_kinds } };
+        { "kinds of requests", test_kinds },
+        { "workspaces", test_tenants },
+        { "when a key is needed", test_key_is_needed },
+        { "public routes", test_public_routes },
+        { "invalid workspaces", test_invalid_tenants } };
 
 TEST_MAIN ("platform-document", tests)
--- a/tests/test-platform-programs.c
+++ b/tests/test-platform-programs.c
@@ -95,6 +95,108 @@
   wait_for (PORT_FRONT, "/p/x", 200);
 }
 
+static const char with_tenants[]
+    = "{\"version\":%d,\"listeners\":[{\"host\":\"h.example\","
+      "\"routingRules\":"
+      "[{\"type\":\"unsafe\",\"match\":{\"pathPrefix\":\"/p/\"},\"action\":{"
+      "\"service\":\"svc\",\"timeout\":\"3s\",\"attempts\":2}},{\"type\":"
+      "\"unsafe\",\"public\":true,\"match\":{\"pathPrefix\":\"/open/\"},"
+      "\"action\":{\"service\":\"svc\",\"timeout\":\"3s\",\"attempts\":2}}]}],"
+      "\"clusters\":[{\"name\":\"svc\"}],\"tenants\":[{\"name\":\"acme\","
+      "\"apiKeys\":[%s]},{\"name\":\"beta\",\"apiKeys\":[%s]}]}";
+
+static struct reply
+put_tenants (int version, const char *acme, const char *beta, long status)
+{
+  char text[2048];
+
+  snprintf (text, sizeof text, with_tenants, version, acme, beta);
+  return call_control ("/Config.Put", text, status);
+}
+
+/* Whether the log of a process has TEXT.  */
+static bool
+logs_have (const char *text)
+{
+  bool found = false;
+
+  for (int i = 0; i < PROCESSES; i++)
+    {
+      struct zp_buf log = { .ptr = NULL };
+      char path[128];
+      snprintf (path, sizeof path, "%s/%d.log", folder, i);
+      CU_ASSERT_FATAL (zp_file_read (path, &log, 64 * 1024 * 1024, NULL));
+      found = found || HAS_TEXT (log.ptr, text);
+      zp_buf_free (&log);
+    }
+  return found;
+}
+
+static void
+check_core_limits (void)
+{
+  for (int i = 0; i < PROCESSES; i++)
+    {
+      char path[64], text[4096] = "";
+      unsigned long soft = 1, hard = 1;
+      snprintf (path, sizeof path, "/proc/%d/limits", (int) process[i]);
+      FILE *f = fopen (path, "r");
+      CU_ASSERT_PTR_NOT_NULL_FATAL (f);
+      CU_ASSERT (fread (text, 1, sizeof text - 1, f) > 0);
+      fclose (f);
+      const char *line = strstr (text, "Max core file size");
+      CU_ASSERT_PTR_NOT_NULL_FATAL (line);
+      CU_ASSERT_EQUAL (
+          sscanf (line, "Max core file size %lu %lu", &soft, &hard), 2);
+      CU_ASSERT (soft == 0 && hard == 0);
+    }
+}
+
+/* Guards against keys that work in the tests of the parts only: with the header
+   names of the platform a request needs a key, the server gets the workspace
+   and neither the key nor the caller's own header, a removed key is refused in
+   time, and no log line or error shows a key.  */
+static void
+test_workspaces (void)
+{
+  report ("ready", 2);
+  struct reply r = put_tenants (20, "\"k-secret\"", "\"k-secret\"", 400);
+  CU_ASSERT (HAS_TEXT (r.body, "acme"));
+  CU_ASSERT (!HAS_TEXT (r.body, "k-secret"));
+  put_tenants (20, "\"k-secret\",\"k-second\"", "\"k-hidden\"", 200);
+  more_headers[0] = "X-Tenant: forged";
+  r = wait_for (PORT_FRONT, "/p/x", 401);
+  CU_ASSERT (HAS_TEXT (r.body, "\"reason\":\"no-key\""));
+  CU_ASSERT_EQUAL (call (ENTRY, PORT_FRONT, "/open/x", NULL).status, 200);
+  CU_ASSERT (!HAS_TEXT (stub.headers, "X-Tenant"));
+  more_headers[1] = "X-Credential: k-secret";
+  CU_ASSERT_EQUAL (call (ENTRY, PORT_FRONT, "/p/x", NULL).status, 200);
+  CU_ASSERT (HAS_TEXT (stub.headers, "X-Tenant: acme\n"));
+  CU_ASSERT (!HAS_TEXT (stub.headers, "forged"));
+  CU_ASSERT (!HAS_TEXT (stub.headers, "k-secret"));
+  CU_ASSERT_EQUAL (call (ENTRY, PORT_FRONT, "/open/x", NULL).status, 200);
+  CU_ASSERT (!HAS_TEXT (stub.headers, "X-Tenant"));
+  CU_ASSERT (!HAS_TEXT (stub.headers, "k-secret"));
+  more_headers[2] = "x-credential: k-hidden";
+  CU_ASSERT_EQUAL (call (ENTRY, PORT_FRONT, "/p/x", NULL).status, 400);
+  more_headers[2] = NULL;
+  zp_time end = zp_clock_mono () + 5 * ZP_SEC;
+  put_tenants (21, "\"k-second\"", "\"k-hidden\"", 200);
+  r = wait_for (PORT_FRONT, "/p/x", 401);
+  CU_ASSERT (zp_clock_mono () < end);
+  CU_ASSERT (HAS_TEXT (r.body, "\"reason\":\"unknown-key\""));
+  more_headers[1] = "X-Credential: k-hidden";
+  CU_ASSERT_EQUAL (call (ENTRY, PORT_FRONT, "/p/x", NULL).status, 200);
+  CU_ASSERT (HAS_TEXT (stub.headers, "X-Tenant: beta\n"));
+  r = call (ENTRY, PORT_READY, "/metrics", NULL);
+  CU_ASSERT (!HAS_TEXT (r.body, "k-hidden"));
+  CU_ASSERT (logs_have ("a request has no valid key"));
+  CU_ASSERT (!logs_have ("k-secret"));
+  CU_ASSERT (!logs_have ("k-hidden"));
+  check_core_limits ();
+  /* The requests of the next test need the key as well.  */
+}
+
 /* Guards against a graceful shutdown that drops requests in progress.  */
 static void
 test_stop (void)
@@ -134,6 +236,7 @@
 static const struct zp_test tests[]
     = { { "the programs work together", test_deployment },
         { "a leave survives restarts", test_leave_survives_restarts },
+        { "workspaces", test_workspaces },
         { "graceful shutdown", test_stop } };
 
 int
--- a/tests/test-site.c
+++ b/tests/test-site.c
@@ -1,5 +1,6 @@
 #include "harness.h"
 
+#include <math.h>
 #include <stdlib.h>
 
 #include "site/site.h"
@@ -147,10 +148,100 @@
   si_route_clear (&r);
 }
 
+/* A site with a workspace for each NAME of a list that NULL ends; all have one
+   key of their own, "key-NAME".  */
+static struct si_site *
+site_with (const char *const *names)
+{
+  struct si_site *s = si_site_new (1);
+  char key[64];
+
+  for (; *names; names++)
+    {
+      struct si_workspace w = { .name = zp_buf_from (zp_str_from (*names)) };
+      si_site_add_workspace (s, &w);
+      snprintf (key, sizeof key, "key-%s", *names);
+      si_site_add_key (s, zp_str_from (key));
+    }
+  return s;
+}
+
+/* Guards against a key that leads to another workspace, and against hashes that
+   differ between daemons.  */
+static void
+test_workspaces (void)
+{
+  static const char *const names[] = { "acme", "beta", "gamma", NULL };
+  struct si_site *s = site_with (names);
+
+  s->workspace[1].rate_per_s = 2.5;
+  si_workspace_add_home (&s->workspace[1], ZP_STR ("sofia"));
+  si_site_add_key (s, ZP_STR ("second"));
+  CU_ASSERT_FATAL (si_site_seal (s, NULL));
+  const struct si_workspace *w = si_site_workspace (s, ZP_STR ("key-beta"));
+  CU_ASSERT_PTR_EQUAL_FATAL (w, &s->workspace[1]);
+  CU_ASSERT_EQUAL (w->hash, zp_str_hash (ZP_STR ("beta"), 0));
+  CU_ASSERT_EQUAL (w->homes, 1);
+  CU_ASSERT_PTR_EQUAL (si_site_workspace (s, ZP_STR ("second")),
+                       &s->workspace[2]);
+  CU_ASSERT_PTR_NULL (si_site_workspace (s, ZP_STR ("beta")));
+  CU_ASSERT_PTR_NULL (si_site_workspace (s, ZP_STR ("")));
+  si_site_free (s);
+}
+
+/* Whether S is refused with an error that has the text NAME and no key.  */
+static bool
+is_refused (struct si_site *s, const char *name)
+{
+  struct zp_err err = { .text = "" };
+  bool refused = !si_site_seal (s, &err) && HAS_TEXT (err.text, name)
+                 && !HAS_TEXT (err.text, "key-");
+
+  if (!refused)
+    printf ("error: \"%s\"\n", err.text);
+  si_site_free (s);
+  return refused;
+}
+
+/* Guards against invalid workspaces that come into force: a limit that lets all
+   requests through or none, a header line from within a name, a key whose
+   workspace is not certain.  Also against errors that quote a key.  */
+static void
+test_invalid_workspaces (void)
+{
+  static const char *const names[] = { "acme", "beta", NULL };
+  static const char *const twice[] = { "acme", "beta", "acme", NULL };
+  static const char *const bad_name[][2]
+      = { { "", NULL }, { "a\nX: y", NULL }, { "a\x7f", NULL } };
+  static const double bad[] = { -1, -1e-300, NAN, INFINITY, -INFINITY };
+
+  for (size_t i = 0; i < sizeof bad / sizeof bad[0]; i++)
+    {
+      struct si_site *s = site_with (names);
+      s->workspace[1].rate_per_s = bad[i];
+      CU_ASSERT (is_refused (s, "\"beta\""));
+      s = site_with (names);
+      s->workspace[0].burst = bad[i];
+      CU_ASSERT (is_refused (s, "\"acme\""));
+    }
+  CU_ASSERT (is_refused (site_with (twice), "\"acme\""));
+  for (size_t i = 0; i < sizeof bad_name / sizeof bad_name[0]; i++)
+    CU_ASSERT (is_refused (site_with (bad_name[i]), "workspace 1 "));
+  struct si_site *s = site_with (names);
+  si_site_add_key (s, ZP_STR ("key-acme"));
+  CU_ASSERT (is_refused (s, "\"beta\""));
+  s = site_with (names);
+  si_site_add_key (s, ZP_STR ("key-beta"));
+  CU_ASSERT (si_site_seal (s, NULL));
+  si_site_free (s);
+}
+
 static const struct zp_test tests[]
     = { { "longest prefix of the host", test_longest_prefix },
         { "invalid sites are refused", test_invalid_sites },
         { "a route with weights of 0 only", test_no_weight },
-        { "split follows the weights", test_split } };
+        { "split follows the weights", test_split },
+        { "workspaces", test_workspaces },
+        { "invalid workspaces are refused", test_invalid_workspaces } };
 
 TEST_MAIN ("site", tests)
