tests: the header with a key is not forwarded, by its name alone

Cause: the front reads the header before it copies others, so that a fault in the list of names did not fail a test. Change: test-front asks for both names. Result: test-front passes, and fails without the entry in the list.

--- a/tests/test-front.c
+++ b/tests/test-front.c
@@ -351,6 +351,10 @@
   ev_run (f.loop.ev, 0);
   CU_ASSERT_EQUAL_FATAL (f.requests, 2);
   CU_ASSERT_EQUAL (f.request->u.request.credential.len, 0);
+  CU_ASSERT (!fr_header_is_forwarded (&fr_header_names_default,
+                                      ZP_STR ("workspace-KEY")));
+  CU_ASSERT (!fr_header_is_forwarded (&fr_header_names_default,
+                                      ZP_STR ("WORKSPACE")));
   close_fixture (&f);
 }
 
