forward: reads the pace that a server states with its load

Some servers state a fourth figure in the header of their load: how long work takes there now, in percent of the usual time. A value with three figures stays valid. A fourth figure outside of 1 to 100,000, or a fifth one, makes the value invalid; before, anything after the third figure was ignored. test-answer: 16 values, passes.

--- a/src/base/limits.h
+++ b/src/base/limits.h
@@ -51,6 +51,9 @@
 #define ZP_ANNOUNCE_TTL (2000 * ZP_MS)
 #define ZP_SERVER_CONNECTIONS_DEFAULT 360 /* when it announces no number */
 #define ZP_SERVER_SLOTS_MAX 10000         /* slots of one server */
+/* Bounds of the pace that a server states, in percent of the usual time.  */
+#define ZP_SERVER_PACE_MIN 1
+#define ZP_SERVER_PACE_MAX 100000
 #define ZP_SERVER_CONNECTIONS_MAX 1000000 /* connections of one server */
 
 /* Membership of entry daemons.  */
--- a/src/forward/answer.c
+++ b/src/forward/answer.c
@@ -9,23 +9,30 @@
 /* Digits of a fraction that are read: microseconds.  */
 #define FRACTION_DIGITS 6
 
-/* Parses "running,waiting,slots".  A malformed value leaves OUT unchanged.  */
+/* Parses "running,waiting,slots" or "running,waiting,slots,pace".  A malformed
+   value leaves OUT unchanged.  */
 static void
 read_load (struct zp_str value, struct tk_server_load *out)
 {
-  struct zp_str part[3], rest = value;
-  uint64_t n[3];
+  struct zp_str part, rest = value;
+  uint64_t n[3], pace = 0;
+  bool more = true;
 
   for (int i = 0; i < 3; i++)
     {
-      zp_str_split (rest, ',', &part[i], &rest);
-      if (!zp_str_u64 (part[i], &n[i]) || n[i] > ZP_SERVER_SLOTS_MAX)
+      more = zp_str_split (rest, ',', &part, &rest);
+      if (!zp_str_u64 (part, &n[i]) || n[i] > ZP_SERVER_SLOTS_MAX)
         return;
     }
+  if (more
+      && (!zp_str_u64 (rest, &pace) || pace < ZP_SERVER_PACE_MIN
+          || pace > ZP_SERVER_PACE_MAX))
+    return;
   *out = (struct tk_server_load){ .known = true,
                                   .running = (unsigned) n[0],
                                   .waiting = (unsigned) n[1],
-                                  .slots = (unsigned) n[2] };
+                                  .slots = (unsigned) n[2],
+                                  .pace = (unsigned) pace };
 }
 
 static bool
--- a/src/front/header.h
+++ b/src/front/header.h
@@ -29,7 +29,7 @@
   const char *affinity; /* requests with equal values use the same object */
   const char *stamp;    /* present: made by the server itself */
   const char *not_run;  /* present: the server did not run the request */
-  const char *load;     /* "running,waiting,slots" of the server */
+  const char *load;     /* "running,waiting,slots" or with ",pace" */
   const char *cold_ms;  /* milliseconds until the server is warm */
   const char *instance; /* id of the server */
 
--- a/tests/test-answer.c
+++ b/tests/test-answer.c
@@ -136,6 +136,51 @@
                         ZP_STR ("Load: 3,1,6\nStamp: s\n")));
 }
 
+/* Guards against figures of a load that are taken from a value with a spoiled,
+   missing or additional one, and against losing the load of servers that state
+   no pace.  */
+static void
+test_load_values (void)
+{
+  static const struct
+  {
+    const char *text;
+    bool known;
+    unsigned pace;
+  } cases[] = {
+    { "3,1,6", true, 0 },
+    { "3,1,6,1", true, 1 },
+    { "3,1,6,140", true, 140 },
+    { "3,1,6,100000", true, 100000 },
+    { "3,1,6,0", false, 0 },
+    { "3,1,6,100001", false, 0 },
+    { "3,1,6,18446744073709551617", false, 0 },
+    { "3,1,6,", false, 0 },
+    { "3,1,6,1.4", false, 0 },
+    { "3,1,6,-1", false, 0 },
+    { "3,1,6, 140", false, 0 },
+    { "3,1,6,140,", false, 0 },
+    { "3,1,6,140,7", false, 0 },
+    { "3,1", false, 0 },
+    { "3,1,", false, 0 },
+    { "10001,1,6,140", false, 0 },
+  };
+  char head[128];
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct fw_answer a = new_answer (true);
+      snprintf (head, sizeof head, "HTTP/1.1 200 OK\r\nLoad: %s\r\n",
+                cases[i].text);
+      CU_ASSERT (read_head (&a, head));
+      if (done.load.known != cases[i].known)
+        fprintf (stderr, "load \"%s\"\n", cases[i].text);
+      CU_ASSERT_EQUAL (done.load.known, cases[i].known);
+      CU_ASSERT_EQUAL (done.load.running, cases[i].known ? 3 : 0);
+      CU_ASSERT_EQUAL (done.load.pace, cases[i].pace);
+    }
+}
+
 /* Guards against a time that keeps a server out for ever, and against one that
    is read from something else than a number of seconds.  */
 static void
@@ -201,6 +246,7 @@
         { "fields that may stand twice", test_fields_that_may_stand_twice },
         { "whether an answer is the request's own", test_own_answer },
         { "what a server says of itself", test_leaving_and_retry_after },
+        { "values of the load", test_load_values },
         { "values of Retry-After", test_retry_after_values },
         { "the limit of a head", test_head_limit },
         { "verdicts", test_verdicts } };
