roster, gate, steer: entry daemons share the loads of servers

With 122 entry daemons and 340 servers, a daemon did not know the load of the server that it chose in 50 to 100% of the attempts that timed out. No server gets another request.

st_balance_sample takes the age of a sample. With its age, weight moves from the sample to the region's counts; so far the larger of the two was used, however new the sample. The stated pace is a factor for service times and waits, with a half life of 300 ms. Samples from before a reported restart of their server are ignored.

--- a/src/gate/choose.c
+++ b/src/gate/choose.c
@@ -49,21 +49,31 @@
   x->len = kept;
 }
 
-/* Expected service time of Q at S.  A candidate for an affinity key is
-   expected to have its data cached, through requests of this or other
-   daemons.  */
-static zp_time
-expected_service_time (const struct gt_request *q, const struct gt_server *s)
+/* How many times longer than usual work takes at S.  The service times that
+   were measured there include the pace that it states, so that the two factors
+   are not multiplied.  */
+static double
+time_factor (const struct gt_server *s, zp_time now)
 {
+  double pace = st_balance_pace (&s->load, now);
   zp_time mean = gt_service_mean_time (s->service);
-  zp_time t
-      = q->affinity == 0
-            ? mean
-            : st_service_times_expect (&s->service->service_times, true, mean);
   zp_time own = gt_server_mean_time (s);
+  double measured = own > mean && mean > 0 ? (double) own / (double) mean : 0;
+
+  return measured > pace ? measured : pace;
+}
+
+/* Usual service time of Q at a server of its service.  A candidate for an
+   affinity key is expected to have its data cached, through requests of this or
+   other daemons.  */
+static zp_time
+usual_service_time (const struct gt_request *q)
+{
+  zp_time mean = gt_service_mean_time (q->service);
 
-  /* A slow server is slow by the same factor for requests with a key.  */
-  return own > mean && mean > 0 ? t * own / mean : t;
+  return q->affinity == 0 ? mean
+                          : st_service_times_expect (
+                              &q->service->service_times, true, mean);
 }
 
 static void
@@ -75,18 +85,21 @@
       struct gt_server *s = g->server[i];
       if (!gt_server_usable (g, s, q, now))
         continue;
-      x->candidate[x->len]
-          = (struct st_balance_candidate){ .load = &s->load,
-                                           .rtt = s->rtt,
-                                           .mean_time
-                                           = gt_server_mean_time (s),
-                                           .rank = rank_of (q, s) };
+      x->candidate[x->len] = (struct st_balance_candidate){
+        .load = &s->load, .rtt = s->rtt, .rank = rank_of (q, s)
+      };
       x->server[x->len++] = s;
     }
   if (q->affinity != 0)
     keep_affinity_servers (x);
+  double mean = (double) gt_service_mean_time (q->service);
+  double usual = (double) usual_service_time (q);
   for (size_t i = 0; i < x->len; i++)
-    x->candidate[i].service = expected_service_time (q, x->server[i]);
+    {
+      double factor = time_factor (x->server[i], now);
+      x->candidate[i].mean_time = (zp_time) (mean * factor);
+      x->candidate[i].service = (zp_time) (usual * factor);
+    }
 }
 
 /* Keeps only the candidates of REGION.  */
--- a/src/gate/dispatch.c
+++ b/src/gate/dispatch.c
@@ -382,8 +382,7 @@
   if (d->connect > 0)
     gt_server_note_rtt (g, s, d->connect);
   if (d->load.known)
-    st_balance_sample (&s->load, d->load.running, d->load.waiting, s->load.own,
-                       now);
+    gt_server_note_load (s, &d->load, q->attempt_started, now);
   if (d->leaving)
     gt_server_note_leaving (g, s);
   if (d->retry_after > 0 && now + d->retry_after > s->paused_until)
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -39,6 +39,7 @@
 #include "base/rng.h"
 #include "base/slots.h"
 #include "gate/settings.h"
+#include "roster/loads.h"
 #include "roster/table.h"
 #include "site/site.h"
 #include "steer/crash.h"
@@ -129,6 +130,12 @@
   zp_time answered_at;  /* its last answer; 0: none yet */
   struct st_balance_load load;
   unsigned reported; /* own requests, as last sent to the roster task */
+
+  /* The newest load that an answer to this daemon has stated, while the roster
+     task does not have it; otherwise SAMPLED_AT is 0.  */
+  struct tk_server_load sample;
+  zp_time sampled_at;
+  zp_time started_at; /* when its present start was reported */
   struct st_health health;
   struct st_throttle cold_limit; /* rate limit while the server is cold */
   struct st_warm recent_objects; /* data of the requests sent to it lately */
@@ -161,7 +168,9 @@
   zp_time rtt;
   double work; /* estimated requests at the server */
   unsigned slots;
-  zp_time load_age; /* of the server's load report; below 0: none */
+  zp_time
+      load_age; /* of the newest sample of the server's load, from an answer
+                       to this or another daemon; below 0: none */
   bool cold;
 };
 
@@ -306,13 +315,19 @@
 double gt_server_cold_rate (const struct gt_server *s);
 bool gt_server_is_cold (const struct gt_server *s, zp_time now);
 
-/* Sends the number of this daemon's requests in progress at each server to the
-   roster task.  */
+/* Notes the load that an answer of S states.  STARTED: start of the attempt.  */
+void gt_server_note_load (struct gt_server *s, const struct tk_server_load *l,
+                          zp_time started, zp_time now);
+
+/* Sends the number of this daemon's requests in progress at each server, and
+   the loads that answers have stated since the last call, to the roster
+   task.  */
 void gt_server_send_work (struct gt_gate *g);
 
 /* Stores the numbers of the other daemons of the region: W less what this
-   daemon has last sent.  */
-void gt_server_receive_work (struct gt_gate *g, const struct tk_work *w);
+   daemon has last sent.  Takes the samples of W that are newer than what is
+   known and that are of the present start of their server; sorts them.  */
+void gt_server_receive_work (struct gt_gate *g, struct tk_work *w);
 
 /* Mean service time of S.  */
 zp_time gt_service_mean_time (const struct gt_service *s);
--- a/src/gate/servers.c
+++ b/src/gate/servers.c
@@ -83,6 +83,7 @@
   zp_time now = zp_clock_mono ();
 
   s->hash = hash;
+  s->started_at = now;
   s->service = gt_service_find (g, zp_str_from (report->service));
   st_health_add (&s->health, &s->service->group, now);
   size_t n = g->servers + 1;
@@ -130,10 +131,13 @@
 reset_server (struct gt_gate *g, struct gt_server *s, const char *service)
 {
   unsigned own = s->load.own;
+  zp_time now = zp_clock_mono ();
 
   st_health_remove (&s->health, &s->service->group);
   s->service = gt_service_find (g, zp_str_from (service));
-  st_health_add (&s->health, &s->service->group, zp_clock_mono ());
+  st_health_add (&s->health, &s->service->group, now);
+  s->started_at = now;
+  s->sampled_at = 0;
   s->load = (struct st_balance_load){ .own = own };
   s->mean_time = 0;
   s->paused_until = 0;
@@ -246,7 +250,59 @@
   gt_server_note_loss (g);
 }
 
-/* Requests in progress at the servers.  */
+/* Requests in progress at the servers, and their loads.  */
+
+void
+gt_server_note_load (struct gt_server *s, const struct tk_server_load *l,
+                     zp_time started, zp_time now)
+{
+  const struct st_balance_sample sample = {
+    .requests = l->running + l->waiting, .own = s->load.own, .pace = l->pace
+  };
+
+  /* Else the answer can be of the start before.  */
+  if (started < s->started_at)
+    return;
+  st_balance_sample (&s->load, &sample, now);
+  s->sample = *l;
+  s->sampled_at = now;
+}
+
+static int
+cmp_load_age (const void *a, const void *b)
+{
+  const struct tk_work_load *x = a, *y = b;
+
+  return x->age < y->age ? -1 : x->age > y->age;
+}
+
+/* Adds the samples of this daemon that were not sent yet, newest first.  Those
+   that do not fit are left out: they would be older than newer answers by the
+   next report.  */
+static void
+put_loads (struct gt_gate *g, struct tk_work *w)
+{
+  zp_time now = zp_clock_mono ();
+
+  w->load = zp_alloc ((g->servers + 1) * sizeof *w->load);
+  for (size_t i = 0; i < g->servers; i++)
+    {
+      struct gt_server *s = g->server[i];
+      zp_time at = s->sampled_at;
+      s->sampled_at = 0;
+      if (at == 0 || now - at >= RO_LOADS_TTL)
+        continue;
+      w->load[w->loads++] = (struct tk_work_load){
+        .server = TK_WORK_TAG (s->hash),
+        .requests = s->sample.running + s->sample.waiting,
+        .pace = s->sample.pace,
+        .age = now - at,
+      };
+    }
+  qsort (w->load, w->loads, sizeof *w->load, cmp_load_age);
+  if (w->loads > RO_LOADS_REPORT_MAX)
+    w->loads = RO_LOADS_REPORT_MAX;
+}
 
 void
 gt_server_send_work (struct gt_gate *g)
@@ -264,6 +320,7 @@
             = (struct tk_work_item){ .server = TK_WORK_TAG (s->hash),
                                      .count = s->reported };
     }
+  put_loads (g, w);
   tk_send (g->roster, m);
 }
 
@@ -275,22 +332,54 @@
   return x->server < y->server ? -1 : x->server > y->server;
 }
 
+static int
+cmp_load (const void *a, const void *b)
+{
+  const struct tk_work_load *x = a, *y = b;
+
+  return x->server < y->server ? -1 : x->server > y->server;
+}
+
+/* Takes the sample X of S, which another daemon has got.  It states the
+   requests of all daemons.  Those of this one at that time are not known, so
+   that the present number is subtracted.  */
+static void
+take_load (struct gt_server *s, const struct tk_work_load *x, zp_time now)
+{
+  const struct st_balance_sample sample = {
+    .requests = x->requests, .own = s->load.own, .pace = x->pace, .age = x->age
+  };
+  zp_time at = now - x->age;
+
+  if (x->age < RO_LOADS_TTL && at > s->started_at && at > s->load.sampled)
+    st_balance_sample (&s->load, &sample, now);
+}
+
 void
-gt_server_receive_work (struct gt_gate *g, const struct tk_work *w)
+gt_server_receive_work (struct gt_gate *g, struct tk_work *w)
 {
   zp_time now = zp_clock_mono ();
 
+  if (w->loads > 0)
+    qsort (w->load, w->loads, sizeof *w->load, cmp_load);
   for (size_t i = 0; i < g->servers; i++)
     {
       struct gt_server *s = g->server[i];
       const struct tk_work_item key = { .server = TK_WORK_TAG (s->hash) };
+      const struct tk_work_load load_key = { .server = key.server };
       const struct tk_work_item *x
           = w->len > 0
                 ? bsearch (&key, w->item, w->len, sizeof *w->item, cmp_work)
                 : NULL;
+      const struct tk_work_load *sample
+          = w->loads > 0 ? bsearch (&load_key, w->load, w->loads,
+                                    sizeof *w->load, cmp_load)
+                         : NULL;
       unsigned all = x ? x->count : 0;
       s->load.region_others = all > s->reported ? all - s->reported : 0;
       s->load.region_at = now;
+      if (sample)
+        take_load (s, sample, now);
     }
 }
 
--- a/src/roster/client.h
+++ b/src/roster/client.h
@@ -12,10 +12,11 @@
      Messages received from the deciding task:
        TK_DAEMON   the new description of this daemon
        TK_SEEDS    the new list of seeds
-       TK_WORK     the requests of this daemon at each server, sent to a
-                   control daemon of its failure domain or else its region; on
-                   a control daemon the sum of those that report to it, sent
-                   to the other control daemons of the region
+       TK_WORK     the requests of this daemon at each server and the samples
+                   of loads from its answers, sent to a control daemon of its
+                   failure domain or else its region; on a control daemon the
+                   sum and the samples of those that report to it, sent to the
+                   other control daemons of the region
        TK_LOSS     a request that was lost with its server; sent to two control
                    daemons
 
@@ -24,7 +25,8 @@
        TK_SERVER       a report of a backend server
        TK_ENTRY_COUNT  the number of entry daemons, when it changes
        TK_RENEWALS     servers that have reported again without a change
-       TK_WORK         the requests of all entry daemons of the region
+       TK_WORK         the requests of all entry daemons of the region, and
+                       samples of loads that others have got
        TK_LOSS         a request that another daemon lost
 
      TK_CONFIG_SOURCES is sent to FOLLOWER whenever the sources of the
--- a/src/roster/codec.c
+++ b/src/roster/codec.c
@@ -236,24 +236,52 @@
   return ok;
 }
 
+/* The age of a sample in milliseconds, rounded up: a sample must not count as
+   made after a restart of its server that it precedes.  */
+static uint32_t
+age_ms (zp_time age)
+{
+  return age > 0 ? (uint32_t) ((age + ZP_MS - 1) / ZP_MS) : 0;
+}
+
 void
 ro_put_work (struct zp_buf *out, const struct tk_work *work)
 {
   Wire__RosterWork w = WIRE__ROSTER_WORK__INIT;
-  uint32_t *servers = zp_alloc ((work->len + 1) * sizeof *servers);
-  uint32_t *counts = zp_alloc ((work->len + 1) * sizeof *counts);
+  size_t n = work->len, loads = work->loads;
+  uint32_t *list = zp_alloc ((2 * n + 4 * loads + 1) * sizeof *list);
 
-  for (size_t i = 0; i < work->len; i++)
+  w.servers = list;
+  w.counts = w.servers + n;
+  w.load_servers = w.counts + n;
+  w.load_requests = w.load_servers + loads;
+  w.load_paces = w.load_requests + loads;
+  w.load_ages_ms = w.load_paces + loads;
+  for (size_t i = 0; i < n; i++)
     {
-      servers[i] = work->item[i].server;
-      counts[i] = work->item[i].count;
+      w.servers[i] = work->item[i].server;
+      w.counts[i] = work->item[i].count;
     }
-  w.n_servers = w.n_counts = work->len;
-  w.servers = servers;
-  w.counts = counts;
+  for (size_t i = 0; i < loads; i++)
+    {
+      w.load_servers[i] = work->load[i].server;
+      w.load_requests[i] = work->load[i].requests;
+      w.load_paces[i] = work->load[i].pace;
+      w.load_ages_ms[i] = age_ms (work->load[i].age);
+    }
+  w.n_servers = w.n_counts = n;
+  w.n_load_servers = w.n_load_requests = loads;
+  w.n_load_paces = w.n_load_ages_ms = loads;
   wi_pack (out, &w.base);
-  free (counts);
-  free (servers);
+  free (list);
+}
+
+static bool
+lists_match (const Wire__RosterWork *w)
+{
+  return w->n_servers == w->n_counts && w->n_load_servers == w->n_load_requests
+         && w->n_load_servers == w->n_load_paces
+         && w->n_load_servers == w->n_load_ages_ms;
 }
 
 bool
@@ -264,13 +292,24 @@
   *out = (struct tk_work){ .item = NULL };
   if (!w)
     return false;
-  bool ok = w->n_servers == w->n_counts;
+  bool ok = lists_match (w);
   if (ok)
     {
       out->item = zp_alloc ((w->n_servers + 1) * sizeof *out->item);
       for (size_t i = 0; i < w->n_servers; i++)
         out->item[out->len++] = (struct tk_work_item){ .server = w->servers[i],
                                                        .count = w->counts[i] };
+      out->load = zp_alloc ((w->n_load_servers + 1) * sizeof *out->load);
+    }
+  for (size_t i = 0; ok && i < w->n_load_servers; i++)
+    {
+      out->load[out->loads++]
+          = (struct tk_work_load){ .server = w->load_servers[i],
+                                   .requests = w->load_requests[i],
+                                   .pace = w->load_paces[i],
+                                   .age = w->load_ages_ms[i] * ZP_MS };
+      ok = w->load_requests[i] <= 2 * ZP_SERVER_SLOTS_MAX
+           && w->load_paces[i] <= ZP_SERVER_PACE_MAX;
     }
   wi_free (w);
   return ok;
--- a/src/roster/codec.h
+++ b/src/roster/codec.h
@@ -59,7 +59,7 @@
 
 void ro_put_work (struct zp_buf *out, const struct tk_work *w);
 
-/* The caller frees OUT->item.  */
+/* The caller frees OUT->item and OUT->load, also when decoding has failed.  */
 bool ro_get_work (struct zp_str payload, struct tk_work *out);
 
 void ro_put_loss (struct zp_buf *out, const struct tk_loss *l);
--- a/src/roster/source-state.h
+++ b/src/roster/source-state.h
@@ -13,6 +13,7 @@
 
 #include "roster/source.h"
 #include "roster/table.h"
+#include "roster/loads.h"
 #include "roster/work.h"
 #include "wire/conn.h"
 #include "wire/frame.h"
@@ -33,6 +34,7 @@
   zp_time sent_at;            /* when the wait for the acknowledgement began */
   uint64_t controls_version;  /* of the last list of control daemons sent */
   zp_time controls_listed_at; /* when it was sent; 0: never */
+  uint64_t loads_read;        /* see ro_loads_read */
 };
 
 /* A report with a report_id that waits for the acknowledgement of every entry
@@ -65,7 +67,9 @@
   struct ro_work work;
   zp_time work_relayed_at;
   bool work_relayed_any; /* the last list for other daemons was not empty */
-  struct zp_buf region;  /* of this daemon */
+  struct ro_loads loads;
+  uint64_t loads_relayed; /* see ro_loads_read */
+  struct zp_buf region;   /* of this daemon */
   struct zp_buf failure_domain;
   uint64_t number; /* of the last change */
   struct ro_pending *pending;
@@ -104,11 +108,12 @@
 /* The kind of the reports of L.  */
 enum ro_work_kind ro_source_work_kind (const struct ro_link *l);
 
-/* Takes the requests that the daemon of L has at each server.  */
+/* Takes the requests that the daemon of L has at each server and the samples of
+   loads that it sends; answers an entry daemon with those of the region.  */
 void ro_source_take_work (struct ro_link *l, struct zp_str payload);
 
-/* Passes the sums of this failure domain's daemons to the other control
-   daemons of the region, when it is time.  */
+/* Passes the sums and the samples of this failure domain's daemons to the other
+   control daemons of the region, when it is time.  */
 void ro_source_relay_work (struct ro_source *s, zp_time now);
 
 /* Forwards a lost request to the other entry daemons.  */
--- a/src/roster/source.c
+++ b/src/roster/source.c
@@ -440,6 +440,7 @@
   tk_task_free (&s->task);
   ro_table_free (&s->table);
   ro_work_free (&s->work);
+  ro_loads_free (&s->loads);
   zp_buf_free (&s->region);
   zp_buf_free (&s->failure_domain);
   zp_buf_free (&s->controls);
--- a/src/roster/source.h
+++ b/src/roster/source.h
@@ -33,7 +33,8 @@
      (work.h).  An entry daemon reports them to a control daemon of its failure
      domain; the control daemons of a region exchange their sums, so that a
      sum leaves the failure domain once for each control daemon and not for
-     each entry daemon.  And it forwards losses of requests between entry
+     each entry daemon.  The same messages pass on the loads that servers have
+     stated in their answers (loads.h).  And it forwards losses of requests between entry
      daemons.
 
    RETURN VALUE
--- a/src/steer/balance.c
+++ b/src/steer/balance.c
@@ -5,38 +5,70 @@
 /* Weight of a new sample in the moving average of the others' requests.  */
 #define SAMPLE_WEIGHT 0.5
 
-/* Requests of other daemons, decayed to NOW.  */
-static double
-others (const struct st_balance_load *l, zp_time now)
+double
+st_balance_weight (zp_time age)
+{
+  return age > 0 ? exp2 (-(double) age / (double) ST_BALANCE_HALF_LIFE) : 1.0;
+}
+
+bool
+st_balance_sample (struct st_balance_load *l,
+                   const struct st_balance_sample *s, zp_time now)
 {
-  if (l->sampled == 0 || l->others <= 0)
-    return 0.0;
-  double age = (double) (now - l->sampled) / (double) ST_BALANCE_HALF_LIFE;
-  return l->others * exp2 (-age);
+  zp_time at = now - s->age;
+
+  if (l->sampled > 0 && at < l->sampled)
+    return false;
+  double sample = s->requests > s->own ? (double) (s->requests - s->own) : 0.0;
+  if (l->sampled > 0)
+    {
+      double before = l->others * st_balance_weight (at - l->sampled);
+      sample = before + (sample - before) * SAMPLE_WEIGHT;
+    }
+  l->others = sample;
+  l->sampled = at;
+  if (s->pace > 0)
+    {
+      l->pace = s->pace;
+      l->paced = at;
+    }
+  return true;
 }
 
-void
-st_balance_sample (struct st_balance_load *l, unsigned running,
-                   unsigned waiting, unsigned own, zp_time now)
+/* Requests of other daemons.  */
+static double
+others (const struct st_balance_load *l, zp_time now)
 {
-  unsigned all = running + waiting;
-  double sample = all > own ? (double) (all - own) : 0.0;
-  double before = others (l, now);
+  double region = 0.0;
 
-  l->others
-      = l->sampled == 0 ? sample : before + (sample - before) * SAMPLE_WEIGHT;
-  l->sampled = now;
+  if (l->region_at > 0 && now - l->region_at < ST_BALANCE_REPORT_TTL)
+    region = l->region_others;
+  if (l->sampled == 0)
+    return region;
+  double weight = st_balance_weight (now - l->sampled);
+  double other = weight * l->others + (1.0 - weight) * region;
+  bool newer = l->region_at - ST_BALANCE_REPORT_AGE > l->sampled;
+  return newer && region > other ? region : other;
 }
 
 double
 st_balance_work (const struct st_balance_load *l, zp_time now)
 {
-  double other = others (l, now);
+  return l->own + others (l, now);
+}
 
-  if (l->region_at > 0 && now - l->region_at < ST_BALANCE_REPORT_TTL
-      && l->region_others > other)
-    other = l->region_others;
-  return l->own + other;
+double
+st_balance_pace (const struct st_balance_load *l, zp_time now)
+{
+  if (l->paced == 0)
+    return 1.0;
+  double pace = l->pace / 100.0;
+  double age = (double) (now - l->paced) / (double) ST_BALANCE_PACE_HALF_LIFE;
+  if (pace < ST_BALANCE_PACE_MIN)
+    pace = ST_BALANCE_PACE_MIN;
+  if (pace > ST_BALANCE_PACE_MAX)
+    pace = ST_BALANCE_PACE_MAX;
+  return 1.0 + (pace - 1.0) * exp2 (age > 0 ? -age : 0.0);
 }
 
 /* Expected wait for a slot: each slot ends one request per mean service
--- a/src/steer/balance.h
+++ b/src/steer/balance.h
@@ -8,12 +8,18 @@
 
      The load of a server is estimated.  Each entry daemon counts its own
      requests at the server, and each answer states how many requests the
-     server has altogether; the difference is the work of the other daemons.
-     It is averaged over the answers and halves with every
-     ST_BALANCE_HALF_LIFE since the last one, so that a server that was full
-     is tried again.  The entry daemons of a region also send each other their
-     counts for each server; for ST_BALANCE_REPORT_TTL after such a report,
-     the larger of the two figures is used.
+     server has altogether, those of all regions included.  The difference is
+     the work of the other daemons, averaged over the answers of this daemon
+     and those that other daemons of the region have shared.  The entry
+     daemons of a region also send each other their counts for each server.
+
+     A new sample counts in full.  With its age, weight moves from it to the
+     region's counts, or to 0 without such counts, so that a server that was
+     full is tried again.  Counts that are newer than the sample are a lower
+     bound.  st_balance_weight alone says how fast a sample is outdated.
+
+     A server may also state its pace: how long work takes there at this
+     moment, compared with the usual time.
 
      The request goes to the server with the earliest expected finish: round
      trip, wait for a slot, and service time.  A server that has the object of
@@ -43,9 +49,21 @@
    ran at the time of a sample have ended by then.  */
 #define ST_BALANCE_HALF_LIFE (1000 * ZP_MS)
 
+/* The pace of a server changes many times a second.  */
+#define ST_BALANCE_PACE_HALF_LIFE (300 * ZP_MS)
+
+/* Bounds of the factor for service times: one odd figure must neither draw all
+   requests to a server nor keep it out for seconds.  */
+#define ST_BALANCE_PACE_MIN 0.5
+#define ST_BALANCE_PACE_MAX 20.0
+
 /* Almost five periods of the reports between daemons, which are 125 ms.  */
 #define ST_BALANCE_REPORT_TTL (600 * ZP_MS)
 
+/* Mean age of the counts in a report when it arrives: half a period at the
+   daemon that counted and half of one at the control daemon that relays.  */
+#define ST_BALANCE_REPORT_AGE (120 * ZP_MS)
+
 /* Failure domains of one region are 1 to 3 ms apart; regions 40 ms or more. */
 #define ST_BALANCE_TIE (5 * ZP_MS)
 
@@ -55,16 +73,33 @@
   unsigned slots;
   unsigned own;           /* requests of this daemon at the server */
   double others;          /* requests of other daemons, at SAMPLED */
-  zp_time sampled;        /* time of the last sample; 0: none */
+  zp_time sampled;        /* time of the newest sample; 0: none */
+  unsigned pace;          /* percent of the usual time, at PACED */
+  zp_time paced;          /* time of the newest pace; 0: none */
   unsigned region_others; /* requests of the region's other daemons */
   zp_time region_at;      /* time of their report; 0: none */
 };
 
-/* Adds a sample from an answer of the server: its requests RUNNING and
-   WAITING.  OWN is the number of this daemon's requests at the server when it
-   sent the answer.  */
-void st_balance_sample (struct st_balance_load *l, unsigned running,
-                        unsigned waiting, unsigned own, zp_time now);
+/* What an answer of a server says of it.  */
+struct st_balance_sample
+{
+  unsigned requests; /* at the server, of all daemons, less the answered one */
+  unsigned own;      /* of them, those of this daemon */
+  unsigned pace;     /* percent of the usual time; 0: not stated */
+  zp_time age;       /* time since the answer; not 0 for a shared sample */
+};
+
+/* Adds the sample S.  Returns false and changes nothing if L has a newer
+   one.  */
+bool st_balance_sample (struct st_balance_load *l,
+                        const struct st_balance_sample *s, zp_time now);
+
+/* The weight of a sample of this age in the estimate, from 1 to 0.  */
+double st_balance_weight (zp_time age);
+
+/* The factor for service times at the server, from ST_BALANCE_PACE_MIN to
+   ST_BALANCE_PACE_MAX; near 1 when its last stated pace is old.  */
+double st_balance_pace (const struct st_balance_load *l, zp_time now);
 
 /* Estimated number of requests at the server, of all daemons.  */
 double st_balance_work (const struct st_balance_load *l, zp_time now);
--- a/tests/gate-fixture.h
+++ b/tests/gate-fixture.h
@@ -34,6 +34,7 @@
   struct tk_msg *answer[64]; /* TK_HTTP_ANSWER */
   size_t answers;
   struct tk_daemon announced; /* last description sent to the roster */
+  struct tk_msg *work;        /* last TK_WORK with loads; NULL: none */
   struct ti_store *store;
   uint64_t version;
   struct test_guard guard;
@@ -68,6 +69,13 @@
   (void) self;
   if (m->kind == TK_DAEMON)
     f.announced = m->u.daemon;
+  if (m->kind == TK_WORK && m->u.work.loads > 0)
+    {
+      if (f.work)
+        tk_msg_free (f.work);
+      f.work = m;
+      return;
+    }
   tk_msg_free (m);
 }
 
@@ -301,6 +309,8 @@
     tk_msg_free (f.sent[i]);
   for (size_t i = 0; i < f.answers; i++)
     tk_msg_free (f.answer[i]);
+  if (f.work)
+    tk_msg_free (f.work);
   test_guard_stop (&f.guard, f.loop.ev);
   gt_gate_close (f.gate);
   ti_store_free (f.store);
--- a/tests/test-balance.c
+++ b/tests/test-balance.c
@@ -1,5 +1,7 @@
 #include "harness.h"
 
+#include <math.h>
+
 #include "base/rng.h"
 #include "steer/balance.h"
 
@@ -69,6 +71,16 @@
   CU_ASSERT_EQUAL (st_balance_choose (c, 0, 0).kind, ST_BALANCE_NONE);
 }
 
+static bool
+add_sample (struct st_balance_load *l, unsigned requests, unsigned own,
+            zp_time age, zp_time now)
+{
+  const struct st_balance_sample s
+      = { .requests = requests, .own = own, .age = age };
+
+  return st_balance_sample (l, &s, now);
+}
+
 /* Guards against an estimate of the others' requests that never decays, so
    that a server that was full is never used again, and against one that decays
    within a service time.  */
@@ -77,21 +89,109 @@
 {
   struct st_balance_load l = { .slots = 6, .own = 1 };
 
-  st_balance_sample (&l, 6, 4, 2, 10 * ZP_SEC);
+  add_sample (&l, 10, 2, 0, 10 * ZP_SEC);
   CU_ASSERT_DOUBLE_EQUAL (st_balance_work (&l, 10 * ZP_SEC), 9.0, 0.001);
   CU_ASSERT (st_balance_work (&l, 10 * ZP_SEC + 120 * ZP_MS) > 8.0);
   CU_ASSERT (st_balance_work (&l, 15 * ZP_SEC) < 1.5);
 
   /* A second sample has weight one half.  */
-  st_balance_sample (&l, 2, 0, 2, 10 * ZP_SEC);
+  add_sample (&l, 2, 2, 0, 10 * ZP_SEC);
   CU_ASSERT_DOUBLE_EQUAL (st_balance_work (&l, 10 * ZP_SEC), 5.0, 0.001);
 
   /* The server counts fewer requests than this daemon has there.  */
   struct st_balance_load m = { .slots = 6, .own = 2 };
-  st_balance_sample (&m, 1, 0, 2, ZP_SEC);
+  add_sample (&m, 1, 2, 0, ZP_SEC);
   CU_ASSERT_DOUBLE_EQUAL (st_balance_work (&m, ZP_SEC), 2.0, 0.001);
 }
 
+/* Guards against a shared sample that replaces a newer one, and against one
+   that counts as if it were made when it arrived.  */
+static void
+test_age_of_a_sample (void)
+{
+  struct st_balance_load l = { .slots = 6 };
+
+  CU_ASSERT (add_sample (&l, 8, 0, 500 * ZP_MS, 10 * ZP_SEC));
+  CU_ASSERT_EQUAL (l.sampled, 10 * ZP_SEC - 500 * ZP_MS);
+  CU_ASSERT_DOUBLE_EQUAL (st_balance_work (&l, 10 * ZP_SEC), 8 * sqrt (0.5),
+                          0.001);
+  CU_ASSERT (!add_sample (&l, 90, 0, 501 * ZP_MS, 10 * ZP_SEC));
+  CU_ASSERT_DOUBLE_EQUAL (st_balance_work (&l, 10 * ZP_SEC), 8 * sqrt (0.5),
+                          0.001);
+  /* Averaged with what is left of the first one, 300 ms after it.  */
+  CU_ASSERT (add_sample (&l, 4, 0, 200 * ZP_MS, 10 * ZP_SEC));
+  CU_ASSERT_DOUBLE_EQUAL (l.others, 2 + 4 * exp2 (-0.3), 0.001);
+}
+
+/* Guards against a sample that hides requests which the region has counted
+   since, against counts that hide a newer sample, and against a sample that
+   counts beside the counts when it is outdated.  */
+static void
+test_sample_and_counts (void)
+{
+  const zp_time t = 10 * ZP_SEC;
+  struct st_balance_load l = { .slots = 6 };
+
+  add_sample (&l, 2, 0, 0, t);
+  l.region_others = 6;
+  l.region_at = t + 300 * ZP_MS;
+  CU_ASSERT_DOUBLE_EQUAL (st_balance_work (&l, t + 300 * ZP_MS), 6, 0.001);
+  l.region_at = t;
+  CU_ASSERT_DOUBLE_EQUAL (st_balance_work (&l, t), 2, 0.001);
+
+  /* The requests of other regions are outdated by half after 1 s.  */
+  struct st_balance_load m = { .slots = 6 };
+  add_sample (&m, 10, 0, 0, t);
+  m.region_others = 4;
+  m.region_at = t + ZP_SEC;
+  CU_ASSERT_DOUBLE_EQUAL (st_balance_work (&m, t + ZP_SEC), 7, 0.001);
+  m.region_at = t + 9 * ZP_SEC;
+  CU_ASSERT_DOUBLE_EQUAL (st_balance_work (&m, t + 9 * ZP_SEC), 4, 0.02);
+  /* Without counts for ST_BALANCE_REPORT_TTL, nothing is left.  */
+  CU_ASSERT (st_balance_work (&m, t + 10 * ZP_SEC) < 0.02);
+}
+
+/* Guards against a pace that is used long after it has changed, against a
+   figure that keeps a server out or draws all requests to it, and against an
+   answer without a pace that discards the last one.  */
+static void
+test_pace (void)
+{
+  const zp_time t = 10 * ZP_SEC;
+  struct st_balance_load l = { .slots = 6 };
+  struct st_balance_sample s = { .pace = 500 };
+
+  CU_ASSERT_DOUBLE_EQUAL (st_balance_pace (&l, t), 1, 0);
+  st_balance_sample (&l, &s, t);
+  CU_ASSERT_DOUBLE_EQUAL (st_balance_pace (&l, t), 5, 0.001);
+  s = (struct st_balance_sample){ .pace = 0 };
+  st_balance_sample (&l, &s, t + 100 * ZP_MS);
+  CU_ASSERT_DOUBLE_EQUAL (st_balance_pace (&l, t + 300 * ZP_MS), 3, 0.001);
+  CU_ASSERT_DOUBLE_EQUAL (st_balance_pace (&l, t + 3 * ZP_SEC), 1, 0.01);
+
+  /* An older figure that arrives later.  */
+  s = (struct st_balance_sample){ .pace = 900, .age = 300 * ZP_MS };
+  st_balance_sample (&l, &s, t + 200 * ZP_MS);
+  CU_ASSERT_EQUAL (l.pace, 500);
+
+  static const struct
+  {
+    unsigned pace;
+    double factor;
+  } bounds[]
+      = { { 1, 0.5 }, { 49, 0.5 }, { 60, 0.6 }, { 2000, 20 }, { 100000, 20 } };
+  for (size_t i = 0; i < sizeof bounds / sizeof bounds[0]; i++)
+    {
+      struct st_balance_load m = { .slots = 6 };
+      s = (struct st_balance_sample){ .pace = bounds[i].pace };
+      st_balance_sample (&m, &s, t);
+      CU_ASSERT_DOUBLE_EQUAL (st_balance_pace (&m, t), bounds[i].factor,
+                              0.001);
+      /* One figure is forgotten after 3 s, also the largest.  */
+      CU_ASSERT (fabs (st_balance_pace (&m, t + 3 * ZP_SEC) - 1) < 0.02);
+    }
+}
+
 /* Simulates the load of a deployment on one service of a region: 6 servers of
    6 slots, 39 objects, 100 requests/s.  A server answers in 110 ms when it has
    the object in its cache of 40 objects, and in 360 ms when it does not.  Each
@@ -163,6 +263,9 @@
         { "near server before distant one", test_near_before_far },
         { "ties are decided by rank", test_rank },
         { "estimate of other daemons' requests", test_others },
+        { "age of a sample", test_age_of_a_sample },
+        { "sample and counts of the region", test_sample_and_counts },
+        { "pace of a server", test_pace },
         { "load of a deployment", test_load_of_a_deployment } };
 
 TEST_MAIN ("balance", tests)
--- a/tests/test-roster-codec.c
+++ b/tests/test-roster-codec.c
@@ -1,5 +1,7 @@
 #include "harness.h"
 
+#include <stdlib.h>
+
 #include "roster/codec.h"
 #include "wire/bytes.h"
 
@@ -164,10 +166,77 @@
   zp_buf_free (&b);
 }
 
+/* Guards against samples that are lost or mixed up on the way, and against an
+   age that is rounded down, so that a sample seems to be of a later start of
+   its server.  */
+static void
+test_work (void)
+{
+  struct tk_work_item item = { .server = 0xfedcba98, .count = 300 };
+  struct tk_work_load load[]
+      = { { .server = 0xfedcba98, .requests = 17, .age = 250 * ZP_MS },
+          { .server = 1,
+            .requests = 2 * ZP_SERVER_SLOTS_MAX,
+            .pace = ZP_SERVER_PACE_MAX,
+            .age = 1 } };
+  const struct tk_work in
+      = { .item = &item, .len = 1, .load = load, .loads = 2 };
+  struct zp_buf b = { .ptr = NULL };
+  struct tk_work w;
+
+  ro_put_work (&b, &in);
+  CU_ASSERT_FATAL (ro_get_work (zp_str_of (&b), &w));
+  CU_ASSERT_EQUAL_FATAL (w.len, 1);
+  CU_ASSERT_EQUAL (w.item[0].server, 0xfedcba98);
+  CU_ASSERT_EQUAL (w.item[0].count, 300);
+  CU_ASSERT_EQUAL_FATAL (w.loads, 2);
+  CU_ASSERT_EQUAL (w.load[0].server, 0xfedcba98);
+  CU_ASSERT_EQUAL (w.load[0].requests, 17);
+  CU_ASSERT_EQUAL (w.load[0].pace, 0);
+  CU_ASSERT_EQUAL (w.load[0].age, 250 * ZP_MS);
+  CU_ASSERT_EQUAL (w.load[1].requests, 2 * ZP_SERVER_SLOTS_MAX);
+  CU_ASSERT_EQUAL (w.load[1].pace, ZP_SERVER_PACE_MAX);
+  CU_ASSERT_EQUAL (w.load[1].age, ZP_MS);
+  free (w.item);
+  free (w.load);
+  zp_buf_free (&b);
+}
+
+/* Guards against reading beyond a shorter list, and against figures that no
+   server states.  */
+static void
+test_malformed_work (void)
+{
+  static const char *const lists[] = {
+    "\x22\x04\1\1\1\1",                     /* servers only */
+    "\x22\x04\1\1\1\1\x2a\x01\1\x32\x01\1", /* no ages */
+    "\x22\x04\1\1\1\1\x2a\x01\1\x3a\x01\1", /* no paces */
+    "\x22\x04\1\1\1\1\x32\x01\1\x3a\x01\1", /* no requests */
+    "\x2a\x01\1\x32\x01\1\x3a\x01\1",       /* no servers */
+    "\x22\x04\1\1\1\1\x2a\x02\1\1\x32\x01\1\x3a\x01\1",
+    "\x22\x04\1\1\1\1\x2a\x03\xa1\x9c\1\x32\x01\1\x3a\x01\1",
+    "\x22\x04\1\1\1\1\x2a\x01\1\x32\x03\xa1\x8d\6\x3a\x01\1",
+  };
+  struct tk_work w;
+
+  for (size_t i = 0; i < sizeof lists / sizeof lists[0]; i++)
+    {
+      CU_ASSERT (!ro_get_work (zp_str_from (lists[i]), &w));
+      free (w.item);
+      free (w.load);
+    }
+  CU_ASSERT (ro_get_work (
+      ZP_STR ("\x22\x04\1\1\1\1\x2a\x01\1\x32\x01\1\x3a\x01\1"), &w));
+  free (w.item);
+  free (w.load);
+}
+
 static const struct zp_test tests[]
     = { { "updates", test_update },
         { "hellos", test_hello },
         { "odd entries", test_odd_entries },
-        { "malformed messages", test_malformed } };
+        { "malformed messages", test_malformed },
+        { "work", test_work },
+        { "malformed work", test_malformed_work } };
 
 TEST_MAIN ("roster-codec", tests)
