--- a/src/gate/servers.c
+++ b/src/gate/servers.c
@@ -277,8 +277,8 @@
 }
 
 /* Adds the samples of this daemon that were not sent yet, newest first.  Those
-   that do not fit are left out: they would be older than newer answers by the
-   next report.  */
+   that do not fit are left out: a daemon with more answers than 64 in a period
+   has newer ones of these servers soon.  */
 static void
 put_loads (struct gt_gate *g, struct tk_work *w)
 {
