--- a/src/quota/holder.c
+++ b/src/quota/holder.c
@@ -116,7 +116,6 @@
                                  .first = { h->number + 1, h->number + 1 } };
       all[len].rate = l->rate;
       all[len].depth = qu_limit_depth (l);
-      qu_entry_refresh (h, &all[len], now);
       qu_index_put (&index, l->workspace, (uint32_t) len);
       len++;
     }
--- a/tests/test-quota-bucket.c
+++ b/tests/test-quota-bucket.c
@@ -22,7 +22,8 @@
       qu_bucket_refill (&b, 10, 5, t);
       taken += qu_bucket_take (&b, 1);
     }
-  CU_ASSERT (taken >= 98 && taken <= 99); /* 1% less: clocks differ */
+  /* 9.996 s, and 1% less because clocks differ.  */
+  CU_ASSERT (taken == 98);
 }
 
 /* Guards against tokens from a clock that goes back, and against a lower depth
