roster: asks and grants of rate limits, and which control daemon leads

Entry daemons have to reach the owner of the rate limits, which is the control daemon that leads the log (docs/design/hard-load.md, chapter 4). Adds the codec of asks and grants and the field 'leads' of the answer to a ping. The client sends asks to the control daemon that said last that it leads; the source passes them on with the number of their connection, on which the grant goes back, and sends a change of 'leads' or 'fresh' without a ping.

--- a/src/roster/client-state.h
+++ b/src/roster/client-state.h
@@ -4,6 +4,7 @@
    DESCRIPTION
      client.c       connections to control daemons, updates, messages, set-up
      client-work.c  requests at servers and lost requests, to control daemons
+     client-quota.c asks and grants of rate limits
 
      All of it belongs to the one task of struct ro_client.  */
 
@@ -27,6 +28,7 @@
   struct wi_conn *conn;
   struct ro_control_state state;
   bool in_grace;            /* its rank falls at the end of RO_RANK_GRACE */
+  zp_time leads_since;      /* when it first said so; 0: it does not lead */
   char region[ZP_NAME_MAX]; /* empty: not known yet */
   char failure_domain[ZP_NAME_MAX];
   zp_time ping_at;
@@ -57,4 +59,15 @@
    cut off.  */
 void ro_client_send_loss (struct ro_client *c, const struct tk_loss *l);
 
+/* Notes whether X says that it leads the log.  */
+void ro_client_note_leads (struct ro_control *x, bool leads);
+
+/* Sends the ask to the control daemon that leads; drops it if there is none.
+ */
+void ro_client_send_ask (struct ro_client *c, const struct tk_quota_ask *a);
+
+/* Passes a grant to the deciding task of an entry daemon.  Returns false when
+   PAYLOAD is malformed.  */
+bool ro_client_take_grant (struct ro_control *x, struct zp_str payload);
+
 #endif
--- a/src/roster/client.c
+++ b/src/roster/client.c
@@ -155,6 +155,7 @@
   wi_conn_free (x->conn);
   x->conn = NULL;
   x->dial_at = zp_clock_mono () + RECONNECT_DELAY;
+  ro_client_note_leads (x, false);
   if (!x->state.answered)
     return;
   x->state = (struct ro_control_state){ .answered = false };
@@ -254,13 +255,14 @@
 static void
 on_ping (struct ro_control *x, struct zp_str payload)
 {
-  bool fresh;
+  bool fresh, leads;
 
-  if (!ro_get_ping (payload, &fresh, x->region, x->failure_domain))
+  if (!ro_get_ping (payload, &fresh, &leads, x->region, x->failure_domain))
     {
       disconnect (x, "a malformed ping");
       return;
     }
+  ro_client_note_leads (x, leads);
   if (fresh == x->state.fresh)
     return;
   x->state.fresh = fresh;
@@ -327,6 +329,10 @@
     case WI_ROSTER_LOSS:
       forward_loss (x, payload);
       return;
+    case WI_ROSTER_QUOTA_GRANT:
+      if (!ro_client_take_grant (x, payload))
+        disconnect (x, "a malformed grant");
+      return;
     default:
       disconnect (x, "a frame of an unexpected kind");
       return;
@@ -451,6 +457,9 @@
     case TK_WORK:
       ro_client_send_work (c, &m->u.work);
       break;
+    case TK_QUOTA_ASK:
+      ro_client_send_ask (c, &m->u.quota_ask);
+      break;
     case TK_SEEDS:
       set_seeds (c, zp_str_of (&m->u.addresses.lines));
       break;
--- a/src/roster/client.h
+++ b/src/roster/client.h
@@ -18,14 +18,19 @@
                    to the other control daemons of the region
        TK_LOSS     a request that was lost with its server; sent to two control
                    daemons
+       TK_QUOTA_ASK
+                   an ask of an entry daemon for its leases of rate limits;
+                   sent to the connected control daemon that says that it
+                   leads the log, and dropped when there is none
 
-     Messages sent to the deciding task, the first and the last three to that of
+     Messages sent to the deciding task, the first and the last four to that of
      an entry daemon only:
        TK_SERVER       a report of a backend server
        TK_ENTRY_COUNT  the number of entry daemons, when it changes
        TK_RENEWALS     servers that have reported again without a change
        TK_WORK         the requests of all entry daemons of the region
        TK_LOSS         a request that another daemon lost
+       TK_QUOTA_GRANT  the answer to an ask
 
      TK_CONFIG_SOURCES is sent to FOLLOWER whenever the sources of the
      configuration change.  It lists the control daemons of the highest rank
--- a/src/roster/codec.c
+++ b/src/roster/codec.c
@@ -215,13 +215,14 @@
   Wire__RosterPing w = WIRE__ROSTER_PING__INIT;
 
   w.fresh = p->fresh;
+  w.leads = p->leads;
   w.region = wi_bytes (p->region);
   w.failure_domain = wi_bytes (p->failure_domain);
   wi_pack (out, &w.base);
 }
 
 bool
-ro_get_ping (struct zp_str payload, bool *fresh, char *region,
+ro_get_ping (struct zp_str payload, bool *fresh, bool *leads, char *region,
              char *failure_domain)
 {
   Wire__RosterPing *w = wi_unpack (&wire__roster_ping__descriptor, payload);
@@ -229,6 +230,7 @@
   if (!w)
     return false;
   *fresh = w->fresh;
+  *leads = w->leads;
   bool ok = zp_str_copy (region, ZP_NAME_MAX, wi_view (w->region))
             && zp_str_copy (failure_domain, ZP_NAME_MAX,
                             wi_view (w->failure_domain));
--- a/src/roster/codec.h
+++ b/src/roster/codec.h
@@ -47,6 +47,7 @@
 struct ro_ping
 {
   bool fresh; /* the sender is in contact with the leader of the log */
+  bool leads; /* the sender leads it */
   struct zp_str region; /* of the sender */
   struct zp_str failure_domain;
 };
@@ -54,8 +55,8 @@
 void ro_put_ping (struct zp_buf *out, const struct ro_ping *p);
 
 /* REGION and FAILURE_DOMAIN have room for ZP_NAME_MAX bytes each.  */
-bool ro_get_ping (struct zp_str payload, bool *fresh, char *region,
-                  char *failure_domain);
+bool ro_get_ping (struct zp_str payload, bool *fresh, bool *leads,
+                  char *region, char *failure_domain);
 
 void ro_put_work (struct zp_buf *out, const struct tk_work *w);
 
--- a/src/roster/source-state.h
+++ b/src/roster/source-state.h
@@ -5,6 +5,7 @@
      source.c         connections, reports of servers, messages, set-up
      source-update.c  updates to the connected daemons, and who has them
      source-work.c    requests at servers, and requests that were lost
+     source-quota.c   asks and grants of rate limits
 
      All of it belongs to the one task of struct ro_source.  */
 
@@ -24,6 +25,7 @@
 {
   struct ro_link *next;
   struct ro_source *source;
+  uint64_t link; /* number of this connection, never used again */
   struct wi_conn *conn;
   zp_time accepted_at;
   bool identified; /* its hello has arrived */
@@ -61,6 +63,7 @@
   zp_time report_period;
   struct wi_listener *listener;
   struct ro_link *links;
+  uint64_t last_link; /* number of the last connection */
   struct ro_table table;
   struct ro_work work;
   zp_time work_relayed_at;
@@ -76,6 +79,7 @@
   uint64_t controls_version; /* counts the changes of CONTROLS */
   unsigned entries;          /* connected entry daemons, as last sent */
   bool fresh;                /* in contact with the leader of the log */
+  bool leads;                /* leads it */
   zp_time renewals_at;       /* when unchanged reports are passed on next */
   ev_timer batch, tick;
 };
@@ -114,4 +118,15 @@
 /* Forwards a lost request to the other entry daemons.  */
 void ro_source_forward_loss (struct ro_link *from, const struct tk_loss *loss);
 
+/* source-quota.c */
+
+/* Passes an ask to the deciding task.  Returns false when PAYLOAD is
+   malformed.  */
+bool ro_source_take_ask (struct ro_link *l, struct zp_str payload);
+
+/* Sends G on the connection that the ask came on; drops it if that has
+   ended.  */
+void ro_source_send_grant (struct ro_source *s,
+                           const struct tk_quota_grant *g);
+
 #endif
--- a/src/roster/source.c
+++ b/src/roster/source.c
@@ -230,13 +230,15 @@
   ro_source_send_update (l, zp_clock_mono ());
 }
 
+/* The answer to a ping, also sent without one.  */
 static void
-answer_ping (struct ro_link *l)
+send_state (struct ro_link *l)
 {
   struct zp_buf b = { .ptr = NULL };
 
   const struct ro_ping answer
       = { .fresh = l->source->fresh,
+          .leads = l->source->leads,
           .region = zp_str_of (&l->source->region),
           .failure_domain = zp_str_of (&l->source->failure_domain) };
 
@@ -260,7 +262,7 @@
       on_hello (l, payload);
       return;
     case WI_ROSTER_PING:
-      answer_ping (l);
+      send_state (l);
       return;
     case WI_ROSTER_WORK:
       if (l->identified)
@@ -273,6 +275,10 @@
           return;
         }
       break;
+    case WI_ROSTER_QUOTA_ASK:
+      if (l->identified && ro_source_take_ask (l, payload))
+        return;
+      break;
     case WI_ROSTER_ACK:
       if (ro_get_ack (payload, &acked) && acked <= l->sent)
         {
@@ -307,6 +313,7 @@
 
   l->source = s;
   l->conn = conn;
+  l->link = ++s->last_link;
   l->accepted_at = zp_clock_mono ();
   l->next = s->links;
   s->links = l;
@@ -361,6 +368,20 @@
 
 /* Messages.  */
 
+/* Daemons learn of a change at once: asks for rate limits go to the control
+   daemon that leads, and pings of other regions come every 900 ms.  */
+static void
+set_state (struct ro_source *s, const struct tk_config_fresh *state)
+{
+  if (s->fresh == state->fresh && s->leads == state->leads)
+    return;
+  s->fresh = state->fresh;
+  s->leads = state->leads;
+  for (struct ro_link *l = s->links; l; l = l->next)
+    if (l->identified)
+      send_state (l);
+}
+
 static void
 on_message (void *self, struct tk_msg *m)
 {
@@ -372,7 +393,7 @@
       on_server (s, &m->u.server);
       break;
     case TK_CONFIG_FRESH:
-      s->fresh = m->u.config_fresh.fresh;
+      set_state (s, &m->u.config_fresh);
       break;
     case TK_CONFIG_SOURCES:
       zp_buf_clear (&s->controls);
@@ -380,6 +401,9 @@
       s->controls_version++;
       schedule_update (s);
       break;
+    case TK_QUOTA_GRANT:
+      ro_source_send_grant (s, &m->u.quota_grant);
+      break;
     default:
       assert (!"message kind that the roster source does not handle");
     }
--- a/src/roster/source.h
+++ b/src/roster/source.h
@@ -19,7 +19,14 @@
                           as long, unless it was stopping.
        TK_CONFIG_SOURCES  the control daemons, which every update lists
        TK_CONFIG_FRESH    whether this control daemon is in contact with the
-                          leader of the log; the answers to pings repeat it
+                          leader of the log, and whether it leads; the answers
+                          to pings repeat it, and a change is sent at once
+       TK_QUOTA_GRANT     the answer to an ask, sent on the connection that the
+                          ask came on (LINK); dropped if that has ended
+
+     TK_QUOTA_ASK is sent to the deciding task with the number of the connection
+     in LINK.  An ask is dropped if it is not from an entry daemon that names
+     itself as the holder.
 
      TK_DAEMON is sent to the deciding task when the description of a connected
      daemon changes and when its connection ends.
--- a/tests/test-roster-codec.c
+++ b/tests/test-roster-codec.c
@@ -1,7 +1,11 @@
 #include "harness.h"
 
+#include <stdlib.h>
+
 #include "roster/codec.h"
+#include "roster/quota_codec.h"
 #include "wire/bytes.h"
+#include "wire/roster.pb-c.h"
 
 static void
 check_server (const struct tk_server *a, const struct tk_server *b)
@@ -164,10 +168,163 @@
   zp_buf_free (&b);
 }
 
+/* Guards against a field of the answer to a ping that is lost: without LEADS no
+   ask finds the owner of the rate limits.  */
+static void
+test_ping (void)
+{
+  for (unsigned i = 0; i < 4; i++)
+    {
+      const struct ro_ping in = { .fresh = i & 1,
+                                  .leads = i & 2,
+                                  .region = ZP_STR ("a"),
+                                  .failure_domain = ZP_STR ("a-1") };
+      struct zp_buf b = { .ptr = NULL };
+      char region[ZP_NAME_MAX], domain[ZP_NAME_MAX];
+      bool fresh, leads;
+
+      ro_put_ping (&b, &in);
+      CU_ASSERT (ro_get_ping (zp_str_of (&b), &fresh, &leads, region, domain));
+      CU_ASSERT_EQUAL (fresh, in.fresh);
+      CU_ASSERT_EQUAL (leads, in.leads);
+      CU_ASSERT_STRING_EQUAL (region, "a");
+      CU_ASSERT_STRING_EQUAL (domain, "a-1");
+      zp_buf_free (&b);
+    }
+}
+
+/* Guards against fields of asks that are lost or swapped.  */
+static void
+test_quota_ask (void)
+{
+  struct tk_quota_ask_item item[] = { { .workspace = 1ULL << 63,
+                                        .rate_share = TK_QUOTA_WHOLE,
+                                        .burst_share = 2,
+                                        .applied = 1ULL << 40,
+                                        .demand = 12.345,
+                                        .want = 7 },
+                                      { .workspace = 5, .demand = 1e30 },
+                                      { .workspace = 6, .demand = -1 } };
+  const struct tk_quota_ask in = { .holder = 1ULL << 33,
+                                   .incarnation = 1ULL << 62,
+                                   .number = 9,
+                                   .item = item,
+                                   .len = 3 };
+  struct zp_buf b = { .ptr = NULL };
+  struct tk_quota_ask out;
+
+  ro_put_quota_ask (&b, &in);
+  CU_ASSERT_FATAL (ro_get_quota_ask (zp_str_of (&b), &out));
+  CU_ASSERT_EQUAL (out.holder, in.holder);
+  CU_ASSERT_EQUAL (out.incarnation, in.incarnation);
+  CU_ASSERT_EQUAL (out.number, 9);
+  CU_ASSERT_EQUAL_FATAL (out.len, 3);
+  CU_ASSERT_EQUAL (out.item[0].workspace, 1ULL << 63);
+  CU_ASSERT_EQUAL (out.item[0].rate_share, TK_QUOTA_WHOLE);
+  CU_ASSERT_EQUAL (out.item[0].burst_share, 2);
+  CU_ASSERT_EQUAL (out.item[0].applied, 1ULL << 40);
+  CU_ASSERT_DOUBLE_EQUAL (out.item[0].demand, 12.345, 0.001);
+  CU_ASSERT_EQUAL (out.item[0].want, 7);
+  CU_ASSERT (out.item[1].demand > 4e6);
+  CU_ASSERT (out.item[2].demand >= 0 && out.item[2].demand < 0.001);
+  free (out.item);
+  zp_buf_free (&b);
+}
+
+/* The same for grants.  */
+static void
+test_quota_grant (void)
+{
+  struct tk_quota_grant_item item[] = { { .workspace = 1ULL << 63,
+                                          .rate_share = 3,
+                                          .burst_share = TK_QUOTA_WHOLE,
+                                          .tokens = 4,
+                                          .wanted = 5 } };
+  const struct tk_quota_grant in = { .holder = 1ULL << 33,
+                                     .incarnation = 1ULL << 62,
+                                     .number = 9,
+                                     .term = 10,
+                                     .grant = 11,
+                                     .ttl = 6 * ZP_SEC,
+                                     .period = 250 * ZP_MS,
+                                     .item = item,
+                                     .len = 1 };
+  struct zp_buf b = { .ptr = NULL };
+  struct tk_quota_grant out;
+
+  ro_put_quota_grant (&b, &in);
+  CU_ASSERT_FATAL (ro_get_quota_grant (zp_str_of (&b), &out));
+  CU_ASSERT_EQUAL (out.holder, in.holder);
+  CU_ASSERT_EQUAL (out.incarnation, in.incarnation);
+  CU_ASSERT_EQUAL (out.number, 9);
+  CU_ASSERT_EQUAL (out.term, 10);
+  CU_ASSERT_EQUAL (out.grant, 11);
+  CU_ASSERT_EQUAL (out.ttl, in.ttl);
+  CU_ASSERT_EQUAL (out.period, in.period);
+  CU_ASSERT_EQUAL_FATAL (out.len, 1);
+  CU_ASSERT_EQUAL (out.item[0].workspace, 1ULL << 63);
+  CU_ASSERT_EQUAL (out.item[0].rate_share, 3);
+  CU_ASSERT_EQUAL (out.item[0].burst_share, TK_QUOTA_WHOLE);
+  CU_ASSERT_EQUAL (out.item[0].tokens, 4);
+  CU_ASSERT_EQUAL (out.item[0].wanted, 5);
+  free (out.item);
+  zp_buf_free (&b);
+}
+
+/* Guards against asks and grants of another writer that are taken although
+   their lists have different lengths, hold too many workspaces, or give more
+   than the whole limit.  */
+static void
+test_malformed_quotas (void)
+{
+  uint64_t many[RO_QUOTA_ITEMS_MAX + 1] = { 0 };
+  uint32_t more[RO_QUOTA_ITEMS_MAX + 1] = { 0 };
+  Wire__RosterQuotaAsk a = WIRE__ROSTER_QUOTA_ASK__INIT;
+  Wire__RosterQuotaGrant g = WIRE__ROSTER_QUOTA_GRANT__INIT;
+  struct tk_quota_ask ask;
+  struct tk_quota_grant grant;
+  struct zp_buf b = { .ptr = NULL };
+
+  a.workspaces = a.applied = g.workspaces = many;
+  a.rate_shares = a.burst_shares = a.demands_milli = a.wants = more;
+  g.rate_shares = g.burst_shares = g.tokens = g.wanted = more;
+  for (size_t n = 1; n <= RO_QUOTA_ITEMS_MAX + 1; n++)
+    for (unsigned odd = 0; odd < 4; odd++)
+      {
+        bool good = n <= RO_QUOTA_ITEMS_MAX && odd == 0;
+        a.n_workspaces = a.n_rate_shares = a.n_burst_shares = a.n_applied
+            = a.n_demands_milli = a.n_wants = n;
+        g.n_workspaces = g.n_rate_shares = g.n_burst_shares = g.n_tokens
+            = g.n_wanted = n;
+        a.n_wants = g.n_wanted = odd == 1 ? n - 1 : n;
+        a.n_rate_shares = g.n_rate_shares = odd == 2 ? n - 1 : n;
+        more[0] = odd == 3 ? TK_QUOTA_WHOLE + 1 : 0;
+        zp_buf_clear (&b);
+        wi_pack (&b, &a.base);
+        CU_ASSERT_EQUAL (ro_get_quota_ask (zp_str_of (&b), &ask), good);
+        free (ask.item);
+        zp_buf_clear (&b);
+        wi_pack (&b, &g.base);
+        CU_ASSERT_EQUAL (ro_get_quota_grant (zp_str_of (&b), &grant), good);
+        free (grant.item);
+      }
+  g.ttl_us = UINT64_MAX;
+  zp_buf_clear (&b);
+  wi_pack (&b, &g.base);
+  CU_ASSERT (!ro_get_quota_grant (zp_str_of (&b), &grant));
+  CU_ASSERT (!ro_get_quota_ask (ZP_STR ("\xff\xff\xff"), &ask));
+  CU_ASSERT (!ro_get_quota_grant (ZP_STR ("\xff\xff\xff"), &grant));
+  zp_buf_free (&b);
+}
+
 static const struct zp_test tests[]
     = { { "updates", test_update },
         { "hellos", test_hello },
         { "odd entries", test_odd_entries },
-        { "malformed messages", test_malformed } };
+        { "malformed messages", test_malformed },
+        { "answers to pings", test_ping },
+        { "asks for rate limits", test_quota_ask },
+        { "grants of rate limits", test_quota_grant },
+        { "malformed asks and grants", test_malformed_quotas } };
 
 TEST_MAIN ("roster-codec", tests)
