control: the owner of the rate limits

Nothing answers the asks of entry daemons. A member that regains its lease within a term goes on with its leases, as no other one can have been elected in between.

--- a/src/control/call.h
+++ b/src/control/call.h
@@ -16,6 +16,7 @@
 #define ZP_CONTROL_CALL_H
 
 #include "front/header.h"
+#include "site/site.h"
 #include "task/msg.h"
 #include "ticket/object.h"
 
@@ -99,6 +100,10 @@
   void (*decode) (const struct tk_http_request *r, struct ct_call *out);
   void (*encode) (const struct tk_http_request *r,
                   const struct ct_reply *reply, struct tk_http_answer *out);
+
+  /* Decodes a routing document, for the limits of workspaces.  On failure
+     returns NULL with ERR filled.  */
+  struct si_site *(*decode_site) (struct zp_str document, struct zp_err *err);
 };
 
 #endif
--- a/src/control/calls.c
+++ b/src/control/calls.c
@@ -31,9 +31,8 @@
   return r;
 }
 
-/* NULL before the first document.  */
-static const struct ti_document *
-document_in_force (const struct ti_store *s)
+const struct ti_document *
+ct_calls_document (const struct ti_store *s)
 {
   struct ti_key key = { .kind = TI_DOCUMENT };
 
@@ -54,7 +53,7 @@
 decide_put (const struct ct_put *p, const struct ct_calls_view *v,
             struct ct_action *out)
 {
-  const struct ti_document *current = document_in_force (v->store);
+  const struct ti_document *current = ct_calls_document (v->store);
   struct ti_command c = { .kind = TI_PUT, .now = v->wall_now };
 
   if (p->body.len > CT_DOCUMENT_MAX)
@@ -76,7 +75,7 @@
 static void
 decide_read (const struct ct_calls_view *v, struct ct_action *out)
 {
-  const struct ti_document *current = document_in_force (v->store);
+  const struct ti_document *current = ct_calls_document (v->store);
 
   /* Without a document the reply is temporary: the caller can try again.  */
   if (!current
--- a/src/control/calls.h
+++ b/src/control/calls.h
@@ -63,6 +63,9 @@
 void ct_calls_decide (const struct ct_call *call,
                       const struct ct_calls_view *v, struct ct_action *out);
 
+/* The document in force; NULL before the first one.  */
+const struct ti_document *ct_calls_document (const struct ti_store *s);
+
 /* Whether the reply to a server's report has to wait until no entry daemon
    will send the server new requests for much longer (see roster.h).  True in
    the states TK_SERVER_DRAINING and TK_SERVER_GONE.  */
--- a/src/control/control-state.h
+++ b/src/control/control-state.h
@@ -10,6 +10,7 @@
 #define ZP_CONTROL_CONTROL_STATE_H
 
 #include "control/control.h"
+#include "control/quotas.h"
 #include "control/replica.h"
 #include "control/reports.h"
 #include "control/roster.h"
@@ -33,12 +34,13 @@
   struct fo_source *source; /* NULL: no "follow" in the settings */
   struct ct_reports reports;
   struct ct_shifts shifts;
+  struct ct_quotas quotas;
   struct ct_waiting_list waiting;
   uint64_t proposals;     /* number of the last proposal */
   uint64_t member_change; /* number of the pending proposal that changes the
                              members of the log; 0: none */
   uint64_t term;          /* of the last entry applied */
-  bool fresh;             /* the state last sent as TK_CONFIG_FRESH */
+  bool fresh, leads;      /* the state last sent as TK_CONFIG_FRESH */
   char leader_http[ZP_ADDRESS_MAX];
   ev_timer tick;
   zp_time reconciled_at; /* last comparison of members with the tickets */
@@ -53,7 +55,8 @@
 
 /* Sends TK_CONFIG_FRESH to the sources of configuration and roster when this
    member becomes current or stale: lg_core_is_current, and for a follower a
-   contact with the leader within CONTACT_MAX_AGE.  */
+   contact with the leader within CONTACT_MAX_AGE.  Also when it becomes the
+   owner of the rate limits (quotas.h), or is it no longer.  */
 void ct_control_update_fresh (struct ct_control *c);
 
 /* Proposes the leaves of servers that wait for it, here or at the leader.  */
--- a/src/control/control.c
+++ b/src/control/control.c
@@ -37,23 +37,50 @@
 
 /* The configuration for entry daemons.  */
 
+static void
+send_fresh (const struct ct_control *c, struct tk_task *to)
+{
+  struct tk_msg *m = tk_msg_new (TK_CONFIG_FRESH);
+
+  m->u.config_fresh
+      = (struct tk_config_fresh){ .fresh = c->fresh, .leads = c->leads };
+  tk_send (to, m);
+}
+
 void
 ct_control_update_fresh (struct ct_control *c)
 {
   struct lg_status s = ct_replica_status (c->replica);
-  bool fresh = s.current
-               && (s.lease || zp_clock_mono () - s.contact < CONTACT_MAX_AGE);
+  zp_time now = zp_clock_mono ();
+  bool fresh = s.current && (s.lease || now - s.contact < CONTACT_MAX_AGE);
+  bool leads
+      = ct_quotas_update (&c->quotas, &s, ct_calls_document (c->store), now);
 
-  if (!c->source || fresh == c->fresh)
+  if (!c->source || (fresh == c->fresh && leads == c->leads))
     return;
   c->fresh = fresh;
-  struct tk_msg *m = tk_msg_new (TK_CONFIG_FRESH);
-  m->u.config_fresh.fresh = fresh;
-  tk_send (fo_source_task (c->source), m);
-  if (!c->roster.source)
-    return;
-  m = tk_msg_new (TK_CONFIG_FRESH);
-  m->u.config_fresh.fresh = fresh;
+  c->leads = leads;
+  send_fresh (c, fo_source_task (c->source));
+  if (c->roster.source)
+    send_fresh (c, ro_source_task (c->roster.source));
+}
+
+/* Rate limits.  */
+
+/* Answers the ask on the connection that it came on.  The lease can have ended
+   since the last tick, and the document can be a new one.  */
+static void
+answer_ask (struct ct_control *c, const struct tk_quota_ask *a)
+{
+  struct tk_msg *m = tk_msg_new (TK_QUOTA_GRANT);
+
+  ct_control_update_fresh (c);
+  if (!ct_quotas_answer (&c->quotas, a, zp_clock_mono (), &m->u.quota_grant))
+    {
+      tk_msg_free (m);
+      return;
+    }
+  m->u.quota_grant.link = a->link;
   tk_send (ro_source_task (c->roster.source), m);
 }
 
@@ -256,6 +283,9 @@
       ct_roster_report_settled (&c->roster, m->u.settled.report_id);
       ct_control_answer_reports (c);
       break;
+    case TK_QUOTA_ASK:
+      answer_ask (c, &m->u.quota_ask);
+      break;
     case TK_ENTRY_COUNT:
       break;
     case TK_SEEDS:
@@ -325,6 +355,7 @@
   struct ct_control *c = zp_alloc (sizeof *c);
 
   c->interface = interface;
+  c->quotas.decode = interface ? interface->decode_site : NULL;
   c->settings = settings;
   c->loop = l;
   c->store = ti_store_new (TI_CONFLICT_BY_OBJECT);
@@ -359,6 +390,7 @@
   fo_source_close (c->source);
   ct_waiting_free (&c->waiting);
   ct_shifts_free (&c->shifts);
+  ct_quotas_free (&c->quotas);
   tk_task_free (&c->task);
   ti_store_free (c->store);
   free (c);
