gate: requests wait for a token of the limit of their workspace

Over the limit it gets 429, without an owner 503; both have not run. A request that ends as not run gives its token back, also when its caller left while no attempt can have run.

--- a/src/gate/config.c
+++ b/src/gate/config.c
@@ -120,6 +120,7 @@
     }
   gt_server_note_services (g);
   gt_owner_update_all (g);
+  gt_quotas_apply (g);
   ZP_EVENT (ZP_LOG_NOTICE, PART, "a configuration is in force",
             ZP_F_INT (ZP_KEY_CONFIGURATION, site->number),
             ZP_F_INT (ZP_KEY_VERSION, version),
--- a/src/gate/dispatch.c
+++ b/src/gate/dispatch.c
@@ -468,6 +468,8 @@
   gt_log_attempt (g, q, d, end);
   if (q->answered)
     {
+      if (d->verdict != ZP_NOT_RUN)
+        q->verdict = ZP_MAY_HAVE_RUN;
       gt_request_refuse (g, q, "caller-left", false);
       gt_dispatch_service (g, s);
       return;
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -63,6 +63,7 @@
       fr_server_quiesce (g->front);
       return;
     case ST_STOP_ANSWERING:
+      gt_quotas_refuse_all (g);
       gt_dispatch_refuse_queues (g);
       return;
     case ST_STOP_OVER:
@@ -287,6 +288,9 @@
     case TK_WORK:
       gt_server_receive_work (g, &m->u.work);
       break;
+    case TK_QUOTA_GRANT:
+      gt_quotas_grant (g, &m->u.quota_grant);
+      break;
     case TK_SEEDS:
       tk_send (g->roster, m);
       return;
@@ -339,6 +343,7 @@
                  (double) GT_WORK_PERIOD / ZP_SEC,
                  (double) GT_WORK_PERIOD / ZP_SEC);
   g->work_timer.data = g;
+  gt_quotas_init (g);
   g->front = open_front (g, s->front, BODY_MAX, err);
   /* Readiness checks have no body.  */
   g->ready = g->front ? open_front (g, s->ready, 0, err) : NULL;
@@ -371,6 +376,7 @@
     return;
   ev_timer_stop (g->loop->ev, &g->timer);
   ev_timer_stop (g->loop->ev, &g->work_timer);
+  gt_quotas_free (g);
   fr_server_close (g->front);
   fr_server_close (g->ready);
   tk_task_free (&g->task);
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -16,6 +16,7 @@
      expire.c   removal of servers that have been gone for long
      owners.c   which server has an address that several are reported at
      request.c  a request: arrival, answer, refusal, cancellation
+     quotas.c   rate limits of workspaces (quotas.h)
      dispatch.c admission, queue, forwarding, retries
      choose.c   choice of a backend server
      log.c      log events about requests and servers
@@ -38,6 +39,7 @@
 #include "base/idmap.h"
 #include "base/rng.h"
 #include "base/slots.h"
+#include "gate/quotas.h"
 #include "gate/settings.h"
 #include "roster/table.h"
 #include "site/site.h"
@@ -145,6 +147,7 @@
 
 enum gt_phase
 {
+  GT_QUOTA, /* waits for a token of the limit of its workspace */
   GT_QUEUED,
   GT_RUNNING,    /* at a backend server */
   GT_UNASSIGNED, /* between two phases: just arrived, to be retried or freed */
@@ -184,6 +187,12 @@
   /* From its workspace, if it has one.  */
   struct zp_buf workspace; /* its name; empty: none */
   uint64_t workspace_hash; /* of the name; 0: none */
+  bool has_token;          /* of the limit of its workspace */
+
+  /* In the phase GT_QUOTA.  */
+  struct gt_quota *quota;
+  struct gt_request *quota_prev, *quota_next; /* that wait there */
+  zp_time quota_since;
 
   /* From its route and its workspace.  */
   bool any_region;            /* HOME_REGIONS does not apply */
@@ -243,6 +252,7 @@
   size_t services;
   struct gt_service *unnamed; /* of servers whose service no site has named;
                                  it has no requests and no counters */
+  struct gt_quotas quotas;
   struct zp_slots requests;
   struct zp_idmap by_front_id; /* front_id to id */
 
@@ -382,6 +392,11 @@
    after which the caller can retry.  */
 void gt_request_refuse (struct gt_gate *g, struct gt_request *q,
                         const char *reason, bool retry_later);
+
+/* Refuses and frees Q because of the limit of its workspace.  WHY is
+   QU_EXHAUSTED or QU_UNKNOWN.  */
+void gt_request_refuse_limit (struct gt_gate *g, struct gt_request *q,
+                              enum qu_result why, zp_time retry_after);
 void gt_request_free (struct gt_gate *g, struct gt_request *q);
 
 /* Releases Q without an answer, and without removing it from the gate.  */
--- a/src/gate/request.c
+++ b/src/gate/request.c
@@ -69,32 +69,65 @@
   tk_send (to, m);
 }
 
+/* Answers the caller of Q, which has not left, with a refusal.  */
+static void
+answer_refusal (struct gt_gate *g, const struct gt_request *q, unsigned status,
+                const char *reason, zp_time retry_after, zp_time now)
+{
+  zp_count (q->verdict == ZP_NOT_RUN ? q->service->refused_not_run
+                                     : q->service->refused_may_have_run,
+            1);
+  st_egress_add (&g->egress, GT_HEADER_BYTES, now);
+  send_refusal (q->msg->u.request.from, q->front_id, status, q->verdict,
+                reason, retry_after);
+}
+
 void
 gt_request_refuse (struct gt_gate *g, struct gt_request *q, const char *reason,
                    bool retry_later)
 {
-  const struct tk_http_request *h = &q->msg->u.request;
   zp_time now = zp_clock_mono (), retry_after = 0;
 
   q->phase = GT_UNASSIGNED;
   if (!q->answered)
     {
-      bool not_run = q->verdict == ZP_NOT_RUN;
-      if (not_run && retry_later)
+      if (q->verdict == ZP_NOT_RUN && retry_later)
         /* Another entry VM can take the request at once.  */
         retry_after
             = g->stop.begun
                   ? ST_RETRY_AFTER_MIN
                   : st_retry_after (st_queue_service_time (q->service->queue),
                                     q->deadline - now, &g->rng);
-      zp_count (not_run ? q->service->refused_not_run
-                        : q->service->refused_may_have_run,
-                1);
       gt_log_refusal (g, q, reason, retry_after, now);
-      st_egress_add (&g->egress, GT_HEADER_BYTES, now);
-      send_refusal (h->from, q->front_id,
-                    refusal_status (q->verdict, now >= q->deadline),
-                    q->verdict, reason, retry_after);
+      answer_refusal (g, q, refusal_status (q->verdict, now >= q->deadline),
+                      reason, retry_after, now);
+    }
+  if (q->verdict == ZP_NOT_RUN)
+    gt_quotas_give_back (g, q);
+  gt_request_free (g, q);
+}
+
+/* 429 means, like 503, that the request has not run.  Requests over their limit
+   have one line for many (quotas.c): their number is not limited.  */
+void
+gt_request_refuse_limit (struct gt_gate *g, struct gt_request *q,
+                         enum qu_result why, zp_time retry_after)
+{
+  zp_time now = zp_clock_mono ();
+
+  assert (q->phase == GT_UNASSIGNED && !q->answered && !q->has_token);
+  switch (why)
+    {
+    case QU_EXHAUSTED:
+      answer_refusal (g, q, 429, "over-limit", retry_after, now);
+      break;
+    case QU_UNKNOWN:
+      gt_log_refusal (g, q, "limit-unknown", retry_after, now);
+      answer_refusal (g, q, 503, "limit-unknown", retry_after, now);
+      break;
+    case QU_SPEND:
+    case QU_WAIT:
+      assert (!"a result that is no refusal");
     }
   gt_request_free (g, q);
 }
@@ -317,7 +350,7 @@
   zp_idmap_put (&g->by_front_id, q->front_id, q->id);
   zp_count (q->service->requests, 1);
   st_budget_first_try (&q->service->budget);
-  gt_dispatch_admit (g, q);
+  gt_quotas_admit (g, q);
 }
 
 /* The answer is no longer needed, so the server should not spend a slot on the
@@ -332,6 +365,10 @@
   q->answered = true;
   switch (q->phase)
     {
+    case GT_QUOTA:
+      gt_quotas_cancel (g, q);
+      gt_request_refuse (g, q, "caller-left", false);
+      return;
     case GT_QUEUED:
       st_queue_cancel (q->service->queue, q->queue_ref);
       gt_request_refuse (g, q, "caller-left", false);
