--- a/tests/platform-fixture.h
+++ b/tests/platform-fixture.h
@@ -12,7 +12,8 @@
      Runs control daemons (zp-core) and an entry daemon (zp-edge) with the
      settings of deploy/ on loopback addresses.  A stub backend server is part
      of the test.  A program that needs another number of control daemons than
-     three defines CONTROLS before it includes this header.
+     three, or of entry daemons than one, defines CONTROLS or ENTRIES before it
+     includes this header.
 
      The processes end with the test, also when it is killed.  */
 
@@ -37,8 +38,12 @@
 #ifndef CONTROLS
 #define CONTROLS 3
 #endif
-#define ENTRY CONTROLS /* index of the entry daemon */
-#define PROCESSES (CONTROLS + 1)
+#ifndef ENTRIES
+#define ENTRIES 1
+#endif
+#define ENTRY CONTROLS /* index of the first entry daemon */
+#define PROCESSES (CONTROLS + ENTRIES)
+#define STUB PROCESSES /* of the address of the stub server */
 #define PORT_CONTROL 8649
 #define PORT_DIRECTORY 8644
 #define PORT_FRONT 8641
@@ -110,11 +115,11 @@
   char path[128];
   struct zp_err err;
 
-  CU_ASSERT_FATAL (zp_file_read (at == ENTRY ? "deploy/edge.json.tmpl"
+  CU_ASSERT_FATAL (zp_file_read (at >= ENTRY ? "deploy/edge.json.tmpl"
                                              : "deploy/core.json.tmpl",
                                  &text, 65536, &err));
   replacef (&text, "{{nodeName|json}}", "\"machine-%d\"", at);
-  int region = 'a' + (at == ENTRY ? 0 : at % regions);
+  int region = 'a' + (at >= ENTRY ? 0 : at % regions);
   replacef (&text, "{{zone|json}}", "\"%c-1\"", region);
   replacef (&text, "{{region|json}}", "\"%c\"", region);
   replace (&text, "{{bootstrap|json}}", bootstrap ? "true" : "false");
@@ -153,7 +158,7 @@
   char program[600], settings[128], log[128], shim[128];
 
   snprintf (program, sizeof program, "%s/%s", programs,
-            at == ENTRY ? "zp-edge" : core_program);
+            at >= ENTRY ? "zp-edge" : core_program);
   snprintf (settings, sizeof settings, "%s/%d.json", folder, at);
   snprintf (log, sizeof log, "%s/%d.log", folder, at);
   snprintf (shim, sizeof shim, "%s/%d.shim", folder, at);
@@ -253,7 +258,7 @@
 struct reply
 {
   long status;
-  char body[4096];
+  char body[65536];
   char headers[4096];
   size_t body_len, headers_len;
 };
@@ -400,7 +405,7 @@
 static inline void
 report (const char *state, unsigned seq)
 {
-  report_server ("svc", "i-1", ENTRY + 1, state, seq);
+  report_server ("svc", "i-1", STUB, state, seq);
 }
 
 static struct stub_server stub;
@@ -415,7 +420,7 @@
   names = pf_names;
   names.credential = names.workspace = NULL;
 
-  snprintf (address, sizeof address, "%s:%d", ip (ENTRY + 1), PORT_SERVER);
+  snprintf (address, sizeof address, "%s:%d", ip (STUB), PORT_SERVER);
   const struct fr_options o = { .address = zp_str_from (address),
                                 .decider = &stub.task,
                                 .names = &names,
