--- a/src/quota/owner.c
+++ b/src/quota/owner.c
@@ -189,7 +189,7 @@
     return (struct qu_share){ .rate = 0 };
   double part = (1 - EVEN_PART) * fmin (l->demand / w->demand, 1.0)
                 + EVEN_PART / w->demands;
-  uint32_t burst = (uint32_t) (QU_LEASED_MAX * part);
+  uint32_t burst = (uint32_t) ((double) QU_LEASED_MAX * part);
   if (burst > room)
     burst = room;
   /* Near the smallest share, a lease does not come and go.  */
--- a/src/quota/owner.h
+++ b/src/quota/owner.h
@@ -64,7 +64,7 @@
 #define QU_HOLDERS_MAX 1024
 
 /* Largest share that is leased out.  */
-#define QU_LEASED_MAX (TK_QUOTA_WHOLE / 4 * 3)
+#define QU_LEASED_MAX ((TK_QUOTA_WHOLE >> 2) * 3)
 
 /* The number of a grant has the term in its upper bits, so that a holder's
    acknowledgement of an earlier owner's grant is not taken for one of a later
--- a/tests/test-quota-sum.c
+++ b/tests/test-quota-sum.c
@@ -29,6 +29,7 @@
   zp_time leads;   /* when it becomes the leader */
   uint64_t term;
   struct qu_limit owner_limit[LIMITS];
+  bool owner_outdated; /* a change of the limits has not arrived */
 } run;
 
 static const double demand[LIMITS] = { 120, 18, 4 };
@@ -71,6 +72,7 @@
   /* Its clock has gone on since it was the leader before.  */
   f.owner_offset += 1000 * ZP_SEC;
   memcpy (run.owner_limit, f.limit, sizeof run.owner_limit);
+  run.owner_outdated = false;
   zp_time now = qf_owner_clock (&f);
   qu_owner_set_limits (f.owner, f.limit, f.limits, now);
   qu_owner_lead (f.owner, ++run.term, now);
@@ -90,6 +92,7 @@
   f.limit[w].burst = f.limit[w].rate * (0.25 + zp_rng_unit (&f.rng) * 1.5);
   for (unsigned i = 0; i < f.holders; i++)
     f.holder[i].outdated = true;
+  run.owner_outdated = true;
   TRACE ("%.2f limit %u is %.1f, %.1f\n", (double) f.now / ZP_SEC, w,
          f.limit[w].rate, f.limit[w].burst);
 }
@@ -140,10 +143,10 @@
 static void
 deliver_limits (void)
 {
-  if (f.owner && chance (&f.rng, 0.01)
-      && memcmp (run.owner_limit, f.limit, sizeof run.owner_limit) != 0)
+  if (f.owner && run.owner_outdated && chance (&f.rng, 0.01))
     {
       memcpy (run.owner_limit, f.limit, sizeof run.owner_limit);
+      run.owner_outdated = false;
       qu_owner_set_limits (f.owner, f.limit, f.limits, qf_owner_clock (&f));
     }
   for (unsigned i = 0; i < f.holders; i++)
@@ -277,6 +280,7 @@
     f.limit[w] = (struct qu_limit){ .workspace = w + 1,
                                     .rate = demand[w] / 0.62,
                                     .burst = demand[w] * 1.2 + 8 };
+  run.owner_outdated = true;
   for (unsigned i = 0; i < f.holders; i++)
     {
       f.holder[i].frozen_until = f.holder[i].cut_until = 0;
