quota: the pool of a small limit holds a token

Of a limit with a depth below 4, up to 0.75 was leased, and in the time of the claims counted as leased. The pool then held less than one token: requests at all other holders got 429, however few they were, and after a change of the leader all requests without a lease for 6 s. Less of such a depth is now leased. A pool that an owner learns of after qu_owner_lead starts to refill when the tokens of an earlier owner have ended, too.

test-quota-owner: 'pool of a small limit', 'pool of a lowered limit' and 'limit after the lead' failed before.

--- a/src/quota/owner-pool.c
+++ b/src/quota/owner-pool.c
@@ -1,6 +1,7 @@
 #include "quota/owner-state.h"
 
 #include <assert.h>
+#include <math.h>
 #include <stdlib.h>
 
 #include "base/str.h"
@@ -93,20 +94,29 @@
   qu_bucket_refill (&w->pool, rate, depth - w->flying, o->now);
 }
 
-/* What is not leased; until the claims have come, what cannot be leased.  */
+uint32_t
+qu_pool_leased_max (const struct qu_pool *w)
+{
+  double most = TK_QUOTA_WHOLE * (1 - 1 / fmax (w->depth, 1));
+
+  return most < QU_LEASED_MAX ? (uint32_t) most : QU_LEASED_MAX;
+}
+
+/* What is left of a limit of which COUNTED is leased; until the claims have
+   come, MOST counts as leased.  */
 static uint32_t
-rest_of (const struct qu_owner *o, uint32_t counted)
+rest_of (const struct qu_owner *o, uint32_t counted, uint32_t most)
 {
-  if (qu_claims_only (o) && counted < QU_LEASED_MAX)
-    counted = QU_LEASED_MAX;
+  if (qu_claims_only (o) && counted < most)
+    counted = most;
   return TK_QUOTA_WHOLE - counted;
 }
 
 void
 qu_pool_set_part (struct qu_owner *o, struct qu_pool *w)
 {
-  w->part.rate = rest_of (o, w->counted.rate);
-  w->part.burst = rest_of (o, w->counted.burst);
+  w->part.rate = rest_of (o, w->counted.rate, QU_LEASED_MAX);
+  w->part.burst = rest_of (o, w->counted.burst, qu_pool_leased_max (w));
   qu_pool_refill (o, w);
 }
 
--- a/src/quota/owner.c
+++ b/src/quota/owner.c
@@ -50,6 +50,17 @@
 
 /* Limits and leadership.  */
 
+/* Empties the pool of W.  It refills when tokens of an earlier owner are no
+   longer under way.  */
+static void
+empty_pool (struct qu_owner *o, struct qu_pool *w)
+{
+  zp_time from
+      = o->claims_end - QU_COUNTED (QU_TTL) + QU_COUNTED (QU_TOKEN_TTL);
+
+  qu_bucket_empty (&w->pool, from > o->now ? from : o->now);
+}
+
 static struct qu_pool *
 new_limit (struct qu_owner *o, uint64_t workspace, uint32_t *from)
 {
@@ -93,7 +104,7 @@
                               ? &o->limit[at]
                               : new_limit (o, list[i].workspace, &from);
       if (at == QU_NONE)
-        qu_bucket_empty (&w->pool, o->now);
+        empty_pool (o, w);
       w->limited = true;
       w->rate = list[i].rate;
       w->depth = qu_limit_depth (&list[i]);
@@ -136,8 +147,7 @@
           qu_pool_release (o, w);
           continue;
         }
-      /* Tokens of an earlier owner can be under way for so long.  */
-      qu_bucket_empty (&w->pool, o->now + QU_COUNTED (QU_TOKEN_TTL));
+      empty_pool (o, w);
       qu_pool_set_part (o, w);
     }
 }
@@ -152,11 +162,15 @@
 }
 
 /* What is left for L of what can be leased.  Counted rates are never above
-   counted bursts.  */
+   counted bursts.  After a lower limit, the others can have more than what can
+   be leased.  */
 static uint32_t
 room_of (const struct qu_pool *w, const struct qu_lease *l)
 {
-  return QU_LEASED_MAX - (w->counted.burst - l->counted.burst);
+  uint32_t others = w->counted.burst - l->counted.burst;
+  uint32_t most = qu_pool_leased_max (w);
+
+  return most > others ? most - others : 0;
 }
 
 /* The share of the rate for a bucket with the share BURST.  A shallow bucket is
@@ -193,13 +207,14 @@
   if (burst > room)
     burst = room;
   /* Near the smallest share, a lease does not come and go.  */
-  if (burst < least && l->share.burst >= least && is_near (burst, least))
+  if (burst < least && least <= room && l->share.burst >= least
+      && is_near (burst, least))
     burst = least;
   if (burst < least)
     return (struct qu_share){ .rate = 0 };
   uint32_t rate = rate_for (w, burst);
-  if (l->share.burst >= least && is_near (burst, l->share.burst)
-      && is_near (rate, l->share.rate))
+  if (l->share.burst >= least && l->share.burst <= room
+      && is_near (burst, l->share.burst) && is_near (rate, l->share.rate))
     return l->share;
   return (struct qu_share){ .rate = rate, .burst = burst };
 }
--- a/src/quota/owner.h
+++ b/src/quota/owner.h
@@ -25,7 +25,8 @@
        acknowledgement on.
      - A holder with a new incarnation is another holder.
      - For QU_TTL after qu_owner_lead only leases that holders claim are
-       renewed, and the pool has a quarter of the limit.  Claims are leases of
+       renewed, and the pool has a quarter of the limit, but a depth of at
+       least one token.  Claims are leases of
        an earlier owner, so their sum is within what can be leased.
      - Tokens count as in flight until the holder has acknowledged the grant,
        or QU_TOKEN_TTL has passed.  A new owner's pool starts to refill when
@@ -63,7 +64,8 @@
    system is designed for, so that all can restart within QU_TTL.  */
 #define QU_HOLDERS_MAX 1024
 
-/* Largest share that is leased out.  */
+/* Largest share that is leased out.  Of a depth below 4 it is less, so that the
+   pool can hold a token for the holders that have no lease.  */
 #define QU_LEASED_MAX (TK_QUOTA_WHOLE / 4 * 3)
 
 /* The number of a grant has the term in its upper bits, so that a holder's
--- a/tests/test-quota-owner.c
+++ b/tests/test-quota-owner.c
@@ -132,6 +132,46 @@
   qu_owner_free (o);
 }
 
+/* Guards against a pool that holds less than one token and so refuses all
+   requests at holders without a lease, when another holder has a lease and in
+   the time of the claims.  */
+static void
+test_pool_of_small_limit (void)
+{
+  static const double bursts[] = { 1, 2, 3, 3.9 };
+
+  for (size_t i = 0; i < 4; i++)
+    {
+      struct qu_limit l = { .workspace = WS, .rate = 4, .burst = bursts[i] };
+      zp_time now = start ();
+      qu_owner_set_limits (o, &l, 1, now);
+      drain (now);
+      uint32_t share = settle (1, 3, now + 5 * ZP_SEC);
+      CU_ASSERT (share == 0 || share >= TK_QUOTA_WHOLE / bursts[i]);
+      CU_ASSERT (drain (now + 9 * ZP_SEC) >= 1);
+      qu_owner_lead (o, 2, now + 10 * ZP_SEC);
+      CU_ASSERT (drain (now + 15 * ZP_SEC) >= 1);
+      qu_owner_free (o);
+    }
+}
+
+/* Guards against a lower limit whose pool stays below one token, because the
+   lease is only a little larger than what can now be leased.  */
+static void
+test_pool_of_lowered_limit (void)
+{
+  struct qu_limit l = { .workspace = WS, .rate = 8, .burst = 2.2 };
+  zp_time now = start ();
+
+  qu_owner_set_limits (o, &l, 1, now);
+  CU_ASSERT (settle (1, 6, now) > 0);
+  l.burst = 2.05;
+  qu_owner_set_limits (o, &l, 1, now + 3 * ZP_SEC);
+  settle (1, 6, now + 3 * ZP_SEC);
+  CU_ASSERT (drain (now + 8 * ZP_SEC) >= 1);
+  qu_owner_free (o);
+}
+
 /* Guards against a smaller share that is given to another holder before the
    first one has acknowledged it.  */
 static void
@@ -214,6 +254,20 @@
   qu_owner_free (o);
 }
 
+/* Guards against a new owner that fills the pool of a limit, which it learns of
+   after its start, while tokens of an earlier owner are under way.  */
+static void
+test_limit_after_lead (void)
+{
+  o = qu_owner_new ();
+  qu_owner_lead (o, 2, T0);
+  qu_owner_set_limits (o, &limit, 1, T0);
+  number = 0;
+  CU_ASSERT (drain (T0 + FLIGHT) == 0);
+  CU_ASSERT (drain (T0 + LEASE - 1) == 100);
+  qu_owner_free (o);
+}
+
 /* Guards against claims beyond what can be leased.  */
 static void
 test_false_claims (void)
@@ -336,9 +390,12 @@
   { "pool", test_pool },
   { "shares", test_shares },
   { "shallow bucket", test_shallow },
+  { "pool of a small limit", test_pool_of_small_limit },
+  { "pool of a lowered limit", test_pool_of_lowered_limit },
   { "smaller share", test_smaller_share },
   { "lost holder", test_lost_holder },
   { "claims", test_claims },
+  { "limit after the lead", test_limit_after_lead },
   { "false claims", test_false_claims },
   { "tokens in flight", test_tokens_in_flight },
   { "asks out of order", test_out_of_order },
