control: the claims of a first limit count from the leadership on

A deployment that got its first limit had a quarter of it for 6 s, because the owner began with the document. No other member can have granted anything since this one leads, so the time counts from then.

test-quotas: 'first limit' got 10 tokens instead of 40 before.

--- a/src/control/quotas.c
+++ b/src/control/quotas.c
@@ -9,6 +9,16 @@
 
 #define PART "quotas"
 
+/* The owner counts from when this member began to lead, also when the first
+   limit comes later: there was no other owner in between.  */
+static void
+begin_term (struct ct_quotas *q)
+{
+  qu_owner_lead (q->owner, q->term, q->since);
+  ZP_EVENT (ZP_LOG_NOTICE, PART, "this daemon owns the rate limits",
+            ZP_F_INT (ZP_KEY_TERM, q->term));
+}
+
 /* Limits.  */
 
 /* Sets the limits of SITE.  Without a limit in this document and in all earlier
@@ -29,7 +39,10 @@
     }
   q->limits = n;
   if (n > 0 && !q->owner)
-    q->owner = qu_owner_new ();
+    {
+      q->owner = qu_owner_new ();
+      begin_term (q);
+    }
   if (q->owner)
     qu_owner_set_limits (q->owner, list, n, now);
   free (list);
@@ -77,15 +90,6 @@
   q->counted = c;
 }
 
-static void
-begin_term (struct ct_quotas *q, uint64_t term, zp_time now)
-{
-  q->term = term;
-  qu_owner_lead (q->owner, term, now);
-  ZP_EVENT (ZP_LOG_NOTICE, PART, "this daemon owns the rate limits",
-            ZP_F_INT (ZP_KEY_TERM, term));
-}
-
 bool
 ct_quotas_update (struct ct_quotas *q, const struct lg_status *s,
                   const struct ti_document *d, zp_time now)
@@ -93,12 +97,17 @@
   bool led = q->leads;
 
   q->leads = s->role == LG_LEADER && s->lease && s->current;
+  if (q->leads && s->term != q->term)
+    {
+      q->term = s->term;
+      q->since = now;
+      if (q->owner)
+        begin_term (q);
+    }
   if (q->leads)
     read_document (q, d, now);
   if (!q->owner)
     return q->leads;
-  if (q->leads && s->term != q->term)
-    begin_term (q, s->term, now);
   if (led && !q->leads)
     {
       ZP_EVENT (ZP_LOG_NOTICE, PART,
--- a/src/control/quotas.h
+++ b/src/control/quotas.h
@@ -29,7 +29,8 @@
   ct_decode_site *decode; /* NULL: there are no limits */
   struct qu_owner *owner; /* NULL before the first document with a limit */
   bool leads;             /* this member is the owner */
-  uint64_t term;          /* in which it became the owner; 0: never */
+  uint64_t term;          /* in which it leads, or led last; 0: never */
+  zp_time since;          /* it leads in TERM */
   bool has_read;          /* a document was read */
   uint64_t document;      /* the number of the last one */
   size_t limits;          /* that it has */
--- a/tests/test-quotas.c
+++ b/tests/test-quotas.c
@@ -204,6 +204,33 @@
   tear_down (&f);
 }
 
+/* Guards against 6 s with a quarter of the limit when a deployment gets its
+   first limit: no other member was the owner since this one leads.  */
+static void
+test_first_limit (void)
+{
+  struct fixture f;
+  uint32_t tokens;
+
+  set_up (&f);
+  put (&f, "0 0", 1);
+  CU_ASSERT (update (&f));
+  f.now += 10 * ZP_SEC;
+  put (&f, "40 40", 2);
+  CU_ASSERT (update (&f));
+  f.now += 2 * ZP_SEC;
+  CU_ASSERT (ask (&f, &tokens));
+  CU_ASSERT_EQUAL (tokens, 40);
+  /* A later term waits for the claims, a limit or not.  */
+  f.status.term = 4;
+  f.now += ZP_SEC;
+  CU_ASSERT (update (&f));
+  f.now += 5 * ZP_SEC;
+  CU_ASSERT (ask (&f, &tokens));
+  CU_ASSERT_EQUAL (tokens, 10);
+  tear_down (&f);
+}
+
 /* Guards against work and answers in a deployment without limits.  */
 static void
 test_without_limits (void)
@@ -226,6 +253,7 @@
     = { { "only the leader answers", test_only_leader_answers },
         { "terms", test_terms },
         { "documents", test_documents },
+        { "first limit", test_first_limit },
         { "without limits", test_without_limits } };
 
 TEST_MAIN ("quotas", tests)
