quota: leases of more than 128 workspaces survive a lost ask

With 300 workspaces at a holder and a period of 1.5 s, a lease was renewed every 3 to 4.5 s, so a single lost ask ended it after 6 s. A holder with more workspaces than fit into an ask now asks more often: each lease is renewed within 2 s, but asks are at least 250 ms apart.

test-quota-holder: 'lost ask of many' failed before.

--- a/src/quota/holder-ask.c
+++ b/src/quota/holder-ask.c
@@ -5,6 +5,9 @@
 
 #include "base/str.h"
 
+/* A lease is renewed at least this often, so that it survives a lost ask.  */
+#define RENEWAL_TIME (QU_TTL / 3)
+
 /* Tokens that E wants in an ask made now.  */
 static uint32_t
 want_of (const struct qu_entry *e)
@@ -108,6 +111,19 @@
   h->counts.asks++;
 }
 
+/* Time to the next periodic ask when N entries are to be renewed.  With more
+   than fit into one ask it is short enough to renew each of them within
+   RENEWAL_TIME.  */
+static zp_time
+period_for (const struct qu_holder *h, size_t n)
+{
+  zp_time most = RENEWAL_TIME * QU_ITEMS_MAX / (zp_time) (n > 0 ? n : 1);
+
+  if (n <= QU_ITEMS_MAX || most > h->period)
+    return h->period;
+  return most > QU_PERIOD_MIN ? most : QU_PERIOD_MIN;
+}
+
 bool
 qu_holder_make_ask (struct qu_holder *h, zp_time now, struct tk_quota_ask *ask)
 {
@@ -117,6 +133,7 @@
     return false;
   struct pick *pick = zp_alloc ((h->len + 1) * sizeof *pick);
   size_t n = pick_entries (h, periodic, now, pick);
+  zp_time period = period_for (h, n);
   if (n > QU_ITEMS_MAX)
     {
       qsort (pick, n, sizeof *pick, compare_picks);
@@ -138,7 +155,7 @@
   free (pick);
   clear_flags (h);
   if (periodic)
-    h->next_period = now + h->period;
+    h->next_period = now + period;
   return n > 0;
 }
 
--- a/src/quota/owner.h
+++ b/src/quota/owner.h
@@ -52,7 +52,8 @@
 
 /* Period of the asks: at least QU_PERIOD_MIN, longer with many holders so that
    the owner gets at most 125 asks a second from them, but at most
-   QU_PERIOD_MAX, so that a lease survives three lost asks.  */
+   QU_PERIOD_MAX, so that a lease survives three lost asks; one, when a holder
+   has more than QU_ITEMS_MAX workspaces to renew.  */
 #define QU_PERIOD_MIN (250 * ZP_MS)
 #define QU_PERIOD_HOLDER (8 * ZP_MS)
 #define QU_PERIOD_MAX (1500 * ZP_MS)
--- a/tests/test-quota-holder.c
+++ b/tests/test-quota-holder.c
@@ -346,6 +346,72 @@
   qu_holder_free (h);
 }
 
+/* Answers A, when the owner knows the workspaces up to KNOWN only, with a half
+   of each limit.  */
+static void
+answer (const struct tk_quota_ask *a, uint64_t known, zp_time now)
+{
+  static struct tk_quota_grant_item item[QU_ITEMS_MAX];
+  struct tk_quota_grant g = { .holder = 3,
+                              .incarnation = 33,
+                              .number = a->number,
+                              .term = 1,
+                              .grant = QU_GRANT_NUMBER (1, a->number),
+                              .ttl = QU_TTL,
+                              .period = QU_PERIOD_MAX,
+                              .item = item };
+
+  for (size_t i = 0; i < a->len; i++)
+    if (a->item[i].workspace < known)
+      item[g.len++] = (struct tk_quota_grant_item){
+        .workspace = a->item[i].workspace,
+        .rate_share = HALF,
+        .burst_share = HALF,
+      };
+  CU_ASSERT (qu_holder_grant (h, &g, now));
+}
+
+/* Guards against leases that end because a single ask is lost, with 300
+   workspaces and the longest period; also while the owner does not know 80
+   others.  */
+static void
+test_lost_ask_of_many (void)
+{
+  enum
+  {
+    KNOWN = 300,
+    MANY = 380,
+    STEP_MS = 50,
+  };
+  static struct qu_limit list[MANY];
+  struct tk_quota_ask a;
+
+  for (int round = 0; round < 2; round++)
+    {
+      uint64_t n = round == 0 ? KNOWN : MANY;
+      zp_rng_seed (&rng, 1);
+      h = qu_holder_new (3, 33);
+      for (uint64_t i = 0; i < n; i++)
+        list[i] = (struct qu_limit){ .workspace = i, .rate = 10, .burst = 10 };
+      qu_holder_set_limits (h, list, n, T0);
+      unsigned asks = 0;
+      for (zp_time t = T0; t < T0 + 60 * ZP_SEC; t += STEP_MS * ZP_MS)
+        {
+          if (t % ZP_SEC == 0)
+            for (uint64_t i = 0; i < n; i++)
+              if (qu_holder_take (h, i, t, &rng).kind == QU_WAIT)
+                qu_holder_cancel_wait (h, i);
+          if (!qu_holder_make_ask (h, t, &a))
+            continue;
+          if (round == 1 || ++asks % 10 != 0)
+            answer (&a, KNOWN, t);
+          free (a.item);
+        }
+      CU_ASSERT_EQUAL (qu_holder_counts (h).ended, 0);
+      qu_holder_free (h);
+    }
+}
+
 /* Guards against a demand that does not follow, or leaves out refused
    requests.  */
 static void
@@ -380,6 +446,7 @@
   { "no owner answers", test_silence },
   { "limits change", test_limit_changes },
   { "many workspaces", test_many },
+  { "lost ask of many", test_lost_ask_of_many },
   { "demand", test_demand },
 };
 
