--- a/tests/test-quota-holder.c
+++ b/tests/test-quota-holder.c
@@ -175,6 +175,8 @@
   CU_ASSERT (grant (b, 2, 2, 1000, 0, 0, now));
   grant (a, 2, 1, HALF, 1, 1, now);
   CU_ASSERT (share (now) == 1000 && retry (now) == QU_WAIT);
+  grant (b, 2, 2, HALF, 1, 1, now);
+  CU_ASSERT (share (now) == 1000 && retry (now) == QU_WAIT);
   CU_ASSERT (!grant (b, 1, 900, HALF, 1, 1, now));
   CU_ASSERT (!grant (b + 1, 2, 3, HALF, 1, 1, now));
   CU_ASSERT (share (now) == 1000);
