--- a/tests/test-quota-owner.c
+++ b/tests/test-quota-owner.c
@@ -120,6 +120,24 @@
   qu_owner_free (o);
 }
 
+/* Guards against a pool that refills with what it had before a lease was
+   granted, until the next ask for the limit.  */
+static void
+test_pool_after_lease (void)
+{
+  struct tk_quota_ask_item it = { .demand = 50 };
+  zp_time now = start ();
+
+  ask_item (1, it, now, NULL);
+  now += ZP_SEC;
+  drain (now);
+  now += 600 * ZP_MS; /* the tokens are no longer under way */
+  drain (now);
+  CU_ASSERT (ask_item (1, it, now, NULL).burst_share == QU_LEASED_MAX);
+  CU_ASSERT (drain (now + 500 * ZP_MS) <= 13);
+  qu_owner_free (o);
+}
+
 /* Guards against a lease of less than one token.  */
 static void
 test_shallow (void)
@@ -389,6 +407,7 @@
 static const struct zp_test tests[] = {
   { "pool", test_pool },
   { "shares", test_shares },
+  { "pool after a lease", test_pool_after_lease },
   { "shallow bucket", test_shallow },
   { "pool of a small limit", test_pool_of_small_limit },
   { "pool of a lowered limit", test_pool_of_lowered_limit },
