--- a/src/quota/owner.h
+++ b/src/quota/owner.h
@@ -25,7 +25,8 @@
        acknowledgement on.
      - A holder with a new incarnation is another holder.
      - For QU_TTL after qu_owner_lead only leases that holders claim are
-       renewed, and the pool has a quarter of the limit.  Claims are leases of
+       renewed, and the pool has a quarter of the limit, but a depth of at
+       least one token.  Claims are leases of
        an earlier owner, so their sum is within what can be leased.
      - Tokens count as in flight until the holder has acknowledged the grant,
        or QU_TOKEN_TTL has passed.  A new owner's pool starts to refill when
@@ -51,7 +52,8 @@
 
 /* Period of the asks: at least QU_PERIOD_MIN, longer with many holders so that
    the owner gets at most 125 asks a second from them, but at most
-   QU_PERIOD_MAX, so that a lease survives three lost asks.  */
+   QU_PERIOD_MAX, so that a lease survives three lost asks; one, when a holder
+   has more than QU_ITEMS_MAX workspaces to renew.  */
 #define QU_PERIOD_MIN (250 * ZP_MS)
 #define QU_PERIOD_HOLDER (8 * ZP_MS)
 #define QU_PERIOD_MAX (1500 * ZP_MS)
@@ -63,7 +65,8 @@
    system is designed for, so that all can restart within QU_TTL.  */
 #define QU_HOLDERS_MAX 1024
 
-/* Largest share that is leased out.  */
+/* Largest share that is leased out.  Of a depth below 4 it is less, so that the
+   pool can hold a token for the holders that have no lease.  */
 #define QU_LEASED_MAX ((TK_QUOTA_WHOLE >> 2) * 3)
 
 /* The number of a grant has the term in its upper bits, so that a holder's
