gate: loads are shared only once a server has stated its pace

Cause: shared samples, and the weighting of samples by their age, changed how the earlier deployments are served, whose servers state no pace.

Change: the first pace, in an answer of a server or in a sample of another daemon, sets gt_gate.shares_loads. Until then a daemon sends and takes no samples and reads loads as on (ST_BALANCE_LARGER), also in the log and for answers to attempts that began before a restart was reported.

Measured: test-balance (9 tests), test-gate-loads (7, two of them new), the other test-gate-* programs and test-roster-region pass.

--- a/src/gate/choose.c
+++ b/src/gate/choose.c
@@ -80,13 +80,15 @@
 collect_candidates (struct gt_gate *g, const struct gt_request *q, zp_time now,
                     struct candidates *x)
 {
+  enum st_balance_mode mode = gt_server_load_mode (g);
+
   for (size_t i = 0; i < g->servers; i++)
     {
       struct gt_server *s = g->server[i];
       if (!gt_server_usable (g, s, q, now))
         continue;
       x->candidate[x->len] = (struct st_balance_candidate){
-        .load = &s->load, .rtt = s->rtt, .rank = rank_of (q, s)
+        .load = &s->load, .mode = mode, .rtt = s->rtt, .rank = rank_of (q, s)
       };
       x->server[x->len++] = s;
     }
--- a/src/gate/dispatch.c
+++ b/src/gate/dispatch.c
@@ -82,8 +82,9 @@
 /* Whether the expected wait of CHOICE is short enough for Q.  Also stores the
    choice in Q.  */
 static bool
-can_wait (struct gt_request *q, const struct gt_server *s,
-          const struct st_balance_choice *choice, zp_time now)
+can_wait (const struct gt_gate *g, struct gt_request *q,
+          const struct gt_server *s, const struct st_balance_choice *choice,
+          zp_time now)
 {
   const struct st_maxwait w = { .now = now,
                                 .arrived = q->arrived,
@@ -92,7 +93,7 @@
                                 .finish = choice->finish - choice->wait };
 
   zp_time wait_max = st_maxwait_time (&w);
-  gt_record_choice (q, s, choice, wait_max, now);
+  gt_record_choice (g, q, s, choice, wait_max, now);
   return choice->wait <= wait_max;
 }
 
@@ -200,7 +201,7 @@
   switch (c.kind)
     {
     case ST_BALANCE_SEND:
-      if (can_wait (q, s, &c, now))
+      if (can_wait (g, q, s, &c, now))
         start_attempt (g, q, s, now);
       else
         gt_request_refuse (g, q, "no-capacity-in-time", true);
@@ -233,7 +234,7 @@
       st_queue_cancel (s->queue, q->queue_ref);
       if (!stop_allows (g, q, now))
         gt_request_refuse (g, q, "stopping", true);
-      else if (can_wait (q, x, &c, now))
+      else if (can_wait (g, q, x, &c, now))
         start_attempt (g, q, x, now);
       else
         gt_request_refuse (g, q, "no-capacity-in-time", true);
@@ -383,7 +384,7 @@
   if (d->connect > 0)
     gt_server_note_rtt (g, s, d->connect);
   if (d->load.known)
-    gt_server_note_load (s, &d->load, q->attempt_started, now);
+    gt_server_note_load (g, s, &d->load, q->attempt_started, now);
   if (d->leaving)
     gt_server_note_leaving (g, s);
   if (d->retry_after > 0 && now + d->retry_after > s->paused_until)
@@ -432,7 +433,7 @@
   const struct st_retry_request r
       = { .idempotent = q->idempotent,
           .other_server = c.kind == ST_BALANCE_SEND
-                          && can_wait (q, other, &c, now)
+                          && can_wait (g, q, other, &c, now)
                           && stop_allows (g, q, now),
           .attempts = q->attempts,
           .attempts_max = q->attempts_max,
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -240,6 +240,12 @@
   struct ro_table table; /* newest report of each server */
   struct gt_server **server;
   size_t servers;
+
+  /* Samples of loads are sent to and taken from other daemons.  Set by the first
+     pace that a server states to this or another daemon; earlier deployments,
+     whose servers state none, are served as before.  */
+  bool shares_loads;
+
   /* Buffers of gt_choose, with room for every server.  */
   struct st_balance_candidate *choice_candidate;
   struct gt_server **choice_server;
@@ -332,18 +338,23 @@
 double gt_server_cold_rate (const struct gt_server *s);
 bool gt_server_is_cold (const struct gt_server *s, zp_time now);
 
+/* How samples of loads are read.  */
+enum st_balance_mode gt_server_load_mode (const struct gt_gate *g);
+
 /* Notes the load that an answer of S states.  STARTED: start of the attempt.  */
-void gt_server_note_load (struct gt_server *s, const struct tk_server_load *l,
-                          zp_time started, zp_time now);
+void gt_server_note_load (struct gt_gate *g, struct gt_server *s,
+                          const struct tk_server_load *l, zp_time started,
+                          zp_time now);
 
-/* Sends the number of this daemon's requests in progress at each server, and
-   the loads that answers have stated since the last call, to the roster
-   task.  */
+/* Sends the number of this daemon's requests in progress at each server to the
+   roster task; also, when loads are shared, those that answers have stated since
+   the last call.  */
 void gt_server_send_work (struct gt_gate *g);
 
 /* Stores the numbers of the other daemons of the region: W less what this
-   daemon has last sent.  Takes the samples of W that are newer than what is
-   known and that are of the present start of their server; sorts them.  */
+   daemon has last sent.  When loads are shared, takes the samples of W that are
+   newer than what is known and that are of the present start of their server;
+   sorts them.  */
 void gt_server_receive_work (struct gt_gate *g, struct tk_work *w);
 
 /* Mean service time of S.  */
@@ -426,7 +437,8 @@
 /* log.c */
 
 /* Stores the choice of S in Q for later log events.  */
-void gt_record_choice (struct gt_request *q, const struct gt_server *s,
+void gt_record_choice (const struct gt_gate *g, struct gt_request *q,
+                       const struct gt_server *s,
                        const struct st_balance_choice *c, zp_time wait_max,
                        zp_time now);
 
--- a/src/gate/log.c
+++ b/src/gate/log.c
@@ -18,16 +18,16 @@
 }
 
 void
-gt_record_choice (struct gt_request *q, const struct gt_server *s,
-                  const struct st_balance_choice *c, zp_time wait_max,
-                  zp_time now)
+gt_record_choice (const struct gt_gate *g, struct gt_request *q,
+                  const struct gt_server *s, const struct st_balance_choice *c,
+                  zp_time wait_max, zp_time now)
 {
   q->choice = (struct gt_choice){
     .wait = c->wait,
     .finish = c->finish,
     .wait_max = wait_max,
     .rtt = s->rtt,
-    .work = st_balance_work (&s->load, now),
+    .work = st_balance_work (&s->load, gt_server_load_mode (g), now),
     .slots = s->load.slots,
     .load_age = s->load.sampled > 0 ? now - s->load.sampled : -ZP_MS,
     .cold = gt_server_is_cold (s, now),
--- a/src/gate/servers.c
+++ b/src/gate/servers.c
@@ -252,18 +252,37 @@
 
 /* Requests in progress at the servers, and their loads.  */
 
+enum st_balance_mode
+gt_server_load_mode (const struct gt_gate *g)
+{
+  return g->shares_loads ? ST_BALANCE_WEIGHTED : ST_BALANCE_LARGER;
+}
+
+static void
+note_pace (struct gt_gate *g, unsigned pace)
+{
+  if (pace == 0 || g->shares_loads)
+    return;
+  g->shares_loads = true;
+  zp_log (ZP_LOG_NOTICE, PART, "loads are shared: servers state their pace");
+}
+
 void
-gt_server_note_load (struct gt_server *s, const struct tk_server_load *l,
-                     zp_time started, zp_time now)
+gt_server_note_load (struct gt_gate *g, struct gt_server *s,
+                     const struct tk_server_load *l, zp_time started,
+                     zp_time now)
 {
   const struct st_balance_sample sample = {
     .requests = l->running + l->waiting, .own = s->load.own, .pace = l->pace
   };
 
+  note_pace (g, l->pace);
   /* Else the answer can be of the start before.  */
-  if (started < s->started_at)
+  if (g->shares_loads && started < s->started_at)
     return;
   st_balance_sample (&s->load, &sample, now);
+  if (!g->shares_loads)
+    return;
   s->sample = *l;
   s->sampled_at = now;
 }
@@ -320,7 +339,8 @@
             = (struct tk_work_item){ .server = TK_WORK_TAG (s->hash),
                                      .count = s->reported };
     }
-  put_loads (g, w);
+  if (g->shares_loads)
+    put_loads (g, w);
   tk_send (g->roster, m);
 }
 
@@ -360,6 +380,8 @@
 {
   zp_time now = zp_clock_mono ();
 
+  for (size_t i = 0; i < w->loads; i++)
+    note_pace (g, w->load[i].pace);
   if (w->loads > 0)
     qsort (w->load, w->loads, sizeof *w->load, cmp_load);
   for (size_t i = 0; i < g->servers; i++)
@@ -378,7 +400,7 @@
       unsigned all = x ? x->count : 0;
       s->load.region_others = all > s->reported ? all - s->reported : 0;
       s->load.region_at = now;
-      if (sample)
+      if (sample && g->shares_loads)
         take_load (s, sample, now);
     }
 }
--- a/src/steer/balance.c
+++ b/src/steer/balance.c
@@ -37,7 +37,8 @@
 
 /* Requests of other daemons.  */
 static double
-others (const struct st_balance_load *l, zp_time now)
+others (const struct st_balance_load *l, enum st_balance_mode mode,
+        zp_time now)
 {
   double region = 0.0;
 
@@ -46,15 +47,25 @@
   if (l->sampled == 0)
     return region;
   double weight = st_balance_weight (now - l->sampled);
-  double other = weight * l->others + (1.0 - weight) * region;
-  bool newer = l->region_at - ST_BALANCE_REPORT_AGE > l->sampled;
-  return newer && region > other ? region : other;
+  double other = weight * l->others;
+  switch (mode)
+    {
+    case ST_BALANCE_LARGER:
+      break;
+    case ST_BALANCE_WEIGHTED:
+      other += (1.0 - weight) * region;
+      if (l->region_at - ST_BALANCE_REPORT_AGE <= l->sampled)
+        return other;
+      break;
+    }
+  return region > other ? region : other;
 }
 
 double
-st_balance_work (const struct st_balance_load *l, zp_time now)
+st_balance_work (const struct st_balance_load *l, enum st_balance_mode mode,
+                 zp_time now)
 {
-  return l->own + others (l, now);
+  return l->own + others (l, mode, now);
 }
 
 double
@@ -76,7 +87,8 @@
 static zp_time
 wait_for (const struct st_balance_candidate *c, zp_time now)
 {
-  double ahead = st_balance_work (c->load, now) + 1.0 - c->load->slots;
+  double ahead
+      = st_balance_work (c->load, c->mode, now) + 1.0 - c->load->slots;
 
   if (ahead <= 0)
     return 0;
--- a/src/steer/balance.h
+++ b/src/steer/balance.h
@@ -13,10 +13,9 @@
      and those that other daemons of the region have shared.  The entry
      daemons of a region also send each other their counts for each server.
 
-     A new sample counts in full.  With its age, weight moves from it to the
-     region's counts, or to 0 without such counts, so that a server that was
-     full is tried again.  Counts that are newer than the sample are a lower
-     bound.  st_balance_weight alone says how fast a sample is outdated.
+     A sample is outdated with its age, so that a server that was full is tried
+     again; st_balance_weight alone says how fast.  There are two ways to combine
+     it with the region's counts, see enum st_balance_mode.
 
      A server may also state its pace: how long work takes there at this
      moment, compared with the usual time.
@@ -67,6 +66,19 @@
 /* Failure domains of one region are 1 to 3 ms apart; regions 40 ms or more. */
 #define ST_BALANCE_TIE (5 * ZP_MS)
 
+/* How samples and the counts of the region are combined.  */
+enum st_balance_mode
+{
+  /* The larger one.  For samples of this daemon only, most of which are older
+     than the counts.  */
+  ST_BALANCE_LARGER,
+
+  /* A new sample counts in full; with its age, weight moves from it to the
+     counts, or to 0 without counts.  Counts that are newer than the sample are a
+     lower bound.  For samples that the daemons of a region share.  */
+  ST_BALANCE_WEIGHTED,
+};
+
 /* Load of one server as this daemon knows it.  */
 struct st_balance_load
 {
@@ -102,11 +114,13 @@
 double st_balance_pace (const struct st_balance_load *l, zp_time now);
 
 /* Estimated number of requests at the server, of all daemons.  */
-double st_balance_work (const struct st_balance_load *l, zp_time now);
+double st_balance_work (const struct st_balance_load *l,
+                        enum st_balance_mode mode, zp_time now);
 
 struct st_balance_candidate
 {
   const struct st_balance_load *load;
+  enum st_balance_mode mode;
   zp_time rtt;       /* round-trip time */
   zp_time service;   /* expected service time of this request there */
   zp_time mean_time; /* mean service time of the requests ahead of it */
--- a/tests/test-balance.c
+++ b/tests/test-balance.c
@@ -90,18 +90,23 @@
   struct st_balance_load l = { .slots = 6, .own = 1 };
 
   add_sample (&l, 10, 2, 0, 10 * ZP_SEC);
-  CU_ASSERT_DOUBLE_EQUAL (st_balance_work (&l, 10 * ZP_SEC), 9.0, 0.001);
-  CU_ASSERT (st_balance_work (&l, 10 * ZP_SEC + 120 * ZP_MS) > 8.0);
-  CU_ASSERT (st_balance_work (&l, 15 * ZP_SEC) < 1.5);
+  CU_ASSERT_DOUBLE_EQUAL (
+      st_balance_work (&l, ST_BALANCE_WEIGHTED, 10 * ZP_SEC), 9.0, 0.001);
+  CU_ASSERT (
+      st_balance_work (&l, ST_BALANCE_WEIGHTED, 10 * ZP_SEC + 120 * ZP_MS)
+      > 8.0);
+  CU_ASSERT (st_balance_work (&l, ST_BALANCE_WEIGHTED, 15 * ZP_SEC) < 1.5);
 
   /* A second sample has weight one half.  */
   add_sample (&l, 2, 2, 0, 10 * ZP_SEC);
-  CU_ASSERT_DOUBLE_EQUAL (st_balance_work (&l, 10 * ZP_SEC), 5.0, 0.001);
+  CU_ASSERT_DOUBLE_EQUAL (
+      st_balance_work (&l, ST_BALANCE_WEIGHTED, 10 * ZP_SEC), 5.0, 0.001);
 
   /* The server counts fewer requests than this daemon has there.  */
   struct st_balance_load m = { .slots = 6, .own = 2 };
   add_sample (&m, 1, 2, 0, ZP_SEC);
-  CU_ASSERT_DOUBLE_EQUAL (st_balance_work (&m, ZP_SEC), 2.0, 0.001);
+  CU_ASSERT_DOUBLE_EQUAL (st_balance_work (&m, ST_BALANCE_WEIGHTED, ZP_SEC),
+                          2.0, 0.001);
 }
 
 /* Guards against a shared sample that replaces a newer one, and against one
@@ -113,11 +118,13 @@
 
   CU_ASSERT (add_sample (&l, 8, 0, 500 * ZP_MS, 10 * ZP_SEC));
   CU_ASSERT_EQUAL (l.sampled, 10 * ZP_SEC - 500 * ZP_MS);
-  CU_ASSERT_DOUBLE_EQUAL (st_balance_work (&l, 10 * ZP_SEC), 8 * sqrt (0.5),
-                          0.001);
+  CU_ASSERT_DOUBLE_EQUAL (
+      st_balance_work (&l, ST_BALANCE_WEIGHTED, 10 * ZP_SEC), 8 * sqrt (0.5),
+      0.001);
   CU_ASSERT (!add_sample (&l, 90, 0, 501 * ZP_MS, 10 * ZP_SEC));
-  CU_ASSERT_DOUBLE_EQUAL (st_balance_work (&l, 10 * ZP_SEC), 8 * sqrt (0.5),
-                          0.001);
+  CU_ASSERT_DOUBLE_EQUAL (
+      st_balance_work (&l, ST_BALANCE_WEIGHTED, 10 * ZP_SEC), 8 * sqrt (0.5),
+      0.001);
   /* Averaged with what is left of the first one, 300 ms after it.  */
   CU_ASSERT (add_sample (&l, 4, 0, 200 * ZP_MS, 10 * ZP_SEC));
   CU_ASSERT_DOUBLE_EQUAL (l.others, 2 + 4 * exp2 (-0.3), 0.001);
@@ -135,20 +142,66 @@
   add_sample (&l, 2, 0, 0, t);
   l.region_others = 6;
   l.region_at = t + 300 * ZP_MS;
-  CU_ASSERT_DOUBLE_EQUAL (st_balance_work (&l, t + 300 * ZP_MS), 6, 0.001);
+  CU_ASSERT_DOUBLE_EQUAL (
+      st_balance_work (&l, ST_BALANCE_WEIGHTED, t + 300 * ZP_MS), 6, 0.001);
   l.region_at = t;
-  CU_ASSERT_DOUBLE_EQUAL (st_balance_work (&l, t), 2, 0.001);
+  CU_ASSERT_DOUBLE_EQUAL (st_balance_work (&l, ST_BALANCE_WEIGHTED, t), 2,
+                          0.001);
 
   /* The requests of other regions are outdated by half after 1 s.  */
   struct st_balance_load m = { .slots = 6 };
   add_sample (&m, 10, 0, 0, t);
   m.region_others = 4;
   m.region_at = t + ZP_SEC;
-  CU_ASSERT_DOUBLE_EQUAL (st_balance_work (&m, t + ZP_SEC), 7, 0.001);
+  CU_ASSERT_DOUBLE_EQUAL (
+      st_balance_work (&m, ST_BALANCE_WEIGHTED, t + ZP_SEC), 7, 0.001);
   m.region_at = t + 9 * ZP_SEC;
-  CU_ASSERT_DOUBLE_EQUAL (st_balance_work (&m, t + 9 * ZP_SEC), 4, 0.02);
+  CU_ASSERT_DOUBLE_EQUAL (
+      st_balance_work (&m, ST_BALANCE_WEIGHTED, t + 9 * ZP_SEC), 4, 0.02);
   /* Without counts for ST_BALANCE_REPORT_TTL, nothing is left.  */
-  CU_ASSERT (st_balance_work (&m, t + 10 * ZP_SEC) < 0.02);
+  CU_ASSERT (st_balance_work (&m, ST_BALANCE_WEIGHTED, t + 10 * ZP_SEC)
+             < 0.02);
+}
+
+/* Guards against a change for deployments that share no samples: the larger of
+   counts and decayed sample, however old each of them is.  */
+static void
+test_larger_of_sample_and_counts (void)
+{
+  const zp_time t = 10 * ZP_SEC;
+  struct st_balance_load l = { .slots = 6, .own = 1 };
+  static const struct
+  {
+    unsigned region_others;
+    zp_time region_after, after;
+    double work;
+  } cases[] = { { 6, 0, 0, 7 },
+                { 1, 0, 0, 3 },
+                { 0, ZP_SEC, ZP_SEC, 2 },
+                { 1, ZP_SEC, ZP_SEC, 2 },
+                { 4, ZP_SEC, ZP_SEC, 5 },
+                { 4, ZP_SEC, ZP_SEC + ST_BALANCE_REPORT_TTL - 1, 5 },
+                { 4, 400 * ZP_MS, ZP_SEC, 2 } };
+
+  add_sample (&l, 2, 0, 0, t);
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      l.region_others = cases[i].region_others;
+      l.region_at = t + cases[i].region_after;
+      CU_ASSERT_DOUBLE_EQUAL (
+          st_balance_work (&l, ST_BALANCE_LARGER, t + cases[i].after),
+          cases[i].work, 0.001);
+    }
+
+  /* The mode of a candidate decides on its wait: 5 or 2 requests ahead.  */
+  struct st_balance_candidate c = candidate (&l, 0, 100 * ZP_MS, 0);
+  l = (struct st_balance_load){ .slots = 1, .region_others = 5 };
+  add_sample (&l, 2, 0, 0, t);
+  l.region_at = t;
+  c.mean_time = 100 * ZP_MS;
+  CU_ASSERT_EQUAL (st_balance_choose (&c, 1, t).wait, 500 * ZP_MS);
+  c.mode = ST_BALANCE_WEIGHTED;
+  CU_ASSERT_EQUAL (st_balance_choose (&c, 1, t).wait, 200 * ZP_MS);
 }
 
 /* Guards against a pace that is used long after it has changed, against a
@@ -265,6 +318,7 @@
         { "estimate of other daemons' requests", test_others },
         { "age of a sample", test_age_of_a_sample },
         { "sample and counts of the region", test_sample_and_counts },
+        { "larger of sample and counts", test_larger_of_sample_and_counts },
         { "pace of a server", test_pace },
         { "load of a deployment", test_load_of_a_deployment } };
 
--- a/tests/test-gate-loads.c
+++ b/tests/test-gate-loads.c
@@ -32,7 +32,7 @@
   report_server ("i-1", "10.0.0.1:80", TK_SERVER_READY, 1);
   report_server ("i-2", "10.0.0.2:80", TK_SERVER_READY, 1);
   run_for (0.05);
-  share_load (0, 40, 0, 10 * ZP_MS);
+  share_load (0, 40, 100, 10 * ZP_MS);
   for (uint64_t i = 1; i <= 6; i++)
     {
       send_request (i);
@@ -86,7 +86,7 @@
   struct gt_server *s = f.gate->server[0];
   CU_ASSERT_EQUAL (s->report.born_ms, 2000);
   share_load (0, 30, 900, 50 * ZP_MS);
-  gt_server_note_load (s, &l, before, zp_clock_mono ());
+  gt_server_note_load (f.gate, s, &l, before, zp_clock_mono ());
   CU_ASSERT_EQUAL (s->load.sampled, 0);
   CU_ASSERT_EQUAL (s->load.paced, 0);
   run_for (0.2);
@@ -110,10 +110,11 @@
   report_server ("i-1", "10.0.0.1:80", TK_SERVER_READY, 1);
   run_for (0.1);
   struct gt_server *s = f.gate->server[0];
-  gt_record_choice (&q, s, &c, 0, zp_clock_mono ());
+  f.gate->shares_loads = true;
+  gt_record_choice (f.gate, &q, s, &c, 0, zp_clock_mono ());
   CU_ASSERT (q.choice.load_age < 0);
   zp_time now = zp_clock_mono ();
-  gt_server_note_load (s, &l, now, now);
+  gt_server_note_load (f.gate, s, &l, now, now);
   share_load (0, 30, 0, 90 * ZP_MS);
   CU_ASSERT_EQUAL (s->load.sampled, now);
   CU_ASSERT_DOUBLE_EQUAL (s->load.others, 2, 0.001);
@@ -122,7 +123,7 @@
   share_load (0, 3, 0, 20 * ZP_MS);
   CU_ASSERT (s->load.others < 2);
   CU_ASSERT (s->load.others > 0);
-  gt_record_choice (&q, s, &c, 0, zp_clock_mono ());
+  gt_record_choice (f.gate, &q, s, &c, 0, zp_clock_mono ());
   CU_ASSERT (q.choice.load_age >= 20 * ZP_MS);
   CU_ASSERT (q.choice.load_age < 80 * ZP_MS);
   s->load.own = 0;
@@ -151,9 +152,9 @@
     }
   run_for (0.05);
   zp_time now = zp_clock_mono ();
-  gt_server_note_load (f.gate->server[5], &l, now, now - 30 * ZP_MS);
+  gt_server_note_load (f.gate, f.gate->server[5], &l, now, now - 30 * ZP_MS);
   l.running = 7;
-  gt_server_note_load (f.gate->server[5], &l, now, now - 20 * ZP_MS);
+  gt_server_note_load (f.gate, f.gate->server[5], &l, now, now - 20 * ZP_MS);
   gt_server_send_work (f.gate);
   RUN_UNTIL (f.work);
   CU_ASSERT_EQUAL_FATAL (f.work->u.work.loads, 1);
@@ -169,7 +170,7 @@
   CU_ASSERT_PTR_NULL (f.work);
   now = zp_clock_mono ();
   for (unsigned i = 0; i < 80; i++)
-    gt_server_note_load (f.gate->server[i], &l, now, now - i * ZP_MS);
+    gt_server_note_load (f.gate, f.gate->server[i], &l, now, now - i * ZP_MS);
   gt_server_send_work (f.gate);
   RUN_UNTIL (f.work);
   CU_ASSERT_EQUAL_FATAL (f.work->u.work.loads, RO_LOADS_REPORT_MAX);
@@ -179,11 +180,98 @@
   tear_down ();
 }
 
+/* Sends the work of the gate; returns the number of samples in it.  */
+static size_t
+count_sent_loads (void)
+{
+  if (f.work)
+    tk_msg_free (f.work);
+  f.work = NULL;
+  gt_server_send_work (f.gate);
+  run_for (0.02);
+  return f.work ? f.work->u.work.loads : 0;
+}
+
+/* Guards against a deployment whose servers state no pace that is served in
+   another way than before loads were shared: samples that are sent, samples of
+   others that are taken, counts that do not apply to a new sample.  */
+static void
+test_nothing_is_shared_without_pace (void)
+{
+  const struct tk_server_load l = { .known = true, .running = 2 };
+  const struct st_balance_choice c = { .wait = 0 };
+  struct gt_request q = { .id = 0 };
+
+  set_up ("7");
+  report_server ("i-1", "10.0.0.1:80", TK_SERVER_READY, 1);
+  run_for (0.05);
+  struct gt_server *s = f.gate->server[0];
+  zp_time now = zp_clock_mono ();
+  gt_server_note_load (f.gate, s, &l, now, now);
+  CU_ASSERT_EQUAL (count_sent_loads (), 0);
+  share_load (0, 30, 0, 0);
+  CU_ASSERT (!f.gate->shares_loads);
+  CU_ASSERT_EQUAL (s->load.sampled, now);
+  CU_ASSERT_DOUBLE_EQUAL (s->load.others, 2, 0.001);
+  s->load.region_others = 9;
+  s->load.region_at = now;
+  gt_record_choice (f.gate, &q, s, &c, 0, now);
+  CU_ASSERT_DOUBLE_EQUAL (q.choice.work, 9, 0.001);
+  /* As before, also an answer to an attempt that began before a restart.  */
+  s->started_at = now + 1;
+  gt_server_note_load (f.gate, s, &l, now, now + 2);
+  CU_ASSERT_EQUAL (s->load.sampled, now + 2);
+  CU_ASSERT_EQUAL (count_sent_loads (), 0);
+  tear_down ();
+}
+
+/* Guards against loads that are not shared although servers state their pace,
+   in an answer to this daemon or to another one.  */
+static void
+test_first_pace_starts_sharing (void)
+{
+  struct tk_server_load l = { .known = true, .running = 2 };
+  const struct st_balance_choice c = { .wait = 0 };
+  struct gt_request q = { .id = 0 };
+
+  for (int shared = 0; shared < 2; shared++)
+    {
+      set_up ("7");
+      report_server ("i-1", "10.0.0.1:80", TK_SERVER_READY, 1);
+      run_for (0.05);
+      struct gt_server *s = f.gate->server[0];
+      zp_time now = zp_clock_mono ();
+      l.pace = 0;
+      gt_server_note_load (f.gate, s, &l, now, now);
+      CU_ASSERT_EQUAL (count_sent_loads (), 0);
+      if (shared)
+        {
+          share_load (0, 5, 100, 0);
+          CU_ASSERT_DOUBLE_EQUAL (s->load.others, 3.5, 0.1);
+          CU_ASSERT_EQUAL (count_sent_loads (), 0);
+        }
+      else
+        l.pace = 100;
+      now = zp_clock_mono ();
+      gt_server_note_load (f.gate, s, &l, now, now);
+      CU_ASSERT (f.gate->shares_loads);
+      CU_ASSERT_EQUAL (count_sent_loads (), 1);
+      s->load.region_others = 9;
+      s->load.region_at = now;
+      gt_record_choice (f.gate, &q, s, &c, 0, now);
+      CU_ASSERT (q.choice.work < 4);
+      tear_down ();
+    }
+}
+
 static const struct zp_test tests[]
     = { { "loads from other daemons", test_shared_loads },
         { "pace from other daemons", test_shared_pace },
         { "a load before a restart", test_load_before_restart },
         { "age of shared loads", test_age_of_shared_loads },
-        { "own loads are sent", test_own_loads_are_sent } };
+        { "own loads are sent", test_own_loads_are_sent },
+        { "nothing is shared without pace",
+          test_nothing_is_shared_without_pace },
+        { "first pace starts sharing", test_first_pace_starts_sharing } };
 
 TEST_MAIN ("gate-loads", tests)
