front: other spellings of the headers of workspaces are not forwarded

Cause: X_Tenant or X.Tenant of a caller reached the server. A server behind a gateway interface such as CGI, which makes one character of all that are neither letters nor digits, takes it for the workspace. In the same way, X_Credential passed a key on.

Change: the two names are compared with such characters folded. A key is still read from the exact name only.

Measured: the new test of test-front failed in 4 asserts before, passes.

--- a/src/front/header.c
+++ b/src/front/header.c
@@ -40,6 +40,27 @@
          && strncasecmp (name.ptr, expected, name.len) == 0;
 }
 
+static char
+fold (char c)
+{
+  if (c >= 'A' && c <= 'Z')
+    return (char) (c - 'A' + 'a');
+  return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') ? c : '-';
+}
+
+/* Whether a server can take NAME for EXPECTED: gateway interfaces such as CGI
+   make one character of all that are neither letters nor digits.  */
+static bool
+is_read_as (struct zp_str name, const char *expected)
+{
+  if (!expected || name.len != strlen (expected))
+    return false;
+  for (size_t i = 0; i < name.len; i++)
+    if (fold (name.ptr[i]) != fold (expected[i]))
+      return false;
+  return true;
+}
+
 bool
 fr_header_is_forwarded (const struct fr_header_names *names,
                         struct zp_str name)
@@ -48,8 +69,8 @@
       || fr_header_is (name, names->request_id)
       || fr_header_is (name, names->verdict) || fr_header_is (name, names->key)
       || fr_header_is (name, names->expect)
-      || fr_header_is (name, names->credential)
-      || fr_header_is (name, names->workspace)
+      || is_read_as (name, names->credential)
+      || is_read_as (name, names->workspace)
       || fr_header_is (name, names->leaving))
     return false;
   for (size_t i = 0; i < sizeof not_forwarded / sizeof not_forwarded[0]; i++)
--- a/tests/test-front.c
+++ b/tests/test-front.c
@@ -380,6 +380,38 @@
   close_fixture (&f);
 }
 
+/* Guards against a server that takes a header of the caller for the workspace:
+   gateway interfaces such as CGI read other characters as "-".  */
+static void
+test_spellings_of_workspaces (void)
+{
+  const struct fr_header_names names
+      = { .credential = "Workspace-Key", .workspace = "A-Workspace" };
+  static const struct
+  {
+    struct zp_str name;
+    bool forwarded;
+  } cases[] = {
+    { ZP_STR ("A_Workspace"), false },   { ZP_STR ("a.WORKSPACE"), false },
+    { ZP_STR ("workspace_key"), false }, { ZP_STR ("A-Workspaces"), true },
+    { ZP_STR ("A--Workspace"), true },   { ZP_STR ("AxWorkspace"), true }
+  };
+  struct fixture f;
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    CU_ASSERT_EQUAL (fr_header_is_forwarded (&names, cases[i].name),
+                     cases[i].forwarded);
+  open_fixture (&f);
+  send_text (&f, "GET /x HTTP/1.1\r\nHost: h\r\nWorkspace_Key: k-1\r\n"
+                 "X-A: 1\r\n\r\n");
+  ev_run (f.loop.ev, 0);
+  CU_ASSERT_EQUAL_FATAL (f.requests, 1);
+  const struct tk_http_request *r = &f.request->u.request;
+  CU_ASSERT_EQUAL (r->credential.len, 0);
+  CU_ASSERT (zp_str_eq (zp_str_of (&r->headers), ZP_STR ("X-A: 1\n")));
+  close_fixture (&f);
+}
+
 /* Guards against headers of workspaces that pass because their line is not
    quite one: each is refused, or read as the header that it looks like.  */
 static void
@@ -452,6 +484,7 @@
           test_stop_with_callers_in_the_queue },
         { "bytes of the target", test_bytes_of_the_target },
         { "headers of workspaces", test_headers_of_workspaces },
+        { "spellings of headers of workspaces", test_spellings_of_workspaces },
         { "unusual lines of workspaces", test_unusual_lines_of_workspaces },
         { "two keys", test_two_keys } };
 
