site: names of workspaces with spaces at their ends are refused

Cause: "acme" and "acme " were two workspaces, but the same header value to a server, and libcurl drops a header whose value is blank. Also, each name was compared with all before it: 10 s for 100,000 workspaces.

Change: such names are refused; equal names are found by sorting.

--- a/src/site/site.c
+++ b/src/site/site.c
@@ -168,14 +168,17 @@
                      ZP_ARG (zp_str_of (&r->name)));
 }
 
-/* Whether NAME can be the value of a header.  */
+/* Whether NAME can be the value of a header.  Servers drop the spaces around a
+   value, so that two names that differ in these only are the same to them.  */
 static bool
 is_workspace_name (struct zp_str name)
 {
+  if (name.len == 0 || name.ptr[0] == ' ' || name.ptr[name.len - 1] == ' ')
+    return false;
   for (size_t i = 0; i < name.len; i++)
     if ((unsigned char) name.ptr[i] < ' ' || name.ptr[i] == 0x7f)
       return false;
-  return name.len > 0;
+  return true;
 }
 
 static bool
@@ -184,7 +187,7 @@
   return isfinite (v) && v >= 0;
 }
 
-/* Checks the workspace at AT, also against those before it.  */
+/* Checks the workspace at AT, apart from the others.  */
 static bool
 check_workspace (struct si_site *s, size_t at, struct zp_err *err)
 {
@@ -193,8 +196,8 @@
 
   if (!is_workspace_name (name))
     return zp_fail (err, ZP_EINVAL,
-                    "workspace %zu of the list: its name is empty or has a "
-                    "control character",
+                    "workspace %zu of the list: its name is empty, has a "
+                    "control character, or begins or ends with a space",
                     at + 1);
   if (!is_limit (w->rate_per_s) || !is_limit (w->burst))
     return zp_fail (err, ZP_EINVAL,
@@ -203,13 +206,35 @@
                     ZP_ARG (name));
   /* The hash identifies the workspace between daemons.  */
   w->hash = zp_str_hash (name, 0);
-  for (size_t i = 0; i < at; i++)
-    if (s->workspace[i].hash == w->hash)
-      return zp_fail (err, ZP_EINVAL, "workspace \"%.*s\" is defined twice",
-                      ZP_ARG (name));
   return true;
 }
 
+static int
+cmp_workspace (const void *a, const void *b)
+{
+  const struct si_workspace *const *x = a, *const *y = b;
+
+  return (*x)->hash < (*y)->hash ? -1 : (*x)->hash > (*y)->hash;
+}
+
+static bool
+check_workspace_names (const struct si_site *s, struct zp_err *err)
+{
+  size_t n = s->workspaces;
+  const struct si_workspace **list = zp_alloc ((n + 1) * sizeof *list);
+  bool ok = true;
+
+  for (size_t i = 0; i < n; i++)
+    list[i] = &s->workspace[i];
+  qsort (list, n, sizeof *list, cmp_workspace);
+  for (size_t i = 1; ok && i < n; i++)
+    if (list[i - 1]->hash == list[i]->hash)
+      ok = zp_fail (err, ZP_EINVAL, "workspace \"%.*s\" is defined twice",
+                    ZP_ARG (zp_str_of (&list[i]->name)));
+  free (list);
+  return ok;
+}
+
 static bool
 check_workspaces (struct si_site *s, struct zp_err *err)
 {
@@ -218,6 +243,8 @@
   for (size_t i = 0; i < s->workspaces; i++)
     if (!check_workspace (s, i, err))
       return false;
+  if (!check_workspace_names (s, err))
+    return false;
   return si_keys_seal (&s->keys, &a, &b)
          || zp_fail (err, ZP_EINVAL,
                      "workspaces \"%.*s\" and \"%.*s\" have the same key",
--- a/src/site/site.h
+++ b/src/site/site.h
@@ -25,7 +25,8 @@
      with "/", no service, an unknown service, or only weights of 0, when two
      routes have the same host and prefix, and when two services have the same
      name.  It also fails when a workspace has no name, a control character in
-     its name (which is sent as a header), or a limit that is negative or not
+     its name (which is sent as a header), a space at the begin or end of its
+     name, or a limit that is negative or not
      finite, and when two workspaces have the same name or the same key.  The
      errors never quote a key.  */
 
--- a/tests/test-site.c
+++ b/tests/test-site.c
@@ -2,6 +2,7 @@
 
 #include <math.h>
 #include <stdlib.h>
+#include <time.h>
 
 #include "site/site.h"
 #include "site/split.h"
@@ -205,14 +206,15 @@
 
 /* Guards against invalid workspaces that come into force: a limit that lets all
    requests through or none, a header line from within a name, a key whose
-   workspace is not certain.  Also against errors that quote a key.  */
+   workspace is not certain, two names that are the same header value.  Also against errors that quote a key.  */
 static void
 test_invalid_workspaces (void)
 {
   static const char *const names[] = { "acme", "beta", NULL };
   static const char *const twice[] = { "acme", "beta", "acme", NULL };
   static const char *const bad_name[][2]
-      = { { "", NULL }, { "a\nX: y", NULL }, { "a\x7f", NULL } };
+      = { { "", NULL },  { "a\nX: y", NULL }, { "a\x7f", NULL },
+          { " ", NULL }, { "acme ", NULL },   { " acme", NULL } };
   static const double bad[] = { -1, -1e-300, NAN, INFINITY, -INFINITY };
 
   for (size_t i = 0; i < sizeof bad / sizeof bad[0]; i++)
@@ -236,12 +238,42 @@
   si_site_free (s);
 }
 
+/* Guards against a daemon that is busy for seconds when a configuration has many
+   workspaces: each checked against all others takes 10 s here.  */
+static void
+test_many_workspaces (void)
+{
+  enum
+  {
+    COUNT = 100000
+  };
+  struct si_site *s = si_site_new (1);
+  char name[16];
+
+  for (unsigned i = 0; i < COUNT; i++)
+    {
+      struct si_workspace w = { .rate_per_s = 1 };
+      snprintf (name, sizeof name, "w-%u", i);
+      w.name = zp_buf_from (zp_str_from (name));
+      si_site_add_workspace (s, &w);
+    }
+  clock_t begin = clock ();
+  CU_ASSERT (si_site_seal (s, NULL));
+  CU_ASSERT (clock () - begin < CLOCKS_PER_SEC);
+  CU_ASSERT_EQUAL (s->workspace[COUNT - 1].hash,
+                   zp_str_hash (zp_str_from (name), 0));
+  struct si_workspace w = { .name = zp_buf_from (ZP_STR ("w-77")) };
+  si_site_add_workspace (s, &w);
+  CU_ASSERT (is_refused (s, "\"w-77\""));
+}
+
 static const struct zp_test tests[]
     = { { "longest prefix of the host", test_longest_prefix },
         { "invalid sites are refused", test_invalid_sites },
         { "a route with weights of 0 only", test_no_weight },
         { "split follows the weights", test_split },
         { "workspaces", test_workspaces },
-        { "invalid workspaces are refused", test_invalid_workspaces } };
+        { "invalid workspaces are refused", test_invalid_workspaces },
+        { "many workspaces", test_many_workspaces } };
 
 TEST_MAIN ("site", tests)
