gate: a shared sample that comes twice counts once

Cause: after a change of the control daemon, or a reconnection, a daemon gets samples again, its own included. They look newer by their time in transit and were averaged in a second time.

Change: a shared sample is taken only when it is 10 ms newer than the known one.

Measured: the new test of test-gate-loads failed before, passes.

--- a/src/gate/servers.c
+++ b/src/gate/servers.c
@@ -23,6 +23,11 @@
    others.  */
 #define SLOW_FACTOR 2
 
+/* A sample that comes a second time, through another control daemon, can look
+   newer by its time in transit, which is not in its age.  In a region this is 1
+   to 3 ms for each of up to three messages.  */
+#define SAMPLE_TRANSIT (10 * ZP_MS)
+
 /* Turns the upper 53 bits of a hash into a fraction from 0 to below 1.  */
 #define HASH_UNIT 0x1p-53
 
@@ -371,7 +376,8 @@
   };
   zp_time at = now - x->age;
 
-  if (x->age < RO_LOADS_TTL && at > s->started_at && at > s->load.sampled)
+  if (x->age < RO_LOADS_TTL && at > s->started_at
+      && (s->load.sampled == 0 || at > s->load.sampled + SAMPLE_TRANSIT))
     st_balance_sample (&s->load, &sample, now);
 }
 
--- a/tests/test-gate-loads.c
+++ b/tests/test-gate-loads.c
@@ -135,6 +135,30 @@
   tear_down ();
 }
 
+/* Guards against a sample that counts twice when it comes again through another
+   control daemon, where it looks newer by the time in transit.  */
+static void
+test_sample_that_comes_twice (void)
+{
+  set_up ("7");
+  report_server ("i-1", "10.0.0.1:80", TK_SERVER_READY, 1);
+  run_for (0.1);
+  struct gt_server *s = f.gate->server[0];
+  share_load (0, 2, 100, 50 * ZP_MS);
+  run_for (0.03);
+  share_load (0, 10, 100, 40 * ZP_MS);
+  double others = s->load.others;
+  zp_time sampled = s->load.sampled;
+  CU_ASSERT (others > 5);
+  share_load (0, 10, 100, zp_clock_mono () - sampled - 4 * ZP_MS);
+  CU_ASSERT_DOUBLE_EQUAL (s->load.others, others, 0);
+  CU_ASSERT_EQUAL (s->load.sampled, sampled);
+  run_for (0.03);
+  share_load (0, 10, 100, 5 * ZP_MS);
+  CU_ASSERT (s->load.others > others);
+  tear_down ();
+}
+
 /* Guards against samples that are sent twice or not at all, and against a
    report that grows with the number of servers.  */
 static void
@@ -246,6 +270,7 @@
       CU_ASSERT_EQUAL (count_sent_loads (), 0);
       if (shared)
         {
+          run_for (0.02);
           share_load (0, 5, 100, 0);
           CU_ASSERT_DOUBLE_EQUAL (s->load.others, 3.5, 0.1);
           CU_ASSERT_EQUAL (count_sent_loads (), 0);
@@ -269,6 +294,7 @@
         { "pace from other daemons", test_shared_pace },
         { "a load before a restart", test_load_before_restart },
         { "age of shared loads", test_age_of_shared_loads },
+        { "sample that comes twice", test_sample_that_comes_twice },
         { "own loads are sent", test_own_loads_are_sent },
         { "nothing is shared without pace",
           test_nothing_is_shared_without_pace },
