gate: the load in a 421 is not taken for the server that was asked

Cause: an answer with 421 that has not run is from another server at the address. Its load was taken for, and shared as, that of the server that the request was for.

Change: where loads are shared, such a load is ignored. Without a pace nothing changes.

Measured: the new test of test-gate-loads failed in 2 asserts before, passes, also with SANITIZE=1.

--- a/src/gate/dispatch.c
+++ b/src/gate/dispatch.c
@@ -383,13 +383,16 @@
   s->load.own--;
   if (d->connect > 0)
     gt_server_note_rtt (g, s, d->connect);
-  if (d->load.known)
+  bool replaced = d->end == TK_END_ANSWER && d->status == 421
+                  && d->verdict == ZP_NOT_RUN;
+  /* Another server has answered, whose load it is.  */
+  if (d->load.known && !(replaced && g->shares_loads))
     gt_server_note_load (g, s, &d->load, q->attempt_started, now);
   if (d->leaving)
     gt_server_note_leaving (g, s);
   if (d->retry_after > 0 && now + d->retry_after > s->paused_until)
     s->paused_until = now + d->retry_after;
-  if (d->end == TK_END_ANSWER && d->status == 421 && d->verdict == ZP_NOT_RUN)
+  if (replaced)
     {
       gt_server_replaced (g, s);
       return;
--- a/tests/test-gate-loads.c
+++ b/tests/test-gate-loads.c
@@ -22,6 +22,18 @@
   run_pending ();
 }
 
+/* Sends the work of the gate; returns the number of samples in it.  */
+static size_t
+count_sent_loads (void)
+{
+  if (f.work)
+    tk_msg_free (f.work);
+  f.work = NULL;
+  gt_server_send_work (f.gate);
+  run_for (0.02);
+  return f.work ? f.work->u.work.loads : 0;
+}
+
 /* Guards against a daemon that sends requests to a server that is full, while
    the answers to other daemons say so; also when the loads of the list are not
    in the order of the servers.  */
@@ -135,6 +147,37 @@
   tear_down ();
 }
 
+/* Guards against the load of another server that has answered in the place of
+   the one that the request was for.  */
+static void
+test_load_of_another_server (void)
+{
+  for (unsigned i = 0; i < 2; i++)
+    {
+      set_up ("7");
+      report_server ("i-1", "10.0.0.1:80", TK_SERVER_READY, 1);
+      run_for (0.05);
+      send_request (1);
+      RUN_UNTIL (f.sends == 1);
+      struct gt_server *s = f.gate->server[0];
+      f.gate->shares_loads = true;
+      struct tk_msg *m = tk_msg_new (TK_FORWARD_DONE);
+      m->u.done = (struct tk_forward_done){
+        .id = f.sent[0]->u.forward.id,
+        .end = TK_END_ANSWER,
+        .status = i == 0 ? 421 : 503,
+        .verdict = ZP_NOT_RUN,
+        .stamped = true,
+        .load = { .known = true, .running = 5, .pace = 100 },
+      };
+      tk_send (&f.gate->task, m);
+      RUN_UNTIL (f.answers == 1);
+      CU_ASSERT_EQUAL (s->load.sampled > 0, i == 1);
+      CU_ASSERT_EQUAL (count_sent_loads (), i);
+      tear_down ();
+    }
+}
+
 /* Guards against a sample that counts twice when it comes again through another
    control daemon, where it looks newer by the time in transit.  */
 static void
@@ -204,18 +247,6 @@
   tear_down ();
 }
 
-/* Sends the work of the gate; returns the number of samples in it.  */
-static size_t
-count_sent_loads (void)
-{
-  if (f.work)
-    tk_msg_free (f.work);
-  f.work = NULL;
-  gt_server_send_work (f.gate);
-  run_for (0.02);
-  return f.work ? f.work->u.work.loads : 0;
-}
-
 /* Guards against a deployment whose servers state no pace that is served in
    another way than before loads were shared: samples that are sent, samples of
    others that are taken, counts that do not apply to a new sample.  */
@@ -294,6 +325,7 @@
         { "pace from other daemons", test_shared_pace },
         { "a load before a restart", test_load_before_restart },
         { "age of shared loads", test_age_of_shared_loads },
+        { "load of another server", test_load_of_another_server },
         { "sample that comes twice", test_sample_that_comes_twice },
         { "own loads are sent", test_own_loads_are_sent },
         { "nothing is shared without pace",
