site: lists of workspaces and keys grow at powers of 2

Cause: each workspace and key added one element to its list by realloc. Where realloc copies (it does with AddressSanitizer), the time is quadratic: the test with 100,000 workspaces did not end within 100 s.

Change: both lists grow at powers of 2.

Measured: test-site and test-keys pass, also with SANITIZE=1.

--- a/src/site/keys.c
+++ b/src/site/keys.c
@@ -24,7 +24,10 @@
         abort ();
       randombytes_buf (k->secret, sizeof k->secret);
     }
-  k->item = zp_realloc (k->item, (k->len + 1) * sizeof *k->item);
+  /* Grows at powers of 2, so that a long table is not copied for each key.  */
+  if ((k->len & (k->len - 1)) == 0)
+    k->item = zp_realloc (k->item,
+                          (k->len > 0 ? 2 * k->len : 1) * sizeof *k->item);
   struct si_key *x = &k->item[k->len++];
   x->workspace = workspace;
   digest_of (k, key, x->digest);
--- a/src/site/site.c
+++ b/src/site/site.c
@@ -58,11 +58,20 @@
   free (r->home);
 }
 
+/* LIST with room for one more element than N.  It grows at powers of 2, so that
+   a long list is not copied for each element.  */
+static void *
+grow (void *list, size_t n, size_t size)
+{
+  if ((n & (n - 1)) != 0)
+    return list;
+  return zp_realloc (list, (n > 0 ? 2 * n : 1) * size);
+}
+
 void
 si_site_add_workspace (struct si_site *s, const struct si_workspace *workspace)
 {
-  s->workspace
-      = zp_realloc (s->workspace, (s->workspaces + 1) * sizeof *s->workspace);
+  s->workspace = grow (s->workspace, s->workspaces, sizeof *s->workspace);
   s->workspace[s->workspaces++] = *workspace;
 }
 
