quota: 16 tokens of a limit are never leased out

Cause: after a change of the owner the pool had a quarter of each limit for 6 s. Change: what can be leased of a limit depends on its depth, and both sides scale shares by this, so that the sum also holds when the limit is lowered. Of a depth up to 16 nothing is leased, and a new owner gives all of it.

--- a/src/quota/bucket.c
+++ b/src/quota/bucket.c
@@ -11,6 +11,15 @@
   return fmax (fmax (l->burst, l->rate / 4), 1.0);
 }
 
+double
+qu_limit_leasable (double depth)
+{
+  double part
+      = (1 - QU_POOL_MIN / fmax (depth, 1)) * TK_QUOTA_WHOLE / QU_LEASED_MAX;
+
+  return fmin (fmax (part, 0), 1);
+}
+
 void
 qu_bucket_refill (struct qu_bucket *b, double rate, double depth, zp_time now)
 {
--- a/src/quota/bucket.h
+++ b/src/quota/bucket.h
@@ -20,6 +20,7 @@
 
 #include "base/clock.h"
 #include "base/limits.h"
+#include "task/msg.h"
 
 /* Buckets refill slower than their limit, by the largest error of a clock's
    rate, so that a daemon with a fast clock does not exceed it.  */
@@ -38,6 +39,19 @@
    refilled from reports each 250 ms does not sustain its rate.  */
 double qu_limit_depth (const struct qu_limit *l);
 
+/* Largest sum of the shares that are leased out.  */
+#define QU_LEASED_MAX ((TK_QUOTA_WHOLE >> 2) * 3)
+
+/* Tokens of a limit that are never leased out.  A limit of fewer has no leases:
+   it could lease one token to few holders only, and after a change of the owner
+   its requests, which depend on the pool, would have a quarter of the limit.  */
+#define QU_POOL_MIN 16.0
+
+/* The factor, from 0 to 1, by which both sides multiply the shares of a limit
+   of this depth.  It depends on the limit only, so that the pool of a new owner
+   has what no lease can hold.  */
+double qu_limit_leasable (double depth);
+
 struct qu_bucket
 {
   double level;    /* tokens at UPDATED */
--- a/src/quota/holder.c
+++ b/src/quota/holder.c
@@ -47,14 +47,15 @@
 void
 qu_entry_refresh (struct qu_holder *h, struct qu_entry *e, zp_time now)
 {
+  double leasable = qu_limit_leasable (e->depth) / TK_QUOTA_WHOLE;
+
   if (e->burst_share > 0 && now >= e->lease_end)
     {
       e->rate_share = e->burst_share = 0;
       h->counts.ended += now < e->active_until;
     }
-  qu_bucket_refill (&e->bucket,
-                    e->rate * e->rate_share / (double) TK_QUOTA_WHOLE,
-                    e->depth * e->burst_share / (double) TK_QUOTA_WHOLE, now);
+  qu_bucket_refill (&e->bucket, e->rate * e->rate_share * leasable,
+                    e->depth * e->burst_share * leasable, now);
   if (now >= e->spare_end)
     e->spare = 0;
   while (now - e->asked_since >= ASKED_TIME)
--- a/src/quota/owner-pool.c
+++ b/src/quota/owner-pool.c
@@ -94,29 +94,22 @@
   qu_bucket_refill (&w->pool, rate, depth - w->flying, o->now);
 }
 
-uint32_t
-qu_pool_leased_max (const struct qu_pool *w)
-{
-  double most = TK_QUOTA_WHOLE * (1 - 1 / fmax (w->depth, 1));
-
-  return most < QU_LEASED_MAX ? (uint32_t) most : QU_LEASED_MAX;
-}
-
 /* What is left of a limit of which COUNTED is leased; until the claims have
-   come, MOST counts as leased.  */
+   come, all that can be leased counts as leased.  */
 static uint32_t
-rest_of (const struct qu_owner *o, uint32_t counted, uint32_t most)
+rest_of (const struct qu_owner *o, const struct qu_pool *w, uint32_t counted)
 {
-  if (qu_claims_only (o) && counted < most)
-    counted = most;
-  return TK_QUOTA_WHOLE - counted;
+  if (qu_claims_only (o))
+    counted = QU_LEASED_MAX;
+  return TK_QUOTA_WHOLE
+         - (uint32_t) ceil (counted * qu_limit_leasable (w->depth));
 }
 
 void
 qu_pool_set_part (struct qu_owner *o, struct qu_pool *w)
 {
-  w->part.rate = rest_of (o, w->counted.rate, QU_LEASED_MAX);
-  w->part.burst = rest_of (o, w->counted.burst, qu_pool_leased_max (w));
+  w->part.rate = rest_of (o, w, w->counted.rate);
+  w->part.burst = rest_of (o, w, w->counted.burst);
   qu_pool_refill (o, w);
 }
 
--- a/src/quota/owner-state.h
+++ b/src/quota/owner-state.h
@@ -113,9 +113,6 @@
 
 /* Pools (owner-pool.c).  */
 
-/* The largest share of the depth of W that is leased out.  */
-uint32_t qu_pool_leased_max (const struct qu_pool *w);
-
 /* Whether the owner still waits for claims.  */
 bool qu_claims_only (const struct qu_owner *o);
 
--- a/src/quota/owner.c
+++ b/src/quota/owner.c
@@ -154,23 +154,22 @@
 
 /* Asks.  */
 
-/* Smallest share with which a bucket can hold a token.  */
+/* Smallest share with which a bucket can hold a token; above QU_LEASED_MAX:
+   none can.  */
 static uint32_t
 share_min (const struct qu_pool *w)
 {
-  return (uint32_t) ceil (TK_QUOTA_WHOLE / w->depth);
+  double tokens = w->depth * qu_limit_leasable (w->depth);
+
+  return tokens < 1 ? UINT32_MAX : (uint32_t) ceil (TK_QUOTA_WHOLE / tokens);
 }
 
 /* What is left for L of what can be leased.  Counted rates are never above
-   counted bursts.  After a lower limit, the others can have more than what can
-   be leased.  */
+   counted bursts.  */
 static uint32_t
 room_of (const struct qu_pool *w, const struct qu_lease *l)
 {
-  uint32_t others = w->counted.burst - l->counted.burst;
-  uint32_t most = qu_pool_leased_max (w);
-
-  return most > others ? most - others : 0;
+  return QU_LEASED_MAX - (w->counted.burst - l->counted.burst);
 }
 
 /* The share of the rate for a bucket with the share BURST.  A shallow bucket is
@@ -180,7 +179,8 @@
 static uint32_t
 rate_for (const struct qu_pool *w, uint32_t burst)
 {
-  double depth = burst * w->depth / TK_QUOTA_WHOLE;
+  double depth
+      = burst * w->depth * qu_limit_leasable (w->depth) / TK_QUOTA_WHOLE;
 
   return (uint32_t) (burst * depth / (depth + 1));
 }
--- a/src/quota/owner.h
+++ b/src/quota/owner.h
@@ -25,9 +25,9 @@
        acknowledgement on.
      - A holder with a new incarnation is another holder.
      - For QU_TTL after qu_owner_lead only leases that holders claim are
-       renewed, and the pool has a quarter of the limit, but a depth of at
-       least one token.  Claims are leases of
-       an earlier owner, so their sum is within what can be leased.
+       renewed, and the pool has what can never be leased of the limit: a
+       quarter, or QU_POOL_MIN tokens of its depth.  Claims are leases of an
+       earlier owner, so their sum is within what can be leased.
      - Tokens count as in flight until the holder has acknowledged the grant,
        or QU_TOKEN_TTL has passed.  A new owner's pool starts to refill when
        the tokens of an earlier owner are no longer valid.
@@ -65,10 +65,6 @@
    system is designed for, so that all can restart within QU_TTL.  */
 #define QU_HOLDERS_MAX 1024
 
-/* Largest share that is leased out.  Of a depth below 4 it is less, so that the
-   pool can hold a token for the holders that have no lease.  */
-#define QU_LEASED_MAX ((TK_QUOTA_WHOLE >> 2) * 3)
-
 /* The number of a grant has the term in its upper bits, so that a holder's
    acknowledgement of an earlier owner's grant is not taken for one of a later
    owner's.  The other 40 bits last for 17 years at 2,000 grants a second.  */
