--- a/src/control/answers.c
+++ b/src/control/answers.c
@@ -258,9 +258,26 @@
   zp_buf_put (out, ZP_STR ("}\n"));
 }
 
+static void
+put_object (struct zp_buf *out, const struct ti_object *o, bool keys)
+{
+  if (!o)
+    zp_buf_put (out, ZP_STR ("null"));
+  else if (keys)
+    ti_object_write (o, out);
+  else
+    ti_object_show (o, out);
+}
+
+static bool
+is_before (const struct ct_page *page, const struct ti_key *key)
+{
+  return page->after && ti_key_cmp (key, page->after) <= 0;
+}
+
 void
 ct_answer_config (struct tk_http_answer *a, const struct ti_config *c,
-                  const struct ti_key *after)
+                  const struct ct_page *page)
 {
   struct zp_buf *out = begin (a, 200);
   const struct ti_key *last = NULL;
@@ -272,7 +289,7 @@
   for (size_t i = 0; i < c->len && !full; i++)
     {
       const struct ti_slot *s = &c->slot[i];
-      if (!s->object || (after && ti_key_cmp (&s->key, after) <= 0))
+      if (!s->object || is_before (page, &s->key))
         continue;
       zp_buf_printf (out, "%s\"%s/%.*s\":{\"number\":%" PRIu64,
                      last ? "," : "", TI_KEY_ARG (&s->key), s->number);
@@ -282,7 +299,7 @@
           ti_json_put_decimal (out, s->moved, 6);
         }
       zp_buf_put (out, ZP_STR (",\"object\":"));
-      ti_object_write (s->object, out);
+      put_object (out, s->object, page->keys);
       zp_buf_put (out, ZP_STR ("}"));
       last = &s->key;
       full = out->len > CT_PAGE_BYTES;
@@ -290,18 +307,9 @@
   put_next (out, full ? last : NULL);
 }
 
-static void
-put_object (struct zp_buf *out, const struct ti_object *o)
-{
-  if (o)
-    ti_object_write (o, out);
-  else
-    zp_buf_put (out, ZP_STR ("null"));
-}
-
 void
 ct_answer_diff (struct tk_http_answer *a, const struct ti_config *from,
-                const struct ti_config *to, const struct ti_key *after)
+                const struct ti_config *to, const struct ct_page *page)
 {
   struct zp_buf *out = begin (a, 200);
   const struct ti_key *last = NULL;
@@ -314,13 +322,13 @@
   for (size_t i = 0; i < d.len && !full; i++)
     {
       const struct ti_difference *x = &d.item[i];
-      if (after && ti_key_cmp (x->key, after) <= 0)
+      if (is_before (page, x->key))
         continue;
       zp_buf_printf (out, "%s\"%s/%.*s\":{\"before\":", last ? "," : "",
                      TI_KEY_ARG (x->key));
-      put_object (out, x->before);
+      put_object (out, x->before, page->keys);
       zp_buf_put (out, ZP_STR (",\"after\":"));
-      put_object (out, x->after);
+      put_object (out, x->after, page->keys);
       zp_buf_put (out, ZP_STR ("}"));
       last = x->key;
       /* An item has two objects, together up to 200,000 bytes: with a quarter
--- a/src/control/answers.h
+++ b/src/control/answers.h
@@ -57,10 +57,16 @@
 void ct_answer_status (struct tk_http_answer *a, const struct ti_store *s,
                        const struct ct_status_report *report);
 
-/* One page of the objects after the key AFTER, or from the first for NULL.  */
+/* Which objects a page has, and how.  */
+struct ct_page
+{
+  const struct ti_key *after; /* from the one after; NULL: from the first */
+  bool keys;                  /* with the keys of workspaces */
+};
+
 void ct_answer_config (struct tk_http_answer *a, const struct ti_config *c,
-                       const struct ti_key *after);
+                       const struct ct_page *page);
 void ct_answer_diff (struct tk_http_answer *a, const struct ti_config *from,
-                     const struct ti_config *to, const struct ti_key *after);
+                     const struct ti_config *to, const struct ct_page *page);
 
 #endif
--- a/src/control/operators.c
+++ b/src/control/operators.c
@@ -78,6 +78,35 @@
   return ti_key_parse (zp_str_from (text), out, err);
 }
 
+/* Reads what a page of objects has to show; KEY is room for its "after".
+   Returns false after it has answered with an error.  */
+static bool
+read_page (struct context *q, struct ti_key *key, struct ct_page *out)
+{
+  struct zp_str keys;
+  struct zp_err err;
+  bool has;
+
+  *out = (struct ct_page){ .after = NULL };
+  if (!query_after (q->request, key, &has, &err))
+    {
+      ct_answer_error (set_answer (q), 422, "\"after\": %s", err.text);
+      return false;
+    }
+  if (has)
+    out->after = key;
+  if (query_value (q->request, "keys", &keys))
+    {
+      out->keys = zp_str_eq (keys, ZP_STR ("show"));
+      if (!out->keys)
+        {
+          ct_answer_error (set_answer (q), 422, "\"keys\": allowed: show");
+          return false;
+        }
+    }
+  return true;
+}
+
 /* Tickets.  */
 
 static void
@@ -190,14 +219,10 @@
 decide_config (struct context *q)
 {
   struct ti_key after;
-  struct zp_err err;
-  bool has;
+  struct ct_page page;
 
-  if (!query_after (q->request, &after, &has, &err))
-    ct_answer_error (set_answer (q), 422, "\"after\": %s", err.text);
-  else
-    ct_answer_config (set_answer (q), ti_store_config (q->store),
-                      has ? &after : NULL);
+  if (read_page (q, &after, &page))
+    ct_answer_config (set_answer (q), ti_store_config (q->store), &page);
 }
 
 /* The configuration whose number is the query value NAME.  Returns NULL after
@@ -223,18 +248,14 @@
 decide_diff (struct context *q)
 {
   struct ti_key after;
-  struct zp_err err;
-  bool has;
+  struct ct_page page;
 
-  if (!query_after (q->request, &after, &has, &err))
-    {
-      ct_answer_error (set_answer (q), 422, "\"after\": %s", err.text);
-      return;
-    }
+  if (!read_page (q, &after, &page))
+    return;
   struct ti_config *from = config_at (q, "from");
   struct ti_config *to = from ? config_at (q, "to") : NULL;
   if (from && to)
-    ct_answer_diff (set_answer (q), from, to, has ? &after : NULL);
+    ct_answer_diff (set_answer (q), from, to, &page);
   ti_config_free (from);
   ti_config_free (to);
 }
--- a/src/ctl/command.h
+++ b/src/ctl/command.h
@@ -92,6 +92,7 @@
 {
   enum zc_command_kind kind;
   bool json;
+  bool show_keys;      /* ZC_CONFIG and ZC_DIFF: with keys of workspaces */
   struct zp_str entry; /* "IP:port" for ZC_EXPLAIN and ZC_ENTRIES */
   union
   {
--- a/src/ctl/config.c
+++ b/src/ctl/config.c
@@ -185,6 +185,12 @@
   if (cmd->kind == ZC_DIFF)
     snprintf (target, sizeof target, "/v1/diff?from=%" PRIu64 "&to=%" PRIu64,
               cmd->u.diff.from, cmd->u.diff.to);
+  if (cmd->show_keys)
+    {
+      size_t len = strlen (target);
+      snprintf (target + len, sizeof target - len, "%ckeys=show",
+                cmd->kind == ZC_DIFF ? '&' : '?');
+    }
   for (unsigned i = 0; i < READS_MAX && result == PAGE_CHANGED; i++)
     result = fetch_pages (c, target, &merged, &a, &err);
   enum zc_exit status;
--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -14,7 +14,9 @@
 /* Enough for a command, a name and the log files of a deployment of some
    hundred daemons.  */
 #define ARGS_MAX 1024
-#define KEY_COUNT 256 /* argp key of --count, which has no short name */
+/* argp keys of options without a short name */
+#define KEY_COUNT 256
+#define KEY_SHOW_KEYS 257
 #define WATCH_PERIOD ZP_SEC
 #define TIMEOUT_DEFAULT_S 15 /* covers an election, which takes up to 9 s */
 
@@ -27,7 +29,7 @@
   uint64_t timeout_s;
   uint64_t count;
   const char *entry, *caller;
-  bool json, watch;
+  bool json, watch, show_keys;
   const char *arg[ARGS_MAX]; /* the command and its arguments */
   size_t args;
 };
@@ -47,6 +49,10 @@
     "IPv4 address of the caller for explain (default: this host)", 0 },
   { "watch", 'w', NULL, 0, "repeat status every second until interrupted", 0 },
   { "count", KEY_COUNT, "N", 0, "with --watch: stop after N rounds", 0 },
+  { "show-keys", KEY_SHOW_KEYS, NULL, 0,
+    "with config and diff: print the keys of workspaces (default: how many "
+    "there are)",
+    0 },
   { "json", 'j', NULL, 0, "print one JSON value instead of text", 0 },
   { 0 },
 };
@@ -109,6 +115,9 @@
       if (o->count == 0)
         argp_error (state, "--count takes a number above 0");
       return 0;
+    case KEY_SHOW_KEYS:
+      o->show_keys = true;
+      return 0;
     case 'j':
       o->json = true;
       return 0;
@@ -177,6 +186,8 @@
     return "--watch is allowed only with \"status\"";
   if (o->count > 0 && !o->watch)
     return "--count is allowed only with --watch";
+  if (o->show_keys && kind != ZC_CONFIG && kind != ZC_DIFF)
+    return "--show-keys is allowed only with \"config\" and \"diff\"";
   return NULL;
 }
 
@@ -219,6 +230,7 @@
     return error;
   *out = (struct zc_command){ .kind = commands[i].kind,
                               .json = o->json,
+                              .show_keys = o->show_keys,
                               .entry = zp_str_from (o->entry) };
   switch (out->kind)
     {
--- a/src/ticket/json.c
+++ b/src/ticket/json.c
@@ -38,6 +38,18 @@
   return s;
 }
 
+struct zp_str
+ti_json_outline (struct json_object *v)
+{
+  if (json_object_is_type (v, json_type_object))
+    return ZP_STR ("an object");
+  if (json_object_is_type (v, json_type_array))
+    return ZP_STR ("a list");
+  if (json_object_is_type (v, json_type_string))
+    return ZP_STR ("a text");
+  return ti_json_excerpt (v);
+}
+
 void
 ti_json_put_string (struct zp_buf *out, struct zp_str s)
 {
--- a/src/ticket/json.h
+++ b/src/ticket/json.h
@@ -27,6 +27,10 @@
    a UTF-8 character boundary.  */
 struct zp_str ti_json_excerpt (struct json_object *v);
 
+/* As ti_json_excerpt, but names only the type of an object, a list or a text,
+   because it may hold keys of workspaces.  */
+struct zp_str ti_json_outline (struct json_object *v);
+
 /* Appends S, which must be UTF-8, as a JSON string with quotes.  */
 void ti_json_put_string (struct zp_buf *out, struct zp_str s);
 
--- a/src/ticket/object.c
+++ b/src/ticket/object.c
@@ -1,6 +1,7 @@
 #include "ticket/object.h"
 
 #include <assert.h>
+#include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -25,6 +26,10 @@
     .kind = TI_FIELD_INT,
     .offset = FIELD_OFFSET (service.queue_max),
     .max = 100000 },
+  { .key = "public",
+    .kind = TI_FIELD_BOOL,
+    .offset = FIELD_OFFSET (service.public),
+    .optional = true },
   { .key = NULL },
 };
 
@@ -173,6 +178,39 @@
   { .key = NULL },
 };
 
+static const struct ti_field workspace_fields[] = {
+  { .key = "keys",
+    .kind = TI_FIELD_SECRETS,
+    .offset = FIELD_OFFSET (workspace.keys),
+    .min = 1,
+    .max = TI_WORKSPACE_KEYS_MAX },
+  { .key = "rate_per_s",
+    .kind = TI_FIELD_RATE,
+    .offset = FIELD_OFFSET (workspace.rate_per_s),
+    .max = TI_RATE_MAX,
+    .optional = true },
+  { .key = "burst",
+    .kind = TI_FIELD_RATE,
+    .offset = FIELD_OFFSET (workspace.burst),
+    .max = TI_RATE_MAX,
+    .optional = true },
+  { .key = "priority",
+    .kind = TI_FIELD_OPTIONAL_INT,
+    .offset = FIELD_OFFSET (workspace.priority),
+    .max = 3,
+    .optional = true },
+  /* An empty list could be read as "no region"; without the field, all regions
+     serve the workspace.  */
+  { .key = "home_regions",
+    .kind = TI_FIELD_REFS,
+    .offset = FIELD_OFFSET (workspace.home_regions),
+    .ref = TI_REGION,
+    .min = 1,
+    .max = TI_HOME_REGIONS_MAX,
+    .optional = true },
+  { .key = NULL },
+};
+
 static const struct
 {
   const char *name;
@@ -190,6 +228,7 @@
   [TI_BLOCKS] = { "blocks", blocks_fields },
   [TI_CONTROL] = { "control", control_fields },
   [TI_DOCUMENT] = { "document", document_fields },
+  [TI_WORKSPACE] = { "workspace", workspace_fields },
 };
 
 const struct ti_field *
@@ -278,7 +317,7 @@
     return zp_fail (err, ZP_EINVAL,
                     "%.*s: unknown kind \"%.*s\", allowed: service, region, "
                     "failure_domain, link, site, entry, limits, drain, "
-                    "shift, blocks, control, document",
+                    "shift, blocks, control, document, workspace",
                     ZP_ARG (text), ZP_ARG (kind));
   if (!ti_name_parse (name, &out->name))
     return zp_fail (err, ZP_EINVAL,
@@ -357,6 +396,25 @@
   return q;
 }
 
+static void
+copy_secrets (struct ti_secrets *s)
+{
+  s->item = copy_array (s->item, s->len * sizeof *s->item);
+  for (size_t i = 0; i < s->len; i++)
+    s->item[i].ptr = copy_array (s->item[i].ptr, s->item[i].len);
+}
+
+static void
+free_secrets (struct ti_secrets *s)
+{
+  for (size_t i = 0; i < s->len; i++)
+    {
+      sodium_memzero (s->item[i].ptr, s->item[i].len);
+      free (s->item[i].ptr);
+    }
+  free (s->item);
+}
+
 struct ti_object *
 ti_object_copy (const struct ti_object *o)
 {
@@ -381,6 +439,13 @@
           struct ti_blob *b = value;
           b->ptr = copy_array (b->ptr, b->len);
         }
+      if (f->kind == TI_FIELD_SECRETS)
+        copy_secrets (value);
+      if (f->kind == TI_FIELD_REFS)
+        {
+          struct ti_names *l = value;
+          l->item = copy_array (l->item, l->len * sizeof *l->item);
+        }
     }
   return n;
 }
@@ -399,6 +464,10 @@
         free (((struct ti_prefixes *) value)->item);
       if (f->kind == TI_FIELD_BLOB)
         free (((struct ti_blob *) value)->ptr);
+      if (f->kind == TI_FIELD_SECRETS)
+        free_secrets (value);
+      if (f->kind == TI_FIELD_REFS)
+        free (((struct ti_names *) value)->item);
     }
   free (o);
 }
@@ -453,11 +522,21 @@
               each (self, o, f->key, &to);
             }
           break;
+        case TI_FIELD_REFS:
+          for (size_t i = 0; i < ((const struct ti_names *) value)->len; i++)
+            {
+              to.name = ((const struct ti_names *) value)->item[i];
+              each (self, o, f->key, &to);
+            }
+          break;
         case TI_FIELD_CLASS:
         case TI_FIELD_ROLE:
         case TI_FIELD_BOOL:
         case TI_FIELD_INT:
         case TI_FIELD_SHARE:
+        case TI_FIELD_RATE:
+        case TI_FIELD_SECRETS:
+        case TI_FIELD_OPTIONAL_INT:
         case TI_FIELD_ADDRESS:
         case TI_FIELD_PREFIXES:
         case TI_FIELD_NUMBER:
--- a/src/ticket/object.h
+++ b/src/ticket/object.h
@@ -12,7 +12,12 @@
 
      ti_object_read checks every field.  For each mistake it adds a line to the
      report: object, field, value found and values allowed.  ti_object_write
-     writes canonical JSON: fields in table order, lists sorted.  */
+     writes canonical JSON: fields in table order, lists sorted, optional fields
+     only when they are not zero.
+
+     Keys of workspaces are secret.  Only ti_object_write writes them, for the
+     replicated state; ti_object_show writes their number in place of them.
+     Mistakes in a workspace are reported without the text that was found.  */
 
 #ifndef ZP_TICKET_OBJECT_H
 #define ZP_TICKET_OBJECT_H
@@ -24,7 +29,16 @@
 #define TI_PREFIXES_MAX 2000 /* in one blocks object */
 #define TI_NETWORKS_MAX 64   /* in one failure domain */
 #define TI_LATENCIES_MAX 64  /* in one region */
-#define TI_SHARE_ONE 1000000 /* a share of 1, in millionths */
+#define TI_WORKSPACE_KEYS_MAX 64
+#define TI_HOME_REGIONS_MAX 64
+#define TI_RATE_ONE 1000        /* one request a second, in thousandths */
+#define TI_RATE_MAX 1000000000U /* thousandths: a million a second */
+#define TI_SHARE_ONE 1000000    /* a share of 1, in millionths */
+
+/* Decimals of values in JSON.  */
+#define TI_LATENCY_DIGITS 3 /* milliseconds to microseconds */
+#define TI_SHARE_DIGITS 6   /* to millionths */
+#define TI_RATE_DIGITS 3    /* requests to thousandths */
 
 /* Name of the document object that holds the routes.  */
 #define TI_ROUTES "routes"
@@ -43,6 +57,7 @@
   TI_BLOCKS,
   TI_CONTROL,
   TI_DOCUMENT,
+  TI_WORKSPACE,
   TI_KIND_COUNT,
 };
 
@@ -109,6 +124,7 @@
   uint32_t priority; /* 0 is the most urgent */
   uint32_t deadline_ms;
   uint32_t queue_max;
+  bool public; /* requests need no key of a workspace */
 };
 
 struct ti_region
@@ -190,6 +206,35 @@
   struct ti_blob body;
 };
 
+struct ti_secrets
+{
+  struct ti_blob *item; /* sorted; visible ASCII characters */
+  size_t len;
+};
+
+struct ti_names
+{
+  struct ti_text *item; /* sorted */
+  size_t len;
+};
+
+struct ti_optional_int
+{
+  bool given;
+  uint32_t value;
+};
+
+/* A customer, or a part of one, with API keys.  Rate and burst are limits of
+   all entry daemons together, in thousandths of a request.  */
+struct ti_workspace
+{
+  struct ti_secrets keys;
+  uint32_t rate_per_s; /* 0: no limit */
+  uint32_t burst;
+  struct ti_optional_int priority; /* replaces that of the service */
+  struct ti_names home_regions;    /* may serve its requests; none: all */
+};
+
 struct ti_object
 {
   struct ti_key key;
@@ -207,6 +252,7 @@
     struct ti_blocks blocks;
     struct ti_control control;
     struct ti_document document;
+    struct ti_workspace workspace;
   } u;
 };
 
@@ -214,18 +260,23 @@
 
 enum ti_field_kind
 {
-  TI_FIELD_CLASS,     /* enum ti_class */
-  TI_FIELD_ROLE,      /* enum ti_role */
-  TI_FIELD_BOOL,      /* bool */
-  TI_FIELD_INT,       /* uint32_t, MIN to MAX */
-  TI_FIELD_SHARE,     /* uint32_t, MIN to MAX millionths */
-  TI_FIELD_REF,       /* struct ti_text: name of an object of kind REF */
-  TI_FIELD_ADDRESS,   /* struct ti_text: "IP:port" */
-  TI_FIELD_TARGET,    /* struct ti_target */
-  TI_FIELD_LATENCIES, /* struct ti_latencies */
-  TI_FIELD_PREFIXES,  /* struct ti_prefixes, MIN to MAX items */
-  TI_FIELD_NUMBER,    /* uint64_t */
-  TI_FIELD_BLOB,      /* struct ti_blob; base64 in JSON */
+  TI_FIELD_CLASS,        /* enum ti_class */
+  TI_FIELD_ROLE,         /* enum ti_role */
+  TI_FIELD_BOOL,         /* bool */
+  TI_FIELD_INT,          /* uint32_t, MIN to MAX */
+  TI_FIELD_SHARE,        /* uint32_t, MIN to MAX millionths */
+  TI_FIELD_REF,          /* struct ti_text: name of an object of kind REF */
+  TI_FIELD_ADDRESS,      /* struct ti_text: "IP:port" */
+  TI_FIELD_TARGET,       /* struct ti_target */
+  TI_FIELD_LATENCIES,    /* struct ti_latencies */
+  TI_FIELD_PREFIXES,     /* struct ti_prefixes, MIN to MAX items */
+  TI_FIELD_NUMBER,       /* uint64_t */
+  TI_FIELD_BLOB,         /* struct ti_blob; base64 in JSON */
+  TI_FIELD_RATE,         /* uint32_t, MIN to MAX thousandths */
+  TI_FIELD_SECRETS,      /* struct ti_secrets, MIN to MAX items */
+  TI_FIELD_REFS,         /* struct ti_names: names of objects of kind REF,
+                         MIN to MAX items */
+  TI_FIELD_OPTIONAL_INT, /* struct ti_optional_int, MIN to MAX */
 };
 
 struct ti_field
@@ -235,6 +286,7 @@
   size_t offset;     /* in struct ti_object */
   enum ti_kind ref;  /* kind of the object that the field refers to */
   uint32_t min, max; /* range, as described at ti_field_kind */
+  bool optional;     /* it is zero when it is missing */
 };
 
 /* Returns the fields of KIND.  The last element has a NULL key.  */
@@ -278,6 +330,10 @@
                                   struct zp_report *report);
 void ti_object_write (const struct ti_object *o, struct zp_buf *out);
 
+/* As ti_object_write, with "(N keys)" in place of keys, and "(N bytes)" in
+   place of blobs, because the body of a document can hold keys too.  */
+void ti_object_show (const struct ti_object *o, struct zp_buf *out);
+
 struct ti_object *ti_object_copy (const struct ti_object *o);
 void ti_object_free (struct ti_object *o);
 
--- a/src/ticket/object_json.c
+++ b/src/ticket/object_json.c
@@ -1,4 +1,3 @@
-#include <inttypes.h>
 #include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -7,9 +6,7 @@
 #include "ticket/json.h"
 #include "ticket/object.h"
 
-#define LATENCY_DIGITS 3         /* milliseconds to microseconds */
 #define LATENCY_MAX_US 10000000U /* 10 s */
-#define SHARE_DIGITS 6
 
 /* The object and the field that a mistake is reported for.  */
 struct location
@@ -19,11 +16,25 @@
   struct zp_report *report;
 };
 
+/* The text to report for the value FOUND of an object KEY.  A value of a
+   workspace may be a key that stands in the wrong place, so only numbers are
+   shown.  */
+static struct zp_str
+excerpt (const struct ti_key *key, struct json_object *found)
+{
+  if (key->kind == TI_WORKSPACE && !json_object_is_type (found, json_type_int)
+      && !json_object_is_type (found, json_type_double))
+    return ZP_STR ("another value");
+  return ti_json_excerpt (found);
+}
+
 static bool
 add_mistake (const struct location *p, struct json_object *found,
              const char *allowed)
 {
-  struct zp_str f = ti_json_excerpt (found);
+  struct zp_str f = p->field->kind == TI_FIELD_SECRETS
+                        ? ZP_STR ("another value")
+                        : excerpt (p->key, found);
 
   zp_report_add (p->report, "%s/%.*s: \"%s\": found %.*s, allowed: %s",
                  TI_KEY_ARG (p->key), p->field->key, ZP_ARG (f), allowed);
@@ -135,7 +146,7 @@
   {
     struct ti_latency *l = &out->item[out->len];
     if (!ti_name_parse (zp_str_from (name), &l->region)
-        || !ti_json_decimal (ms, LATENCY_DIGITS, LATENCY_MAX_US, &l->us))
+        || !ti_json_decimal (ms, TI_LATENCY_DIGITS, LATENCY_MAX_US, &l->us))
       {
         struct zp_str f = ti_json_excerpt (ms);
         zp_report_add (p->report,
@@ -216,6 +227,137 @@
   return add_mistake (p, v, "base64");
 }
 
+static bool
+read_rate (const struct location *p, struct json_object *v, uint32_t *out)
+{
+  const struct ti_field *f = p->field;
+  char allowed[80];
+
+  if (ti_json_decimal (v, TI_RATE_DIGITS, f->max, out) && *out >= f->min)
+    return true;
+  snprintf (allowed, sizeof allowed,
+            "a number from %u to %u, at most %d decimals",
+            f->min / TI_RATE_ONE, f->max / TI_RATE_ONE, TI_RATE_DIGITS);
+  return add_mistake (p, v, allowed);
+}
+
+/* Whether V is a list of a length that the field allows.  */
+static bool
+check_list (const struct location *p, struct json_object *v, const char *what)
+{
+  char allowed[64];
+
+  snprintf (allowed, sizeof allowed, "a list of %u to %u %s", p->field->min,
+            p->field->max, what);
+  if (!json_object_is_type (v, json_type_array))
+    return add_mistake (p, v, allowed);
+  size_t n = json_object_array_length (v);
+  if (n >= p->field->min && n <= p->field->max)
+    return true;
+  zp_report_add (p->report, "%s/%.*s: \"%s\": found %zu items, allowed: %s",
+                 TI_KEY_ARG (p->key), p->field->key, n, allowed);
+  return false;
+}
+
+static int
+cmp_secret (const void *a, const void *b)
+{
+  const struct ti_blob *x = a, *y = b;
+
+  return zp_str_cmp ((struct zp_str){ .ptr = x->ptr, .len = x->len },
+                     (struct zp_str){ .ptr = y->ptr, .len = y->len });
+}
+
+/* Whether S can be the value of an HTTP header, and is not cut by one.  */
+static bool
+is_secret (struct zp_str s)
+{
+  for (size_t i = 0; i < s.len; i++)
+    if (s.ptr[i] < '!' || s.ptr[i] > '~')
+      return false;
+  return s.len > 0 && s.len <= ZP_KEY_MAX;
+}
+
+static bool
+read_secrets (const struct location *p, struct json_object *v,
+              struct ti_secrets *out)
+{
+  bool ok = true;
+
+  if (!check_list (p, v, "keys"))
+    return false;
+  size_t n = json_object_array_length (v);
+  out->item = zp_alloc (n * sizeof *out->item);
+  for (size_t i = 0; i < n; i++)
+    {
+      struct json_object *e = json_object_array_get_idx (v, i);
+      struct zp_str s = ti_json_str (e);
+      if (!is_secret (s))
+        {
+          ok = add_mistake (
+              p, e, "keys of 1 to 256 visible ASCII characters, no spaces");
+          continue;
+        }
+      out->item[out->len]
+          = (struct ti_blob){ .ptr = zp_alloc (s.len), .len = s.len };
+      memcpy (out->item[out->len++].ptr, s.ptr, s.len);
+    }
+  qsort (out->item, out->len, sizeof *out->item, cmp_secret);
+  for (size_t i = 1; i < out->len && ok; i++)
+    if (cmp_secret (&out->item[i - 1], &out->item[i]) == 0)
+      {
+        zp_report_add (p->report,
+                       "%s/%.*s: \"%s\": found a key twice, allowed: once",
+                       TI_KEY_ARG (p->key), p->field->key);
+        ok = false;
+      }
+  return ok;
+}
+
+static int
+cmp_text (const void *a, const void *b)
+{
+  return ti_text_cmp (a, b);
+}
+
+static bool
+read_refs (const struct location *p, struct json_object *v,
+           struct ti_names *out)
+{
+  bool ok = true;
+
+  if (!check_list (p, v, "names"))
+    return false;
+  size_t n = json_object_array_length (v);
+  out->item = zp_alloc (n * sizeof *out->item);
+  for (size_t i = 0; i < n; i++)
+    {
+      struct json_object *e = json_object_array_get_idx (v, i);
+      if (ti_name_parse (ti_json_str (e), &out->item[out->len]))
+        out->len++;
+      else
+        ok = add_mistake (p, e, "names of objects");
+    }
+  qsort (out->item, out->len, sizeof *out->item, cmp_text);
+  for (size_t i = 1; i < out->len && ok; i++)
+    if (ti_text_eq (&out->item[i - 1], &out->item[i]))
+      {
+        zp_report_add (p->report,
+                       "%s/%.*s: \"%s\": found a name twice, allowed: once",
+                       TI_KEY_ARG (p->key), p->field->key);
+        ok = false;
+      }
+  return ok;
+}
+
+static bool
+read_optional_int (const struct location *p, struct json_object *v,
+                   struct ti_optional_int *out)
+{
+  out->given = read_int (p, v, &out->value);
+  return out->given;
+}
+
 static bool
 read_field (const struct location *p, struct json_object *v, void *out)
 {
@@ -233,7 +375,7 @@
     case TI_FIELD_INT:
       return read_int (p, v, out);
     case TI_FIELD_SHARE:
-      if (ti_json_decimal (v, SHARE_DIGITS, p->field->max, out)
+      if (ti_json_decimal (v, TI_SHARE_DIGITS, p->field->max, out)
           && *(uint32_t *) out >= p->field->min)
         return true;
       return add_mistake (
@@ -257,6 +399,14 @@
       return ti_json_u64 (v, out) || add_mistake (p, v, "a whole number");
     case TI_FIELD_BLOB:
       return read_blob (p, v, out);
+    case TI_FIELD_RATE:
+      return read_rate (p, v, out);
+    case TI_FIELD_SECRETS:
+      return read_secrets (p, v, out);
+    case TI_FIELD_REFS:
+      return read_refs (p, v, out);
+    case TI_FIELD_OPTIONAL_INT:
+      return read_optional_int (p, v, out);
     }
   return false;
 }
@@ -276,7 +426,7 @@
 {
   if (!json_object_is_type (fields, json_type_object))
     {
-      struct zp_str f = ti_json_excerpt (fields);
+      struct zp_str f = excerpt (key, fields);
       zp_report_add (report, "%s/%.*s: found %.*s, allowed: an object",
                      TI_KEY_ARG (key), ZP_ARG (f));
       return NULL;
@@ -291,7 +441,8 @@
     if (!known_field (key->kind, name))
       {
         zp_report_add (report, "%s/%.*s: \"%.64s\": unknown field",
-                       TI_KEY_ARG (key), name);
+                       TI_KEY_ARG (key),
+                       key->kind == TI_WORKSPACE ? "another name" : name);
         ok = false;
       }
   }
@@ -302,6 +453,8 @@
 
       if (!json_object_object_get_ex (fields, f->key, &v))
         {
+          if (f->optional)
+            continue;
           zp_report_add (report, "%s/%.*s: \"%s\": missing, required",
                          TI_KEY_ARG (key), f->key);
           ok = false;
@@ -314,114 +467,3 @@
   ti_object_free (o);
   return NULL;
 }
-
-/* Writing.  Names and addresses have no characters that JSON escapes.  */
-
-static void
-write_text (const struct ti_text *t, struct zp_buf *out)
-{
-  zp_buf_printf (out, "\"%.*s\"", ZP_ARG (ti_text_str (t)));
-}
-
-static void
-write_latencies (const struct ti_latencies *l, struct zp_buf *out)
-{
-  zp_buf_put (out, ZP_STR ("{"));
-  for (size_t i = 0; i < l->len; i++)
-    {
-      if (i > 0)
-        zp_buf_put (out, ZP_STR (","));
-      write_text (&l->item[i].region, out);
-      zp_buf_put (out, ZP_STR (":"));
-      ti_json_put_decimal (out, l->item[i].us, LATENCY_DIGITS);
-    }
-  zp_buf_put (out, ZP_STR ("}"));
-}
-
-static void
-write_prefixes (const struct ti_prefixes *l, struct zp_buf *out)
-{
-  zp_buf_put (out, ZP_STR ("["));
-  for (size_t i = 0; i < l->len; i++)
-    {
-      zp_buf_put (out, i > 0 ? ZP_STR (",\"") : ZP_STR ("\""));
-      ti_prefix_print (&l->item[i], out);
-      zp_buf_put (out, ZP_STR ("\""));
-    }
-  zp_buf_put (out, ZP_STR ("]"));
-}
-
-static void
-write_blob (const struct ti_blob *b, struct zp_buf *out)
-{
-  size_t n
-      = sodium_base64_ENCODED_LEN (b->len, sodium_base64_VARIANT_ORIGINAL);
-  char *text = zp_alloc (n);
-
-  sodium_bin2base64 (text, n, (const unsigned char *) b->ptr, b->len,
-                     sodium_base64_VARIANT_ORIGINAL);
-  zp_buf_printf (out, "\"%s\"", text);
-  free (text);
-}
-
-static void
-write_field (const struct ti_field *f, const void *value, struct zp_buf *out)
-{
-  switch (f->kind)
-    {
-    case TI_FIELD_CLASS:
-      zp_buf_printf (out, "\"%s\"",
-                     ti_class_name (*(const enum ti_class *) value));
-      break;
-    case TI_FIELD_ROLE:
-      zp_buf_printf (out, "\"%s\"",
-                     ti_role_name (*(const enum ti_role *) value));
-      break;
-    case TI_FIELD_BOOL:
-      zp_buf_put (out,
-                  *(const bool *) value ? ZP_STR ("true") : ZP_STR ("false"));
-      break;
-    case TI_FIELD_INT:
-      zp_buf_printf (out, "%u", *(const uint32_t *) value);
-      break;
-    case TI_FIELD_SHARE:
-      ti_json_put_decimal (out, *(const uint32_t *) value, SHARE_DIGITS);
-      break;
-    case TI_FIELD_REF:
-    case TI_FIELD_ADDRESS:
-      write_text (value, out);
-      break;
-    case TI_FIELD_TARGET:
-      zp_buf_printf (
-          out, "\"%s/%.*s\"",
-          ti_target_kind_name (((const struct ti_target *) value)->kind),
-          ZP_ARG (ti_text_str (&((const struct ti_target *) value)->name)));
-      break;
-    case TI_FIELD_LATENCIES:
-      write_latencies (value, out);
-      break;
-    case TI_FIELD_PREFIXES:
-      write_prefixes (value, out);
-      break;
-    case TI_FIELD_NUMBER:
-      zp_buf_printf (out, "%" PRIu64, *(const uint64_t *) value);
-      break;
-    case TI_FIELD_BLOB:
-      write_blob (value, out);
-      break;
-    }
-}
-
-void
-ti_object_write (const struct ti_object *o, struct zp_buf *out)
-{
-  const struct ti_field *first = ti_fields (o->key.kind);
-
-  zp_buf_put (out, ZP_STR ("{"));
-  for (const struct ti_field *f = first; f->key; f++)
-    {
-      zp_buf_printf (out, f == first ? "\"%s\":" : ",\"%s\":", f->key);
-      write_field (f, (const char *) o + f->offset, out);
-    }
-  zp_buf_put (out, ZP_STR ("}"));
-}
--- a/src/ticket/ticket.c
+++ b/src/ticket/ticket.c
@@ -90,7 +90,7 @@
       zp_report_add (report,
                      "\"set\": found %.*s, allowed: an object of "
                      "\"KIND/NAME\" and fields",
-                     ZP_ARG (ti_json_excerpt (v)));
+                     ZP_ARG (ti_json_outline (v)));
       return;
     }
   e->set = zp_alloc ((size_t) json_object_object_length (v)
@@ -120,7 +120,7 @@
       zp_report_add (report,
                      "\"delete\": found %.*s, allowed: a list of "
                      "\"KIND/NAME\"",
-                     ZP_ARG (ti_json_excerpt (v)));
+                     ZP_ARG (ti_json_outline (v)));
       return;
     }
   for (size_t i = 0; i < json_object_array_length (v); i++)
@@ -263,7 +263,7 @@
   if (!json_object_is_type (root, json_type_object))
     {
       zp_report_add (report, "ticket: found %.*s, allowed: an object",
-                     ZP_ARG (ti_json_excerpt (root)));
+                     ZP_ARG (ti_json_outline (root)));
       return NULL;
     }
   struct ti_ticket *t = zp_alloc (sizeof *t);
--- a/src/ticket/validate.c
+++ b/src/ticket/validate.c
@@ -90,6 +90,24 @@
   return false;
 }
 
+static bool
+same_secret (const struct ti_secrets *a, const struct ti_secrets *b)
+{
+  size_t i = 0, j = 0;
+
+  while (i < a->len && j < b->len)
+    {
+      const struct ti_blob *x = &a->item[i], *y = &b->item[j];
+      int order = zp_str_cmp ((struct zp_str){ .ptr = x->ptr, .len = x->len },
+                              (struct zp_str){ .ptr = y->ptr, .len = y->len });
+      if (order == 0)
+        return true;
+      i += order < 0;
+      j += order > 0;
+    }
+  return false;
+}
+
 /* Returns what A and B of one kind have in common though it must be unique, or
    NULL.  */
 static const char *
@@ -122,6 +140,10 @@
       return same_prefix (&a->u.blocks.prefixes, &b->u.blocks.prefixes)
                  ? "the same prefix"
                  : NULL;
+    case TI_WORKSPACE:
+      return same_secret (&a->u.workspace.keys, &b->u.workspace.keys)
+                 ? "the same key"
+                 : NULL;
     case TI_SERVICE:
     case TI_REGION:
     case TI_FAILURE_DOMAIN:
--- a/src/ticket/validate.h
+++ b/src/ticket/validate.h
@@ -10,7 +10,7 @@
        - two objects for the same thing: links between the same two regions,
          limits of the same service and region, the same address of two
          daemons, the same prefix in two blocks objects, two shifts from the
-         same site;
+         same site, a key of two workspaces;
        - entry daemons outside the networks of their failure domain;
        - deleting a shift, or changing its sites, while blocks are moved, which
          would move them all at once;
--- a/tests/test-ctl.c
+++ b/tests/test-ctl.c
@@ -281,6 +281,41 @@
   CU_ASSERT_EQUAL (f.a.requests, 7);
 }
 
+/* Guards against zpctl config and diff that ask for the keys of workspaces
+   without --show-keys, or do not with it.  */
+static void
+test_show_keys (void)
+{
+  static const struct
+  {
+    enum zc_command_kind kind;
+    bool keys;
+    const char *request;
+  } cases[] = {
+    { ZC_CONFIG, false, "GET /v1/config? " },
+    { ZC_CONFIG, true, "GET /v1/config?keys=show " },
+    { ZC_DIFF, false, "GET /v1/diff?from=3&to=4 " },
+    { ZC_DIFF, true, "GET /v1/diff?from=3&to=4&keys=show " },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      const struct zc_command cmd = { .kind = cases[i].kind,
+                                      .show_keys = cases[i].keys,
+                                      .u.diff = { .from = 3, .to = 4 } };
+      struct fixture f;
+      fixture_open (&f);
+      struct zp_str server = zp_str_from (f.a.address);
+      const struct zc_client c
+          = { .servers = { .item = &server, .len = 1 }, .limit = 20 * ZP_SEC };
+      tk_loop_start (&f.loop);
+      /* The answer is no page of objects.  */
+      CU_ASSERT_EQUAL (zc_run (&c, &cmd), ZC_REFUSED);
+      fixture_close (&f);
+      CU_ASSERT_STRING_EQUAL (f.a.last_request, cases[i].request);
+    }
+}
+
 static const struct zp_test tests[] = {
   { "the next server is tried when one is down", test_next_server },
   { "a redirect keeps method and body", test_redirect },
@@ -292,6 +327,7 @@
   { "JSON of an entry daemon", test_entry_json },
   { "errors of an entry daemon name the next step", test_entry_errors },
   { "--watch ends after --count rounds", test_watch_count },
+  { "keys only when asked for", test_show_keys },
 };
 
 TEST_MAIN ("ctl", tests)
--- a/tests/test-operators.c
+++ b/tests/test-operators.c
@@ -304,6 +304,78 @@
   fixture_free (&f);
 }
 
+/* Whether the answer to GET TARGET has TEXT.  */
+static bool
+shows (struct fixture *f, const char *target, const char *text)
+{
+  struct tk_http_answer a = send_request (f, "GET", target, "");
+  bool has = a.status == 200 && HAS_TEXT (a.body.ptr, text);
+
+  answer_free (&a);
+  return has;
+}
+
+/* Guards against keys of workspaces in answers that operators print without
+   having asked for keys, also in the body of a document, which can hold keys,
+   and in the report of a conflict; and against a refused ticket that changes
+   something.  */
+static void
+test_keys_are_hidden (void)
+{
+  static const char first[]
+      = "{\"title\":\"t\",\"author\":\"ana\",\"against\":0,\"set\":{"
+        "\"workspace/w\":{\"keys\":[\"SECRET1\"],\"rate_per_s\":5}}}";
+  static const char second[]
+      = "{\"title\":\"u\",\"author\":\"ana\",\"against\":1,\"set\":{"
+        "\"document/d\":{\"number\":1,\"body\":\"U0VDUkVUMw==\"},"
+        "\"workspace/w\":{\"keys\":[\"SECRET1\",\"SECRET2\"]}}}";
+  static const char late[]
+      = "{\"title\":\"v\",\"author\":\"ana\",\"against\":1,\"set\":{"
+        "\"workspace/w\":{\"keys\":[\"SECRET4\"]}}}";
+  static const char same[]
+      = "{\"title\":\"x\",\"author\":\"ana\",\"against\":2,\"set\":{"
+        "\"workspace/v\":{\"keys\":[\"SECRET2\"]}}}";
+  static const char *const hidden[] = { "/v1/config", "/v1/diff?from=0&to=2",
+                                        "/v1/diff?from=1&to=2", "/v1/status" };
+  struct fixture f = leader ();
+
+  CU_ASSERT (answers_with (&f, "POST", "/v1/tickets", late, 422, "at most 0"));
+  bring_into_force (&f, first);
+  CU_ASSERT (answers_with (&f, "POST", "/v1/tickets", late, 200, "submitted"));
+  CU_ASSERT (answers_with (&f, "POST", target_of (late, "/review"),
+                           "{\"reviewer\":\"ben\"}", 200, "reviewed"));
+  bring_into_force (&f, second);
+  struct tk_http_answer a
+      = send_request (&f, "POST", target_of (late, "/number"), "");
+  CU_ASSERT_EQUAL (a.status, 409);
+  CU_ASSERT (HAS_TEXT (a.body.ptr, "\"objects\":[\"workspace/w\"]"));
+  CU_ASSERT (!HAS_TEXT (a.body.ptr, "SECRET"));
+  answer_free (&a);
+  a = send_request (&f, "POST", "/v1/tickets", same);
+  CU_ASSERT_EQUAL (a.status, 422);
+  CU_ASSERT (HAS_TEXT (a.body.ptr, "workspace/v: found the same key as in "
+                                   "workspace/w"));
+  CU_ASSERT (!HAS_TEXT (a.body.ptr, "SECRET"));
+  answer_free (&a);
+  CU_ASSERT (!shows (&f, "/v1/config", "workspace/v"));
+  for (size_t i = 0; i < sizeof hidden / sizeof hidden[0]; i++)
+    {
+      CU_ASSERT (!shows (&f, hidden[i], "SECRET"));
+      CU_ASSERT (!shows (&f, hidden[i], "U0VDUkVUMw"));
+    }
+  CU_ASSERT (shows (&f, "/v1/config", "\"keys\":\"(2 keys)\"}"));
+  CU_ASSERT (shows (&f, "/v1/config", "\"body\":\"(7 bytes)\""));
+  CU_ASSERT (shows (&f, "/v1/diff?from=1&to=2", "\"keys\":\"(1 key)\""));
+  CU_ASSERT (shows (&f, "/v1/config?keys=show",
+                    "\"keys\":[\"SECRET1\",\"SECRET2\"]}"));
+  CU_ASSERT (shows (&f, "/v1/config?keys=show&after=drain/x", "SECRET2"));
+  CU_ASSERT (shows (&f, "/v1/diff?from=1&to=2&keys=show",
+                    "\"before\":{\"keys\":[\"SECRET1\"],\"rate_per_s\":5}"));
+  CU_ASSERT (
+      answers_with (&f, "GET", "/v1/config?keys=1", "", 422, "allowed: show"));
+  fixture_free (&f);
+}
+
 static const struct zp_test tests[] = {
   { "ticket to configuration", test_ticket_to_configuration },
   { "refusals", test_refusals },
@@ -311,6 +383,7 @@
   { "only the leader accepts", test_only_the_leader_accepts },
   { "configuration in pages", test_configuration_in_pages },
   { "status", test_status },
+  { "keys are hidden", test_keys_are_hidden },
 };
 
 TEST_MAIN ("operators", tests)
--- a/tests/test-ticket-parse.c
+++ b/tests/test-ticket-parse.c
@@ -4,6 +4,15 @@
 
 #include "ticket/ticket.h"
 
+/* Of the ticket in test_optional_fields_leave_digests, by a program built from
+   commit 59146b1.  */
+#define OLD_DIGEST                                                            \
+  "2d188ef5e57019a872f065b5fcdbeed2d92276e72304e931de50c9d48d05394f"
+
+/* 64 characters.  */
+#define LONG_NAME                                                             \
+  "abcdefghijklmnopqrstuvwxyzabcdefghijklmnopqrstuvwxyzabcdefghijkl"
+
 static struct ti_ticket *
 parse (const char *text, struct zp_report *r)
 {
@@ -261,6 +270,185 @@
   zp_buf_free (&text);
 }
 
+/* Guards against a digest or a canonical text that changes with the optional
+   fields of a newer version: a resend of an old ticket would count as a second
+   one.  The digest is that of the version before "public".  */
+static void
+test_optional_fields_leave_digests (void)
+{
+  static const char service[]
+      = "{\"title\":\"t\",\"author\":\"ana\",\"against\":3,\"set\":{"
+        "\"service/s\":{\"class\":\"once\",\"priority\":1,"
+        "\"deadline_ms\":900,\"queue_max\":5%s}}}";
+  char text[400];
+  struct zp_buf a = { .ptr = NULL }, b = { .ptr = NULL }, c = { .ptr = NULL };
+  struct ti_digest x, y, z;
+
+  snprintf (text, sizeof text, service, "");
+  canonical (text, &a, &x);
+  CU_ASSERT (HAS_TEXT (a.ptr, "\"queue_max\":5}}"));
+  CU_ASSERT (zp_str_eq (ti_digest_str (&x), ZP_STR (OLD_DIGEST)));
+  snprintf (text, sizeof text, service, ",\"public\":false");
+  canonical (text, &b, &y);
+  CU_ASSERT (ti_digest_eq (&x, &y));
+  snprintf (text, sizeof text, service, ",\"public\":true");
+  canonical (text, &c, &z);
+  CU_ASSERT (HAS_TEXT (c.ptr, "\"queue_max\":5,\"public\":true}"));
+  CU_ASSERT (!ti_digest_eq (&x, &z));
+  zp_buf_free (&a);
+  zp_buf_free (&b);
+  zp_buf_free (&c);
+}
+
+/* Guards against fields of a workspace that get lost between the ticket and
+   the entry daemons, and against two canonical texts of one workspace.  */
+static void
+test_workspace_fields (void)
+{
+  struct zp_buf a = { .ptr = NULL }, b = { .ptr = NULL };
+  struct ti_digest x, y;
+  struct zp_report r;
+
+  canonical ("{\"title\":\"t\",\"author\":\"ana\",\"against\":3,\"set\":{"
+             "\"workspace/w\":{\"home_regions\":[\"r2\",\"r1\"],"
+             "\"priority\":0,\"burst\":20,\"rate_per_s\":12.5,"
+             "\"keys\":[\"k\\\"2\",\"k1\"]}}}",
+             &a, &x);
+  CU_ASSERT (HAS_TEXT (a.ptr,
+                       "{\"keys\":[\"k\\\"2\",\"k1\"],\"rate_per_s\":12.5,"
+                       "\"burst\":20,\"priority\":0,"
+                       "\"home_regions\":[\"r1\",\"r2\"]}"));
+  canonical (a.ptr, &b, &y);
+  CU_ASSERT (ti_digest_eq (&x, &y));
+  zp_buf_clear (&b);
+  canonical ("{\"title\":\"t\",\"author\":\"ana\",\"against\":3,\"set\":{"
+             "\"workspace/w\":{\"rate_per_s\":0,\"keys\":[\"k1\"]}}}",
+             &b, &y);
+  CU_ASSERT (HAS_TEXT (b.ptr, "\"workspace/w\":{\"keys\":[\"k1\"]}"));
+
+  struct ti_ticket *t = parse (a.ptr, &r);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (t);
+  struct ti_object *o = ti_object_copy (t->edit.set[0]);
+  ti_ticket_free (t);
+  const struct ti_workspace *w = &o->u.workspace;
+  CU_ASSERT_EQUAL (w->keys.len, 2);
+  CU_ASSERT_EQUAL (w->rate_per_s, 12500);
+  CU_ASSERT_EQUAL (w->burst, 20000);
+  CU_ASSERT (w->priority.given && w->priority.value == 0);
+  CU_ASSERT_EQUAL (w->home_regions.len, 2);
+  zp_buf_clear (&b);
+  ti_object_show (o, &b);
+  CU_ASSERT (HAS_TEXT (b.ptr, "{\"keys\":\"(2 keys)\",\"rate_per_s\":12.5,"));
+  ti_object_free (o);
+  zp_buf_free (&a);
+  zp_buf_free (&b);
+}
+
+/* Guards against workspaces outside the limits, and against error texts that
+   show a key, also one in the wrong place: they are printed and logged.  Each
+   ticket has a key that contains "SECRET".  */
+static void
+test_workspace_mistakes (void)
+{
+  static const struct
+  {
+    const char *object, *mistake;
+  } cases[] = {
+    { "\"workspace/w\":{\"rate_per_s\":1}", "\"keys\": missing, required" },
+    { "\"workspace/w\":{\"keys\":[]}", "found 0 items" },
+    { "\"workspace/w\":{\"keys\":[\"\",\"SECRET\"]}", "visible ASCII" },
+    { "\"workspace/w\":{\"keys\":[\"SECRET 1\"]}", "visible ASCII" },
+    { "\"workspace/w\":{\"keys\":[\"SECRET\\u0007\"]}", "visible ASCII" },
+    { "\"workspace/w\":{\"keys\":[123456]}", "visible ASCII" },
+    { "\"workspace/w\":{\"keys\":[\"SECRET\",\"a\",\"SECRET\"]}",
+      "found a key twice" },
+    { "\"workspace/w\":{\"keys\":\"SECRET\"}", "a list of 1 to 64 keys" },
+    { "\"workspace/w\":{\"keys\":{\"SECRET\":\"SECRET\"}}",
+      "a list of 1 to 64 keys" },
+    { "\"workspace/w\":\"SECRET\"", "allowed: an object" },
+    { "\"workspace/w\":[\"SECRET\"]", "allowed: an object" },
+    { "\"workspace/w\":{\"keys\":[\"k\"],\"SECRET\":1}", "unknown field" },
+    { "\"workspace/w\":{\"keys\":[\"SECRET\"],\"rate_per_s\":-1}",
+      "\"rate_per_s\": found -1, allowed: a number from 0 to 1000000" },
+    { "\"workspace/w\":{\"keys\":[\"SECRET\"],\"rate_per_s\":NaN}",
+      "\"rate_per_s\": found NaN" },
+    { "\"workspace/w\":{\"keys\":[\"SECRET\"],\"burst\":Infinity}",
+      "\"burst\": found Infinity" },
+    { "\"workspace/w\":{\"keys\":[\"SECRET\"],\"burst\":1e999}",
+      "\"burst\": found" },
+    { "\"workspace/w\":{\"keys\":[\"SECRET\"],\"burst\":-0.5}",
+      "\"burst\": found -0.5" },
+    { "\"workspace/w\":{\"keys\":[\"k\"],\"burst\":\"SECRET\"}",
+      "\"burst\": found another value" },
+    { "\"workspace/w\":{\"keys\":[\"SECRET\"],\"priority\":4}",
+      "\"priority\": found 4" },
+    { "\"workspace/w\":{\"keys\":[\"SECRET\"],\"home_regions\":[]}",
+      "\"home_regions\": found 0 items" },
+    { "\"workspace/w\":{\"keys\":[\"k\"],\"home_regions\":[\"SECRET *\"]}",
+      "\"home_regions\": found another value" },
+    { "\"workspace/w\":{\"keys\":[\"k\"],\"home_regions\":[\"r\",\"r\"]}",
+      "\"home_regions\": found a name twice" },
+    { "\"workspace/" LONG_NAME "\":{\"keys\":[\"SECRET\"]}",
+      "allowed: 1 to 63 letters" },
+    { "\"workspace/\":{\"keys\":[\"SECRET\"]}", "allowed: 1 to 63 letters" },
+  };
+  struct zp_report r;
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct zp_buf text = { .ptr = NULL };
+      zp_buf_printf (&text,
+                     "{\"title\":\"t\",\"author\":\"ana\",\"against\":0,"
+                     "\"set\":{%s}}",
+                     cases[i].object);
+      CU_ASSERT (refused (cases[i].object, cases[i].mistake));
+      CU_ASSERT_PTR_NULL (parse (text.ptr, &r));
+      CU_ASSERT (!reported (&r, "SECRET") && !reported (&r, "123456"));
+      CU_ASSERT (reported (&r, "workspace/"));
+      zp_report_free (&r);
+      zp_buf_free (&text);
+    }
+  static const char *const malformed[]
+      = { "[{\"workspace/w\":{\"keys\":[\"SECRET\"]}}]",
+          "{\"title\":\"t\",\"author\":\"a\",\"against\":0,\"set\":"
+          "[{\"workspace/w\":{\"keys\":[\"SECRET\"]}}]}",
+          "{\"title\":\"t\",\"author\":\"a\",\"against\":0,\"delete\":"
+          "{\"workspace/w\":{\"keys\":[\"SECRET\"]}}}",
+          "{\"set\":{\"workspace/w\":{\"keys\":[\"SECRET\" \"b\"]}}}" };
+  for (size_t i = 0; i < sizeof malformed / sizeof malformed[0]; i++)
+    {
+      CU_ASSERT_PTR_NULL (parse (malformed[i], &r));
+      CU_ASSERT (r.count > 0 && !reported (&r, "SECRET"));
+      zp_report_free (&r);
+    }
+}
+
+/* Guards against a key that is longer than an entry daemon reads: its
+   workspace could not be used.  */
+static void
+test_workspace_key_length (void)
+{
+  struct zp_buf object = { .ptr = NULL };
+
+  for (size_t n = ZP_KEY_MAX; n <= ZP_KEY_MAX + 1; n++)
+    {
+      struct zp_report r;
+      zp_buf_clear (&object);
+      zp_buf_put (&object, ZP_STR ("{\"title\":\"t\",\"author\":\"ana\","
+                                   "\"against\":0,\"set\":{\"workspace/w\":"
+                                   "{\"keys\":[\""));
+      for (size_t i = 0; i < n; i++)
+        zp_buf_put (&object, ZP_STR ("x"));
+      zp_buf_put (&object, ZP_STR ("\"]}}}"));
+      struct ti_ticket *t = parse (object.ptr, &r);
+      CU_ASSERT_EQUAL (t != NULL, n == ZP_KEY_MAX);
+      CU_ASSERT (!reported (&r, "xxx"));
+      ti_ticket_free (t);
+      zp_report_free (&r);
+    }
+  zp_buf_free (&object);
+}
+
 static const struct zp_test tests[] = {
   { "digest ignores layout", test_digest_ignores_layout },
   { "digest covers every part", test_digest_covers_every_part },
@@ -270,6 +458,10 @@
   { "set and delete exclude each other",
     test_set_and_delete_exclude_each_other },
   { "prefixes and addresses", test_prefixes },
+  { "optional fields leave digests", test_optional_fields_leave_digests },
+  { "fields of a workspace", test_workspace_fields },
+  { "mistakes in a workspace", test_workspace_mistakes },
+  { "length of a key", test_workspace_key_length },
 };
 
 TEST_MAIN ("ticket-parse", tests)
--- a/tests/test-ticket-validate.c
+++ b/tests/test-ticket-validate.c
@@ -320,6 +320,59 @@
   ti_config_free (c);
 }
 
+/* Guards against a key that identifies two workspaces, against a home region
+   that does not exist, and against an error text that shows the key.  */
+static void
+test_workspaces (void)
+{
+  static const char two[]
+      = "\"set\":{\"workspace/a\":{\"keys\":[\"k1\",\"SECRET\"]},"
+        "\"workspace/b\":{\"keys\":[\"SECRET\",\"k0\"]}}";
+  struct zp_report r = { .count = 0 };
+  struct ti_config *c = example ();
+  struct ti_ticket *t = ti_ticket_parse (
+      ZP_STR ("{\"title\":\"t\",\"author\":\"ana\",\"against\":1,\"set\":{"
+              "\"workspace/a\":{\"keys\":[\"k1\",\"SECRET\"],"
+              "\"home_regions\":[\"west\"]}}}"),
+      &r);
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (t);
+  CU_ASSERT (reports (c, two, 1,
+                      "workspace/b: found the same key as in workspace/a"));
+  CU_ASSERT (reports (
+      c,
+      "\"set\":{\"workspace/a\":{\"keys\":[\"k\"],\"home_regions\":[\"x\"]}}",
+      1,
+      "workspace/a: \"home_regions\": found \"x\", allowed: an existing "
+      "region"));
+  CU_ASSERT (ti_validate (c, t, &r));
+  put (c, t);
+  ti_ticket_free (t);
+  /* Against the workspace that is in force.  */
+  CU_ASSERT (reports (
+      c, "\"set\":{\"workspace/b\":{\"keys\":[\"SECRET\"]}}", 1,
+      "workspace/b: found the same key as in workspace/a, allowed: in one"));
+  /* A key can move in one ticket.  */
+  CU_ASSERT (reports (c,
+                      "\"set\":{\"workspace/a\":{\"keys\":[\"k1\"]},"
+                      "\"workspace/b\":{\"keys\":[\"SECRET\"]}}",
+                      0, ""));
+  CU_ASSERT (reports (c,
+                      "\"set\":{\"workspace/b\":{\"keys\":[\"SECRET\"]}},"
+                      "\"delete\":[\"workspace/a\"]",
+                      0, ""));
+  t = ti_ticket_parse (
+      ZP_STR ("{\"title\":\"t\",\"author\":\"ana\",\"against\":1,\"set\":{"
+              "\"workspace/b\":{\"keys\":[\"SECRET\"]}}}"),
+      &r);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (t);
+  CU_ASSERT (!ti_validate (c, t, &r));
+  CU_ASSERT (r.lines.ptr && !HAS_TEXT (r.lines.ptr, "SECRET"));
+  ti_ticket_free (t);
+  zp_report_free (&r);
+  ti_config_free (c);
+}
+
 static const struct zp_test tests[] = {
   { "every example is valid", test_examples },
   { "dangling references", test_dangling_references },
@@ -329,6 +382,7 @@
   { "control members", test_control_members },
   { "a shift that has moved blocks", test_moved_shift },
   { "against a future number", test_against_future_number },
+  { "workspaces", test_workspaces },
 };
 
 TEST_MAIN ("ticket-validate", tests)
