entry: requests of workspaces: keys, priority, home regions and rate limits

Entry daemons ignored the workspaces of tickets and forwarded whatever name of a workspace a caller sent.

With any workspace in the configuration, a request to a service that is not public needs a key, else it gets 401. The server gets the name of the workspace. The workspace's priority replaces that of the service. A daemon outside the home regions of the workspace answers 503; one inside forwards to servers of home regions only, and parks a request that finds free slots only elsewhere, so that it does not hold up the queue.

--- a/src/entry/candidates.c
+++ b/src/entry/candidates.c
@@ -111,6 +111,15 @@
          && running_in (r, s, region) >= share;
 }
 
+/* Whether the servers of OWNER are in a home region of the workspace of Q.
+   Without an owner their region is not known.  */
+static bool
+in_home (const struct en_request *q, const struct st_member *owner)
+{
+  return en_workspace_allows (q->workspace, owner ? zp_str_from (owner->region)
+                                                  : ZP_STR (""));
+}
+
 size_t
 en_dispatch_candidates (struct en_router *r, const struct en_request *q,
                         struct st_candidate *out, size_t *indexes, zp_time now)
@@ -125,6 +134,9 @@
                       zp_str_from (q->service->name)))
         continue;
       struct en_server *s = en_server_get (r, q->service, id);
+      const struct st_member *owner = en_held_server_owner (r, i);
+      if (!in_home (q, owner))
+        continue;
       struct st_candidate *c = &out[n];
       *c = (struct st_candidate){
         .server = s->hash,
@@ -137,7 +149,6 @@
         .reserved = s->reserved,
         .blocked = st_holder_free_slots (&r->holder, id, now) == 0,
       };
-      const struct st_member *owner = en_held_server_owner (r, i);
       set_tier (c, owner ? st_view_distance (&r->view, owner->id) : ZP_NEVER);
       if (owner && en_links_blocked (r, zp_str_from (owner->region), now))
         c->blocked = true;
@@ -184,6 +195,7 @@
 
   for (size_t i = 0; i < r->holder.servers; i++)
     if (same_text (r->holder.server[i].service, q->service->name)
+        && in_home (q, en_held_server_owner (r, i))
         && !was_tried (
             q, zp_str_hash (zp_str_from (r->holder.server[i].server), 0)))
       return true;
@@ -195,7 +207,8 @@
   for (size_t i = 0; i < r->view.summaries; i++)
     if (r->view.summary[i].member != r->id && r->view.summary[i].slots > 0
         && now - r->view.summary[i].at <= ST_SUMMARY_TTL
-        && same_text (r->view.summary[i].service, q->service->name))
+        && same_text (r->view.summary[i].service, q->service->name)
+        && in_home (q, st_view_member (&r->view, r->view.summary[i].member)))
       return true;
   return false;
 }
--- a/src/entry/claims.c
+++ b/src/entry/claims.c
@@ -49,6 +49,18 @@
   zp_buf_free (&d.body);
 }
 
+static void
+send_refusal (struct en_router *r, struct en_request *q, enum zp_verdict v,
+              const char *reason)
+{
+  if (v != ZP_NOT_RUN)
+    en_request_send_refusal (r, q, 502, v, reason, 0);
+  else if (q->limit_wait_s > 0)
+    en_request_send_refusal (r, q, 429, v, reason, q->limit_wait_s);
+  else
+    en_request_send_refusal (r, q, 503, v, reason, 1);
+}
+
 static void
 handle_action (struct en_router *r, struct en_request *q, struct oc_action *o)
 {
@@ -67,10 +79,7 @@
       answer_outcome (r, q, &o->u.answer);
       return;
     case OC_REFUSED:
-      en_request_send_refusal (r, q,
-                               o->u.refusal.verdict == ZP_NOT_RUN ? 503 : 502,
-                               o->u.refusal.verdict, o->u.refusal.reason,
-                               o->u.refusal.verdict == ZP_NOT_RUN);
+      send_refusal (r, q, o->u.refusal.verdict, o->u.refusal.reason);
       return;
     }
 }
--- a/src/entry/config.c
+++ b/src/entry/config.c
@@ -242,6 +242,7 @@
   r->plan = plan;
   r->term = c->term;
   update_services (r);
+  en_workspaces_update (&r->workspaces, plan, r->id, zp_clock_mono ());
   update_latencies (r);
   update_drains (r);
   en_shifts_update (r, first);
--- a/src/entry/dispatch.c
+++ b/src/entry/dispatch.c
@@ -35,6 +35,8 @@
   if (q->once)
     zp_buf_printf (&f->headers, "Idempotency-Key: %.*s\n",
                    ZP_ARG (zp_str_of (&h->key)));
+  if (q->workspace)
+    zp_buf_put (&f->workspace, zp_str_from (q->workspace->name));
   zp_buf_put (&f->body, zp_str_of (&h->body));
   zp_buf_printf (&f->request_id, "%llu-%llx-%u", (unsigned long long) r->id,
                  (unsigned long long) q->id, q->attempts);
@@ -191,14 +193,22 @@
   en_request_refuse (r, q, 503, "queue-full", 1);
 }
 
+/* The priority of the workspace of Q, or else of its service.  */
+static unsigned
+queue_class (const struct en_request *q)
+{
+  if (q->workspace && q->workspace->priority.given)
+    return q->workspace->priority.value;
+  return q->service->settings ? q->service->settings->priority
+                              : ST_QUEUE_CLASSES - 1;
+}
+
 static void
 enqueue (struct en_router *r, struct en_request *q, zp_time now)
 {
   struct en_service *s = q->service;
   struct st_queue_entry e
-      = { .id = q->id,
-          .class = s->settings ? s->settings->priority : ST_QUEUE_CLASSES - 1,
-          .deadline = q->deadline };
+      = { .id = q->id, .class = queue_class (q), .deadline = q->deadline };
   struct st_push p
       = st_queue_push (s->queue, &e, usable_slots (r, s, now), now);
 
@@ -308,6 +318,12 @@
   if (!admit_fingerprint (r, q, now))
     return;
   bool own_condition = q->alone || q->only_server != 0;
+  if (q->waits_for_home && !own_condition)
+    {
+      if (!try_forward (r, q, now))
+        en_dispatch_park (s, q);
+      return;
+    }
   if ((own_condition || st_queue_len (s->queue) == 0)
       && try_forward (r, q, now))
     return;
@@ -351,6 +367,36 @@
   return NULL;
 }
 
+/* Whether Q, which has no server now, would have one without the home regions
+   of its workspace.  It must not hold up the requests behind it then.  */
+static bool
+lacks_home (struct en_router *r, const struct en_request *q, zp_time now)
+{
+  const struct en_request any = { .service = q->service };
+  size_t index;
+
+  if (!q->workspace || q->workspace->home.len == 0)
+    return false;
+  struct st_placement p = en_dispatch_choose (r, &any, &index, now);
+  return p.kind == ST_PLACED || p.kind == ST_PLACED_PROBE;
+}
+
+/* Takes Q out of the queue and parks it until a slot in a home region is free.
+   As many requests may wait so as may be queued.  */
+static void
+wait_for_home (struct en_router *r, struct en_request *q)
+{
+  struct en_service *s = q->service;
+
+  st_queue_cancel (s->queue, q->ref);
+  q->phase = EN_DETACHED;
+  q->waits_for_home = true;
+  if (s->settings && s->parked_len < s->settings->queue_max)
+    en_dispatch_park (s, q);
+  else
+    en_request_refuse (r, q, 503, "queue-full", 1);
+}
+
 void
 en_dispatch (struct en_router *r, struct en_service *s)
 {
@@ -363,7 +409,12 @@
       struct st_placement p = en_dispatch_choose (r, q, &index, now);
       if (p.kind != ST_PLACED && p.kind != ST_PLACED_PROBE
           && p.kind != ST_PLACE_TRIED)
-        return;
+        {
+          if (!lacks_home (r, q, now))
+            return;
+          wait_for_home (r, q);
+          continue;
+        }
       st_queue_cancel (s->queue, q->ref);
       q->phase = EN_DETACHED;
       if (p.kind == ST_PLACE_TRIED)
--- a/src/entry/plan.c
+++ b/src/entry/plan.c
@@ -294,6 +294,14 @@
   return false;
 }
 
+unsigned
+en_plan_share_count (const struct en_plan *p, uint64_t id)
+{
+  unsigned rank, count;
+
+  return entry_rank (p, id, &rank, &count) ? count : 0;
+}
+
 bool
 en_plan_entry_disabled (const struct en_plan *p, uint64_t id)
 {
--- a/src/entry/plan.h
+++ b/src/entry/plan.h
@@ -72,6 +72,10 @@
 bool en_plan_limit (const struct en_plan *p, struct zp_str service,
                     struct zp_str region, uint64_t id, unsigned *share);
 
+/* The number of entry daemons in the configuration, which share a limit evenly.
+   0 when daemon ID is none of them.  */
+unsigned en_plan_share_count (const struct en_plan *p, uint64_t id);
+
 /* Whether the configuration disables entry daemon ID.  */
 bool en_plan_entry_disabled (const struct en_plan *p, uint64_t id);
 
--- a/src/entry/request.c
+++ b/src/entry/request.c
@@ -25,6 +25,8 @@
   assert (q->phase != EN_RUNNING && q->phase != EN_QUEUED);
   if (q->phase == EN_PARKED)
     en_dispatch_unpark (q->service, q);
+  if (q->token && q->attempts == 0)
+    en_workspace_give_back (q->workspace);
   oc_attempt_free (q->attempt);
   tk_msg_free (q->msg);
   zp_slots_remove (&r->requests, q->id);
@@ -121,8 +123,23 @@
   return NULL;
 }
 
+/* Takes a token of the limit of the workspace of Q.  Refuses Q and returns
+   false when there is none.  */
+static bool
+take_token (struct en_router *r, struct en_request *q, zp_time now)
+{
+  if (!q->workspace)
+    return true;
+  q->token = en_workspace_take (q->workspace, now, &q->limit_wait_s);
+  if (!q->token)
+    en_request_refuse (r, q, 429, "workspace-limit", q->limit_wait_s);
+  return q->token;
+}
+
+/* W: the workspace of the request; NULL: none is needed.  */
 static void
-start (struct en_router *r, struct en_service *s, struct tk_msg *m)
+start (struct en_router *r, struct en_service *s, struct en_workspace *w,
+       struct tk_msg *m)
 {
   struct en_request *q = zp_alloc (sizeof *q);
   struct tk_http_request *h = &m->u.request;
@@ -131,6 +148,7 @@
   q->msg = m;
   q->http = h->id;
   q->service = s;
+  q->workspace = w;
   q->once = s->settings->class == TI_CLASS_ONCE;
   q->arrived = now;
   q->deadline = deadline_of (h, s->settings, now);
@@ -144,13 +162,15 @@
   st_budget_first_try (&s->budget);
   if (!q->once)
     {
-      en_request_admit (r, q);
+      if (take_token (r, q, now))
+        en_request_admit (r, q);
       return;
     }
   const char *bad = start_attempt (r, q, now);
   if (!bad)
     {
-      en_claims_process (r, q);
+      if (take_token (r, q, now))
+        en_claims_process (r, q);
       return;
     }
   /* Without a valid key no other daemon can have run the request.  */
@@ -159,6 +179,58 @@
   en_request_free (r, q);
 }
 
+/* Why a request is refused before it is claimed.  */
+struct refusal
+{
+  unsigned status;
+  const char *reason; /* NULL: not refused */
+};
+
+/* Looks up the workspace of H, a request for S.  Sets W to NULL when none is
+   needed.  */
+static struct refusal
+identify (const struct en_router *r, const struct en_service *s,
+          const struct tk_http_request *h, struct en_workspace **w)
+{
+  struct zp_str key = zp_str_of (&h->credential);
+
+  *w = NULL;
+  if (!r->workspaces.needs_key || s->settings->public)
+    return (struct refusal){ .reason = NULL };
+  if (key.len == 0)
+    return (struct refusal){ .status = 401, .reason = "no-key" };
+  *w = en_workspaces_find (&r->workspaces, key);
+  if (!*w)
+    return (struct refusal){ .status = 401, .reason = "unknown-key" };
+  /* Leases are requested for all requests of a service together, from owners
+     nearby first, so this daemon has no slots of regions far away for one
+     workspace.  */
+  if (!en_workspace_allows (*w, r->settings->region))
+    return (struct refusal){ .status = 503, .reason = "home-region" };
+  return (struct refusal){ .reason = NULL };
+}
+
+/* Refuses the request of M without a claim, and frees M.  */
+static void
+refuse_unclaimed (struct en_router *r, struct en_service *s, struct tk_msg *m,
+                  struct refusal why)
+{
+  const struct tk_http_request *h = &m->u.request;
+  /* An earlier send of the same key may have run through another entry VM.  */
+  enum zp_verdict v = h->key.len > 0 ? ZP_MAY_HAVE_RUN : ZP_NOT_RUN;
+
+  zp_count (v == ZP_NOT_RUN ? s->refused : s->may_have_run, 1);
+  if (why.status == 401)
+    {
+      zp_count (zp_counter ("zp_key_refused_total", ""), 1);
+      en_log_unclaimed (r, s, h, "a request has no valid key", why.reason);
+    }
+  else
+    en_log_unclaimed (r, s, h, "a request is refused", why.reason);
+  en_refuse (r->front, h->id, why.status, v, why.reason, 0);
+  tk_msg_free (m);
+}
+
 void
 en_request_start (struct en_router *r, struct tk_msg *m)
 {
@@ -172,8 +244,14 @@
   struct en_service *s = r->plan ? en_service_find (r, name) : NULL;
   if (s && s->settings)
     {
+      struct en_workspace *w;
+      struct refusal why = identify (r, s, h, &w);
+      zp_buf_wipe (&h->credential);
       zp_count (s->requests, 1);
-      start (r, s, m);
+      if (why.reason)
+        refuse_unclaimed (r, s, m, why);
+      else
+        start (r, s, w, m);
       return;
     }
   zp_count (zp_counter ("zp_unknown_requests_total", ""), 1);
--- a/src/entry/request.h
+++ b/src/entry/request.h
@@ -32,6 +32,12 @@
   enum en_phase phase;
   struct tk_msg *msg; /* TK_HTTP_REQUEST */
   struct en_service *service;
+  struct en_workspace *workspace; /* NULL: none is needed */
+  bool token;                     /* one of the limit of WORKSPACE is taken */
+  unsigned limit_wait_s; /* until the limit has a token; 0: not over it */
+  /* Parked because the free slots are outside the home regions of
+     WORKSPACE.  */
+  bool waits_for_home;
   bool once;
   zp_time arrived, deadline;
 
@@ -117,10 +123,14 @@
                                               size_t at);
 
 /* request_log.c: log lines about requests.  PAUSE is the time that the server
-   stays ejected, 0 when it is not ejected.  */
+   stays ejected, 0 when it is not ejected.  en_log_unclaimed is for requests
+   that are refused before their claim.  */
 void en_log_refusal (const struct en_router *r, const struct en_request *q,
                      enum zp_verdict verdict, const char *reason,
                      unsigned retry_after_s);
+void en_log_unclaimed (const struct en_router *r, const struct en_service *s,
+                       const struct tk_http_request *h, const char *text,
+                       const char *reason);
 void en_log_attempt (const struct en_router *r, const struct en_request *q,
                      const struct tk_forward_done *d, enum st_attempt_end end,
                      zp_time now);
--- a/src/entry/request_log.c
+++ b/src/entry/request_log.c
@@ -28,6 +28,8 @@
       ZP_LOG_INFO, PART, "a request is refused",
       ZP_F_TEXT (ZP_KEY_REQUEST, request_id (q)),
       ZP_F_TEXT (ZP_KEY_SERVICE, zp_str_from (q->service->name)),
+      ZP_F_TEXT (ZP_KEY_WORKSPACE,
+                 zp_str_from (q->workspace ? q->workspace->name : "")),
       ZP_F_INT (ZP_KEY_CONFIGURATION, config_number (r)),
       ZP_F_TEXT (ZP_KEY_REASON, zp_str_from (reason)),
       ZP_F_TEXT (ZP_KEY_VERDICT, zp_str_from (zp_verdict_name (verdict))),
@@ -39,6 +41,18 @@
       ZP_F_TEXT (ZP_KEY_SERVER, zp_str_from (q->server)));
 }
 
+void
+en_log_unclaimed (const struct en_router *r, const struct en_service *s,
+                  const struct tk_http_request *h, const char *text,
+                  const char *reason)
+{
+  ZP_EVENT (ZP_LOG_INFO, PART, text,
+            ZP_F_TEXT (ZP_KEY_REQUEST, zp_str_of (&h->request_id)),
+            ZP_F_TEXT (ZP_KEY_SERVICE, zp_str_from (s->name)),
+            ZP_F_INT (ZP_KEY_CONFIGURATION, config_number (r)),
+            ZP_F_TEXT (ZP_KEY_REASON, zp_str_from (reason)));
+}
+
 void
 en_log_attempt (const struct en_router *r, const struct en_request *q,
                 const struct tk_forward_done *d, enum st_attempt_end end,
--- a/src/entry/router.c
+++ b/src/entry/router.c
@@ -314,6 +314,7 @@
     free (r->servers.item[i]);
   free (r->servers.item);
   free (r->service);
+  en_workspaces_free (&r->workspaces);
   zp_idmap_free (&r->by_http);
   en_shifts_free (r);
   en_links_free (r);
--- a/src/entry/router.h
+++ b/src/entry/router.h
@@ -12,6 +12,7 @@
      config.c      configuration in force
      shifts.c      shifts in progress
      capacity.c    leases: lessor, holder and their messages
+     workspaces.c  keys, limits and home regions of workspaces
      links.c       this daemon's shares of the links between regions
      request.c     one request from its arrival to its answer
      dispatch.c    admission, queue, forwarding, retries, parked requests
@@ -35,6 +36,7 @@
 #include "entry/members.h"
 #include "entry/plan.h"
 #include "entry/settings.h"
+#include "entry/workspaces.h"
 #include "once/attempt.h"
 #include "once/member.h"
 #include "steer/health.h"
@@ -151,6 +153,7 @@
   struct en_service **service;
   size_t services;
   struct en_servers servers;
+  struct en_workspaces workspaces;
   struct st_poison *poison;
   struct oc_member *claims;
 
