--- a/src/entry/request.c
+++ b/src/entry/request.c
@@ -131,9 +131,10 @@
   if (!q->workspace)
     return true;
   q->token = en_workspace_take (q->workspace, now, &q->limit_wait_s);
-  if (!q->token)
-    en_request_refuse (r, q, 429, "workspace-limit", q->limit_wait_s);
-  return q->token;
+  if (q->token)
+    return true;
+  en_request_refuse (r, q, 429, "workspace-limit", q->limit_wait_s);
+  return false;
 }
 
 /* W: the workspace of the request; NULL: none is needed.  */
