--- a/src/quota/bucket.h
+++ b/src/quota/bucket.h
@@ -53,7 +53,7 @@
    number taken.  */
 uint32_t qu_bucket_take (struct qu_bucket *b, uint32_t n);
 
-/* Empties B.  */
+/* Takes all tokens of B, which refills from NOW on, also a time to come.  */
 void qu_bucket_empty (struct qu_bucket *b, zp_time now);
 
 #endif
