quota: leases last for 4 s

Cause: a new owner gives only a quarter of a large limit until the leases of the earlier owner have certainly ended. Change: the time to live is 4 s instead of 6 s. Isolated entry daemons spend their leases for 4 s instead of 6 s.

--- a/src/quota/owner.h
+++ b/src/quota/owner.h
@@ -43,8 +43,11 @@
 #include "quota/bucket.h"
 #include "task/msg.h"
 
-/* Longer than the 5.5 s for which a machine is usually isolated.  */
-#define QU_TTL (6 * ZP_SEC)
+/* Longer than the 2.6 s of the slowest election and the time until the holders
+   know the new owner.  It is not longer, because a new owner gives only a part
+   of a large limit for as long: after a restart of all daemons there is no
+   lease that it could renew.  */
+#define QU_TTL (4 * ZP_SEC)
 
 /* Longer than the 300 ms that a request waits and a round trip between
    regions.  */
