--- a/tests/test-quotas.c
+++ b/tests/test-quotas.c
@@ -210,7 +210,7 @@
 test_first_limit (void)
 {
   struct fixture f;
-  uint32_t tokens;
+  uint32_t tokens = 0;
 
   set_up (&f);
   put (&f, "0 0", 1);
