--- a/src/site/site.c
+++ b/src/site/site.c
@@ -230,12 +230,12 @@
 check_workspace_names (const struct si_site *s, struct zp_err *err)
 {
   size_t n = s->workspaces;
-  const struct si_workspace **list = zp_alloc ((n + 1) * sizeof *list);
+  const struct si_workspace **list = zp_alloc ((n + 1) * sizeof (void *));
   bool ok = true;
 
   for (size_t i = 0; i < n; i++)
     list[i] = &s->workspace[i];
-  qsort (list, n, sizeof *list, cmp_workspace);
+  qsort (list, n, sizeof (void *), cmp_workspace);
   for (size_t i = 1; ok && i < n; i++)
     if (list[i - 1]->hash == list[i]->hash)
       ok = zp_fail (err, ZP_EINVAL, "workspace \"%.*s\" is defined twice",
