--- a/src/steer/stop.c
+++ b/src/steer/stop.c
@@ -14,6 +14,19 @@
                          .busy_at = now };
 }
 
+/* Whether the daemon was paused over the time in which it answers, and still
+   has to.  */
+static bool
+answers_late (struct st_stop *s, zp_time now, size_t unfinished)
+{
+  if (unfinished == 0)
+    return false;
+  if (s->answering_at == 0)
+    s->answering_at = now;
+  return s->answering_at >= s->since + s->length
+         && now - s->answering_at < ST_STOP_LATE_TIME;
+}
+
 enum st_stop_phase
 st_stop_step (struct st_stop *s, zp_time now, size_t unfinished)
 {
@@ -22,13 +35,18 @@
   if (!s->begun)
     return ST_STOP_NOT_BEGUN;
   if (passed >= s->length)
-    return ST_STOP_OVER;
+    return answers_late (s, now, unfinished) ? ST_STOP_ANSWERING
+                                             : ST_STOP_OVER;
   if (passed < s->lookup_ttl || unfinished > 0)
     s->busy_at = now;
   if (now - s->busy_at >= ST_STOP_LINGER)
     return ST_STOP_OVER;
   if (passed >= s->length - ST_STOP_ANSWER_TIME)
-    return ST_STOP_ANSWERING;
+    {
+      if (s->answering_at == 0)
+        s->answering_at = now;
+      return ST_STOP_ANSWERING;
+    }
   return passed < s->lookup_ttl ? ST_STOP_LISTENING : ST_STOP_DRAINING;
 }
 
--- a/src/steer/stop.h
+++ b/src/steer/stop.h
@@ -40,6 +40,11 @@
    refusals need it to reach their callers, up to 110 ms away.  */
 #define ST_STOP_ANSWER_TIME (250 * ZP_MS)
 
+/* The same for a daemon that was paused over that time.  It is taken from the
+   reserve before the kill, so it is shorter: one way to a caller, and a check
+   of the shutdown.  */
+#define ST_STOP_LATE_TIME (150 * ZP_MS)
+
 /* No request in progress for this long ends the shutdown early.  A request that
    a caller has already sent can still be under way; callers are up to 110 ms
    away.  */
@@ -49,9 +54,10 @@
 {
   bool begun;
   zp_time since;
-  zp_time lookup_ttl; /* how long callers use a look-up */
-  zp_time length;     /* from SINCE to the end */
-  zp_time busy_at;    /* last time with a request in progress */
+  zp_time lookup_ttl;   /* how long callers use a look-up */
+  zp_time length;       /* from SINCE to the end */
+  zp_time busy_at;      /* last time with a request in progress */
+  zp_time answering_at; /* when the refusals began; 0: they have not */
 };
 
 enum st_stop_phase
--- a/tests/test-stop.c
+++ b/tests/test-stop.c
@@ -114,10 +114,32 @@
   CU_ASSERT_EQUAL (st_stop_step (&s, LENGTH, 1), ST_STOP_OVER);
 }
 
+/* Guards against requests that get no answer because the daemon was paused over
+   the time in which it refuses them, and against a stop that does not end.  */
+static void
+test_pause_over_the_end (void)
+{
+  zp_time late = LENGTH + 2 * ZP_SEC;
+  struct st_stop s = begun_at (0);
+
+  CU_ASSERT_EQUAL (st_stop_step (&s, TTL, 1), ST_STOP_DRAINING);
+  CU_ASSERT_EQUAL (st_stop_step (&s, late, 1), ST_STOP_ANSWERING);
+  CU_ASSERT_EQUAL (st_stop_step (&s, late + ST_STOP_LATE_TIME - 1, 1),
+                   ST_STOP_ANSWERING);
+  CU_ASSERT_EQUAL (st_stop_step (&s, late + ST_STOP_LATE_TIME, 1),
+                   ST_STOP_OVER);
+  s = begun_at (0);
+  CU_ASSERT_EQUAL (st_stop_step (&s, late, 1), ST_STOP_ANSWERING);
+  CU_ASSERT_EQUAL (st_stop_step (&s, late + 1, 0), ST_STOP_OVER);
+  s = begun_at (0);
+  CU_ASSERT_EQUAL (st_stop_step (&s, late, 0), ST_STOP_OVER);
+}
+
 static const struct zp_test tests[]
     = { { "before a stop", test_not_begun },
         { "which requests are taken", test_which_requests },
         { "late requests end before the stop", test_late_requests_end },
-        { "phases", test_phases } };
+        { "phases", test_phases },
+        { "a pause over the end", test_pause_over_the_end } };
 
 TEST_MAIN ("stop", tests)
